--- /dev/null
+++ b/filbertspar/http/src/client.cc
@@ -0,0 +1,161 @@
+#include "filbertspar/http/src/client.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "boost/asio/as_tuple.hpp"
+#include "boost/asio/ip/tcp.hpp"
+#include "boost/asio/use_awaitable.hpp"
+#include "boost/beast/core/flat_buffer.hpp"
+#include "boost/beast/core/tcp_stream.hpp"
+#include "boost/beast/http/parser.hpp"
+#include "boost/beast/http/read.hpp"
+#include "boost/beast/http/serializer.hpp"
+#include "boost/beast/http/write.hpp"
+
+namespace filbertspar {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using Stream = beast::basic_stream<tcp, asio::io_context::executor_type>;
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+
+struct Connection {
+  explicit Connection(asio::io_context& context) : m_stream(context) {}
+  Stream m_stream;
+  beast::flat_buffer m_buffer;
+  TimePoint m_idle_since;
+};
+using ConnectionPtr = std::unique_ptr<Connection>;
+
+/// An idle connection that can be read was closed by its server or holds
+/// bytes of an answer that nobody waits for.
+bool IsUsable(Connection& connection) {
+  auto& socket = connection.m_stream.socket();
+  char byte = 0;
+  boost::system::error_code error;
+  socket.non_blocking(true, error);
+  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek,
+                 error);
+  return error == asio::error::would_block;
+}
+
+}  // namespace
+
+struct HttpClient::State {
+  State(asio::io_context& context, HttpClientLimits limits)
+      : m_context(context), m_limits(limits) {}
+
+  ConnectionPtr TakeIdle(const Endpoint& endpoint);
+  void PutIdle(const Endpoint& endpoint, ConnectionPtr connection);
+  asio::awaitable<ConnectionPtr> Connect(Endpoint endpoint, Duration timeout);
+
+  asio::io_context& m_context;
+  HttpClientLimits m_limits;
+  std::map<Endpoint, std::deque<ConnectionPtr>> m_idle;
+};
+
+ConnectionPtr HttpClient::State::TakeIdle(const Endpoint& endpoint) {
+  const auto found = m_idle.find(endpoint);
+  if (found == m_idle.end()) {
+    return nullptr;
+  }
+  auto& idle = found->second;
+  const TimePoint oldest = SteadyNow() - m_limits.m_idle_time;
+  while (!idle.empty()) {
+    ConnectionPtr connection = std::move(idle.back());
+    idle.pop_back();
+    if (connection->m_idle_since >= oldest && IsUsable(*connection)) {
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+void HttpClient::State::PutIdle(const Endpoint& endpoint,
+                                ConnectionPtr connection) {
+  auto& idle = m_idle[endpoint];
+  const TimePoint now = SteadyNow();
+  while (!idle.empty() &&
+         (idle.size() >= m_limits.m_idle_per_endpoint ||
+          idle.front()->m_idle_since + m_limits.m_idle_time < now)) {
+    idle.pop_front();
+  }
+  connection->m_stream.expires_never();
+  connection->m_idle_since = now;
+  idle.push_back(std::move(connection));
+}
+
+asio::awaitable<ConnectionPtr> HttpClient::State::Connect(Endpoint endpoint,
+                                                          Duration timeout) {
+  boost::system::error_code error;
+  const asio::ip::address address =
+      asio::ip::make_address(endpoint.m_address, error);
+  if (error) {
+    co_return nullptr;
+  }
+  auto connection = std::make_unique<Connection>(m_context);
+  connection->m_stream.expires_after(
+      std::min(timeout, m_limits.m_connect_time));
+  auto [connect_error] = co_await connection->m_stream.async_connect(
+      tcp::endpoint(address, endpoint.m_port), kTuple);
+  if (connect_error) {
+    co_return nullptr;
+  }
+  connection->m_stream.socket().set_option(tcp::no_delay(true), error);
+  co_return connection;
+}
+
+HttpClient::HttpClient(asio::io_context& context, HttpClientLimits limits)
+    : m_state(std::make_shared<State>(context, limits)) {}
+
+HttpClient::~HttpClient() = default;
+
+asio::awaitable<CallResult> HttpClient::Call(Endpoint endpoint,
+                                             HttpRequest request,
+                                             Duration timeout) {
+  const std::shared_ptr<State> state = m_state;
+  const TimePoint deadline = SteadyNow() + timeout;
+  CallResult result;
+  ConnectionPtr connection = state->TakeIdle(endpoint);
+  if (connection == nullptr) {
+    connection = co_await state->Connect(endpoint, timeout);
+  }
+  const Duration left = deadline - SteadyNow();
+  if (connection == nullptr || left <= Duration(0)) {
+    co_return result;
+  }
+  request.set(http::field::host, endpoint.Text());
+  request.keep_alive(true);
+  request.prepare_payload();
+  Stream& stream = connection->m_stream;
+  stream.expires_after(left);
+  auto [write_error, written] =
+      co_await http::async_write(stream, request, kTuple);
+  if (write_error) {
+    result.m_end = written == 0 ? CallEnd::kNotSent : CallEnd::kLost;
+    co_return result;
+  }
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(state->m_limits.m_body_bytes);
+  auto [read_error, bytes] =
+      co_await http::async_read(stream, connection->m_buffer, parser, kTuple);
+  static_cast<void>(bytes);
+  if (read_error) {
+    result.m_end = CallEnd::kLost;
+    co_return result;
+  }
+  result.m_end = CallEnd::kAnswered;
+  result.m_response = parser.release();
+  if (result.m_response.keep_alive() && connection->m_buffer.size() == 0) {
+    state->PutIdle(endpoint, std::move(connection));
+  }
+  co_return result;
+}
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/http/src/client.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+
+#include "boost/asio/awaitable.hpp"
+#include "boost/asio/io_context.hpp"
+#include "filbertspar/http/src/message.h"
+#include "filbertspar/settings/settings.h"
+
+namespace filbertspar {
+
+/// \brief How far a call came.
+enum class CallEnd : std::uint8_t {
+  /// A whole response was read.
+  kAnswered,
+  /// No byte of the request was sent.
+  kNotSent,
+  /// Some byte was sent and no whole response came.
+  kLost,
+};
+
+struct CallResult {
+  CallEnd m_end = CallEnd::kNotSent;
+  HttpResponse m_response;
+};
+
+/// \brief Bounds of a client.
+struct HttpClientLimits {
+  std::size_t m_body_bytes = 4 << 20;
+  std::size_t m_idle_per_endpoint = 64;
+  /// Must be shorter than the servers' idle time, so that an idle connection
+  /// is not closed by its server just when it is used again.
+  Duration m_idle_time = Seconds(10);
+  Duration m_connect_time = Seconds(1);
+};
+
+/// \brief HTTP/1.1 client that keeps idle connections per endpoint.
+///
+/// A connection whose call timed out or failed is closed and never used again.
+class HttpClient {
+ public:
+  HttpClient(asio::io_context& context, HttpClientLimits limits);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /// \brief Sends a request and reads the response within the timeout.
+  asio::awaitable<CallResult> Call(Endpoint endpoint, HttpRequest request,
+                                   Duration timeout);
+
+ private:
+  struct State;
+  std::shared_ptr<State> m_state;
+};
+
+}  // namespace filbertspar
