--- /dev/null
+++ b/filbertspar/entry/src/fleet_view.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "filbertspar/base/base.h"
+#include "filbertspar/fleet/fleet.h"
+#include "filbertspar/request/request.h"
+#include "filbertspar/settings/settings.h"
+
+namespace filbertspar {
+
+/// \brief VM rows as last read from the table.
+struct FleetView {
+  std::map<VmName, VmRow> m_vms;
+  /// Sequence after which the next changes are read.
+  std::uint64_t m_sequence = 0;
+};
+
+/// \brief Address of a worker's agent, or nothing for an unknown VM.
+std::optional<Endpoint> AddressOf(const FleetView& view, const VmName& name);
+
+/// \brief All VMs as the engine takes them.
+std::vector<WorkerInfo> WorkersOf(const FleetView& view);
+
+}  // namespace filbertspar
