Add entry process shell

Cause: callers need an end-to-end path through real processes. Change: caller and administration API, dispatcher that carries out engine effects, claims, configuration by one head row, fleet polling, graceful stop.

--- a/filbertspar/entry/src/fleet_view.cc
+++ b/filbertspar/entry/src/fleet_view.cc
@@ -1,7 +1,28 @@
 #include "filbertspar/entry/src/fleet_view.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace filbertspar {
 
+bool ApplyChanges(FleetView& view, const ChangeList& changes) {
+  for (const Row& row : changes.m_rows) {
+    const VmName name(row.m_row.m_key);
+    VmRow vm;
+    if (!row.m_value) {
+      view.m_vms.erase(name);
+    } else if (row.m_value->is_object() &&
+               FromJson(row.m_value->as_object(), vm).ok()) {
+      view.m_vms[name] = std::move(vm);
+    } else if (const auto found = view.m_vms.find(name);
+               found != view.m_vms.end()) {
+      found->second.m_state = VmState::kFailed;
+    }
+  }
+  view.m_sequence = std::max(view.m_sequence, changes.m_sequence);
+  return !changes.m_rows.empty();
+}
+
 std::optional<Endpoint> AddressOf(const FleetView& view, const VmName& name) {
   const auto found = view.m_vms.find(name);
   if (found == view.m_vms.end()) {
--- a/filbertspar/entry/src/fleet_view.h
+++ b/filbertspar/entry/src/fleet_view.h
@@ -6,6 +6,7 @@
 
 #include "filbertspar/base/base.h"
 #include "filbertspar/fleet/fleet.h"
+#include "filbertspar/platform/platform.h"
 #include "filbertspar/request/request.h"
 #include "filbertspar/settings/settings.h"
 
@@ -18,6 +19,10 @@
   std::uint64_t m_sequence = 0;
 };
 
+/// \brief Takes in changed rows; false when there were none. A row that cannot
+/// be read leaves its VM out of service.
+bool ApplyChanges(FleetView& view, const ChangeList& changes);
+
 /// \brief Address of a worker's agent, or nothing for an unknown VM.
 std::optional<Endpoint> AddressOf(const FleetView& view, const VmName& name);
 
--- /dev/null
+++ b/filbertspar/entry/src/process.cc
@@ -0,0 +1,192 @@
+#include "filbertspar/entry/src/process.h"
+
+#include <random>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "boost/asio/as_tuple.hpp"
+#include "boost/asio/co_spawn.hpp"
+#include "boost/asio/detached.hpp"
+#include "boost/asio/use_awaitable.hpp"
+#include "filbertspar/entry/src/admin_api.h"
+#include "filbertspar/entry/src/caller_api.h"
+#include "filbertspar/entry/src/claims.h"
+#include "filbertspar/entry/src/config.h"
+#include "filbertspar/entry/src/dispatcher.h"
+#include "filbertspar/entry/src/fleet_view.h"
+#include "filbertspar/http/http.h"
+#include "filbertspar/program/program.h"
+#include "filbertspar/store/store.h"
+
+namespace filbertspar {
+namespace {
+
+constexpr Duration kReadDeadline = Seconds(1);
+constexpr Duration kStopPoll = Milliseconds(20);
+/// Time for the balancer to see that the process is not ready.
+constexpr Duration kUnreadyTime = Milliseconds(500);
+
+std::uint64_t RandomNumber() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+EngineOptions EngineOptionsOf(const EntryOptions& options,
+                              std::uint64_t incarnation) {
+  EngineOptions engine;
+  engine.m_node =
+      static_cast<std::uint32_t>(incarnation % ((1U << kNodeBits) - 1)) + 1;
+  engine.m_zone = options.m_zone;
+  engine.m_seed = incarnation;
+  engine.m_max_requests = static_cast<std::size_t>(options.m_max_requests);
+  engine.m_lease = options.m_task_lease;
+  return engine;
+}
+
+HttpServerLimits LimitsOf(const EntryOptions& options) {
+  HttpServerLimits limits;
+  limits.m_body_bytes = static_cast<std::size_t>(options.m_max_body_bytes);
+  limits.m_read_time = options.m_read_time;
+  limits.m_connections = static_cast<std::size_t>(options.m_max_requests) + 64;
+  return limits;
+}
+
+/// All parts of one entry process.
+class EntryProcess {
+ public:
+  EntryProcess(asio::io_context& context, const EntryOptions& options,
+               std::uint64_t incarnation)
+      : m_context(context),
+        m_options(options),
+        m_node(absl::StrCat(options.m_name.Value(), "#", incarnation)),
+        m_client(context, {}),
+        m_store(context, m_client, options.m_platform, m_node, incarnation),
+        m_config(context, m_store, options.m_poll_period),
+        m_claims(context, m_store, m_node),
+        m_engine(MakeEngine(EngineOptionsOf(options, incarnation))),
+        m_dispatcher(context, m_client, m_claims, m_fleet, m_engine),
+        m_caller_api(m_config, m_dispatcher),
+        m_admin_api(m_config, m_store, m_fleet, m_dispatcher,
+                    options.m_bootstrap_operator_hash),
+        m_caller_server(context, LimitsOf(options),
+                        [this](const HttpRequest& request) {
+                          return m_caller_api.Handle(request);
+                        }),
+        m_admin_server(context, LimitsOf(options),
+                       [this](const HttpRequest& request) {
+                         return m_admin_api.Handle(request);
+                       }) {}
+
+  absl::Status Start();
+  void BeginStop();
+  const absl::Status& Result() const { return m_result; }
+
+ private:
+  asio::awaitable<void> PollFleet();
+  asio::awaitable<void> Stop();
+  void ApplyCatalogue(std::shared_ptr<const Catalogue> catalogue);
+  asio::awaitable<void> Pause(Duration duration);
+
+  asio::io_context& m_context;
+  const EntryOptions& m_options;
+  NodeName m_node;
+  HttpClient m_client;
+  Store m_store;
+  Config m_config;
+  FleetView m_fleet;
+  Claims m_claims;
+  Engine m_engine;
+  Dispatcher m_dispatcher;
+  CallerApi m_caller_api;
+  AdminApi m_admin_api;
+  HttpServer m_caller_server;
+  HttpServer m_admin_server;
+  absl::Status m_result;
+  bool m_stopping = false;
+};
+
+absl::Status EntryProcess::Start() {
+  m_config.OnVersion([this](std::shared_ptr<const Catalogue> catalogue) {
+    ApplyCatalogue(std::move(catalogue));
+  });
+  FS_RETURN_IF_ERROR(m_caller_server.Listen(m_options.m_caller_listen));
+  FS_RETURN_IF_ERROR(m_admin_server.Listen(m_options.m_admin_listen));
+  m_config.Start();
+  m_dispatcher.Start();
+  asio::co_spawn(m_context, PollFleet(), asio::detached);
+  LoggerFor("entry")->info("{} serves callers on {}", m_node.Value(),
+                           m_options.m_caller_listen.Text());
+  return absl::OkStatus();
+}
+
+void EntryProcess::ApplyCatalogue(std::shared_ptr<const Catalogue> catalogue) {
+  m_dispatcher.Update([&](Engine& engine, TimePoint now, Effects& effects) {
+    SetCatalogue(engine, now, catalogue, effects);
+    const auto holders =
+        static_cast<std::int64_t>(m_options.m_peers.size()) + 1;
+    for (const Team& team : catalogue->m_teams) {
+      SetGrant(engine, now, team.m_name, team.m_ceiling / holders, effects);
+    }
+  });
+}
+
+asio::awaitable<void> EntryProcess::Pause(Duration duration) {
+  asio::steady_timer timer(m_context, duration);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+asio::awaitable<void> EntryProcess::PollFleet() {
+  while (true) {
+    absl::StatusOr<ChangeList> changes = co_await m_store.ReadChanges(
+        std::string(kVmTable), m_fleet.m_sequence, kReadDeadline);
+    if (changes.ok() && ApplyChanges(m_fleet, *changes)) {
+      m_dispatcher.Update([&](Engine& engine, TimePoint now, Effects& effects) {
+        SetWorkers(engine, now, WorkersOf(m_fleet), effects);
+      });
+      continue;
+    }
+    co_await Pause(m_options.m_poll_period);
+  }
+}
+
+void EntryProcess::BeginStop() {
+  if (!m_stopping) {
+    m_stopping = true;
+    asio::co_spawn(m_context, Stop(), asio::detached);
+  }
+}
+
+asio::awaitable<void> EntryProcess::Stop() {
+  LoggerFor("entry")->info("stopping");
+  const TimePoint bound = SteadyNow() + m_options.m_stop_bound;
+  m_caller_api.SetUnready();
+  co_await Pause(kUnreadyTime);
+  m_dispatcher.Update([](Engine& engine, TimePoint now, Effects& effects) {
+    filbertspar::BeginStop(engine, now, effects);
+  });
+  while ((!IsIdle(m_engine) || m_claims.Open() > 0) && SteadyNow() < bound) {
+    co_await Pause(kStopPoll);
+  }
+  m_caller_server.StopAccepting();
+  m_admin_server.StopAccepting();
+  while (m_caller_server.Connections() > 0 && SteadyNow() < bound) {
+    co_await Pause(kStopPoll);
+  }
+  if (!IsIdle(m_engine) || m_caller_server.Connections() > 0) {
+    m_result = Error(Code::kStopBoundReached, "work was still running");
+  }
+  m_context.stop();
+}
+
+}  // namespace
+
+absl::Status RunEntry(const EntryOptions& options) {
+  asio::io_context context(1);
+  EntryProcess process(context, options, RandomNumber());
+  FS_RETURN_IF_ERROR(process.Start());
+  OnStopSignal(context, [&] { process.BeginStop(); });
+  context.run();
+  return process.Result();
+}
+
+}  // namespace filbertspar
--- a/filbertspar/entry/src/worker_client.cc
+++ b/filbertspar/entry/src/worker_client.cc
@@ -82,16 +82,15 @@
 
 asio::awaitable<AttemptReport> WorkerClient::Run(Endpoint worker,
                                                  StartAttempt attempt) {
-  JsonObject task{
-      {"request", std::to_string(attempt.m_request.Value())},
-      {"attempt", std::to_string(attempt.m_attempt.Value())},
-      {"job", attempt.m_entry.Value()},
-      {"team", attempt.m_team.Value()},
-      {"body", *attempt.m_body},
-      {"lease_ms", ToMilliseconds(attempt.m_lease)},
-      {"slots", attempt.m_resources.m_slots.Count()},
-      {"memory_mb", attempt.m_resources.m_memory.Count()},
-      {"accelerators", attempt.m_resources.m_accelerators.Count()}};
+  JsonObject task{{"request", std::to_string(attempt.m_request.Value())},
+                  {"attempt", std::to_string(attempt.m_attempt.Value())},
+                  {"job", attempt.m_entry.Value()},
+                  {"team", attempt.m_team.Value()},
+                  {"body", *attempt.m_body},
+                  {"lease_ms", ToMilliseconds(attempt.m_lease)},
+                  {"slots", attempt.m_resources.m_slots.Count()},
+                  {"memory_mb", attempt.m_resources.m_memory.Count()},
+                  {"accelerators", attempt.m_resources.m_accelerators.Count()}};
   const CallResult result = co_await m_client.Call(
       std::move(worker), MakeRequest(HttpVerb::post, "/task", ToText(task)),
       attempt.m_timeout);
@@ -138,9 +137,9 @@
 asio::awaitable<void> WorkerClient::Stop(Endpoint worker, AttemptId attempt) {
   co_await m_client.Call(
       std::move(worker),
-      MakeRequest(HttpVerb::post, "/stop",
-                  ToText(JsonObject{
-                      {"attempt", std::to_string(attempt.Value())}})),
+      MakeRequest(
+          HttpVerb::post, "/stop",
+          ToText(JsonObject{{"attempt", std::to_string(attempt.Value())}})),
       kControlTimeout);
 }
 
--- a/filbertspar/http/src/client.cc
+++ b/filbertspar/http/src/client.cc
@@ -118,11 +118,13 @@
 
 asio::awaitable<CallResult> HttpClient::Call(Endpoint endpoint,
                                              HttpRequest request,
-                                             Duration timeout) {
+                                             Duration timeout,
+                                             bool fresh_connection) {
   const std::shared_ptr<State> state = m_state;
   const TimePoint deadline = SteadyNow() + timeout;
   CallResult result;
-  ConnectionPtr connection = state->TakeIdle(endpoint);
+  ConnectionPtr connection =
+      fresh_connection ? nullptr : state->TakeIdle(endpoint);
   if (connection == nullptr) {
     connection = co_await state->Connect(endpoint, timeout);
   }
--- a/filbertspar/http/src/client.h
+++ b/filbertspar/http/src/client.h
@@ -46,9 +46,11 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  /// \brief Sends a request and reads the response within the timeout.
+  /// \brief Sends a request and reads the response within the timeout, over
+  /// an idle connection if there is one, or always over a new one.
   asio::awaitable<CallResult> Call(Endpoint endpoint, HttpRequest request,
-                                   Duration timeout);
+                                   Duration timeout,
+                                   bool fresh_connection = false);
 
  private:
   struct State;
--- a/programs/load/recorder.cc
+++ b/programs/load/recorder.cc
@@ -84,14 +84,11 @@
   for (const auto& [outcome, count] : m_outcomes) {
     outcomes[outcome] = count;
   }
-  return {{"submitted", m_submitted},
-          {"ended", m_ended},
-          {"missing", m_submitted - m_ended},
-          {"foreign_answers", m_foreign},
-          {"outcomes", std::move(outcomes)},
-          {"codes", std::move(codes)},
-          {"p50_us", Quantile(sorted, 0.5)},
-          {"p99_us", Quantile(sorted, 0.99)}};
+  return {
+      {"submitted", m_submitted},         {"ended", m_ended},
+      {"missing", m_submitted - m_ended}, {"foreign_answers", m_foreign},
+      {"outcomes", std::move(outcomes)},  {"codes", std::move(codes)},
+      {"p50_us", Quantile(sorted, 0.5)},  {"p99_us", Quantile(sorted, 0.99)}};
 }
 
 }  // namespace filbertspar::load
--- a/programs/load/runner.cc
+++ b/programs/load/runner.cc
@@ -91,9 +91,12 @@
   TimePoint next = m_started;
   while (true) {
     const double rate = RateAt(stream, next - m_started);
-    const Duration step = rate > 0 ? std::min(kMaxGap, Duration(static_cast<
-                                         std::int64_t>(gap / rate * 1e6) + 1))
-                                   : kMaxGap;
+    const Duration step =
+        rate > 0
+            ? std::min(
+                  kMaxGap,
+                  Duration(static_cast<std::int64_t>(gap / rate * 1e6) + 1))
+            : kMaxGap;
     next += step;
     gap -= rate * ToSeconds(step);
     if (next - m_started >= m_scenario.m_duration) {
@@ -136,8 +139,8 @@
     }
   }
   for (const OpenCall& open : chosen) {
-    HttpRequest request = MakeRequest(HttpVerb::delete_,
-                                      absl::StrCat("/v1/jobs/", open.m_request));
+    HttpRequest request = MakeRequest(
+        HttpVerb::delete_, absl::StrCat("/v1/jobs/", open.m_request));
     request.set("x-filbertspar-key", stream.m_key);
     co_await m_client.Call(open.m_target, std::move(request), Seconds(5));
   }
@@ -147,14 +150,14 @@
                                  const std::string& body) const {
   if (m_scenario.m_direct) {
     const std::string id = absl::StrCat(m_run, "-", call.m_call);
-    return MakeRequest(HttpVerb::post, "/task",
-                       ToText(JsonObject{{"request", id},
-                                         {"attempt", id},
-                                         {"job", stream.m_entry},
-                                         {"team", stream.m_team},
-                                         {"body", body},
-                                         {"lease_ms",
-                                          ToMilliseconds(kDirectLease)}}));
+    return MakeRequest(
+        HttpVerb::post, "/task",
+        ToText(JsonObject{{"request", id},
+                          {"attempt", id},
+                          {"job", stream.m_entry},
+                          {"team", stream.m_team},
+                          {"body", body},
+                          {"lease_ms", ToMilliseconds(kDirectLease)}}));
   }
   JsonObject job{{"entry", stream.m_entry},
                  {"body", body},
@@ -209,19 +212,18 @@
   call.m_request_key = std::move(request_key);
   call.m_request = absl::StrCat(m_run, "-", call.m_call);
   call.m_sent_us = WallMicroseconds();
-  const std::string body =
-      ToText(JsonObject{{"work_ms", ToMilliseconds(stream.m_work)},
-                        {"stream", stream.m_name},
-                        {"key", call.m_request_key.empty()
-                                    ? std::to_string(call.m_call)
-                                    : call.m_request_key}});
+  const std::string body = ToText(JsonObject{
+      {"work_ms", ToMilliseconds(stream.m_work)},
+      {"stream", stream.m_name},
+      {"key", call.m_request_key.empty() ? std::to_string(call.m_call)
+                                         : call.m_request_key}});
   const Endpoint target =
       m_scenario.m_targets[call.m_call % m_scenario.m_targets.size()];
   m_open[call.m_call] = {index, call.m_request, target};
   m_recorder.Submitted(call);
-  const CallResult result = co_await m_client.Call(
-      target, BuildRequest(stream, call, body),
-      stream.m_deadline + kAnswerMargin);
+  const CallResult result =
+      co_await m_client.Call(target, BuildRequest(stream, call, body),
+                             stream.m_deadline + kAnswerMargin);
   call.m_answered_us = WallMicroseconds();
   ReadAnswer(result, body, call);
   m_recorder.Answered(call);
--- a/programs/load/scenario.cc
+++ b/programs/load/scenario.cc
@@ -35,11 +35,9 @@
   stream.m_trough_factor =
       settings.GetDouble(prefix + "trough_factor", 0.05, 0, 1000);
   stream.m_cancel_at = ReadTime(settings, prefix + "cancel_at_ms", Duration(0));
-  stream.m_cancel_share =
-      settings.GetDouble(prefix + "cancel_share", 0, 0, 1);
+  stream.m_cancel_share = settings.GetDouble(prefix + "cancel_share", 0, 0, 1);
   stream.m_request_keys = settings.GetBool(prefix + "request_keys", false);
-  stream.m_repeat_share =
-      settings.GetDouble(prefix + "repeat_share", 0, 0, 1);
+  stream.m_repeat_share = settings.GetDouble(prefix + "repeat_share", 0, 0, 1);
   return stream;
 }
 
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -14,6 +14,7 @@
 #include "boost/asio/steady_timer.hpp"
 #include "boost/asio/use_awaitable.hpp"
 #include "filbertspar/http/http.h"
+#include "filbertspar/platform/platform.h"
 #include "filbertspar/program/program.h"
 #include "standins/platform/store.h"
 
@@ -187,8 +188,11 @@
     }
     return JsonResponse(200, m_store.Changes(std::string(path), since, limit));
   }
-  const Row* row = m_store.Find(std::string(path.substr(0, slash)),
-                                std::string(path.substr(slash + 1)));
+  absl::StatusOr<std::string> key = DecodeKey(path.substr(slash + 1));
+  if (!key.ok()) {
+    return StatusResponse(key.status());
+  }
+  const Row* row = m_store.Find(std::string(path.substr(0, slash)), *key);
   if (row == nullptr) {
     return CodeResponse(Code::kNotFound, "no such row");
   }
