Add request engine

The entry process needs one pure library that decides what becomes of a request. The engine admits against the catalogue, writes claims, starts, retries and settles attempts, forwards one hop and keeps answers for later queries. Its queue is a first-come queue per team and class for now. placement holds the worker table, the choice of worker and ejection.

--- a/filbertspar/request/request.h
+++ b/filbertspar/request/request.h
@@ -5,4 +5,5 @@
 /// later queries.
 
 #include "filbertspar/request/src/effects.h"  // IWYU pragma: export
+#include "filbertspar/request/src/engine.h"   // IWYU pragma: export
 #include "filbertspar/request/src/events.h"   // IWYU pragma: export
--- a/filbertspar/request/src/events.h
+++ b/filbertspar/request/src/events.h
@@ -7,6 +7,7 @@
 
 #include "filbertspar/base/base.h"
 #include "filbertspar/catalogue/catalogue.h"
+#include "filbertspar/placement/src/worker.h"  // IWYU pragma: export
 
 namespace filbertspar {
 
@@ -18,6 +19,8 @@
   EntryName m_entry;
   /// Team that is charged: the key's, or the owner's for an open entry.
   TeamName m_team;
+  /// Key that came with the request; empty for an open entry without a key.
+  KeyName m_key;
   Body m_body;
   /// Names a non-repeatable request within its team; empty for others.
   std::string m_request_key;
@@ -97,16 +100,21 @@
   Body m_body;
 };
 
-/// \brief A worker as the table and its own reports describe it.
-struct WorkerInfo {
-  VmName m_name;
-  PoolName m_pool;
-  ZoneName m_zone;
-  RackName m_rack;
-  Resources m_capacity;
-  std::int64_t m_connections = 64;
-  /// False when cordoned, draining, leaving, failed or rebooting.
-  bool m_in_service = true;
+/// \brief What became of a forwarded request.
+enum class ForwardResult : std::uint8_t {
+  /// The peer answered with a code and a body.
+  kAnswered,
+  /// No byte of the request left for the peer.
+  kNotSent,
+  /// The connection was lost or timed out before the answer.
+  kLost,
+};
+
+struct ForwardReport {
+  RequestId m_request;
+  ForwardResult m_result = ForwardResult::kLost;
+  Code m_code = Code::kOk;
+  Body m_body;
 };
 
 /// \brief Use and demand of one team in one pool at a peer.
