--- a/filbertspar/entry/src/dispatcher.h
+++ b/filbertspar/entry/src/dispatcher.h
@@ -84,8 +84,7 @@
   ForwardHandler m_forward;
   asio::steady_timer m_tick;
   TimePoint m_tick_at = TimePoint::max();
-  absl::flat_hash_map<RequestId, std::shared_ptr<OneShot<Reply>>>
-      m_callers;
+  absl::flat_hash_map<RequestId, std::shared_ptr<OneShot<Reply>>> m_callers;
   absl::flat_hash_map<AttemptId, Running> m_running;
   /// Request of each attempt that may still be queried.
   absl::flat_hash_map<AttemptId, RequestId> m_request_of;
