--- a/filbertspar/queue/src/queue.h
+++ b/filbertspar/queue/src/queue.h
@@ -29,17 +29,17 @@
 
 /// \brief A request that asks to wait.
 struct Arrival {
-  RequestId m_request;
-  PoolIndex m_pool;
-  TeamIndex m_team;
+  RequestId m_request{};
+  PoolIndex m_pool{};
+  TeamIndex m_team{};
   WorkClass m_class = WorkClass::kStandard;
-  EntryIndex m_entry;
-  KeyIndex m_key;
+  EntryIndex m_entry{};
+  KeyIndex m_key{};
   /// Latest useful start; the request expires then.
-  TimePoint m_deadline;
+  TimePoint m_deadline{};
   /// Expected work in share-seconds of the pool (WorkOf).
   double m_work = 0;
-  Resources m_size;
+  Resources m_size{};
   /// Largest number of the entry's requests waiting for the team.
   std::int64_t m_max_queue = 1000;
 };
--- a/filbertspar/share/src/share.h
+++ b/filbertspar/share/src/share.h
@@ -31,7 +31,7 @@
 
 /// \brief A team as the fair share sees it.
 struct ShareTeam {
-  TeamName m_name;
+  TeamName m_name{};
   double m_weight = 1.0;
   /// Largest number of tasks running across the fleet; waiting work beyond it
   /// is no demand.
@@ -45,8 +45,8 @@
 
 /// \brief Use and demand of one team in one pool at one peer, in tasks.
 struct PeerCell {
-  PoolIndex m_pool;
-  TeamIndex m_team;
+  PoolIndex m_pool{};
+  TeamIndex m_team{};
   std::int64_t m_running = 0;
   std::int64_t m_waiting = 0;
 };
@@ -73,8 +73,8 @@
 /// \brief A team that holds more than its due while another has waited longer
 /// than the lending bound.
 struct Reclaim {
-  PoolIndex m_pool;
-  TeamIndex m_borrower;
+  PoolIndex m_pool{};
+  TeamIndex m_borrower{};
   /// Dominant share above the borrower's due.
   double m_excess = 0;
 };
