Add bench of nearness to share

Cause: nearness has to be shown beside one first-come queue. Change: seeded traces in virtual time and the nearness bench.

--- /dev/null
+++ b/bench/pool_trace.h
@@ -0,0 +1,394 @@
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "filbertspar/queue/queue.h"
+#include "filbertspar/share/share.h"
+
+/// \file
+/// \brief Seeded traces of requests to a few pools, played in virtual time
+/// against queue and share, or against one global first-come queue.
+
+namespace filbertspar::bench {
+
+/// \brief Requests of one team to one pool; arrivals are Poisson, run times
+/// exponential.
+struct Flow {
+  std::size_t m_team = 0;
+  std::size_t m_pool = 0;
+  WorkClass m_class = WorkClass::kStandard;
+  double m_per_second = 0;
+  Duration m_run_time = Milliseconds(400);
+  /// Declared run time over the true mean.
+  double m_declared_ratio = 1.0;
+  Duration m_deadline = Seconds(10);
+  /// Rate factor during the surge.
+  double m_surge = 1.0;
+};
+
+struct Trace {
+  std::uint64_t m_seed = 0;
+  std::vector<double> m_weights{};
+  std::vector<std::int64_t> m_slots{};
+  std::vector<Flow> m_flows{};
+  Duration m_length = Seconds(240);
+  Duration m_warm_up = Seconds(40);
+  Duration m_surge_start = Seconds(120);
+  Duration m_surge_length = Seconds(20);
+};
+
+struct TraceRequest {
+  std::size_t m_flow = 0;
+  TimePoint m_at{};
+  Duration m_run_time{};
+};
+
+/// \brief What came out, with samples each second per team and pool.
+struct Record {
+  /// [second][pool * teams + team], share-seconds since the start.
+  std::vector<std::vector<double>> m_received;
+  std::vector<std::vector<double>> m_due;
+  /// Start of each request; max when it did not start.
+  std::vector<TimePoint> m_start;
+  std::vector<Code> m_code;
+};
+
+inline std::vector<TraceRequest> Requests(const Trace& trace) {
+  Rng rng(trace.m_seed);
+  std::vector<TraceRequest> requests;
+  const auto exponential = [&rng](double mean) {
+    return -mean * std::log(1.0 - rng.Uniform());
+  };
+  for (std::size_t f = 0; f < trace.m_flows.size(); ++f) {
+    const Flow& flow = trace.m_flows[f];
+    double at = 0;
+    for (;;) {
+      // The next arrival at the peak rate, thinned to the present rate.
+      const double peak = flow.m_per_second * std::max(1.0, flow.m_surge);
+      at += exponential(1.0 / peak);
+      if (at >= ToSeconds(trace.m_length)) {
+        break;
+      }
+      const bool surge =
+          at >= ToSeconds(trace.m_surge_start) &&
+          at < ToSeconds(trace.m_surge_start + trace.m_surge_length);
+      const double rate = flow.m_per_second * (surge ? flow.m_surge : 1.0);
+      if (!rng.Chance(rate / peak)) {
+        continue;
+      }
+      const double run = exponential(ToSeconds(flow.m_run_time));
+      requests.push_back(
+          {f, TimePoint(Duration(static_cast<std::int64_t>(at * 1e6))),
+           Duration(1 + static_cast<std::int64_t>(run * 1e6))});
+    }
+  }
+  std::sort(requests.begin(), requests.end(),
+            [](const TraceRequest& a, const TraceRequest& b) {
+              return a.m_at < b.m_at;
+            });
+  return requests;
+}
+
+/// \brief Decides what waits and what starts.
+class Policy {
+ public:
+  virtual ~Policy() = default;
+  virtual Code Arrive(TimePoint now, std::size_t request) = 0;
+  /// \brief The request to start in the pool, or -1.
+  virtual std::int64_t Next(TimePoint now, std::size_t pool) = 0;
+  virtual void End(TimePoint now, std::size_t request, Duration ran) = 0;
+  virtual void Tick(TimePoint now) = 0;
+  virtual std::int64_t Waiting(std::size_t pool, std::size_t team) const = 0;
+};
+
+class FairPolicy : public Policy {
+ public:
+  FairPolicy(const Trace& trace, const std::vector<TraceRequest>& requests,
+             const ShareSettings& settings = {})
+      : m_trace(trace), m_requests(requests) {
+    m_share.m_settings = settings;
+    ShareConfig config;
+    for (std::size_t i = 0; i < trace.m_weights.size(); ++i) {
+      config.m_teams.push_back({.m_name = TeamName("t" + std::to_string(i)),
+                                .m_weight = trace.m_weights[i]});
+    }
+    for (std::size_t p = 0; p < trace.m_slots.size(); ++p) {
+      config.m_pools.emplace_back("p" + std::to_string(p));
+    }
+    Configure(m_share, TimePoint(), config);
+    for (std::size_t p = 0; p < trace.m_slots.size(); ++p) {
+      SetCapacity(m_share, TimePoint(), PoolIndex(p),
+                  {Slots(trace.m_slots[p]), Megabytes(0), Accelerators(0)});
+    }
+    Settle(m_share, TimePoint());
+    Reserve(m_queue, trace.m_slots.size(), trace.m_weights.size(),
+            trace.m_flows.size(), 1);
+    m_estimates.resize(trace.m_flows.size());
+    for (std::size_t f = 0; f < trace.m_flows.size(); ++f) {
+      const Flow& flow = trace.m_flows[f];
+      Declare(
+          m_estimates[f], kOne,
+          Duration(std::llround(static_cast<double>(flow.m_run_time.count()) *
+                                flow.m_declared_ratio)));
+    }
+  }
+
+  Code Arrive(TimePoint now, std::size_t request) override {
+    const std::size_t f = m_requests[request].m_flow;
+    const Flow& flow = m_trace.m_flows[f];
+    const PoolIndex pool(flow.m_pool);
+    const TeamIndex team(flow.m_team);
+    const Arrival arrival{
+        .m_request = RequestId(request + 1),
+        .m_pool = pool,
+        .m_team = team,
+        .m_class = flow.m_class,
+        .m_entry = EntryIndex(f),
+        .m_deadline = now + flow.m_deadline,
+        .m_work = WorkOf(m_share, pool, kOne, EstimatedRunTime(m_estimates[f])),
+        .m_size = kOne};
+    const Admission admission =
+        Admit(m_queue, now, arrival, ExpectedShare(m_share, pool, team));
+    if (admission.m_code == Code::kOk) {
+      AddWaiting(m_share, pool, team, kOne);
+    }
+    return admission.m_code;
+  }
+
+  std::int64_t Next(TimePoint now, std::size_t pool_number) override {
+    const PoolIndex pool(pool_number);
+    const std::optional<TeamIndex> team = NextTeam(m_share, pool);
+    if (!team) {
+      return -1;
+    }
+    const Arrival taken =
+        TakeForStart(m_queue, now, *NextRequest(m_queue, now, pool, *team));
+    RemoveWaiting(m_share, pool, *team, kOne);
+    TaskStarted(m_share, now, pool, *team, kOne);
+    return static_cast<std::int64_t>(taken.m_request.Value()) - 1;
+  }
+
+  void End(TimePoint now, std::size_t request, Duration ran) override {
+    const std::size_t f = m_requests[request].m_flow;
+    const Flow& flow = m_trace.m_flows[f];
+    TaskEnded(m_share, now, PoolIndex(flow.m_pool), TeamIndex(flow.m_team),
+              kOne);
+    ObserveRunTime(m_estimates[f], ran);
+  }
+
+  void Tick(TimePoint now) override {
+    m_expired.clear();
+    TakeExpired(m_queue, now, m_expired);
+    for (const Arrival& arrival : m_expired) {
+      RemoveWaiting(m_share, arrival.m_pool, arrival.m_team, arrival.m_size);
+    }
+    Settle(m_share, now);
+  }
+
+  std::int64_t Waiting(std::size_t pool, std::size_t team) const override {
+    return CountWaiting(m_queue, PoolIndex(pool), TeamIndex(team));
+  }
+
+  const Share& State() const { return m_share; }
+
+ private:
+  static constexpr Resources kOne{Slots(1), Megabytes(0), Accelerators(0)};
+
+  const Trace& m_trace;
+  const std::vector<TraceRequest>& m_requests;
+  Share m_share;
+  Queue m_queue;
+  std::vector<TaskEstimate> m_estimates;
+  std::vector<Arrival> m_expired;
+};
+
+/// \brief One global first-come queue; a request past its deadline is dropped
+/// when its turn comes.
+class FirstComePolicy : public Policy {
+ public:
+  FirstComePolicy(const Trace& trace, const std::vector<TraceRequest>& requests)
+      : m_trace(trace),
+        m_requests(requests),
+        m_lines(trace.m_slots.size()),
+        m_waiting(trace.m_slots.size() * trace.m_weights.size()) {}
+
+  Code Arrive(TimePoint, std::size_t request) override {
+    const Flow& flow = FlowOf(request);
+    m_lines[flow.m_pool].push_back(request);
+    ++Count(flow);
+    return Code::kOk;
+  }
+
+  std::int64_t Next(TimePoint now, std::size_t pool) override {
+    while (!m_lines[pool].empty()) {
+      const std::size_t request = m_lines[pool].front();
+      m_lines[pool].pop_front();
+      const Flow& flow = FlowOf(request);
+      --Count(flow);
+      if (m_requests[request].m_at + flow.m_deadline > now) {
+        return static_cast<std::int64_t>(request);
+      }
+    }
+    return -1;
+  }
+
+  void End(TimePoint, std::size_t, Duration) override {}
+  void Tick(TimePoint) override {}
+
+  std::int64_t Waiting(std::size_t pool, std::size_t team) const override {
+    return m_waiting[pool * m_trace.m_weights.size() + team];
+  }
+
+ private:
+  const Flow& FlowOf(std::size_t request) const {
+    return m_trace.m_flows[m_requests[request].m_flow];
+  }
+  std::int64_t& Count(const Flow& flow) {
+    return m_waiting[flow.m_pool * m_trace.m_weights.size() + flow.m_team];
+  }
+
+  const Trace& m_trace;
+  const std::vector<TraceRequest>& m_requests;
+  /// A pool can only serve its own entries, so the one queue in order of
+  /// arrival is kept as one line per pool.
+  std::vector<std::deque<std::size_t>> m_lines;
+  std::vector<std::int64_t> m_waiting;
+};
+
+/// \brief Plays the trace. Due shares are integrated from the true demand
+/// every 10 ms, apart from what the policy computes itself.
+inline Record Play(const Trace& trace,
+                   const std::vector<TraceRequest>& requests, Policy& policy) {
+  constexpr Duration kSample = Milliseconds(10);
+  constexpr Duration kTick = Milliseconds(50);
+  const std::size_t teams = trace.m_weights.size();
+  const std::size_t pools = trace.m_slots.size();
+  struct Running {
+    TimePoint m_end;
+    std::size_t m_request;
+    bool operator>(const Running& other) const { return m_end > other.m_end; }
+  };
+  std::priority_queue<Running, std::vector<Running>, std::greater<>> running;
+  std::vector<std::int64_t> free = trace.m_slots;
+  std::vector<std::int64_t> held(pools * teams);
+  std::vector<double> due(pools * teams);
+  std::vector<double> received(pools * teams);
+  std::vector<TeamDemand> demands(teams);
+  std::vector<double> level(teams);
+  WaterFillScratch scratch;
+  Record record;
+  record.m_start.assign(requests.size(), TimePoint::max());
+  record.m_code.assign(requests.size(), Code::kOk);
+  TimePoint next_sample{};
+  TimePoint next_tick{};
+  TimePoint next_record{};
+  const auto start = [&](TimePoint now, std::size_t pool) {
+    while (free[pool] > 0) {
+      const std::int64_t request = policy.Next(now, pool);
+      if (request < 0) {
+        return;
+      }
+      const auto r = static_cast<std::size_t>(request);
+      record.m_start[r] = now;
+      --free[pool];
+      ++held[pool * teams + trace.m_flows[requests[r].m_flow].m_team];
+      running.push({now + requests[r].m_run_time, r});
+    }
+  };
+  const auto sample = [&] {
+    const double seconds = ToSeconds(kSample);
+    for (std::size_t p = 0; p < pools; ++p) {
+      const auto slots = static_cast<double>(trace.m_slots[p]);
+      for (std::size_t t = 0; t < teams; ++t) {
+        const std::int64_t wanted = held[p * teams + t] + policy.Waiting(p, t);
+        demands[t] = {trace.m_weights[t],
+                      {static_cast<double>(wanted) / slots, 0, 0}};
+      }
+      WaterFill(demands, level, scratch);
+      for (std::size_t t = 0; t < teams; ++t) {
+        due[p * teams + t] += level[t] * seconds;
+        received[p * teams + t] +=
+            static_cast<double>(held[p * teams + t]) / slots * seconds;
+      }
+    }
+  };
+  std::size_t next = 0;
+  const TimePoint end = TimePoint() + trace.m_length;
+  for (;;) {
+    TimePoint now = std::min(next_sample, next_tick);
+    if (next < requests.size()) {
+      now = std::min(now, requests[next].m_at);
+    }
+    if (!running.empty()) {
+      now = std::min(now, running.top().m_end);
+    }
+    if (now >= end) {
+      break;
+    }
+    while (!running.empty() && running.top().m_end <= now) {
+      const std::size_t r = running.top().m_request;
+      running.pop();
+      const Flow& flow = trace.m_flows[requests[r].m_flow];
+      ++free[flow.m_pool];
+      --held[flow.m_pool * teams + flow.m_team];
+      policy.End(now, r, requests[r].m_run_time);
+      start(now, flow.m_pool);
+    }
+    while (next < requests.size() && requests[next].m_at <= now) {
+      record.m_code[next] = policy.Arrive(now, next);
+      start(now, trace.m_flows[requests[next].m_flow].m_pool);
+      ++next;
+    }
+    if (next_tick <= now) {
+      policy.Tick(now);
+      next_tick += kTick;
+    }
+    if (next_sample <= now) {
+      sample();
+      next_sample += kSample;
+    }
+    if (next_record <= now) {
+      record.m_due.push_back(due);
+      record.m_received.push_back(received);
+      next_record += Seconds(1);
+    }
+  }
+  return record;
+}
+
+/// \brief Largest difference of received from due, relative to due, over any
+/// 60 s after the warm-up, of the teams that match, summed over all pools
+/// weighted by slots.
+template <typename Match>
+double WorstNearness(const Trace& trace, const Record& record, Match match) {
+  constexpr std::size_t kWindow = 60;
+  const std::size_t teams = trace.m_weights.size();
+  const auto first = static_cast<std::size_t>(ToSeconds(trace.m_warm_up));
+  double worst = 0;
+  for (std::size_t s = first; s + kWindow < record.m_due.size(); ++s) {
+    for (std::size_t t = 0; t < teams; ++t) {
+      double due = 0;
+      double received = 0;
+      for (std::size_t p = 0; p < trace.m_slots.size(); ++p) {
+        const auto slots = static_cast<double>(trace.m_slots[p]);
+        const std::size_t i = p * teams + t;
+        due += slots * (record.m_due[s + kWindow][i] - record.m_due[s][i]);
+        received += slots * (record.m_received[s + kWindow][i] -
+                             record.m_received[s][i]);
+      }
+      if (match(t) && due > 0) {
+        worst = std::max(worst, std::abs(received - due) / due);
+      }
+    }
+  }
+  return worst;
+}
+
+}  // namespace filbertspar::bench
