Use share and queue libraries in the request engine

The engine's own first-come queue kept no shares, no classes' bounds and no estimate of the start. Order of teams now comes from share, order within a team from queue, and the work of a request from the blended run time. Placement pools have indices of their own, since the share gives retired indices to new names.

--- a/filbertspar/placement/src/placement.cc
+++ b/filbertspar/placement/src/placement.cc
@@ -64,6 +64,7 @@
     pool.m_remote_workers.clear();
     pool.m_shapes.clear();
     pool.m_in_service = 0;
+    pool.m_capacity = Resources{.m_slots = Slots(0)};
   }
   for (WorkerIndex i = 0; i < placement.m_workers.size(); ++i) {
     Worker& worker = placement.m_workers[i];
@@ -72,7 +73,12 @@
     }
     PoolView& pool = placement.m_pools[worker.m_pool];
     pool.m_workers.push_back(i);
-    pool.m_in_service += worker.m_info.m_in_service ? 1 : 0;
+    if (worker.m_info.m_in_service) {
+      ++pool.m_in_service;
+      pool.m_capacity.m_slots += worker.m_info.m_capacity.m_slots;
+      pool.m_capacity.m_memory += worker.m_info.m_capacity.m_memory;
+      pool.m_capacity.m_accelerators += worker.m_info.m_capacity.m_accelerators;
+    }
     worker.m_local = worker.m_info.m_zone == placement.m_options.m_zone;
     std::vector<WorkerIndex>& leaves =
         worker.m_local ? pool.m_local_workers : pool.m_remote_workers;
@@ -83,7 +89,7 @@
       pool.m_shapes.push_back(worker.m_info.m_capacity);
     }
   }
-  for (PoolIndex i = 0; i < placement.m_pools.size(); ++i) {
+  for (PlacementPool i = 0; i < placement.m_pools.size(); ++i) {
     PoolView& pool = placement.m_pools[i];
     internal::Reset(pool.m_local, pool.m_local_workers.size());
     internal::Reset(pool.m_remote, pool.m_remote_workers.size());
@@ -211,9 +217,9 @@
   return placement;
 }
 
-PoolIndex InternPool(Placement& placement, const PoolName& pool) {
+PlacementPool InternPool(Placement& placement, const PoolName& pool) {
   const auto [found, added] = placement.m_pool_by_name.try_emplace(
-      pool.Value(), static_cast<PoolIndex>(placement.m_pools.size()));
+      pool.Value(), static_cast<PlacementPool>(placement.m_pools.size()));
   if (added) {
     placement.m_pools.emplace_back().m_name = pool;
   }
@@ -233,7 +239,7 @@
     const WorkerIndex index =
         known ? found->second : AddWorker(placement, info.m_name);
     Worker& worker = placement.m_workers[index];
-    const PoolIndex pool = InternPool(placement, info.m_pool);
+    const PlacementPool pool = InternPool(placement, info.m_pool);
     const bool was_listed =
         index < listed_before.size() && listed_before[index];
     const bool returned =
@@ -256,7 +262,7 @@
   EndPauses(placement, now);
 }
 
-bool CanEverHold(const Placement& placement, PoolIndex pool,
+bool CanEverHold(const Placement& placement, PlacementPool pool,
                  const Resources& need) {
   const auto& shapes = placement.m_pools[pool].m_shapes;
   return std::any_of(shapes.begin(), shapes.end(), [&](const Resources& shape) {
@@ -264,13 +270,21 @@
   });
 }
 
-bool HasWorkers(const Placement& placement, PoolIndex pool) {
-  return !placement.m_pools[pool].m_workers.empty();
+bool HasRoom(const Placement& placement, TimePoint now, PlacementPool index) {
+  const PoolView& pool = placement.m_pools[index];
+  return internal::MostSlots(pool.m_local) > 0 ||
+         internal::MostSlots(pool.m_remote) > 0 || pool.m_next_probe <= now ||
+         static_cast<std::int64_t>(pool.m_bad.size()) > pool.m_ejected;
+}
+
+Resources CapacityInService(const Placement& placement, PlacementPool pool) {
+  return placement.m_pools[pool].m_capacity;
 }
 
 std::optional<WorkerIndex> Choose(Placement& placement, TimePoint now,
-                                  PoolIndex pool_index, const Resources& need,
-                                  bool may_fail, Rng& rng) {
+                                  PlacementPool pool_index,
+                                  const Resources& need, bool may_fail,
+                                  Rng& rng) {
   PoolView& pool = placement.m_pools[pool_index];
   if (may_fail) {
     if (const auto probe = ChooseProbe(placement, now, pool, need)) {
@@ -349,8 +363,8 @@
   Refresh(placement, worker);
 }
 
-std::vector<PoolIndex> EndPauses(Placement& placement, TimePoint now) {
-  std::vector<PoolIndex> pools;
+std::vector<PlacementPool> EndPauses(Placement& placement, TimePoint now) {
+  std::vector<PlacementPool> pools;
   if (now < placement.m_next_unpause) {
     return pools;
   }
@@ -376,7 +390,7 @@
   return pools;
 }
 
-PoolSummary Summarize(const Placement& placement, PoolIndex index) {
+PoolSummary Summarize(const Placement& placement, PlacementPool index) {
   const PoolView& pool = placement.m_pools[index];
   PoolSummary summary;
   summary.m_listed = static_cast<std::int64_t>(pool.m_workers.size());
--- a/filbertspar/placement/src/placement.h
+++ b/filbertspar/placement/src/placement.h
@@ -16,7 +16,7 @@
 /// \brief Position of a worker or pool in the table; stable while the worker
 /// is listed or has work, and for ever for a pool.
 using WorkerIndex = std::uint32_t;
-using PoolIndex = std::uint32_t;
+using PlacementPool = std::uint32_t;
 
 struct PlacementOptions {
   /// Workers of this zone are preferred.
@@ -42,7 +42,7 @@
 
 struct Worker {
   WorkerInfo m_info;
-  PoolIndex m_pool = 0;
+  PlacementPool m_pool = 0;
   /// Listed by the last SetWorkers.
   bool m_listed = false;
   bool m_local = false;
@@ -76,6 +76,7 @@
   TimePoint m_next_probe = TimePoint::max();
   std::int64_t m_ejected = 0;
   std::int64_t m_in_service = 0;
+  Resources m_capacity{.m_slots = Slots(0)};
   /// Distinct capacities of the listed workers.
   std::vector<Resources> m_shapes;
 };
@@ -89,7 +90,7 @@
   std::vector<WorkerIndex> m_free;
   absl::flat_hash_map<std::string, WorkerIndex> m_worker_by_name;
   std::vector<internal::PoolView> m_pools;
-  absl::flat_hash_map<std::string, PoolIndex> m_pool_by_name;
+  absl::flat_hash_map<std::string, PlacementPool> m_pool_by_name;
   /// Paused workers; bounded by the number of workers.
   std::vector<WorkerIndex> m_paused;
   TimePoint m_next_unpause = TimePoint::max();
@@ -98,7 +99,7 @@
 Placement MakePlacement(PlacementOptions options);
 
 /// \brief The index of a pool, which is added when it is new.
-PoolIndex InternPool(Placement& placement, const PoolName& pool);
+PlacementPool InternPool(Placement& placement, const PoolName& pool);
 
 /// \brief Replaces the list of workers. Work in progress keeps its place. A
 /// worker that leaves the list gets nothing. A returning worker starts with a
@@ -108,17 +109,20 @@
 
 /// \brief True when some listed worker of the pool, in service or not, is
 /// large enough for the work.
-bool CanEverHold(const Placement& placement, PoolIndex pool,
+bool CanEverHold(const Placement& placement, PlacementPool pool,
                  const Resources& need);
 
-/// \brief True when the pool has a listed worker.
-bool HasWorkers(const Placement& placement, PoolIndex pool);
+/// \brief False when no worker of the pool takes even the smallest work now.
+bool HasRoom(const Placement& placement, TimePoint now, PlacementPool pool);
+
+/// \brief What the workers of the pool that are in service have together.
+Resources CapacityInService(const Placement& placement, PlacementPool pool);
 
 /// \brief Chooses a worker for `need`: one due for a probe, else the roomiest
 /// of the own zone, else of the other zones, else a bad one that is not
 /// ejected. Work with `may_fail` false never goes to a bad worker.
 std::optional<WorkerIndex> Choose(Placement& placement, TimePoint now,
-                                  PoolIndex pool, const Resources& need,
+                                  PlacementPool pool, const Resources& need,
                                   bool may_fail, Rng& rng);
 
 /// \brief Occupies the worker for one attempt.
@@ -133,7 +137,7 @@
            WorkerOutcome outcome);
 
 /// \brief Ends pauses that are over and returns the pools concerned.
-std::vector<PoolIndex> EndPauses(Placement& placement, TimePoint now);
+std::vector<PlacementPool> EndPauses(Placement& placement, TimePoint now);
 
 /// \brief Figures of one pool for reports.
 struct PoolSummary {
@@ -144,7 +148,7 @@
   std::int64_t m_slots = 0;
   std::int64_t m_slots_used = 0;
 };
-PoolSummary Summarize(const Placement& placement, PoolIndex pool);
+PoolSummary Summarize(const Placement& placement, PlacementPool pool);
 
 const VmName& WorkerName(const Placement& placement, WorkerIndex worker);
 
--- a/filbertspar/placement/src/room.cc
+++ b/filbertspar/placement/src/room.cc
@@ -54,6 +54,10 @@
   }
 }
 
+std::int64_t MostSlots(const RoomTree& tree) {
+  return tree.m_nodes.empty() ? -1 : tree.m_nodes[1].m_slots;
+}
+
 std::optional<std::size_t> FindRoom(const RoomTree& tree, const Resources& need,
                                     Rng& rng) {
   if (tree.m_nodes.empty() || !Holds(tree.m_nodes[1], need)) {
--- a/filbertspar/placement/src/room.h
+++ b/filbertspar/placement/src/room.h
@@ -28,6 +28,9 @@
 /// \brief Sets one leaf; O(log n).
 void Update(RoomTree& tree, std::size_t leaf, const Room& room);
 
+/// \brief Largest number of free slots of any leaf; O(1).
+std::int64_t MostSlots(const RoomTree& tree);
+
 /// \brief A leaf that holds `need`, following the child with more free slots
 /// and choosing at random between equal ones, so that several entries do not
 /// all pick the same worker. O(log n) when the workers of a pool have similar
--- a/filbertspar/request/src/attempts.cc
+++ b/filbertspar/request/src/attempts.cc
@@ -58,7 +58,7 @@
 }
 
 void RewardPool(Engine& engine, PoolIndex pool) {
-  double& tokens = engine.m_pools[pool].m_retry_tokens;
+  double& tokens = PoolOf(engine, pool).m_retry_tokens;
   tokens = std::min(tokens + engine.m_options.m_retry_per_success,
                     engine.m_options.m_retry_max);
 }
@@ -66,7 +66,7 @@
 // Schedules another attempt; false when budget, bound or deadline forbid it.
 bool Retry(Engine& engine, TimePoint now, Request& request) {
   const EngineOptions& options = engine.m_options;
-  double& tokens = engine.m_pools[request.m_pool].m_retry_tokens;
+  double& tokens = PoolOf(engine, request.m_pool).m_retry_tokens;
   if (request.m_cancelled || tokens < 1.0 ||
       request.m_retries >= options.m_max_retries) {
     return false;
@@ -109,13 +109,11 @@
   } else {
     // A full worker is no failure: the work goes back to the head of its queue
     // without use of the retry budget. The worker's pause bounds the rate.
-    PushWaiting(engine, request, /*front=*/true);
+    PutBackWaiting(engine, now, request, effects);
   }
 }
 
-void AfterLost(Engine& engine, TimePoint now, Request& request,
-               Effects& effects) {
-  (void)effects;
+void AfterLost(Engine& engine, TimePoint now, Request& request) {
   request.m_may_have_run = true;
   if (request.m_repeatable && Retry(engine, now, request)) {
     return;
@@ -161,7 +159,7 @@
       }
       break;
     case AttemptResult::kLost:
-      AfterLost(engine, now, request, effects);
+      AfterLost(engine, now, request);
       break;
     case AttemptResult::kStopped:
       AfterStopped(engine, now, request, effects);
@@ -174,13 +172,9 @@
             const Body& body, Effects& effects) {
   const auto found = engine.m_attempts.find(id);
   const RequestId request_id = found->second.m_request;
-  const TeamIndex team = found->second.m_team;
-  const PoolIndex pool = found->second.m_pool;
-  ReleaseUnit(engine, found->second);
+  ReleaseUnit(engine, now, found->second);
   engine.m_attempts.erase(found);
   ++engine.m_counters.m_settled_late;
-  MarkDirty(engine, pool);
-  MarkTeamDirty(engine, team);
   Request* request = FindRequest(engine, request_id);
   const bool done = result == AttemptResult::kDone;
   if (request == nullptr) {
@@ -211,13 +205,13 @@
              AttemptResult result, Effects& effects) {
   Attempt& attempt = engine.m_attempts.find(report.m_attempt)->second;
   const RequestId request_id = attempt.m_request;
-  const PoolIndex pool = attempt.m_pool;
-  const TeamIndex team = attempt.m_team;
   Judge(engine.m_placement, now, attempt.m_worker, OutcomeOf(attempt, result));
   if (result == AttemptResult::kDone) {
-    RewardPool(engine, pool);
+    RewardPool(engine, attempt.m_pool);
+    ObserveRunTime(engine.m_entries[attempt.m_entry.Value()].m_estimate,
+                   now - attempt.m_started);
   }
-  MarkDirty(engine, pool);
+  MarkDirty(engine, attempt.m_pool);
   if (result == AttemptResult::kLost) {
     ++engine.m_counters.m_lost;
     attempt.m_lost = true;
@@ -227,9 +221,8 @@
              TimerKind::kUnitLapse, report.m_attempt.Value());
     QueryLost(engine, now, report.m_attempt, attempt, effects);
   } else {
-    ReleaseUnit(engine, attempt);
+    ReleaseUnit(engine, now, attempt);
     engine.m_attempts.erase(report.m_attempt);
-    MarkTeamDirty(engine, team);
   }
   Request* request = FindRequest(engine, request_id);
   if (request != nullptr && request->m_attempt == report.m_attempt) {
@@ -244,15 +237,17 @@
 
 }  // namespace
 
-void ReleaseUnit(Engine& engine, Attempt& attempt) {
+void ReleaseUnit(Engine& engine, TimePoint now, Attempt& attempt) {
   if (!attempt.m_holds_unit) {
     return;
   }
   attempt.m_holds_unit = false;
-  TeamState& team = engine.m_teams[attempt.m_team];
-  --team.m_running;
-  --team.m_running_by_pool[attempt.m_pool];
+  --TeamOf(engine, attempt.m_team).m_running;
+  TaskEnded(engine.m_share, now, attempt.m_pool, attempt.m_team,
+            attempt.m_resources);
   Vacate(engine.m_placement, attempt.m_worker, attempt.m_resources);
+  MarkDirty(engine, attempt.m_pool);
+  UnitsChanged(engine, attempt.m_team);
 }
 
 void QueryLost(Engine& engine, TimePoint now, AttemptId id, Attempt& attempt,
@@ -264,17 +259,6 @@
       std::min(2 * attempt.m_query_pause, engine.m_options.m_last_query_pause);
 }
 
-void FinishUnsettled(Engine& engine, TimePoint now, Request& request, Code code,
-                     Effects& effects) {
-  if (request.m_ran) {
-    code = Code::kTaskFailed;
-  } else if (request.m_may_have_run || !request.m_attempt.IsNone() ||
-             request.m_state == RequestState::kForwarded) {
-    code = Code::kOutcomeUnknown;
-  }
-  Finish(engine, now, request, code, nullptr, effects);
-}
-
 }  // namespace internal
 
 void AttemptEnded(Engine& engine, TimePoint now, const AttemptReport& report,
--- a/filbertspar/request/src/claims.cc
+++ b/filbertspar/request/src/claims.cc
@@ -10,7 +10,7 @@
   switch (report.m_result) {
     case ClaimResult::kClaimed:
       request.m_claimed = true;
-      internal::Enqueue(engine, request, effects);
+      internal::PutBackWaiting(engine, now, request, effects);
       break;
     case ClaimResult::kFinishedBefore:
       internal::Finish(engine, now, request, report.m_code, report.m_body,
--- a/filbertspar/request/src/engine.h
+++ b/filbertspar/request/src/engine.h
@@ -5,19 +5,19 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "absl/container/flat_hash_set.h"
 #include "filbertspar/base/base.h"
 #include "filbertspar/catalogue/catalogue.h"
 #include "filbertspar/placement/placement.h"
+#include "filbertspar/queue/queue.h"
 #include "filbertspar/request/src/effects.h"
 #include "filbertspar/request/src/events.h"
 #include "filbertspar/request/src/state.h"
+#include "filbertspar/share/share.h"
 
 namespace filbertspar {
 
@@ -58,7 +58,12 @@
   Duration m_settle_bound = Seconds(60);
   /// Smallest time between two WantGrant effects of one team.
   Duration m_want_pause = Milliseconds(100);
+  /// Waiting requests of a team that are tried when the first ones fit on no
+  /// worker now.
+  int m_look_past = 8;
   PlacementOptions m_placement{};
+  ShareSettings m_share{};
+  QueueSettings m_queue{};
 };
 
 struct EngineCounters {
@@ -87,15 +92,22 @@
   std::uint64_t m_last_id = 0;
   bool m_stopping = false;
   std::shared_ptr<const Catalogue> m_catalogue;
-  /// Positions in the catalogue's vectors.
-  absl::flat_hash_map<std::string, std::size_t> m_entry_by_name;
+  /// Counts the calls of SetCatalogue.
+  std::uint64_t m_epoch = 0;
+  /// Positions in the catalogue's keys.
   absl::flat_hash_map<std::string, std::size_t> m_key_by_name;
+  absl::flat_hash_map<std::string, EntryIndex> m_entry_by_name;
+  std::vector<internal::EntryState> m_entries;
+  std::vector<EntryIndex> m_free_entries;
   Placement m_placement;
+  Share m_share;
+  Queue m_queue;
+  /// Indexed by TeamIndex and PoolIndex of the share.
   std::vector<internal::TeamState> m_teams;
-  absl::flat_hash_map<std::string, internal::TeamIndex> m_team_by_name;
-  /// Indexed by PoolIndex.
-  std::vector<internal::PoolQueue> m_pools;
+  std::vector<internal::PoolState> m_pools;
   std::vector<PoolIndex> m_dirty_pools;
+  /// Units held per team, also of teams that the catalogue lacks.
+  absl::flat_hash_map<TeamName, std::int64_t> m_grants;
   absl::flat_hash_map<RequestId, std::unique_ptr<internal::Request>> m_requests;
   absl::flat_hash_map<AttemptId, internal::Attempt> m_attempts;
   absl::flat_hash_map<RequestId, internal::Finished> m_finished;
@@ -104,9 +116,9 @@
   /// Requests answered while their claim was being written.
   absl::flat_hash_map<RequestId, std::pair<TeamName, std::string>>
       m_orphan_claims;
-  std::priority_queue<internal::Timer, std::vector<internal::Timer>,
-                      std::greater<>>
-      m_timers;
+  /// Heap, earliest first; entries of ended requests and attempts are dropped
+  /// when they make up most of it.
+  std::vector<internal::Timer> m_timers;
   EngineCounters m_counters;
 };
 
--- a/filbertspar/request/src/finish.cc
+++ b/filbertspar/request/src/finish.cc
@@ -16,9 +16,9 @@
   ForgetOldFinished(engine, now);
 }
 
-void FinishClaimOf(Engine& engine, RequestId id, const Request& request,
-                   Code code, const Body& body, Effects& effects) {
-  (void)engine;
+void CloseClaim(const Request& request, Code code, const Body& body,
+                Effects& effects) {
+  const RequestId id = request.m_id;
   const Submission& submission = request.m_submission;
   switch (Describe(code).m_outcome) {
     case Outcome::kNotRun:
@@ -53,7 +53,7 @@
                  request.m_state != RequestState::kForwarded),
             "\"not run\" is only said of work that certainly did not start");
   if (request.m_state == RequestState::kWaiting) {
-    RemoveWaiting(engine, request);
+    TakeWaiting(engine, now, request, /*to_start=*/false);
   } else if (request.m_state == RequestState::kClaiming) {
     engine.m_orphan_claims.emplace(
         id, std::make_pair(request.m_submission.m_team,
@@ -65,12 +65,10 @@
         StopAttempt{.m_attempt = attempt->first,
                     .m_worker = attempt->second.m_worker_name});
   }
-  Finished finished{.m_code = code,
-                    .m_body = body,
-                    .m_team = request.m_submission.m_team,
-                    .m_at = now};
+  Finished finished{
+      .m_code = code, .m_body = body, .m_team = request.m_submission.m_team};
   if (request.m_claimed) {
-    FinishClaimOf(engine, id, request, code, body, effects);
+    CloseClaim(request, code, body, effects);
     if (outcome == Outcome::kUnknown) {
       finished.m_request_key = request.m_submission.m_request_key;
     }
@@ -82,6 +80,17 @@
   engine.m_requests.erase(id);
 }
 
+void FinishUnsettled(Engine& engine, TimePoint now, Request& request, Code code,
+                     Effects& effects) {
+  if (request.m_ran) {
+    code = Code::kTaskFailed;
+  } else if (request.m_may_have_run || !request.m_attempt.IsNone() ||
+             request.m_state == RequestState::kForwarded) {
+    code = Code::kOutcomeUnknown;
+  }
+  Finish(engine, now, request, code, nullptr, effects);
+}
+
 void SettleFinished(Engine& engine, RequestId id, Code code, Body body,
                     Effects& effects) {
   const auto found = engine.m_finished.find(id);
--- a/filbertspar/request/src/forward.cc
+++ b/filbertspar/request/src/forward.cc
@@ -17,21 +17,15 @@
   return best == team.m_peers.end() || best->m_free <= 0 ? nullptr : &*best;
 }
 
-}  // namespace
+// One hop, once, and never work that a claim or an attempt binds to this node.
+bool MayForward(const Request& request) {
+  return !request.m_submission.m_forwarded && !request.m_was_forwarded &&
+         !request.m_claimed && !request.m_may_have_run && !request.m_ran;
+}
 
-bool TryForward(Engine& engine, TimePoint now, Request& request,
-                Effects& effects) {
-  TeamState& team = engine.m_teams[request.m_team];
-  if (request.m_submission.m_forwarded || request.m_was_forwarded ||
-      request.m_claimed || request.m_may_have_run || request.m_ran ||
-      FreeUnits(team) > team.m_waiting) {
-    return false;
-  }
-  PeerGrant* peer = FreePeer(team);
-  if (peer == nullptr) {
-    return false;
-  }
-  --peer->m_free;
+void Forward(Engine& engine, TimePoint now, Request& request, PeerGrant& peer,
+             Effects& effects) {
+  --peer.m_free;
   request.m_was_forwarded = true;
   request.m_state = RequestState::kForwarded;
   ++engine.m_counters.m_forwarded;
@@ -40,33 +34,52 @@
   submission.m_forwarded = true;
   submission.m_forwarded_id = request.m_id;
   effects.emplace_back(ForwardRequest{.m_request = request.m_id,
-                                      .m_peer = peer->m_peer,
+                                      .m_peer = peer.m_peer,
                                       .m_submission = std::move(submission)});
+}
+
+}  // namespace
+
+bool TryForward(Engine& engine, TimePoint now, Request& request,
+                Effects& effects) {
+  TeamState& team = TeamOf(engine, request.m_team);
+  if (FreeUnits(team) > team.m_waiting || !MayForward(request)) {
+    return false;
+  }
+  PeerGrant* peer = FreePeer(team);
+  if (peer == nullptr) {
+    return false;
+  }
+  Forward(engine, now, request, *peer, effects);
   return true;
 }
 
 void ForwardWaiting(Engine& engine, TimePoint now, Effects& effects) {
-  for (TeamIndex i = 0; i < engine.m_teams.size(); ++i) {
+  for (std::size_t i = 0; i < engine.m_teams.size(); ++i) {
     TeamState& team = engine.m_teams[i];
-    for (PoolIndex pool = 0; pool < team.m_waiting_by_pool.size(); ++pool) {
-      while (FreeUnits(team) <= 0 && FreePeer(team) != nullptr) {
-        Request* request = FirstWaiting(engine, pool, i);
-        if (request == nullptr || request->m_deadline <= now) {
-          break;
-        }
-        RemoveWaiting(engine, *request);
-        if (!TryForward(engine, now, *request, effects)) {
-          PushWaiting(engine, *request, /*front=*/true);
-          break;
+    for (std::size_t pool = 0; pool < engine.m_pools.size(); ++pool) {
+      if (team.m_waiting == 0 || FreeUnits(team) > 0 ||
+          FreePeer(team) == nullptr) {
+        break;
+      }
+      std::optional<Ticket> ticket =
+          NextRequest(engine.m_queue, now, PoolIndex(pool), TeamIndex(i));
+      while (ticket && FreePeer(team) != nullptr) {
+        const std::optional<Ticket> next = Following(engine.m_queue, *ticket);
+        Request& request =
+            *FindRequest(engine, Find(engine.m_queue, *ticket)->m_request);
+        if (MayForward(request) && request.m_deadline > now) {
+          TakeWaiting(engine, now, request, /*to_start=*/false);
+          Forward(engine, now, request, *FreePeer(team), effects);
         }
+        ticket = next;
       }
     }
   }
 }
 
-void UpdateWant(Engine& engine, TimePoint now, TeamIndex index,
+void UpdateWant(Engine& engine, TimePoint now, TeamState& team,
                 Effects& effects) {
-  TeamState& team = engine.m_teams[index];
   const std::int64_t wanted = team.m_running + team.m_waiting;
   if (wanted == team.m_wanted ||
       now < team.m_wanted_at + engine.m_options.m_want_pause) {
@@ -77,6 +90,24 @@
   effects.emplace_back(WantGrant{.m_team = team.m_name, .m_units = wanted});
 }
 
+namespace {
+
+// Lets a request that the peer did not run wait here.
+void Return(Engine& engine, TimePoint now, Request& request, Effects& effects) {
+  if (request.m_repeatable) {
+    PutBackWaiting(engine, now, request, effects);
+    return;
+  }
+  // A claim row that the peer wrote makes this write fail, so the request
+  // runs at most once whatever became of the peer's copy.
+  request.m_state = RequestState::kClaiming;
+  effects.emplace_back(
+      WriteClaim{.m_request = request.m_id,
+                 .m_team = request.m_submission.m_team,
+                 .m_request_key = request.m_submission.m_request_key});
+}
+
+}  // namespace
 }  // namespace internal
 
 void ForwardSettled(Engine& engine, TimePoint now, const ForwardReport& report,
@@ -107,29 +138,53 @@
       internal::FinishUnsettled(engine, now, *request, Code::kCancelled,
                                 effects);
     } else {
-      internal::Enqueue(engine, *request, effects);
+      internal::Return(engine, now, *request, effects);
     }
   }
   internal::Dispatch(engine, now, effects);
 }
 
 void SetPeerUse(Engine& engine, TimePoint now, std::vector<PeerUse> use) {
-  (void)now;
   for (internal::TeamState& team : engine.m_teams) {
     team.m_peers.clear();
   }
   std::sort(use.begin(), use.end(), [](const PeerUse& a, const PeerUse& b) {
-    return std::tie(a.m_team, a.m_peer) < std::tie(b.m_team, b.m_peer);
+    return std::tie(a.m_peer, a.m_team) < std::tie(b.m_peer, b.m_team);
   });
-  for (PeerUse& line : use) {
-    auto& peers =
-        engine.m_teams[internal::InternTeam(engine, line.m_team)].m_peers;
-    if (!peers.empty() && peers.back().m_peer == line.m_peer) {
-      peers.back().m_free = std::max(peers.back().m_free, line.m_free_grant);
-    } else {
-      peers.push_back(
-          {.m_peer = std::move(line.m_peer), .m_free = line.m_free_grant});
+  std::vector<NodeName> gone;
+  for (const auto& [peer, cells] : engine.m_share.m_peers) {
+    gone.push_back(peer);
+  }
+  std::vector<PeerCell> cells;
+  for (std::size_t i = 0; i < use.size();) {
+    const NodeName& peer = use[i].m_peer;
+    cells.clear();
+    std::size_t end = i;
+    for (; end < use.size() && use[end].m_peer == peer; ++end) {
+      const PeerUse& line = use[end];
+      const auto team = FindTeamIndex(engine.m_share, line.m_team);
+      if (!team) {
+        continue;
+      }
+      auto& peers = internal::TeamOf(engine, *team).m_peers;
+      if (peers.empty() || peers.back().m_peer != peer) {
+        peers.push_back({.m_peer = peer, .m_free = line.m_free_grant});
+      } else {
+        peers.back().m_free = std::max(peers.back().m_free, line.m_free_grant);
+      }
+      if (const auto pool = FindPoolIndex(engine.m_share, line.m_pool)) {
+        cells.push_back({.m_pool = *pool,
+                         .m_team = *team,
+                         .m_running = line.m_running,
+                         .m_waiting = line.m_waiting});
+      }
     }
+    SetPeerUse(engine.m_share, now, peer, cells);
+    std::erase(gone, peer);
+    i = end;
+  }
+  for (const NodeName& peer : gone) {
+    DropPeer(engine.m_share, now, peer);
   }
 }
 
--- a/filbertspar/request/src/report.cc
+++ b/filbertspar/request/src/report.cc
@@ -29,21 +29,26 @@
 }
 
 std::vector<TeamPoolUse> UseOf(const Engine& engine) {
+  const std::size_t pools = engine.m_pools.size();
+  std::vector<std::int64_t> running(engine.m_teams.size() * pools);
+  for (const auto& [id, attempt] : engine.m_attempts) {
+    if (attempt.m_holds_unit) {
+      ++running[attempt.m_team.Value() * pools + attempt.m_pool.Value()];
+    }
+  }
   std::vector<TeamPoolUse> lines;
-  for (const internal::TeamState& team : engine.m_teams) {
+  for (std::size_t i = 0; i < engine.m_teams.size(); ++i) {
+    const internal::TeamState& team = engine.m_teams[i];
     const std::int64_t free =
         std::max<std::int64_t>(0, internal::FreeUnits(team) - team.m_waiting);
     bool any = false;
-    for (PoolIndex pool = 0; pool < engine.m_pools.size(); ++pool) {
-      const auto at = [pool](const std::vector<std::int64_t>& counts) {
-        return pool < counts.size() ? counts[pool] : 0;
-      };
-      const std::int64_t running = at(team.m_running_by_pool);
-      const std::int64_t waiting = at(team.m_waiting_by_pool);
-      if (running > 0 || waiting > 0) {
+    for (std::size_t pool = 0; pool < pools; ++pool) {
+      const std::int64_t waiting =
+          CountWaiting(engine.m_queue, PoolIndex(pool), TeamIndex(i));
+      if (running[i * pools + pool] > 0 || waiting > 0) {
         lines.push_back({.m_team = team.m_name,
-                         .m_pool = engine.m_placement.m_pools[pool].m_name,
-                         .m_running = running,
+                         .m_pool = engine.m_pools[pool].m_name,
+                         .m_running = running[i * pools + pool],
                          .m_waiting = waiting,
                          .m_free_grant = free});
         any = true;
--- a/filbertspar/request/src/state.h
+++ b/filbertspar/request/src/state.h
@@ -1,17 +1,16 @@
 #pragma once
 
-#include <array>
 #include <cstdint>
-#include <deque>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "absl/container/flat_hash_map.h"
 #include "filbertspar/base/base.h"
 #include "filbertspar/catalogue/catalogue.h"
 #include "filbertspar/placement/placement.h"
+#include "filbertspar/queue/queue.h"
 #include "filbertspar/request/src/events.h"
+#include "filbertspar/share/share.h"
 
 namespace filbertspar {
 
@@ -30,20 +29,25 @@
 
 namespace internal {
 
-using TeamIndex = std::uint32_t;
-
 /// \brief A request that has no final answer yet.
 struct Request {
   RequestId m_id;
   Submission m_submission;
-  TeamIndex m_team = 0;
-  PoolIndex m_pool = 0;
+  // The fields from here to m_repeatable follow from the catalogue entry and
+  // hold for the configuration m_epoch.
+  TeamIndex m_team;
+  PoolIndex m_pool;
+  EntryIndex m_entry;
   WorkClass m_class = WorkClass::kStandard;
   Resources m_resources;
   Duration m_run_time{0};
+  std::int64_t m_max_queue = 0;
   bool m_repeatable = true;
+  std::uint64_t m_epoch = 0;
   RequestState m_state = RequestState::kWaiting;
   TimePoint m_deadline;
+  /// Place in the queue while it waits.
+  Ticket m_ticket;
   /// The attempt whose end is awaited, or none.
   AttemptId m_attempt;
   std::int32_t m_retries = 0;
@@ -63,16 +67,18 @@
   RequestId m_request;
   WorkerIndex m_worker = 0;
   VmName m_worker_name;
-  TeamIndex m_team = 0;
-  PoolIndex m_pool = 0;
+  TeamIndex m_team;
+  PoolIndex m_pool;
+  EntryIndex m_entry;
   Resources m_resources;
+  TimePoint m_started;
   Duration m_timeout{0};
   Duration m_run_time{0};
+  Duration m_query_pause{0};
+  TimePoint m_lost_at{};
+  bool m_lost = false;
   /// Occupies a unit of the team's grant and its place on the worker.
   bool m_holds_unit = true;
-  bool m_lost = false;
-  TimePoint m_lost_at{};
-  Duration m_query_pause{0};
 };
 
 /// \brief Answered request, kept for later queries.
@@ -80,9 +86,8 @@
   Code m_code = Code::kOk;
   Body m_body;
   TeamName m_team;
-  /// Set while the claim row has no answer.
+  /// Set while the claim row lacks the answer.
   std::string m_request_key{};
-  TimePoint m_at;
 };
 
 struct PeerGrant {
@@ -90,6 +95,7 @@
   std::int64_t m_free = 0;
 };
 
+/// \brief State of the team at a TeamIndex of the share.
 struct TeamState {
   TeamName m_name;
   std::int64_t m_granted = 0;
@@ -98,26 +104,30 @@
   /// Attempts that hold a unit.
   std::int64_t m_running = 0;
   std::int64_t m_waiting = 0;
-  std::vector<std::int64_t> m_running_by_pool;
-  std::vector<std::int64_t> m_waiting_by_pool;
+  /// Demand of the last WantGrant.
   std::int64_t m_wanted = 0;
   TimePoint m_wanted_at = TimePoint::min();
   std::vector<PeerGrant> m_peers;
 };
 
-/// \brief First come, first served queues of one pool, per team and class.
-struct PoolQueue {
-  struct TeamQueue {
-    std::array<std::deque<RequestId>, kWorkClasses> m_classes;
-  };
-  std::vector<TeamQueue> m_teams;
-  std::size_t m_next_team = 0;
+/// \brief State of the pool at a PoolIndex of the share.
+struct PoolState {
+  PoolName m_name;
+  PlacementPool m_placement = 0;
   std::int64_t m_waiting = 0;
+  /// Listed in Engine::m_dirty_pools.
   bool m_dirty = false;
   /// Retries allowed; see EngineOptions.
   double m_retry_tokens = 0;
 };
 
+/// \brief State of the entry at an EntryIndex.
+struct EntryState {
+  /// Position in the catalogue in force.
+  std::size_t m_position = 0;
+  TaskEstimate m_estimate;
+};
+
 enum class TimerKind : std::uint8_t {
   kDeadline,
   kBackoff,
--- a/filbertspar/request/src/timers.cc
+++ b/filbertspar/request/src/timers.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 
 #include "filbertspar/request/src/internal.h"
 
@@ -16,7 +17,7 @@
     FinishUnsettled(engine, now, *request, Code::kDeadlinePassed, effects);
   } else if (timer.m_kind == TimerKind::kBackoff) {
     if (request->m_state == RequestState::kBackoff) {
-      PushWaiting(engine, *request, /*front=*/true);
+      PutBackWaiting(engine, now, *request, effects);
     }
   } else if (request->m_state == RequestState::kSettling) {
     FinishUnsettled(engine, now, *request, Code::kOutcomeUnknown, effects);
@@ -48,9 +49,7 @@
   }
   Attempt& attempt = found->second;
   if (timer.m_kind == TimerKind::kUnitLapse) {
-    ReleaseUnit(engine, attempt);
-    MarkDirty(engine, attempt.m_pool);
-    MarkTeamDirty(engine, attempt.m_team);
+    ReleaseUnit(engine, now, attempt);
   } else if (IsWorthAsking(engine, now, attempt)) {
     QueryLost(engine, now, id, attempt, effects);
   } else {
@@ -58,27 +57,67 @@
   }
 }
 
-void WakeProbes(Engine& engine, TimePoint now) {
-  for (PoolIndex pool = 0; pool < engine.m_pools.size(); ++pool) {
-    if (engine.m_pools[pool].m_waiting > 0 &&
-        engine.m_placement.m_pools[pool].m_next_probe <= now) {
-      MarkDirty(engine, pool);
+TimePoint NextProbe(const Engine& engine, const PoolState& pool) {
+  return engine.m_placement.m_pools[pool.m_placement].m_next_probe;
+}
+
+void WakePools(Engine& engine, TimePoint now) {
+  const std::vector<PlacementPool> unpaused =
+      EndPauses(engine.m_placement, now);
+  for (std::size_t i = 0; i < engine.m_pools.size(); ++i) {
+    const PoolState& pool = engine.m_pools[i];
+    if (pool.m_waiting > 0 && (NextProbe(engine, pool) <= now ||
+                               std::find(unpaused.begin(), unpaused.end(),
+                                         pool.m_placement) != unpaused.end())) {
+      MarkDirty(engine, PoolIndex(i));
     }
   }
 }
 
+bool IsLive(const Engine& engine, const Timer& timer) {
+  switch (timer.m_kind) {
+    case TimerKind::kDeadline:
+    case TimerKind::kBackoff:
+    case TimerKind::kSettleEnd:
+      return engine.m_requests.contains(RequestId(timer.m_id));
+    case TimerKind::kQuery:
+    case TimerKind::kUnitLapse:
+      return engine.m_attempts.contains(AttemptId(timer.m_id));
+  }
+  return false;
+}
+
+// Keeps the heap in proportion to the live requests, whose deadlines may be
+// hours away when they are answered.
+void DropDeadTimers(Engine& engine) {
+  constexpr std::size_t kTimersPerItem = 4;
+  constexpr std::size_t kSlack = 4096;
+  if (engine.m_timers.size() >
+      kTimersPerItem * (engine.m_requests.size() + engine.m_attempts.size()) +
+          kSlack) {
+    std::erase_if(engine.m_timers,
+                  [&](const Timer& timer) { return !IsLive(engine, timer); });
+    std::make_heap(engine.m_timers.begin(), engine.m_timers.end(),
+                   std::greater<>());
+  }
+}
+
 }  // namespace
 
 void SetTimer(Engine& engine, TimePoint at, TimerKind kind, std::uint64_t id) {
-  engine.m_timers.push({.m_at = at, .m_kind = kind, .m_id = id});
+  engine.m_timers.push_back({.m_at = at, .m_kind = kind, .m_id = id});
+  std::push_heap(engine.m_timers.begin(), engine.m_timers.end(),
+                 std::greater<>());
 }
 
 }  // namespace internal
 
 void Tick(Engine& engine, TimePoint now, Effects& effects) {
-  while (!engine.m_timers.empty() && engine.m_timers.top().m_at <= now) {
-    const internal::Timer timer = engine.m_timers.top();
-    engine.m_timers.pop();
+  while (!engine.m_timers.empty() && engine.m_timers.front().m_at <= now) {
+    const internal::Timer timer = engine.m_timers.front();
+    std::pop_heap(engine.m_timers.begin(), engine.m_timers.end(),
+                  std::greater<>());
+    engine.m_timers.pop_back();
     switch (timer.m_kind) {
       case internal::TimerKind::kDeadline:
       case internal::TimerKind::kBackoff:
@@ -91,13 +130,12 @@
         break;
     }
   }
-  for (const PoolIndex pool : EndPauses(engine.m_placement, now)) {
-    internal::MarkDirty(engine, pool);
-  }
-  internal::WakeProbes(engine, now);
+  internal::DropDeadTimers(engine);
+  Settle(engine.m_share, now);
+  internal::WakePools(engine, now);
   internal::Dispatch(engine, now, effects);
   internal::ForwardWaiting(engine, now, effects);
-  for (internal::TeamIndex team = 0; team < engine.m_teams.size(); ++team) {
+  for (internal::TeamState& team : engine.m_teams) {
     internal::UpdateWant(engine, now, team, effects);
   }
   internal::ForgetOldFinished(engine, now);
@@ -106,13 +144,17 @@
 std::optional<TimePoint> NextTick(const Engine& engine) {
   TimePoint next = engine.m_placement.m_next_unpause;
   if (!engine.m_timers.empty()) {
-    next = std::min(next, engine.m_timers.top().m_at);
+    next = std::min(next, engine.m_timers.front().m_at);
   }
-  for (PoolIndex pool = 0; pool < engine.m_pools.size(); ++pool) {
-    if (engine.m_pools[pool].m_waiting > 0) {
-      next = std::min(next, engine.m_placement.m_pools[pool].m_next_probe);
+  for (const internal::PoolState& pool : engine.m_pools) {
+    if (pool.m_waiting > 0) {
+      next = std::min(next, internal::NextProbe(engine, pool));
     }
   }
+  if (!engine.m_requests.empty()) {
+    next = std::min(next, engine.m_share.m_settled_at +
+                              engine.m_share.m_settings.m_settle_interval);
+  }
   for (const internal::TeamState& team : engine.m_teams) {
     if (team.m_running + team.m_waiting != team.m_wanted) {
       next = std::min(next, team.m_wanted_at + engine.m_options.m_want_pause);
--- a/filbertspar/request/src/waiting.cc
+++ b/filbertspar/request/src/waiting.cc
@@ -1,77 +1,98 @@
-#include <algorithm>
-
 #include "filbertspar/request/src/internal.h"
 
 namespace filbertspar::internal {
 namespace {
 
-PoolQueue::TeamQueue& QueueOf(Engine& engine, const Request& request) {
-  PoolQueue& pool = engine.m_pools[request.m_pool];
-  if (pool.m_teams.size() <= request.m_team) {
-    pool.m_teams.resize(request.m_team + 1);
-  }
-  return pool.m_teams[request.m_team];
+Arrival ArrivalOf(const Engine& engine, const Request& request) {
+  return {.m_request = request.m_id,
+          .m_pool = request.m_pool,
+          .m_team = request.m_team,
+          .m_class = request.m_class,
+          .m_entry = request.m_entry,
+          .m_deadline = request.m_deadline,
+          .m_work =
+              WorkOf(engine.m_share, request.m_pool, request.m_resources,
+                     EstimatedRunTime(
+                         engine.m_entries[request.m_entry.Value()].m_estimate)),
+          .m_size = request.m_resources,
+          .m_max_queue = request.m_max_queue};
 }
 
-void Count(Engine& engine, const Request& request, std::int64_t change) {
-  TeamState& team = engine.m_teams[request.m_team];
-  if (team.m_waiting_by_pool.size() <= request.m_pool) {
-    team.m_waiting_by_pool.resize(request.m_pool + 1);
-  }
-  team.m_waiting += change;
-  team.m_waiting_by_pool[request.m_pool] += change;
-  engine.m_pools[request.m_pool].m_waiting += change;
+void CountIn(Engine& engine, Request& request, Ticket ticket) {
+  request.m_state = RequestState::kWaiting;
+  request.m_ticket = ticket;
+  AddWaiting(engine.m_share, request.m_pool, request.m_team,
+             request.m_resources);
+  ++TeamOf(engine, request.m_team).m_waiting;
+  ++PoolOf(engine, request.m_pool).m_waiting;
 }
 
 }  // namespace
 
-void PushWaiting(Engine& engine, Request& request, bool front) {
-  request.m_state = RequestState::kWaiting;
-  auto& queue = QueueOf(engine, request)
-                    .m_classes[static_cast<std::size_t>(request.m_class)];
-  if (front) {
-    queue.push_front(request.m_id);
-  } else {
-    queue.push_back(request.m_id);
+Code AdmitWaiting(Engine& engine, TimePoint now, Request& request) {
+  const Admission admission =
+      Admit(engine.m_queue, now, ArrivalOf(engine, request),
+            ExpectedShare(engine.m_share, request.m_pool, request.m_team));
+  if (admission.m_code == Code::kOk) {
+    CountIn(engine, request, admission.m_ticket);
+    // Work that waited before still has no room, so the pool is searched only
+    // when this request may find some.
+    const PoolState& pool = PoolOf(engine, request.m_pool);
+    if (HasRoom(engine.m_placement, now, pool.m_placement)) {
+      MarkDirty(engine, request.m_pool);
+    }
   }
-  Count(engine, request, 1);
-  MarkDirty(engine, request.m_pool);
+  return admission.m_code;
 }
 
-void RemoveWaiting(Engine& engine, Request& request) {
-  auto& queue = QueueOf(engine, request)
-                    .m_classes[static_cast<std::size_t>(request.m_class)];
-  const auto found = std::find(queue.begin(), queue.end(), request.m_id);
-  FS_ASSERT(found != queue.end(), "waiting work is in its queue");
-  queue.erase(found);
-  Count(engine, request, -1);
+void PutBackWaiting(Engine& engine, TimePoint now, Request& request,
+                    Effects& effects) {
+  if (request.m_epoch != engine.m_epoch) {
+    if (const auto code = RuledOut(engine, request.m_submission)) {
+      FinishUnsettled(engine, now, request, *code, effects);
+      return;
+    }
+    FillFromEntry(engine, request);
+  }
+  CountIn(engine, request,
+          PutBack(engine.m_queue, now, ArrivalOf(engine, request)));
+  MarkDirty(engine, request.m_pool);
 }
 
-Request* FirstWaiting(Engine& engine, PoolIndex pool, TeamIndex team) {
-  PoolQueue& queue = engine.m_pools[pool];
-  if (queue.m_teams.size() <= team) {
-    return nullptr;
-  }
-  for (auto& ids : queue.m_teams[team].m_classes) {
-    if (!ids.empty()) {
-      return FindRequest(engine, ids.front());
-    }
+void TakeWaiting(Engine& engine, TimePoint now, Request& request,
+                 bool to_start) {
+  if (to_start) {
+    TakeForStart(engine.m_queue, now, request.m_ticket);
+  } else {
+    const auto removed = Remove(engine.m_queue, request.m_ticket);
+    FS_ASSERT(removed.has_value(), "waiting work is in its queue");
   }
-  return nullptr;
+  RemoveWaiting(engine.m_share, request.m_pool, request.m_team,
+                request.m_resources);
+  --TeamOf(engine, request.m_team).m_waiting;
+  --PoolOf(engine, request.m_pool).m_waiting;
 }
 
 void MarkDirty(Engine& engine, PoolIndex pool) {
-  if (!engine.m_pools[pool].m_dirty) {
-    engine.m_pools[pool].m_dirty = true;
+  PoolState& state = PoolOf(engine, pool);
+  if (!state.m_dirty) {
+    state.m_dirty = true;
     engine.m_dirty_pools.push_back(pool);
   }
 }
 
-void MarkTeamDirty(Engine& engine, TeamIndex team) {
-  const auto& waiting = engine.m_teams[team].m_waiting_by_pool;
-  for (PoolIndex pool = 0; pool < waiting.size(); ++pool) {
-    if (waiting[pool] > 0) {
-      MarkDirty(engine, pool);
+void UnitsChanged(Engine& engine, TeamIndex team) {
+  const bool blocked = FreeUnits(TeamOf(engine, team)) <= 0;
+  if (engine.m_share.m_teams[team.Value()].m_blocked == blocked) {
+    return;
+  }
+  SetBlocked(engine.m_share, team, blocked);
+  if (blocked || TeamOf(engine, team).m_waiting == 0) {
+    return;
+  }
+  for (std::size_t pool = 0; pool < engine.m_pools.size(); ++pool) {
+    if (CountWaiting(engine.m_queue, PoolIndex(pool), team) > 0) {
+      MarkDirty(engine, PoolIndex(pool));
     }
   }
 }
