--- a/filbertspar/platform/src/rows.h
+++ b/filbertspar/platform/src/rows.h
@@ -18,6 +18,7 @@
   std::string m_key;
 
   friend bool operator==(const RowKey&, const RowKey&) = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on defaulted <=>.
   friend auto operator<=>(const RowKey&, const RowKey&) = default;
 };
 
@@ -35,7 +36,9 @@
 /// \brief One row of a write; without a value the row is deleted.
 struct RowWrite {
   RowKey m_row;
-  /// Version that the row must have; 0 when it must not exist.
+  /// Version that the row must have; 0 when it must not exist. It must have
+  /// been read: a late packet that expects a version still to come may take
+  /// effect after the write was reported as a conflict.
   RowVersion m_expect{};
   std::optional<Json> m_value{};
 };
