Add wire: authenticated frames between entry VMs

Cause: entry VMs exchange heartbeats, configuration and forwarded requests and must ignore everybody else.

--- /dev/null
+++ b/filbertspar/wire/src/messages.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "filbertspar/base/base.h"
+#include "filbertspar/settings/settings.h"
+
+namespace filbertspar {
+
+/// \brief First message in each direction of a connection.
+struct Hello {
+  NodeName m_node;
+  /// VM that the sender believes it talks to; empty when not known.
+  VmName m_to;
+  ZoneName m_zone;
+  /// Where the sender accepts connections.
+  Endpoint m_endpoint;
+  /// Chosen at random by the sender; every later frame to it carries it.
+  std::uint64_t m_nonce = 0;
+  std::uint32_t m_protocol = 1;
+
+  friend bool operator==(const Hello&, const Hello&) = default;
+};
+
+/// \brief What a node knows about the entry VMs of one zone.
+struct ZoneDigest {
+  ZoneName m_zone;
+  std::uint32_t m_live = 0;
+  /// Lowest and highest configuration version in force at the live nodes.
+  ConfigVersion m_oldest;
+  ConfigVersion m_newest;
+  /// True when at least one live node reaches the store.
+  bool m_reaches_store = false;
+  /// True when every known node of the zone is included.
+  bool m_complete = false;
+  /// Age of the oldest report that the digest includes.
+  Duration m_age{0};
+
+  friend bool operator==(const ZoneDigest&, const ZoneDigest&) = default;
+};
+
+enum class MemberState : std::uint8_t { kLive, kLeaving, kDead };
+
+/// \brief News about one node, passed on from node to node.
+struct MemberUpdate {
+  NodeName m_node;
+  ZoneName m_zone;
+  Endpoint m_endpoint;
+  MemberState m_state = MemberState::kLive;
+
+  friend bool operator==(const MemberUpdate&, const MemberUpdate&) = default;
+};
+
+struct Heartbeat {
+  NodeName m_node;
+  std::uint64_t m_incarnation = 0;
+  ConfigVersion m_config_version;
+  bool m_reaches_store = false;
+  bool m_leaving = false;
+  std::vector<ZoneDigest> m_zones;
+  std::vector<MemberUpdate> m_updates;
+
+  friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
+};
+
+/// \brief Asks for a reply, or, with a subject, for an opinion on that node.
+struct Probe {
+  std::uint64_t m_number = 0;
+  NodeName m_subject;
+
+  friend bool operator==(const Probe&, const Probe&) = default;
+};
+
+struct ProbeReply {
+  std::uint64_t m_number = 0;
+  NodeName m_subject;
+  /// Whether the subject answered the replier; true without a subject.
+  bool m_reachable = true;
+
+  friend bool operator==(const ProbeReply&, const ProbeReply&) = default;
+};
+
+/// \brief Announces a configuration; the document is empty when it is only
+/// announced, and present in the answer to a ConfigFetch.
+struct ConfigOffer {
+  ConfigVersion m_version;
+  std::string m_document;
+
+  friend bool operator==(const ConfigOffer&, const ConfigOffer&) = default;
+};
+
+struct ConfigFetch {
+  ConfigVersion m_version;
+
+  friend bool operator==(const ConfigFetch&, const ConfigFetch&) = default;
+};
+
+/// \brief Use and demand of one team in one pool at the sender.
+struct UseLine {
+  PoolName m_pool;
+  TeamName m_team;
+  std::int64_t m_running = 0;
+  std::int64_t m_waiting = 0;
+  std::int64_t m_free_grant = 0;
+
+  friend bool operator==(const UseLine&, const UseLine&) = default;
+};
+
+struct UseSummary {
+  NodeName m_node;
+  std::vector<UseLine> m_lines;
+
+  friend bool operator==(const UseSummary&, const UseSummary&) = default;
+};
+
+/// \brief A request handed to a peer that has a free grant unit.
+struct Forward {
+  RequestId m_request;
+  EntryName m_entry;
+  TeamName m_team;
+  std::string m_request_key;
+  Duration m_deadline{0};
+  std::string m_body;
+
+  friend bool operator==(const Forward&, const Forward&) = default;
+};
+
+struct ForwardReply {
+  RequestId m_request;
+  Code m_code = Code::kOk;
+  std::string m_body;
+
+  friend bool operator==(const ForwardReply&, const ForwardReply&) = default;
+};
+
+/// \brief Units of a team's ceiling that the sender wants and holds unused.
+struct GrantHint {
+  NodeName m_node;
+  TeamName m_team;
+  std::int64_t m_wanted = 0;
+  std::int64_t m_free = 0;
+
+  friend bool operator==(const GrantHint&, const GrantHint&) = default;
+};
+
+using Message =
+    std::variant<Hello, Heartbeat, Probe, ProbeReply, ConfigOffer, ConfigFetch,
+                 UseSummary, Forward, ForwardReply, GrantHint>;
+
+/// \brief Payload of one frame.
+struct Envelope {
+  /// Nonce of the receiver's Hello; 0 in the Hello that opens a connection.
+  std::uint64_t m_session = 0;
+  /// 0, 1, 2 ... in each direction of a connection.
+  std::uint64_t m_sequence = 0;
+  Message m_message;
+
+  friend bool operator==(const Envelope&, const Envelope&) = default;
+};
+
+}  // namespace filbertspar
