--- a/filbertspar/fleet/src/rows.cc
+++ b/filbertspar/fleet/src/rows.cc
@@ -96,7 +96,8 @@
           {"target_pool", row.m_target_pool.Value()},
           {"wave", row.m_wave},
           {"moved_from", row.m_moved_from.Value()},
-          {"moved_ms", row.m_moved_ms}};
+          {"moved_ms", row.m_moved_ms},
+          {"boot", row.m_boot}};
 }
 
 absl::Status FromJson(const JsonObject& object, VmRow& out) {
@@ -121,6 +122,7 @@
   reader.ReadOptional("wave", out.m_wave);
   reader.ReadOptional("moved_from", out.m_moved_from);
   reader.ReadOptional("moved_ms", out.m_moved_ms, IntRange{});
+  reader.ReadOptional("boot", out.m_boot);
   return reader.Finish();
 }
 
--- a/filbertspar/fleet/src/rows.h
+++ b/filbertspar/fleet/src/rows.h
@@ -67,6 +67,9 @@
   /// Last move: the pool it left and when; 0 means never moved.
   PoolName m_moved_from;
   std::int64_t m_moved_ms = 0;
+  /// Boot that the worker reported before its reboot was written; another boot
+  /// shows that the reboot took place.
+  std::string m_boot;
 
   friend bool operator==(const VmRow&, const VmRow&) = default;
 };
@@ -93,7 +96,7 @@
   std::int64_t m_failed = 0;
   /// Guarded entries of a pool. Their rows change together with the pool's, so
   /// that the row of a new guard can start from the counts of its pool.
-  std::vector<std::string> m_guards;
+  std::vector<std::string> m_guards = {};
 
   friend bool operator==(const BudgetRow&, const BudgetRow&) = default;
 };
--- a/tests/fleet_rows_test.cc
+++ b/tests/fleet_rows_test.cc
@@ -34,6 +34,7 @@
   row.m_wave = "w1";
   row.m_moved_from = PoolName("stock");
   row.m_moved_ms = 7;
+  row.m_boot = "b1";
   return row;
 }
 
