--- a/filbertspar/fleet/src/drain.h
+++ b/filbertspar/fleet/src/drain.h
@@ -18,11 +18,11 @@
 
 /// \brief What a drain is for.
 struct DrainRequest {
-  VmName m_vm;
+  VmName m_vm = {};
   Purpose m_purpose = Purpose::kMaintain;
   /// Pool that a move leads to.
-  PoolName m_target_pool;
-  std::string m_wave;
+  PoolName m_target_pool = {};
+  std::string m_wave = {};
   /// Time out of service that must fit before the next blackout.
   Duration m_expected = std::chrono::minutes(5);
 };
@@ -30,7 +30,7 @@
 /// \brief A change to write, or what stops it.
 struct ChangePlan {
   WriteRows m_write;
-  std::vector<Blocker> m_blockers;
+  std::vector<Blocker> m_blockers = {};
 
   bool Allowed() const { return m_blockers.empty(); }
 };
--- a/filbertspar/fleet/src/lifecycle.cc
+++ b/filbertspar/fleet/src/lifecycle.cc
@@ -67,6 +67,7 @@
   using S = VmState;
   using E = VmEvent;
   // clang-format off
+  // NOLINTNEXTLINE(readability-identifier-naming): the name is given by MSM.
   struct transition_table : boost::mpl::vector<
       Loads<S::kInService>, Loads<S::kCordoned>, Loads<S::kDraining>,
       Loads<S::kDrained>, Loads<S::kRebooting>, Loads<S::kVerifying>,
--- a/filbertspar/fleet/src/rows.h
+++ b/filbertspar/fleet/src/rows.h
@@ -45,13 +45,13 @@
 /// \brief Row `vm/NAME`. One row names one pool, so a VM is in exactly one.
 /// Times are milliseconds of UTC since 1970.
 struct VmRow {
-  VmName m_name;
+  VmName m_name = {};
   /// "IP:PORT" of the worker agent.
-  std::string m_address;
-  PoolName m_pool;
-  RackName m_rack;
-  ZoneName m_zone;
-  Resources m_capacity;
+  std::string m_address = {};
+  PoolName m_pool = {};
+  RackName m_rack = {};
+  ZoneName m_zone = {};
+  Resources m_capacity = {};
   std::int64_t m_connections = 64;
   VmState m_state = VmState::kInService;
   /// Grows with every transition; names the reboot so that it happens once.
@@ -61,15 +61,15 @@
   std::int64_t m_since_ms = 0;
   Purpose m_purpose = Purpose::kNone;
   /// Pool that a move leads to; empty otherwise.
-  PoolName m_target_pool;
+  PoolName m_target_pool = {};
   /// Wave that admitted the drain, empty for none.
-  std::string m_wave;
+  std::string m_wave = {};
   /// Last move: the pool it left and when; 0 means never moved.
-  PoolName m_moved_from;
+  PoolName m_moved_from = {};
   std::int64_t m_moved_ms = 0;
   /// Boot that the worker reported before its reboot was written; another boot
   /// shows that the reboot took place.
-  std::string m_boot;
+  std::string m_boot = {};
 
   friend bool operator==(const VmRow&, const VmRow&) = default;
 };
@@ -84,7 +84,7 @@
 /// and at least `m_min_available` are in service.
 struct BudgetRow {
   BudgetKind m_kind = BudgetKind::kPool;
-  std::string m_name;
+  std::string m_name = {};
   std::int64_t m_max_out = kNoLimit;
   std::int64_t m_min_available = 0;
   /// Smallest number of VMs that a move may leave; pools only.
@@ -107,10 +107,10 @@
 /// \brief Row `wave/NAME`: maintain every VM of a pool, or of the fleet, that
 /// was not maintained since the wave started.
 struct WaveRow {
-  std::string m_name;
+  std::string m_name = {};
   /// Empty for the whole fleet.
-  PoolName m_pool;
-  OperatorName m_operator;
+  PoolName m_pool = {};
+  OperatorName m_operator = {};
   std::int64_t m_started_ms = 0;
   WaveState m_state = WaveState::kRunning;
 
@@ -121,7 +121,7 @@
 template <typename Row>
 struct Versioned {
   Row m_row;
-  RowVersion m_version;
+  RowVersion m_version = {};
 };
 
 std::string_view ToString(VmState state);
--- a/filbertspar/fleet/src/view.h
+++ b/filbertspar/fleet/src/view.h
@@ -22,7 +22,7 @@
 template <typename Row>
 struct RowWrite {
   Row m_row;
-  RowVersion m_expect;
+  RowVersion m_expect = {};
   bool m_erase = false;
 };
 
