--- a/filbertspar/entry/src/admin_api.cc
+++ b/filbertspar/entry/src/admin_api.cc
@@ -70,7 +70,7 @@
 
 }  // namespace
 
-AdminApi::AdminApi(Config& config, Store& store, const FleetView& fleet,
+AdminApi::AdminApi(Config& config, Store& store, const WorkerDirectory& fleet,
                    Dispatcher& dispatcher, std::string bootstrap_hash)
     : m_config(config),
       m_store(store),
--- a/filbertspar/entry/src/admin_api.h
+++ b/filbertspar/entry/src/admin_api.h
@@ -5,7 +5,7 @@
 #include "boost/asio/awaitable.hpp"
 #include "filbertspar/entry/src/config.h"
 #include "filbertspar/entry/src/dispatcher.h"
-#include "filbertspar/entry/src/fleet_view.h"
+#include "filbertspar/entry/src/worker_directory.h"
 #include "filbertspar/http/http.h"
 
 namespace filbertspar {
@@ -15,7 +15,7 @@
  public:
   /// `bootstrap_hash` is the hash of the operator key that may write the first
   /// configuration; it opens nothing once a configuration is in force.
-  AdminApi(Config& config, Store& store, const FleetView& fleet,
+  AdminApi(Config& config, Store& store, const WorkerDirectory& fleet,
            Dispatcher& dispatcher, std::string bootstrap_hash);
   AdminApi(const AdminApi&) = delete;
   AdminApi& operator=(const AdminApi&) = delete;
@@ -41,7 +41,7 @@
 
   Config& m_config;
   Store& m_store;
-  const FleetView& m_fleet;
+  const WorkerDirectory& m_fleet;
   Dispatcher& m_dispatcher;
   std::string m_bootstrap_hash;
 };
--- a/filbertspar/entry/src/dispatcher.cc
+++ b/filbertspar/entry/src/dispatcher.cc
@@ -18,7 +18,8 @@
 }  // namespace
 
 Dispatcher::Dispatcher(asio::io_context& context, HttpClient& client,
-                       Claims& claims, const FleetView& fleet, Engine& engine)
+                       Claims& claims, const WorkerDirectory& fleet,
+                       Engine& engine)
     : m_context(context),
       m_workers(client),
       m_claims(claims),
--- a/filbertspar/entry/src/dispatcher.h
+++ b/filbertspar/entry/src/dispatcher.h
@@ -12,8 +12,8 @@
 #include "boost/asio/io_context.hpp"
 #include "boost/asio/steady_timer.hpp"
 #include "filbertspar/entry/src/claims.h"
-#include "filbertspar/entry/src/fleet_view.h"
 #include "filbertspar/entry/src/worker_client.h"
+#include "filbertspar/entry/src/worker_directory.h"
 #include "filbertspar/request/request.h"
 #include "filbertspar/store/store.h"
 
@@ -26,7 +26,7 @@
   using ForwardHandler = std::function<void(const ForwardRequest&)>;
 
   Dispatcher(asio::io_context& context, HttpClient& client, Claims& claims,
-             const FleetView& fleet, Engine& engine);
+             const WorkerDirectory& fleet, Engine& engine);
   Dispatcher(const Dispatcher&) = delete;
   Dispatcher& operator=(const Dispatcher&) = delete;
 
@@ -78,7 +78,7 @@
   asio::io_context& m_context;
   WorkerClient m_workers;
   Claims& m_claims;
-  const FleetView& m_fleet;
+  const WorkerDirectory& m_fleet;
   Engine& m_engine;
   GrantHandler m_want_grant;
   ForwardHandler m_forward;
--- a/filbertspar/entry/src/process.cc
+++ b/filbertspar/entry/src/process.cc
@@ -13,7 +13,7 @@
 #include "filbertspar/entry/src/claims.h"
 #include "filbertspar/entry/src/config.h"
 #include "filbertspar/entry/src/dispatcher.h"
-#include "filbertspar/entry/src/fleet_view.h"
+#include "filbertspar/entry/src/worker_directory.h"
 #include "filbertspar/http/http.h"
 #include "filbertspar/program/program.h"
 #include "filbertspar/store/store.h"
@@ -93,7 +93,7 @@
   HttpClient m_client;
   Store m_store;
   Config m_config;
-  FleetView m_fleet;
+  WorkerDirectory m_fleet;
   Claims m_claims;
   Engine m_engine;
   Dispatcher m_dispatcher;
--- a/filbertspar/fleet/src/effects.h
+++ b/filbertspar/fleet/src/effects.h
@@ -19,6 +19,7 @@
   VmName m_vm = {};
   std::string m_address = {};
   bool m_cordon = true;
+  TimePoint m_not_after;
 };
 
 /// \brief `POST /checkpoint` of a worker.
@@ -46,6 +47,7 @@
   VmName m_vm = {};
   std::string m_address = {};
   std::string m_token = {};
+  TimePoint m_not_after;
 };
 
 /// \brief Ask a worker for its state; answered by a WorkerReport.
