Run configuration through the rollout core

Cause: the entry's interim configuration had no proposals queue, no peers and its own freshness rule. Change: Config is the shell of the rollout library; administration gains versions, export, compare and restore.

--- a/filbertspar/entry/src/admin_api.cc
+++ b/filbertspar/entry/src/admin_api.cc
@@ -32,12 +32,13 @@
   return segments;
 }
 
-/// The version that a change was made against, from the query "base".
-absl::StatusOr<std::optional<ConfigVersion>> BaseOf(
-    const HttpRequest& request) {
+/// The version that a change was made against, from the query "base", or the
+/// one in force here.
+absl::StatusOr<ConfigVersion> BaseOf(const HttpRequest& request,
+                                     ConfigVersion in_force) {
   const std::string text(QueryOf(request, "base"));
   if (text.empty()) {
-    return std::nullopt;
+    return in_force;
   }
   std::uint64_t number = 0;
   if (!absl::SimpleAtoi(text, &number)) {
@@ -46,6 +47,21 @@
   return ConfigVersion(number);
 }
 
+absl::StatusOr<ConfigVersion> VersionOf(std::string_view text) {
+  std::uint64_t number = 0;
+  if (!absl::SimpleAtoi(std::string(text), &number)) {
+    return Error(Code::kBadField, "expected a version number");
+  }
+  return ConfigVersion(number);
+}
+
+absl::StatusOr<ConfigVersion> Accepted(const ProposalReply& reply) {
+  if (reply.m_code != Code::kOk) {
+    return Error(reply.m_code, reply.m_message);
+  }
+  return reply.m_version;
+}
+
 HttpResponse VersionResponse(const absl::StatusOr<ConfigVersion>& version) {
   if (!version.ok()) {
     return StatusResponse(version.status());
@@ -78,15 +94,21 @@
       m_dispatcher(dispatcher),
       m_bootstrap_hash(std::move(bootstrap_hash)) {}
 
-absl::Status AdminApi::Check(const HttpRequest& request, Role needed) const {
+absl::StatusOr<std::string> AdminApi::Check(const HttpRequest& request,
+                                            Role needed) const {
   const std::string_view key = HeaderOf(request, kOperatorHeader);
   if (m_config.Current() == nullptr && !key.empty()) {
     const std::optional<KeyDigest> bootstrap = DigestFromHex(m_bootstrap_hash);
     if (bootstrap && EqualDigests(DigestOf(key), *bootstrap)) {
-      return absl::OkStatus();
+      return std::string("bootstrap");
     }
   }
-  return CheckOperator(m_config.GetAccess(), key, needed).status();
+  absl::StatusOr<OperatorName> name =
+      CheckOperator(m_config.GetAccess(), key, needed);
+  if (!name.ok()) {
+    return name.status();
+  }
+  return name->Value();
 }
 
 asio::awaitable<HttpResponse> AdminApi::Handle(const HttpRequest& request) {
@@ -99,32 +121,12 @@
   const Role needed = request.method() == HttpVerb::get ? Role::kViewer
                       : fleet_kind                      ? Role::kFleet
                                                         : Role::kAdmin;
-  if (absl::Status status = Check(request, needed); !status.ok()) {
-    co_return StatusResponse(status);
+  const absl::StatusOr<std::string> author = Check(request, needed);
+  if (!author.ok()) {
+    co_return StatusResponse(author.status());
   }
   if (request.method() == HttpVerb::get) {
-    if (kind == "config" && segments.size() == 3 && segments[1] == "versions") {
-      co_return co_await GetVersion(segments[2]);
-    }
-    if (kind == "catalogue") {
-      co_return GetDocument();
-    }
-    if (kind == "vms") {
-      co_return GetVms();
-    }
-    if (kind == "status") {
-      co_return GetStatus();
-    }
-    co_return CodeResponse(Code::kUnknownPath, "");
-  }
-  if (kind == "catalogue" && segments.size() == 1) {
-    co_return co_await PutDocument(request);
-  }
-  if (kind == "keys" && request.method() == HttpVerb::post) {
-    co_return co_await GrantKey(request);
-  }
-  if (kind == "operators" && request.method() == HttpVerb::post) {
-    co_return co_await AddOperator(request);
+    co_return co_await Read(request, segments);
   }
   if (kind == "vms" && segments.size() == 2) {
     co_return co_await PutVm(request, segments[1]);
@@ -132,68 +134,194 @@
   if (kind == "drains" && segments.size() == 2) {
     const bool drain = request.method() != HttpVerb::delete_;
     co_return co_await SetVmState(
-        request, segments[1], drain ? VmState::kInService : VmState::kCordoned,
+        segments[1], drain ? VmState::kInService : VmState::kCordoned,
         drain ? VmState::kCordoned : VmState::kInService);
   }
+  co_return co_await ChangeConfig(request, segments, *author);
+}
+
+asio::awaitable<HttpResponse> AdminApi::Read(
+    const HttpRequest& request, const std::vector<std::string>& segments) {
+  const std::string& kind = segments[0];
+  if (kind == "config" && segments.size() == 3 && segments[1] == "versions") {
+    co_return co_await GetVersion(segments[2]);
+  }
+  if (kind == "config" && segments.size() == 2 && segments[1] == "versions") {
+    co_return GetVersions();
+  }
+  if (kind == "config" && segments.size() == 2 && segments[1] == "compare") {
+    co_return co_await GetComparison(request);
+  }
+  if (kind == "catalogue" && segments.size() == 1) {
+    co_return GetDocument();
+  }
+  if (kind == "vms" && segments.size() == 1) {
+    co_return GetVms();
+  }
+  if (kind == "status" && segments.size() == 1) {
+    co_return GetStatus();
+  }
+  co_return CodeResponse(Code::kUnknownPath, "");
+}
+
+asio::awaitable<HttpResponse> AdminApi::ChangeConfig(
+    const HttpRequest& request, const std::vector<std::string>& segments,
+    std::string author) {
+  const std::string& kind = segments[0];
+  if (kind == "catalogue" && segments.size() == 1 &&
+      request.method() == HttpVerb::put) {
+    co_return co_await PutDocument(request, author);
+  }
+  if (kind == "config" && segments.size() == 2 && segments[1] == "restore") {
+    co_return co_await RestoreVersion(request, author);
+  }
+  if (kind == "keys" && segments.size() == 1 &&
+      request.method() == HttpVerb::post) {
+    co_return co_await GrantKey(request, author);
+  }
+  if (kind == "operators" && segments.size() == 1 &&
+      request.method() == HttpVerb::post) {
+    co_return co_await AddOperator(request, author);
+  }
   if (segments.size() == 2) {
-    co_return co_await EditItem(request, kind, segments[1]);
+    co_return co_await EditItem(request, kind, segments[1], author);
   }
   co_return CodeResponse(Code::kUnknownPath, "");
 }
 
-asio::awaitable<HttpResponse> AdminApi::PutDocument(
-    const HttpRequest& request) {
+asio::awaitable<absl::StatusOr<ConfigVersion>> AdminApi::Commit(
+    const HttpRequest& request, std::string author, Change change) {
+  const absl::StatusOr<ConfigVersion> base =
+      BaseOf(request, m_config.Version());
+  if (!base.ok()) {
+    co_return base.status();
+  }
+  const std::shared_ptr<const Catalogue> current = m_config.Current();
+  if (*base != m_config.Version()) {
+    co_return Error(Code::kConfigConflict,
+                    absl::StrCat("version ", m_config.Version().Value(),
+                                 " is in force, not ", base->Value()));
+  }
+  Proposal proposal;
+  proposal.m_base = *base;
+  proposal.m_author = std::move(author);
+  if (current != nullptr) {
+    proposal.m_document = *current;
+  }
+  const absl::Status status = change(proposal.m_document);
+  if (!status.ok()) {
+    co_return status;
+  }
+  const ProposalReply reply =
+      co_await m_config.ProposeChange(std::move(proposal));
+  co_return Accepted(reply);
+}
+
+asio::awaitable<HttpResponse> AdminApi::PutDocument(const HttpRequest& request,
+                                                    std::string author) {
   absl::StatusOr<JsonObject> body = ParseJsonObject(request.body());
-  absl::StatusOr<std::optional<ConfigVersion>> base = BaseOf(request);
-  if (!body.ok() || !base.ok()) {
-    co_return StatusResponse(body.ok() ? base.status() : body.status());
-  }
-  co_return VersionResponse(
-      co_await m_config.Commit(*base, [&](Catalogue& catalogue) {
-        catalogue = Catalogue();
-        return FromJson(*body, catalogue);
-      }));
+  if (!body.ok()) {
+    co_return StatusResponse(body.status());
+  }
+  const Change change = [&](Catalogue& catalogue) {
+    // Keys and operators that the document does not list stay as they are, so
+    // that an exported document, which has no hashes, can be put back.
+    const Catalogue before = std::move(catalogue);
+    catalogue = Catalogue();
+    absl::Status status = FromJson(*body, catalogue);
+    if (!body->contains("keys")) {
+      catalogue.m_keys = before.m_keys;
+    }
+    if (!body->contains("operators")) {
+      catalogue.m_operators = before.m_operators;
+    }
+    return status;
+  };
+  co_return VersionResponse(co_await Commit(request, author, change));
 }
 
-asio::awaitable<HttpResponse> AdminApi::GetVersion(std::string_view version) {
-  std::uint64_t number = 0;
-  if (!absl::SimpleAtoi(std::string(version), &number)) {
-    co_return CodeResponse(Code::kBadField, "expected a version number");
+asio::awaitable<HttpResponse> AdminApi::RestoreVersion(
+    const HttpRequest& request, std::string author) {
+  const absl::StatusOr<ConfigVersion> version =
+      VersionOf(QueryOf(request, "version"));
+  const absl::StatusOr<ConfigVersion> base =
+      BaseOf(request, m_config.Version());
+  if (!version.ok() || !base.ok()) {
+    co_return StatusResponse(version.ok() ? base.status() : version.status());
+  }
+  const ProposalReply reply =
+      co_await m_config.RestoreVersion(*version, *base, author);
+  co_return VersionResponse(Accepted(reply));
+}
+
+asio::awaitable<HttpResponse> AdminApi::GetVersion(std::string text) {
+  const absl::StatusOr<ConfigVersion> version = VersionOf(text);
+  if (!version.ok()) {
+    co_return StatusResponse(version.status());
   }
-  absl::StatusOr<Catalogue> catalogue =
-      co_await m_config.ReadVersion(ConfigVersion(number));
-  if (!catalogue.ok()) {
-    co_return StatusResponse(catalogue.status());
+  const ExportReply reply = co_await m_config.ExportVersion(*version);
+  if (reply.m_code != Code::kOk || reply.m_record == nullptr) {
+    co_return CodeResponse(
+        reply.m_code == Code::kOk ? Code::kNotFound : reply.m_code, "");
+  }
+  JsonObject document = ToJson(reply.m_record->m_catalogue);
+  document.erase("keys");
+  document.erase("operators");
+  co_return JsonResponse(200, JsonObject{{"author", reply.m_record->m_author},
+                                         {"note", reply.m_record->m_note},
+                                         {"document", std::move(document)}});
+}
+
+HttpResponse AdminApi::GetVersions() const {
+  JsonObject nodes;
+  for (const auto& [node, version] : VersionsInForce(m_config.GetRollout())) {
+    nodes[node.Value()] = version.Value();
   }
-  JsonObject document = ToJson(*catalogue);
-  RemoveHashes(document);
-  co_return JsonResponse(200, std::move(document));
+  return JsonResponse(200, JsonObject{{"in_force", m_config.Version().Value()},
+                                      {"nodes", std::move(nodes)}});
+}
+
+asio::awaitable<HttpResponse> AdminApi::GetComparison(
+    const HttpRequest& request) {
+  const absl::StatusOr<ConfigVersion> from =
+      VersionOf(QueryOf(request, "from"));
+  const absl::StatusOr<ConfigVersion> to = VersionOf(QueryOf(request, "to"));
+  if (!from.ok() || !to.ok()) {
+    co_return StatusResponse(from.ok() ? to.status() : from.status());
+  }
+  const CompareReply reply = co_await m_config.CompareVersions(*from, *to);
+  if (reply.m_code != Code::kOk) {
+    co_return CodeResponse(reply.m_code, "");
+  }
+  JsonArray lines;
+  for (const std::string& line : reply.m_lines) {
+    lines.push_back(Json(line));
+  }
+  co_return JsonResponse(200, JsonObject{{"differences", std::move(lines)}});
 }
 
 asio::awaitable<HttpResponse> AdminApi::EditItem(const HttpRequest& request,
                                                  std::string kind,
-                                                 std::string name) {
-  absl::StatusOr<std::optional<ConfigVersion>> base = BaseOf(request);
-  if (!base.ok()) {
-    co_return StatusResponse(base.status());
-  }
-  if (request.method() == HttpVerb::delete_) {
-    co_return VersionResponse(
-        co_await m_config.Commit(*base, [&](Catalogue& catalogue) {
-          return RemoveItem(catalogue, kind, name);
-        }));
-  }
-  absl::StatusOr<JsonObject> item = ParseJsonObject(request.body());
-  if (!item.ok()) {
-    co_return StatusResponse(item.status());
-  }
-  co_return VersionResponse(
-      co_await m_config.Commit(*base, [&](Catalogue& catalogue) {
-        return PutItem(catalogue, kind, name, *item);
-      }));
+                                                 std::string name,
+                                                 std::string author) {
+  Change change = [&](Catalogue& catalogue) {
+    return RemoveItem(catalogue, kind, name);
+  };
+  absl::StatusOr<JsonObject> item = JsonObject();
+  if (request.method() != HttpVerb::delete_) {
+    item = ParseJsonObject(request.body());
+    if (!item.ok()) {
+      co_return StatusResponse(item.status());
+    }
+    change = [&](Catalogue& catalogue) {
+      return PutItem(catalogue, kind, name, *item);
+    };
+  }
+  co_return VersionResponse(co_await Commit(request, author, change));
 }
 
-asio::awaitable<HttpResponse> AdminApi::GrantKey(const HttpRequest& request) {
+asio::awaitable<HttpResponse> AdminApi::GrantKey(const HttpRequest& request,
+                                                 std::string author) {
   absl::StatusOr<JsonObject> body = ParseJsonObject(request.body());
   absl::StatusOr<std::string> secret = NewKey();
   if (!body.ok() || !secret.ok()) {
@@ -207,11 +335,12 @@
     co_return StatusResponse(status);
   }
   key.m_hash = HashOf(*secret);
-  absl::StatusOr<ConfigVersion> version =
-      co_await m_config.Commit(std::nullopt, [&](Catalogue& catalogue) {
-        catalogue.m_keys.push_back(key);
-        return absl::OkStatus();
-      });
+  const Change change = [&](Catalogue& catalogue) {
+    catalogue.m_keys.push_back(key);
+    return absl::OkStatus();
+  };
+  const absl::StatusOr<ConfigVersion> version =
+      co_await Commit(request, author, change);
   if (!version.ok()) {
     co_return StatusResponse(version.status());
   }
@@ -219,8 +348,8 @@
       200, JsonObject{{"version", version->Value()}, {"key", *secret}});
 }
 
-asio::awaitable<HttpResponse> AdminApi::AddOperator(
-    const HttpRequest& request) {
+asio::awaitable<HttpResponse> AdminApi::AddOperator(const HttpRequest& request,
+                                                    std::string author) {
   absl::StatusOr<JsonObject> body = ParseJsonObject(request.body());
   absl::StatusOr<std::string> secret = NewKey();
   if (!body.ok() || !secret.ok()) {
@@ -231,11 +360,12 @@
   if (absl::Status status = FromJson(*body, op); !status.ok()) {
     co_return StatusResponse(status);
   }
-  absl::StatusOr<ConfigVersion> version =
-      co_await m_config.Commit(std::nullopt, [&](Catalogue& catalogue) {
-        catalogue.m_operators.push_back(op);
-        return absl::OkStatus();
-      });
+  const Change change = [&](Catalogue& catalogue) {
+    catalogue.m_operators.push_back(op);
+    return absl::OkStatus();
+  };
+  const absl::StatusOr<ConfigVersion> version =
+      co_await Commit(request, author, change);
   if (!version.ok()) {
     co_return StatusResponse(version.status());
   }
@@ -268,10 +398,8 @@
                          "");
 }
 
-asio::awaitable<HttpResponse> AdminApi::SetVmState(const HttpRequest& request,
-                                                   std::string name,
+asio::awaitable<HttpResponse> AdminApi::SetVmState(std::string name,
                                                    VmState from, VmState to) {
-  static_cast<void>(request);
   const RowKey key{std::string(kVmTable), name};
   absl::StatusOr<Row> row = co_await m_store.Read(key, kWriteDeadline);
   if (!row.ok()) {
--- a/filbertspar/entry/src/admin_api.h
+++ b/filbertspar/entry/src/admin_api.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <functional>
 #include <string>
+#include <vector>
 
 #include "boost/asio/awaitable.hpp"
 #include "filbertspar/entry/src/config.h"
@@ -23,17 +25,35 @@
   asio::awaitable<HttpResponse> Handle(const HttpRequest& request);
 
  private:
-  absl::Status Check(const HttpRequest& request, Role needed) const;
-  asio::awaitable<HttpResponse> PutDocument(const HttpRequest& request);
-  asio::awaitable<HttpResponse> GetVersion(std::string_view version);
+  using Change = std::function<absl::Status(Catalogue&)>;
+
+  /// Name of the operator whose key came with the request.
+  absl::StatusOr<std::string> Check(const HttpRequest& request,
+                                    Role needed) const;
+  asio::awaitable<HttpResponse> Read(const HttpRequest& request,
+                                     const std::vector<std::string>& segments);
+  asio::awaitable<HttpResponse> ChangeConfig(
+      const HttpRequest& request, const std::vector<std::string>& segments,
+      std::string author);
+  asio::awaitable<absl::StatusOr<ConfigVersion>> Commit(
+      const HttpRequest& request, std::string author, Change change);
+  asio::awaitable<HttpResponse> PutDocument(const HttpRequest& request,
+                                            std::string author);
+  asio::awaitable<HttpResponse> RestoreVersion(const HttpRequest& request,
+                                               std::string author);
+  asio::awaitable<HttpResponse> GetVersion(std::string text);
+  HttpResponse GetVersions() const;
+  asio::awaitable<HttpResponse> GetComparison(const HttpRequest& request);
   asio::awaitable<HttpResponse> EditItem(const HttpRequest& request,
-                                         std::string kind, std::string name);
-  asio::awaitable<HttpResponse> GrantKey(const HttpRequest& request);
-  asio::awaitable<HttpResponse> AddOperator(const HttpRequest& request);
+                                         std::string kind, std::string name,
+                                         std::string author);
+  asio::awaitable<HttpResponse> GrantKey(const HttpRequest& request,
+                                         std::string author);
+  asio::awaitable<HttpResponse> AddOperator(const HttpRequest& request,
+                                            std::string author);
   asio::awaitable<HttpResponse> PutVm(const HttpRequest& request,
                                       std::string name);
-  asio::awaitable<HttpResponse> SetVmState(const HttpRequest& request,
-                                           std::string name, VmState from,
+  asio::awaitable<HttpResponse> SetVmState(std::string name, VmState from,
                                            VmState to);
   HttpResponse GetDocument() const;
   HttpResponse GetVms() const;
--- a/filbertspar/entry/src/caller_api.cc
+++ b/filbertspar/entry/src/caller_api.cc
@@ -118,9 +118,12 @@
   }
   const Team* team = FindTeam(*catalogue, permit->m_team);
   // An empty key name means an open entry, which no revocation can close.
-  if (!permit->m_key.Empty() &&
-      (team == nullptr || !m_config.IsFresh(team->m_workspace))) {
-    co_return CodeResponse(Code::kConfigStale, "");
+  if (!permit->m_key.Empty()) {
+    const Code fresh = team == nullptr ? Code::kConfigStale
+                                       : m_config.Freshness(team->m_workspace);
+    if (fresh != Code::kOk) {
+      co_return CodeResponse(fresh, "");
+    }
   }
   Submission submission;
   submission.m_entry = job->m_entry;
--- a/filbertspar/entry/src/config.cc
+++ b/filbertspar/entry/src/config.cc
@@ -1,143 +1,177 @@
 #include "filbertspar/entry/src/config.h"
 
+#include <algorithm>
 #include <utility>
+#include <variant>
 
-#include "absl/strings/str_cat.h"
-#include "boost/asio/as_tuple.hpp"
 #include "boost/asio/co_spawn.hpp"
 #include "boost/asio/detached.hpp"
-#include "boost/asio/use_awaitable.hpp"
 #include "filbertspar/program/program.h"
 
 namespace filbertspar {
 namespace {
 
-constexpr Duration kReadDeadline = Seconds(1);
-constexpr Duration kCommitDeadline = Seconds(3);
+constexpr Duration kReadDeadline = Milliseconds(900);
 
-RowKey HeadKey() { return {"config", "head"}; }
+}  // namespace
+
+Config::Config(asio::io_context& context, Store& store, const NodeName& node)
+    : m_context(context),
+      m_store(store),
+      m_rollout(MakeRollout(node, SteadyNow())),
+      m_timer(context) {}
 
-RowKey VersionKey(ConfigVersion version) {
-  return {"config", absl::StrCat("version/", version.Value())};
+Code Config::Freshness(const WorkspaceName& workspace) const {
+  return CheckFresh(m_rollout, SteadyNow(), workspace);
 }
 
-}  // namespace
+asio::awaitable<ProposalReply> Config::ProposeChange(Proposal proposal) {
+  const ProposalId id(++m_last_id);
+  auto done = std::make_shared<OneShot<ProposalReply>>(m_context);
+  m_proposals[id] = done;
+  Update([&](Rollout& rollout, TimePoint now, RolloutEffects& effects) {
+    Propose(rollout, now, id, std::move(proposal), effects);
+  });
+  co_return co_await done->Wait();
+}
 
-Config::Config(asio::io_context& context, Store& store, Duration poll_period)
-    : m_context(context), m_store(store), m_poll_period(poll_period) {}
+asio::awaitable<ProposalReply> Config::RestoreVersion(ConfigVersion version,
+                                                      ConfigVersion base,
+                                                      std::string author) {
+  const ProposalId id(++m_last_id);
+  auto done = std::make_shared<OneShot<ProposalReply>>(m_context);
+  m_proposals[id] = done;
+  Update([&](Rollout& rollout, TimePoint now, RolloutEffects& effects) {
+    Restore(rollout, now, id, version, base, author, effects);
+  });
+  co_return co_await done->Wait();
+}
 
-void Config::Start() { asio::co_spawn(m_context, Poll(), asio::detached); }
+asio::awaitable<ExportReply> Config::ExportVersion(ConfigVersion version) {
+  const ConfigQueryId id(++m_last_id);
+  auto done = std::make_shared<OneShot<ExportReply>>(m_context);
+  m_exports[id] = done;
+  Update([&](Rollout& rollout, TimePoint, RolloutEffects& effects) {
+    Export(rollout, id, version, effects);
+  });
+  co_return co_await done->Wait();
+}
 
-ConfigVersion Config::Version() const {
-  return m_current == nullptr ? ConfigVersion() : m_current->m_version;
+asio::awaitable<CompareReply> Config::CompareVersions(ConfigVersion from,
+                                                      ConfigVersion to) {
+  const ConfigQueryId id(++m_last_id);
+  auto done = std::make_shared<OneShot<CompareReply>>(m_context);
+  m_compares[id] = done;
+  Update([&](Rollout& rollout, TimePoint, RolloutEffects& effects) {
+    Compare(rollout, id, from, to, effects);
+  });
+  co_return co_await done->Wait();
 }
 
-bool Config::IsFresh(const WorkspaceName& workspace) const {
-  if (m_current == nullptr || m_confirmed == TimePoint::min()) {
-    return false;
+void Config::Apply(RolloutEffects effects) {
+  for (RolloutEffect& effect : effects) {
+    std::visit([this](auto& each) { Carry(each); }, effect);
   }
-  const Workspace* found = FindWorkspace(*m_current, workspace);
-  return found != nullptr &&
-         SteadyNow() - m_confirmed <= found->m_freshness_bound;
+  Schedule();
 }
 
-asio::awaitable<void> Config::Poll() {
-  asio::steady_timer timer(m_context);
-  while (true) {
-    co_await PollOnce();
-    timer.expires_after(m_poll_period);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  }
+void Config::Carry(const ReadHead& read) {
+  asio::co_spawn(m_context, RunHeadRead(read.m_read), asio::detached);
 }
 
-asio::awaitable<void> Config::PollOnce() {
-  const TimePoint asked = SteadyNow();
-  absl::StatusOr<Row> head = co_await m_store.Read(HeadKey(), kReadDeadline);
-  if (!head.ok()) {
-    co_return;
-  }
-  // The head row is written once per version, so both numbers are equal.
-  const ConfigVersion newest(head->m_version.Value());
-  if (newest > Version()) {
-    absl::StatusOr<Catalogue> catalogue = co_await ReadVersion(newest);
-    if (!catalogue.ok()) {
-      co_return;
-    }
-    Apply(std::move(*catalogue));
-  }
-  m_confirmed = asked;
+void Config::Carry(const ReadVersion& read) {
+  asio::co_spawn(m_context, RunVersionRead(read.m_read, read.m_version),
+                 asio::detached);
 }
 
-asio::awaitable<absl::StatusOr<Catalogue>> Config::ReadVersion(
-    ConfigVersion version) {
-  absl::StatusOr<Row> row =
-      co_await m_store.Read(VersionKey(version), kReadDeadline);
-  if (!row.ok()) {
-    co_return row.status();
-  }
-  if (!row->m_value || !row->m_value->is_object()) {
-    co_return Error(Code::kNotFound, "no such configuration version");
-  }
-  Catalogue catalogue;
-  absl::Status status = FromJson(row->m_value->as_object(), catalogue);
-  if (!status.ok()) {
-    co_return status;
+asio::awaitable<void> Config::RunHeadRead(ConfigReadId id) {
+  const absl::StatusOr<Row> row =
+      co_await m_store.Read(HeadRowKey(), kReadDeadline);
+  Update([&](Rollout& rollout, TimePoint now, RolloutEffects& effects) {
+    HeadRead(rollout, now, id, CodeOf(row.status()), row.ok() ? *row : Row{},
+             effects);
+  });
+}
+
+asio::awaitable<void> Config::RunVersionRead(ConfigReadId id,
+                                             ConfigVersion version) {
+  const absl::StatusOr<Row> row =
+      co_await m_store.Read(VersionRowKey(version), kReadDeadline);
+  Update([&](Rollout& rollout, TimePoint now, RolloutEffects& effects) {
+    VersionRead(rollout, now, id, CodeOf(row.status()), row.ok() ? *row : Row{},
+                effects);
+  });
+}
+
+void Config::Carry(WriteConfig& write) {
+  const ProposalId id = write.m_proposal;
+  m_store.StartWrite(
+      std::move(write.m_rows), write.m_deadline,
+      [this, id](const WriteReport& report) {
+        Update([&](Rollout& rollout, TimePoint now, RolloutEffects& effects) {
+          ConfigWriteEnded(rollout, now, id, report, effects);
+        });
+      });
+}
+
+void Config::Carry(const SendOffer& offer) {
+  if (m_on_offer) {
+    m_on_offer(offer);
   }
-  co_return catalogue;
 }
 
-void Config::Apply(Catalogue catalogue) {
-  if (catalogue.m_version <= Version()) {
-    return;
+void Config::Carry(const SendFetch& fetch) {
+  if (m_on_fetch) {
+    m_on_fetch(fetch);
   }
-  m_current = std::make_shared<const Catalogue>(std::move(catalogue));
+}
+
+void Config::Carry(const ApplyConfig& apply) {
+  // The record owns the document; both live as long as either is used.
+  m_current = std::shared_ptr<const Catalogue>(apply.m_record,
+                                               &apply.m_record->m_catalogue);
   m_access = BuildAccess(*m_current);
-  LoggerFor("config")->info("version {} is in force", Version().Value());
-  if (m_handler) {
-    m_handler(m_current);
+  LoggerFor("config")->info("version {} is in force",
+                            m_current->m_version.Value());
+  if (m_on_version) {
+    m_on_version(m_current);
   }
 }
 
-asio::awaitable<absl::StatusOr<ConfigVersion>> Config::Commit(
-    std::optional<ConfigVersion> base, Change change) {
-  const ConfigVersion current = Version();
-  if (base && *base != current) {
-    co_return Error(Code::kConfigConflict,
-                    absl::StrCat("version ", current.Value(),
-                                 " is in force, not ", base->Value()));
+void Config::Carry(const ProposalReply& reply) {
+  if (auto node = m_proposals.extract(reply.m_proposal)) {
+    node.mapped()->Set(reply);
   }
-  Catalogue next = m_current == nullptr ? Catalogue() : *m_current;
-  absl::Status status = change(next);
-  if (!status.ok()) {
-    co_return status;
+}
+
+void Config::Carry(const ExportReply& reply) {
+  if (auto node = m_exports.extract(reply.m_query)) {
+    node.mapped()->Set(reply);
   }
-  next.m_version = ConfigVersion(current.Value() + 1);
-  status = Validate(next);
-  if (!status.ok()) {
-    co_return status;
+}
+
+void Config::Carry(const CompareReply& reply) {
+  if (auto node = m_compares.extract(reply.m_query)) {
+    node.mapped()->Set(reply);
   }
-  std::vector<RowWrite> rows;
-  rows.push_back({HeadKey(), RowVersion(current.Value()),
-                  JsonObject{{"version", next.m_version.Value()}}});
-  rows.push_back({VersionKey(next.m_version), RowVersion(0), ToJson(next)});
-  const WriteReport report =
-      co_await m_store.Write(std::move(rows), kCommitDeadline);
-  switch (report.m_outcome) {
-    case WriteOutcome::kCommitted:
-      break;
-    case WriteOutcome::kConflict:
-      co_await PollOnce();
-      co_return Error(
-          Code::kConfigConflict,
-          absl::StrCat("version ", Version().Value(), " was accepted before"));
-    case WriteOutcome::kNotWritten:
-      co_return Error(Code::kPlatformDown, "the change was not written");
-    case WriteOutcome::kUnsettled:
-      co_return Error(Code::kChangeUnconfirmed, "");
+}
+
+void Config::Schedule() {
+  const TimePoint next = NextTick(m_rollout);
+  if (next >= m_timer_at || next == TimePoint::max()) {
+    return;
   }
-  const ConfigVersion version = next.m_version;
-  Apply(std::move(next));
-  co_return version;
+  m_timer_at = next;
+  m_timer.expires_after(std::max(next - SteadyNow(), Duration(0)));
+  m_timer.async_wait([this](boost::system::error_code error) {
+    if (error) {
+      return;
+    }
+    m_timer_at = TimePoint::max();
+    Update([](Rollout& rollout, TimePoint now, RolloutEffects& effects) {
+      Tick(rollout, now, effects);
+    });
+  });
 }
 
 }  // namespace filbertspar
--- a/filbertspar/entry/src/process.cc
+++ b/filbertspar/entry/src/process.cc
@@ -61,7 +61,7 @@
         m_node(absl::StrCat(options.m_name.Value(), "#", incarnation)),
         m_client(context, {}),
         m_store(context, m_client, options.m_platform, m_node, incarnation),
-        m_config(context, m_store, options.m_poll_period),
+        m_config(context, m_store, m_node),
         m_claims(context, m_store, m_node),
         m_engine(MakeEngine(EngineOptionsOf(options, incarnation))),
         m_dispatcher(context, m_client, m_claims, m_fleet, m_engine),
