Divide the due share over processes in the order of teams

Change: each process keeps its part of the due share, by demand, and corrects its part of the lag over all. The bench plays several processes and also compares with an ideal fluid schedule, whose due shares do not depend on the policy.

--- a/bench/pool_trace.h
+++ b/bench/pool_trace.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <queue>
 #include <string>
 #include <vector>
@@ -38,6 +39,8 @@
   std::vector<double> m_weights{};
   std::vector<std::int64_t> m_slots{};
   std::vector<Flow> m_flows{};
+  /// Processes that admit; each request comes to a random one.
+  std::size_t m_processes = 1;
   Duration m_length = Seconds(240);
   Duration m_warm_up = Seconds(40);
   Duration m_surge_start = Seconds(120);
@@ -46,6 +49,7 @@
 
 struct TraceRequest {
   std::size_t m_flow = 0;
+  std::size_t m_process = 0;
   TimePoint m_at{};
   Duration m_run_time{};
 };
@@ -85,7 +89,8 @@
       }
       const double run = exponential(ToSeconds(flow.m_run_time));
       requests.push_back(
-          {f, TimePoint(Duration(static_cast<std::int64_t>(at * 1e6))),
+          {f, rng.Below(trace.m_processes),
+           TimePoint(Duration(static_cast<std::int64_t>(at * 1e6))),
            Duration(1 + static_cast<std::int64_t>(run * 1e6))});
     }
   }
@@ -106,6 +111,9 @@
   virtual void End(TimePoint now, std::size_t request, Duration ran) = 0;
   virtual void Tick(TimePoint now) = 0;
   virtual std::int64_t Waiting(std::size_t pool, std::size_t team) const = 0;
+  /// \brief What the peers are told, and what one of them said.
+  virtual std::vector<PeerCell> Summary() const { return {}; }
+  virtual void Hear(TimePoint, std::size_t, const std::vector<PeerCell>&) {}
 };
 
 class FairPolicy : public Policy {
@@ -130,6 +138,7 @@
     Settle(m_share, TimePoint());
     Reserve(m_queue, trace.m_slots.size(), trace.m_weights.size(),
             trace.m_flows.size(), 1);
+    m_running.resize(trace.m_slots.size() * trace.m_weights.size());
     m_estimates.resize(trace.m_flows.size());
     for (std::size_t f = 0; f < trace.m_flows.size(); ++f) {
       const Flow& flow = trace.m_flows[f];
@@ -172,6 +181,7 @@
         TakeForStart(m_queue, now, *NextRequest(m_queue, now, pool, *team));
     RemoveWaiting(m_share, pool, *team, kOne);
     TaskStarted(m_share, now, pool, *team, kOne);
+    ++m_running[pool_number * m_trace.m_weights.size() + team->Value()];
     return static_cast<std::int64_t>(taken.m_request.Value()) - 1;
   }
 
@@ -180,6 +190,7 @@
     const Flow& flow = m_trace.m_flows[f];
     TaskEnded(m_share, now, PoolIndex(flow.m_pool), TeamIndex(flow.m_team),
               kOne);
+    --m_running[flow.m_pool * m_trace.m_weights.size() + flow.m_team];
     ObserveRunTime(m_estimates[f], ran);
   }
 
@@ -196,7 +207,25 @@
     return CountWaiting(m_queue, PoolIndex(pool), TeamIndex(team));
   }
 
-  const Share& State() const { return m_share; }
+  std::vector<PeerCell> Summary() const override {
+    std::vector<PeerCell> cells;
+    for (std::size_t p = 0; p < m_trace.m_slots.size(); ++p) {
+      for (std::size_t t = 0; t < m_trace.m_weights.size(); ++t) {
+        const std::int64_t running =
+            m_running[p * m_trace.m_weights.size() + t];
+        const std::int64_t waiting = Waiting(p, t);
+        if (running + waiting > 0) {
+          cells.push_back({PoolIndex(p), TeamIndex(t), running, waiting});
+        }
+      }
+    }
+    return cells;
+  }
+
+  void Hear(TimePoint now, std::size_t peer,
+            const std::vector<PeerCell>& cells) override {
+    SetPeerUse(m_share, now, NodeName("n" + std::to_string(peer)), cells);
+  }
 
  private:
   static constexpr Resources kOne{Slots(1), Megabytes(0), Accelerators(0)};
@@ -206,6 +235,7 @@
   Share m_share;
   Queue m_queue;
   std::vector<TaskEstimate> m_estimates;
+  std::vector<std::int64_t> m_running;
   std::vector<Arrival> m_expired;
 };
 
@@ -263,9 +293,12 @@
 };
 
 /// \brief Plays the trace. Due shares are integrated from the true demand
-/// every 10 ms, apart from what the policy computes itself.
+/// every 10 ms, apart from what the policies compute themselves. A process
+/// whose task ended fills the slot; when it has no work, the next one does.
+/// Summaries go to all peers once a second, 1 / processes of a second apart.
 inline Record Play(const Trace& trace,
-                   const std::vector<TraceRequest>& requests, Policy& policy) {
+                   const std::vector<TraceRequest>& requests,
+                   const std::vector<std::unique_ptr<Policy>>& policies) {
   constexpr Duration kSample = Milliseconds(10);
   constexpr Duration kTick = Milliseconds(50);
   const std::size_t teams = trace.m_weights.size();
@@ -289,11 +322,19 @@
   TimePoint next_sample{};
   TimePoint next_tick{};
   TimePoint next_record{};
-  const auto start = [&](TimePoint now, std::size_t pool) {
+  const std::size_t processes = policies.size();
+  TimePoint next_summary{};
+  std::size_t speaker = 0;
+  const auto start = [&](TimePoint now, std::size_t pool, std::size_t first) {
+    std::size_t process = first;
     while (free[pool] > 0) {
-      const std::int64_t request = policy.Next(now, pool);
+      const std::int64_t request = policies[process]->Next(now, pool);
       if (request < 0) {
-        return;
+        process = (process + 1) % processes;
+        if (process == first) {
+          return;
+        }
+        continue;
       }
       const auto r = static_cast<std::size_t>(request);
       record.m_start[r] = now;
@@ -307,7 +348,10 @@
     for (std::size_t p = 0; p < pools; ++p) {
       const auto slots = static_cast<double>(trace.m_slots[p]);
       for (std::size_t t = 0; t < teams; ++t) {
-        const std::int64_t wanted = held[p * teams + t] + policy.Waiting(p, t);
+        std::int64_t wanted = held[p * teams + t];
+        for (const auto& policy : policies) {
+          wanted += policy->Waiting(p, t);
+        }
         demands[t] = {trace.m_weights[t],
                       {static_cast<double>(wanted) / slots, 0, 0}};
       }
@@ -338,18 +382,32 @@
       const Flow& flow = trace.m_flows[requests[r].m_flow];
       ++free[flow.m_pool];
       --held[flow.m_pool * teams + flow.m_team];
-      policy.End(now, r, requests[r].m_run_time);
-      start(now, flow.m_pool);
+      const std::size_t process = requests[r].m_process % processes;
+      policies[process]->End(now, r, requests[r].m_run_time);
+      start(now, flow.m_pool, process);
     }
     while (next < requests.size() && requests[next].m_at <= now) {
-      record.m_code[next] = policy.Arrive(now, next);
-      start(now, trace.m_flows[requests[next].m_flow].m_pool);
+      const std::size_t process = requests[next].m_process % processes;
+      record.m_code[next] = policies[process]->Arrive(now, next);
+      start(now, trace.m_flows[requests[next].m_flow].m_pool, process);
       ++next;
     }
     if (next_tick <= now) {
-      policy.Tick(now);
+      for (const auto& policy : policies) {
+        policy->Tick(now);
+      }
       next_tick += kTick;
     }
+    if (processes > 1 && next_summary <= now) {
+      const std::vector<PeerCell> cells = policies[speaker]->Summary();
+      for (std::size_t i = 0; i < processes; ++i) {
+        if (i != speaker) {
+          policies[i]->Hear(now, speaker, cells);
+        }
+      }
+      speaker = (speaker + 1) % processes;
+      next_summary += Seconds(1) / static_cast<std::int64_t>(processes);
+    }
     if (next_sample <= now) {
       sample();
       next_sample += kSample;
@@ -363,25 +421,110 @@
   return record;
 }
 
+inline Record PlayFair(const Trace& trace,
+                       const std::vector<TraceRequest>& requests,
+                       const ShareSettings& settings = {}) {
+  std::vector<std::unique_ptr<Policy>> policies;
+  for (std::size_t i = 0; i < trace.m_processes; ++i) {
+    policies.push_back(std::make_unique<FairPolicy>(trace, requests, settings));
+  }
+  return Play(trace, requests, policies);
+}
+
+/// \brief The one queue is global, so it is played by a single process.
+inline Record PlayFirstCome(const Trace& trace,
+                            const std::vector<TraceRequest>& requests) {
+  std::vector<std::unique_ptr<Policy>> policies;
+  policies.push_back(std::make_unique<FirstComePolicy>(trace, requests));
+  return Play(trace, requests, policies);
+}
+
+/// \brief What an ideal fluid schedule gives to the same requests: at each
+/// moment every team holds its weighted max-min share of the slots, divisible
+/// at will, each request at most one slot. Returns share-seconds in the form
+/// of Record::m_due. Unlike a due share taken from the demand that a policy
+/// leaves waiting, it does not depend on the policy.
+inline std::vector<std::vector<double>> FluidDue(
+    const Trace& trace, const std::vector<TraceRequest>& requests) {
+  constexpr Duration kStep = Milliseconds(4);
+  struct Piece {
+    double m_left = 0;
+    TimePoint m_deadline;
+    bool m_started = false;
+  };
+  const std::size_t teams = trace.m_weights.size();
+  const std::size_t cells = trace.m_slots.size() * teams;
+  std::vector<std::deque<Piece>> lines(cells);
+  std::vector<double> due(cells);
+  std::vector<std::vector<double>> result;
+  std::vector<TeamDemand> demands(teams);
+  std::vector<double> level(teams);
+  WaterFillScratch scratch;
+  std::size_t next = 0;
+  const double step = ToSeconds(kStep);
+  TimePoint next_record{};
+  for (TimePoint now{}; now < TimePoint() + trace.m_length; now += kStep) {
+    if (next_record <= now) {
+      result.push_back(due);
+      next_record += Seconds(1);
+    }
+    for (; next < requests.size() && requests[next].m_at <= now; ++next) {
+      const Flow& flow = trace.m_flows[requests[next].m_flow];
+      lines[flow.m_pool * teams + flow.m_team].push_back(
+          {ToSeconds(requests[next].m_run_time), now + flow.m_deadline});
+    }
+    for (std::size_t p = 0; p < trace.m_slots.size(); ++p) {
+      const auto slots = static_cast<double>(trace.m_slots[p]);
+      for (std::size_t t = 0; t < teams; ++t) {
+        std::deque<Piece>& line = lines[p * teams + t];
+        std::erase_if(line, [now](const Piece& piece) {
+          return !piece.m_started && piece.m_deadline <= now;
+        });
+        demands[t] = {trace.m_weights[t],
+                      {static_cast<double>(line.size()) / slots, 0, 0}};
+      }
+      WaterFill(demands, level, scratch);
+      for (std::size_t t = 0; t < teams; ++t) {
+        double budget = level[t] * slots * step;
+        for (Piece& piece : lines[p * teams + t]) {
+          const double part = std::min({budget, step, piece.m_left});
+          if (part <= 0) {
+            break;
+          }
+          piece.m_left -= part;
+          piece.m_started = true;
+          budget -= part;
+          due[p * teams + t] += part / slots;
+        }
+        std::erase_if(lines[p * teams + t],
+                      [](const Piece& piece) { return piece.m_left <= 1e-12; });
+      }
+    }
+  }
+  return result;
+}
+
 /// \brief Largest difference of received from due, relative to due, over any
 /// 60 s after the warm-up, of the teams that match, summed over all pools
 /// weighted by slots.
 template <typename Match>
-double WorstNearness(const Trace& trace, const Record& record, Match match) {
+double WorstNearness(const Trace& trace,
+                     const std::vector<std::vector<double>>& received_by,
+                     const std::vector<std::vector<double>>& due_by,
+                     Match match) {
   constexpr std::size_t kWindow = 60;
   const std::size_t teams = trace.m_weights.size();
   const auto first = static_cast<std::size_t>(ToSeconds(trace.m_warm_up));
   double worst = 0;
-  for (std::size_t s = first; s + kWindow < record.m_due.size(); ++s) {
+  for (std::size_t s = first; s + kWindow < due_by.size(); ++s) {
     for (std::size_t t = 0; t < teams; ++t) {
       double due = 0;
       double received = 0;
       for (std::size_t p = 0; p < trace.m_slots.size(); ++p) {
         const auto slots = static_cast<double>(trace.m_slots[p]);
         const std::size_t i = p * teams + t;
-        due += slots * (record.m_due[s + kWindow][i] - record.m_due[s][i]);
-        received += slots * (record.m_received[s + kWindow][i] -
-                             record.m_received[s][i]);
+        due += slots * (due_by[s + kWindow][i] - due_by[s][i]);
+        received += slots * (received_by[s + kWindow][i] - received_by[s][i]);
       }
       if (match(t) && due > 0) {
         worst = std::max(worst, std::abs(received - due) / due);
--- a/filbertspar/share/src/share.cc
+++ b/filbertspar/share/src/share.cc
@@ -63,28 +63,44 @@
   return DominantShare(RunningFractions(pool, cell));
 }
 
+double OwnReceived(const SharePool& pool, const ShareCell& cell) {
+  double dominant = 0;
+  for (int kind = 0; kind < kResourceKinds; ++kind) {
+    dominant =
+        std::max(dominant, static_cast<double>(cell.m_running.m_units[kind]) *
+                               pool.m_inverse[kind]);
+  }
+  return dominant;
+}
+
 void CountReceived(const SharePool& pool, ShareCell& cell, TimePoint now) {
   if (now > cell.m_counted_to) {
-    cell.m_received_seconds +=
-        Received(pool, cell) * ToSeconds(now - cell.m_counted_to);
+    const double seconds = ToSeconds(now - cell.m_counted_to);
+    cell.m_received_seconds += Received(pool, cell) * seconds;
+    cell.m_own_received_seconds += OwnReceived(pool, cell) * seconds;
     cell.m_counted_to = now;
   }
 }
 
 // Projected excess over the due share relative to the weight. Lent idle share
-// is part of the borrower's due, so it is not held against the borrower. Every
-// process corrects its part of the lag only, since all see the same lag late.
+// is part of the borrower's due, so it is not held against the borrower. All
+// processes see the excess over all of them one summary late, and if each
+// corrected the whole, together they would overshoot as many times as there
+// are processes. So each keeps its own part of the due share and corrects its
+// part of the whole.
 double KeyOf(const Share& share, const SharePool& pool, const ShareCell& cell,
              const ShareTeamState& team) {
   if (cell.m_waiting_tasks == 0 || team.m_blocked || cell.m_skipped) {
     return kNeverKey;
   }
-  const double processes = 1.0 + static_cast<double>(share.m_peers.size());
-  const double lag =
-      cell.m_lag + share.m_settings.m_fleet_gain * team.m_fleet_lag;
-  const double ahead = (Received(pool, cell) - cell.m_due) *
-                       ToSeconds(share.m_settings.m_lookahead);
-  return (lag / processes + ahead) / team.m_weight;
+  const double part = 1.0 / (1.0 + static_cast<double>(share.m_peers.size()));
+  const double lookahead = ToSeconds(share.m_settings.m_lookahead);
+  const double whole = cell.m_lag +
+                       share.m_settings.m_fleet_gain * team.m_fleet_lag +
+                       lookahead * (Received(pool, cell) - cell.m_due);
+  const double own =
+      cell.m_own_lag + lookahead * (OwnReceived(pool, cell) - cell.m_own_due);
+  return (part * whole + (1.0 - part) * own) / team.m_weight;
 }
 
 void PickWinner(SharePool& pool, std::size_t node) {
@@ -165,6 +181,9 @@
     cell.m_settled_received = cell.m_received_seconds;
     cell.m_due_seconds += due;
     cell.m_lag = cell.m_lag * decay + received - due;
+    cell.m_own_lag = cell.m_own_lag * decay + cell.m_own_received_seconds -
+                     cell.m_own_due * seconds;
+    cell.m_own_received_seconds = 0;
     share.m_teams[i].m_fleet_lag += cell.m_lag * pool.m_fleet_part;
   }
 }
@@ -179,6 +198,7 @@
         DemandOf(pool, cell, WaitingScale(share.m_teams[i]));
     cell.m_demand = DominantShare(demand);
     cell.m_due = 0;
+    cell.m_own_due = 0;
     if (cell.m_demand > 0) {
       share.m_members.push_back(static_cast<std::uint32_t>(i));
       share.m_demands.push_back({share.m_teams[i].m_weight, demand});
@@ -187,7 +207,13 @@
   share.m_due.assign(share.m_demands.size(), 0.0);
   pool.m_level = WaterFill(share.m_demands, share.m_due, share.m_scratch);
   for (std::size_t j = 0; j < share.m_members.size(); ++j) {
-    CellOf(share, p, share.m_members[j]).m_due = share.m_due[j];
+    ShareCell& cell = CellOf(share, p, share.m_members[j]);
+    const auto own =
+        static_cast<double>(cell.m_running_tasks + cell.m_waiting_tasks);
+    const auto peers =
+        static_cast<double>(cell.m_peer_running + cell.m_peer_waiting);
+    cell.m_due = share.m_due[j];
+    cell.m_own_due = cell.m_due * own / (own + peers);
   }
   for (std::size_t i = 0; i < share.m_teams.size(); ++i) {
     NoteShortage(pool, CellOf(share, p, i), now);
--- a/filbertspar/share/src/share.h
+++ b/filbertspar/share/src/share.h
@@ -102,6 +102,11 @@
   double m_received_seconds = 0;
   double m_due_seconds = 0;
   double m_settled_received = 0;
+  /// The same for this process's part: its tasks, and the due share divided
+  /// over the processes by demand.
+  double m_own_lag = 0;
+  double m_own_due = 0;
+  double m_own_received_seconds = 0;
   TimePoint m_counted_to{};
   std::optional<TimePoint> m_short_since;
   bool m_skipped = false;
