Add filbertsparctl, dry runs and a write-back of documents that were read

Cause: operators had no client, and a document that was read could not be written back, since reads leave hashes out. Change: programs/ctl; query dry_run=1 on every configuration change; a key or operator without hash takes that of its namesake in force; code 406.

--- a/filbertspar/base/src/codes.cc
+++ b/filbertspar/base/src/codes.cc
@@ -111,6 +111,8 @@
      "There is no such thing."},
     {Code::kChangeUnconfirmed, "change_unconfirmed", 503, 34, Outcome::kNone,
      "It is not known whether the change was committed."},
+    {Code::kEntryUnreachable, "entry_unreachable", 503, 35, Outcome::kNone,
+     "No entry process answers at the addresses given."},
 
     {Code::kPlatformDown, "platform_down", 503, 40, Outcome::kNone,
      "The platform cannot be reached."},
--- a/filbertspar/base/src/codes.h
+++ b/filbertspar/base/src/codes.h
@@ -66,6 +66,7 @@
   kConfigInvalid = 403,
   kNotFound = 404,
   kChangeUnconfirmed = 405,
+  kEntryUnreachable = 406,
 
   kPlatformDown = 500,
   kPlatformTimeout = 501,
--- a/filbertspar/entry/src/admin_api.cc
+++ b/filbertspar/entry/src/admin_api.cc
@@ -7,6 +7,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "filbertspar/entry/src/commit.h"
 #include "filbertspar/entry/src/edit.h"
 
 namespace filbertspar {
@@ -32,27 +33,6 @@
   return segments;
 }
 
-/// The version that a change was made against, from the query "base".
-absl::StatusOr<std::optional<ConfigVersion>> BaseOf(
-    const HttpRequest& request) {
-  const std::string text(QueryOf(request, "base"));
-  if (text.empty()) {
-    return std::nullopt;
-  }
-  std::uint64_t number = 0;
-  if (!absl::SimpleAtoi(text, &number)) {
-    return Error(Code::kBadField, "base: expected a version number");
-  }
-  return ConfigVersion(number);
-}
-
-HttpResponse VersionResponse(const absl::StatusOr<ConfigVersion>& version) {
-  if (!version.ok()) {
-    return StatusResponse(version.status());
-  }
-  return JsonResponse(200, JsonObject{{"version", version->Value()}});
-}
-
 std::int64_t WallMilliseconds() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -144,15 +124,15 @@
 asio::awaitable<HttpResponse> AdminApi::PutDocument(
     const HttpRequest& request) {
   absl::StatusOr<JsonObject> body = ParseJsonObject(request.body());
-  absl::StatusOr<std::optional<ConfigVersion>> base = BaseOf(request);
-  if (!body.ok() || !base.ok()) {
-    co_return StatusResponse(body.ok() ? base.status() : body.status());
+  if (!body.ok()) {
+    co_return StatusResponse(body.status());
   }
-  co_return VersionResponse(
-      co_await m_config.Commit(*base, [&](Catalogue& catalogue) {
+  co_return co_await CommitChange(
+      m_config, request, [&](Catalogue& catalogue) -> absl::Status {
+        FS_RETURN_IF_ERROR(FillHashes(catalogue, *body));
         catalogue = Catalogue();
         return FromJson(*body, catalogue);
-      }));
+      });
 }
 
 asio::awaitable<HttpResponse> AdminApi::GetVersion(std::string_view version) {
@@ -173,24 +153,19 @@
 asio::awaitable<HttpResponse> AdminApi::EditItem(const HttpRequest& request,
                                                  std::string kind,
                                                  std::string name) {
-  absl::StatusOr<std::optional<ConfigVersion>> base = BaseOf(request);
-  if (!base.ok()) {
-    co_return StatusResponse(base.status());
-  }
   if (request.method() == HttpVerb::delete_) {
-    co_return VersionResponse(
-        co_await m_config.Commit(*base, [&](Catalogue& catalogue) {
-          return RemoveItem(catalogue, kind, name);
-        }));
+    co_return co_await CommitChange(m_config, request,
+                                    [&](Catalogue& catalogue) {
+                                      return RemoveItem(catalogue, kind, name);
+                                    });
   }
   absl::StatusOr<JsonObject> item = ParseJsonObject(request.body());
   if (!item.ok()) {
     co_return StatusResponse(item.status());
   }
-  co_return VersionResponse(
-      co_await m_config.Commit(*base, [&](Catalogue& catalogue) {
-        return PutItem(catalogue, kind, name, *item);
-      }));
+  co_return co_await CommitChange(m_config, request, [&](Catalogue& catalogue) {
+    return PutItem(catalogue, kind, name, *item);
+  });
 }
 
 asio::awaitable<HttpResponse> AdminApi::GrantKey(const HttpRequest& request) {
@@ -207,16 +182,13 @@
     co_return StatusResponse(status);
   }
   key.m_hash = HashOf(*secret);
-  absl::StatusOr<ConfigVersion> version =
-      co_await m_config.Commit(std::nullopt, [&](Catalogue& catalogue) {
+  co_return co_await CommitChange(
+      m_config, request,
+      [&](Catalogue& catalogue) {
         catalogue.m_keys.push_back(key);
         return absl::OkStatus();
-      });
-  if (!version.ok()) {
-    co_return StatusResponse(version.status());
-  }
-  co_return JsonResponse(
-      200, JsonObject{{"version", version->Value()}, {"key", *secret}});
+      },
+      JsonObject{{"key", *secret}});
 }
 
 asio::awaitable<HttpResponse> AdminApi::AddOperator(
@@ -231,16 +203,13 @@
   if (absl::Status status = FromJson(*body, op); !status.ok()) {
     co_return StatusResponse(status);
   }
-  absl::StatusOr<ConfigVersion> version =
-      co_await m_config.Commit(std::nullopt, [&](Catalogue& catalogue) {
+  co_return co_await CommitChange(
+      m_config, request,
+      [&](Catalogue& catalogue) {
         catalogue.m_operators.push_back(op);
         return absl::OkStatus();
-      });
-  if (!version.ok()) {
-    co_return StatusResponse(version.status());
-  }
-  co_return JsonResponse(
-      200, JsonObject{{"version", version->Value()}, {"key", *secret}});
+      },
+      JsonObject{{"key", *secret}});
 }
 
 asio::awaitable<HttpResponse> AdminApi::PutVm(const HttpRequest& request,
--- /dev/null
+++ b/programs/ctl/config.cc
@@ -0,0 +1,287 @@
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "boost/json/serialize.hpp"
+#include "filbertspar/catalogue/catalogue.h"
+#include "filbertspar/rollout/rollout.h"
+#include "programs/ctl/commands.h"
+#include "programs/ctl/table.h"
+
+namespace filbertspar::ctl {
+namespace {
+
+/// Versions that "config list" goes back by; each costs one table read.
+constexpr std::int64_t kListed = 10;
+constexpr std::size_t kShownChanges = 3;
+
+absl::StatusOr<std::int64_t> VersionAt(const Session& session,
+                                       std::size_t position) {
+  std::int64_t version = 0;
+  const std::string word = WordAt(session, position);
+  if (!word.empty() && (!absl::SimpleAtoi(word, &version) || version < 1)) {
+    return Error(Code::kUsage, "expected a version number, not " + word);
+  }
+  return version;
+}
+
+/// The document of a version, or the one in force for 0.
+absl::StatusOr<JsonObject> ReadVersion(Session& session, std::int64_t version) {
+  return session.m_client.Get(
+      version == 0 ? "catalogue" : absl::StrCat("config/versions/", version));
+}
+
+absl::StatusOr<Catalogue> Decode(JsonObject document) {
+  for (const char* list : {"keys", "operators"}) {
+    if (Json* items = document.if_contains(list)) {
+      for (Json& item : items->as_array()) {
+        // Reads give no hashes.
+        item.as_object().emplace("hash", "");
+      }
+    }
+  }
+  Catalogue catalogue;
+  FS_RETURN_IF_ERROR(FromJson(document, catalogue));
+  return catalogue;
+}
+
+absl::StatusOr<std::vector<std::string>> Compare(const JsonObject& from,
+                                                 const JsonObject& to) {
+  absl::StatusOr<Catalogue> a = Decode(from);
+  absl::StatusOr<Catalogue> b = Decode(to);
+  if (!a.ok() || !b.ok()) {
+    return a.ok() ? b.status() : a.status();
+  }
+  return DiffCatalogues(*a, *b);
+}
+
+/// JSON text with one list item per line, so that line-based tools compare it.
+std::string Layout(const JsonObject& document) {
+  std::string text = "{";
+  const char* separator = "\n";
+  for (const auto& pair : document) {
+    text += separator;
+    separator = ",\n";
+    absl::StrAppend(&text, " ", boost::json::serialize(Json(pair.key())), ": ");
+    if (!pair.value().is_array() || pair.value().as_array().empty()) {
+      text += ToText(pair.value());
+      continue;
+    }
+    const char* item_separator = "[\n";
+    for (const Json& item : pair.value().as_array()) {
+      absl::StrAppend(&text, item_separator, "  ", ToText(item));
+      item_separator = ",\n";
+    }
+    text += "\n ]";
+  }
+  return text + "\n}\n";
+}
+
+absl::Status ListVersions(Session& session) {
+  absl::StatusOr<JsonObject> current = ReadVersion(session, 0);
+  if (!current.ok()) {
+    return current.status();
+  }
+  const std::int64_t newest = NumberField(*current, "version");
+  JsonArray versions;
+  JsonObject document = *std::move(current);
+  for (std::int64_t version = newest;
+       version > std::max<std::int64_t>(0, newest - kListed); --version) {
+    JsonArray changes;
+    JsonObject before;
+    if (version > 1) {
+      absl::StatusOr<JsonObject> read = ReadVersion(session, version - 1);
+      if (!read.ok()) {
+        return read.status();
+      }
+      before = *std::move(read);
+      absl::StatusOr<std::vector<std::string>> lines =
+          Compare(before, document);
+      if (!lines.ok()) {
+        return lines.status();
+      }
+      for (const std::string& line : *lines) {
+        changes.push_back(Json(line));
+      }
+    } else {
+      changes.push_back("first version");
+    }
+    versions.push_back(
+        JsonObject{{"version", version}, {"changes", std::move(changes)}});
+    document = std::move(before);
+  }
+  if (session.m_options.m_json) {
+    std::printf("%s\n", ToText(JsonObject{{"versions", versions}}).c_str());
+    return absl::OkStatus();
+  }
+  Table table{{"version", "changes"}, {}};
+  for (const Json& item : versions) {
+    const JsonArray& changes = item.at("changes").as_array();
+    std::string text;
+    for (std::size_t i = 0; i < std::min(kShownChanges, changes.size()); ++i) {
+      absl::StrAppend(&text, i == 0 ? "" : "; ", Readable(changes[i]));
+    }
+    if (changes.size() > kShownChanges) {
+      absl::StrAppend(&text, "; and ", changes.size() - kShownChanges, " more");
+    }
+    table.m_rows.push_back(
+        {Readable(item.at("version")), text.empty() ? "only hashes" : text});
+  }
+  Print(table);
+  return absl::OkStatus();
+}
+
+absl::Status Export(Session& session, const std::string& path,
+                    std::int64_t version) {
+  absl::StatusOr<JsonObject> document = ReadVersion(session, version);
+  if (!document.ok()) {
+    return document.status();
+  }
+  std::ofstream file(path);
+  file << Layout(*document);
+  file.close();
+  if (!file) {
+    return Error(Code::kUsage, path + ": cannot be written");
+  }
+  std::printf("wrote version %lld to %s\n",
+              static_cast<long long>(NumberField(*document, "version")),
+              path.c_str());
+  return absl::OkStatus();
+}
+
+absl::Status PrintCompare(Session& session, std::int64_t from,
+                          std::int64_t to) {
+  absl::StatusOr<JsonObject> a = ReadVersion(session, from);
+  absl::StatusOr<JsonObject> b = ReadVersion(session, to);
+  if (!a.ok() || !b.ok()) {
+    return a.ok() ? b.status() : a.status();
+  }
+  absl::StatusOr<std::vector<std::string>> lines = Compare(*a, *b);
+  if (!lines.ok()) {
+    return lines.status();
+  }
+  if (session.m_options.m_json) {
+    JsonArray changes;
+    for (const std::string& line : *lines) {
+      changes.push_back(Json(line));
+    }
+    std::printf("%s\n", ToText(JsonObject{{"from", NumberField(*a, "version")},
+                                          {"to", NumberField(*b, "version")},
+                                          {"changes", std::move(changes)}})
+                            .c_str());
+    return absl::OkStatus();
+  }
+  for (const std::string& line : *lines) {
+    std::printf("%s\n", line.c_str());
+  }
+  if (lines->empty()) {
+    std::printf("no difference\n");
+  }
+  return absl::OkStatus();
+}
+
+absl::Status Apply(Session& session, const JsonObject& document,
+                   std::int64_t base, const std::string& done) {
+  absl::StatusOr<JsonObject> answer = session.m_client.Change(
+      HttpVerb::put, ChangePath(session, "catalogue", base), ToText(document));
+  if (!answer.ok()) {
+    return answer.status();
+  }
+  PrintChange(session, *answer, done);
+  return absl::OkStatus();
+}
+
+/// Keys whose team the document has.
+JsonArray KeysOfTeams(const JsonArray& keys, const JsonArray& teams) {
+  JsonArray kept;
+  for (const Json& key : keys) {
+    const std::string team = TextField(key.as_object(), "team");
+    const bool known =
+        std::any_of(teams.begin(), teams.end(), [&](const Json& item) {
+          return TextField(item.as_object(), "name") == team;
+        });
+    if (known) {
+      kept.push_back(key);
+    }
+  }
+  return kept;
+}
+
+/// Puts an earlier document in force as a new version. Credentials are those
+/// in force: an older version would bring revoked keys back to life.
+absl::Status Restore(Session& session, std::int64_t version) {
+  absl::StatusOr<JsonObject> old = ReadVersion(session, version);
+  absl::StatusOr<JsonObject> current = ReadVersion(session, 0);
+  if (!old.ok() || !current.ok()) {
+    return old.ok() ? current.status() : old.status();
+  }
+  const JsonArray& keys = current->at("keys").as_array();
+  JsonArray kept = KeysOfTeams(keys, old->at("teams").as_array());
+  if (kept.size() < keys.size()) {
+    std::fprintf(
+        stderr, "note: %zu keys of teams that version %lld lacks are dropped\n",
+        keys.size() - kept.size(), static_cast<long long>(version));
+  }
+  (*old)["keys"] = std::move(kept);
+  (*old)["operators"] = current->at("operators");
+  return Apply(session, *old, NumberField(*current, "version"),
+               absl::StrCat("restored version ", version));
+}
+
+}  // namespace
+
+absl::Status RunConfig(Session& session) {
+  const std::string verb = WordAt(session, 1);
+  if (verb == "list") {
+    FS_RETURN_IF_ERROR(CheckWords(session, 2, 2, "config list"));
+    return ListVersions(session);
+  }
+  if (verb == "export") {
+    FS_RETURN_IF_ERROR(
+        CheckWords(session, 3, 4, "config export FILE [VERSION]"));
+    absl::StatusOr<std::int64_t> version = VersionAt(session, 3);
+    return version.ok() ? Export(session, WordAt(session, 2), *version)
+                        : version.status();
+  }
+  if (verb == "apply") {
+    FS_RETURN_IF_ERROR(CheckWords(session, 3, 3, "config apply FILE"));
+    absl::StatusOr<JsonObject> document = ReadObjectFile(WordAt(session, 2));
+    // An exported file names the version that it was made from.
+    return document.ok()
+               ? Apply(session, *document, NumberField(*document, "version"),
+                       "applied " + WordAt(session, 2))
+               : document.status();
+  }
+  absl::StatusOr<std::int64_t> first = VersionAt(session, 2);
+  absl::StatusOr<std::int64_t> second = VersionAt(session, 3);
+  if (!first.ok() || !second.ok()) {
+    return first.ok() ? second.status() : first.status();
+  }
+  if (verb == "show") {
+    FS_RETURN_IF_ERROR(CheckWords(session, 2, 3, "config show [VERSION]"));
+    absl::StatusOr<JsonObject> document = ReadVersion(session, *first);
+    if (!document.ok()) {
+      return document.status();
+    }
+    std::printf("%s", session.m_options.m_json
+                          ? (ToText(*document) + "\n").c_str()
+                          : Layout(*document).c_str());
+    return absl::OkStatus();
+  }
+  if (verb == "compare") {
+    FS_RETURN_IF_ERROR(CheckWords(session, 3, 4, "config compare FROM [TO]"));
+    return PrintCompare(session, *first, *second);
+  }
+  if (verb == "restore") {
+    FS_RETURN_IF_ERROR(CheckWords(session, 3, 3, "config restore VERSION"));
+    return Restore(session, *first);
+  }
+  return Error(Code::kUsage,
+               "expected: filbertsparctl config list | show | export | apply | "
+               "compare | restore");
+}
+
+}  // namespace filbertspar::ctl
