Add metrics library and GET /metrics on the caller port

Cause: nothing could be scraped from an entry process. Conclusion: no key or body reaches the page, since labels are catalogue names and codes only.

--- a/filbertspar/entry/src/admin_api.cc
+++ b/filbertspar/entry/src/admin_api.cc
@@ -182,13 +182,15 @@
     co_return StatusResponse(status);
   }
   key.m_hash = HashOf(*secret);
+  JsonObject extra;
+  extra["key"] = *secret;
   co_return co_await CommitChange(
       m_config, request,
       [&](Catalogue& catalogue) {
         catalogue.m_keys.push_back(key);
         return absl::OkStatus();
       },
-      JsonObject{{"key", *secret}});
+      std::move(extra));
 }
 
 asio::awaitable<HttpResponse> AdminApi::AddOperator(
@@ -203,13 +205,15 @@
   if (absl::Status status = FromJson(*body, op); !status.ok()) {
     co_return StatusResponse(status);
   }
+  JsonObject extra;
+  extra["key"] = *secret;
   co_return co_await CommitChange(
       m_config, request,
       [&](Catalogue& catalogue) {
         catalogue.m_operators.push_back(op);
         return absl::OkStatus();
       },
-      JsonObject{{"key", *secret}});
+      std::move(extra));
 }
 
 asio::awaitable<HttpResponse> AdminApi::PutVm(const HttpRequest& request,
--- a/filbertspar/entry/src/caller_api.cc
+++ b/filbertspar/entry/src/caller_api.cc
@@ -103,24 +103,43 @@
 }
 
 asio::awaitable<HttpResponse> CallerApi::SubmitJob(const HttpRequest& request) {
+  RequestSample sample;
+  const TimePoint start = SteadyNow();
+  HttpResponse response = co_await RunJob(request, sample);
+  const TimePoint end = SteadyNow();
+  sample.m_latency = end - start;
+  Record(m_metrics, end, std::move(sample));
+  co_return response;
+}
+
+asio::awaitable<HttpResponse> CallerApi::RunJob(const HttpRequest& request,
+                                                RequestSample& sample) {
   const std::shared_ptr<const Catalogue> catalogue = m_config.Current();
   if (catalogue == nullptr) {
-    co_return CodeResponse(Code::kNoConfig, "");
+    sample.m_code = Code::kNoConfig;
+    co_return CodeResponse(sample.m_code, "");
   }
   absl::StatusOr<JobFields> job = ReadJob(request.body());
   if (!job.ok()) {
+    sample.m_code = CodeOf(job.status());
     co_return StatusResponse(job.status());
   }
   absl::StatusOr<Permit> permit = CheckSubmit(
       m_config.GetAccess(), HeaderOf(request, kKeyHeader), job->m_entry);
   if (!permit.ok()) {
+    sample.m_code = CodeOf(permit.status());
     co_return StatusResponse(permit.status());
   }
+  sample.m_team = permit->m_team.Value();
+  if (const CatalogueEntry* entry = FindEntry(*catalogue, job->m_entry)) {
+    sample.m_class = std::string(ToString(entry->m_class));
+  }
   const Team* team = FindTeam(*catalogue, permit->m_team);
   // An empty key name means an open entry, which no revocation can close.
   if (!permit->m_key.Empty() &&
       (team == nullptr || !m_config.IsFresh(team->m_workspace))) {
-    co_return CodeResponse(Code::kConfigStale, "");
+    sample.m_code = Code::kConfigStale;
+    co_return CodeResponse(sample.m_code, "");
   }
   Submission submission;
   submission.m_entry = job->m_entry;
@@ -134,6 +153,7 @@
   const Reply reply = co_await m_dispatcher.Submit(
       std::move(submission),
       [&](RequestId id) { Remember(owner, job->m_id, id); });
+  sample.m_code = reply.m_code;
   co_return JobResponse(reply.m_request, reply.m_code, reply.m_body);
 }
 
--- a/filbertspar/entry/src/caller_api.h
+++ b/filbertspar/entry/src/caller_api.h
@@ -7,14 +7,15 @@
 #include "filbertspar/entry/src/config.h"
 #include "filbertspar/entry/src/dispatcher.h"
 #include "filbertspar/http/http.h"
+#include "filbertspar/metrics/metrics.h"
 
 namespace filbertspar {
 
 /// \brief Callers' API: submit, query and cancel jobs; health and readiness.
 class CallerApi {
  public:
-  CallerApi(Config& config, Dispatcher& dispatcher)
-      : m_config(config), m_dispatcher(dispatcher) {}
+  CallerApi(Config& config, Dispatcher& dispatcher, RequestMetrics& metrics)
+      : m_config(config), m_dispatcher(dispatcher), m_metrics(metrics) {}
   CallerApi(const CallerApi&) = delete;
   CallerApi& operator=(const CallerApi&) = delete;
 
@@ -32,6 +33,9 @@
   };
 
   asio::awaitable<HttpResponse> SubmitJob(const HttpRequest& request);
+  /// Answers a job; sets team, class and code of the sample as it learns them.
+  asio::awaitable<HttpResponse> RunJob(const HttpRequest& request,
+                                       RequestSample& sample);
   HttpResponse QueryJob(const HttpRequest& request, std::string_view id);
   HttpResponse CancelJob(const HttpRequest& request, std::string_view id);
   HttpResponse Ready() const;
@@ -41,6 +45,7 @@
 
   Config& m_config;
   Dispatcher& m_dispatcher;
+  RequestMetrics& m_metrics;
   bool m_ready = true;
   absl::flat_hash_map<std::string, RequestId> m_aliases;
   std::deque<std::string> m_alias_order;
--- a/filbertspar/entry/src/config.h
+++ b/filbertspar/entry/src/config.h
@@ -36,6 +36,13 @@
   /// \brief True when the head was confirmed within the workspace's bound.
   bool IsFresh(const WorkspaceName& workspace) const;
 
+  /// \brief Start of the last read that found the version in force to be the
+  /// newest; none before the first.
+  std::optional<TimePoint> Confirmed() const {
+    return m_confirmed == TimePoint::min() ? std::nullopt
+                                           : std::optional(m_confirmed);
+  }
+
   /// \brief Changes the document of version `base` (or the one in force) and
   /// commits it. kConfigConflict names the newer version, kConfigInvalid the
   /// fault, kChangeUnconfirmed means that the outcome is not known.
--- a/filbertspar/entry/src/process.cc
+++ b/filbertspar/entry/src/process.cc
@@ -14,6 +14,7 @@
 #include "filbertspar/entry/src/config.h"
 #include "filbertspar/entry/src/dispatcher.h"
 #include "filbertspar/entry/src/fleet_view.h"
+#include "filbertspar/entry/src/metrics_api.h"
 #include "filbertspar/http/http.h"
 #include "filbertspar/program/program.h"
 #include "filbertspar/store/store.h"
@@ -65,12 +66,12 @@
         m_claims(context, m_store, m_node),
         m_engine(MakeEngine(EngineOptionsOf(options, incarnation))),
         m_dispatcher(context, m_client, m_claims, m_fleet, m_engine),
-        m_caller_api(m_config, m_dispatcher),
+        m_caller_api(m_config, m_dispatcher, m_metrics),
         m_admin_api(m_config, m_store, m_fleet, m_dispatcher,
                     options.m_bootstrap_operator_hash),
         m_caller_server(context, LimitsOf(options),
                         [this](const HttpRequest& request) {
-                          return m_caller_api.Handle(request);
+                          return HandleCaller(request);
                         }),
         m_admin_server(context, LimitsOf(options),
                        [this](const HttpRequest& request) {
@@ -82,6 +83,7 @@
   const absl::Status& Result() const { return m_result; }
 
  private:
+  asio::awaitable<HttpResponse> HandleCaller(const HttpRequest& request);
   asio::awaitable<void> PollFleet();
   asio::awaitable<void> Stop();
   void ApplyCatalogue(std::shared_ptr<const Catalogue> catalogue);
@@ -97,6 +99,7 @@
   Claims m_claims;
   Engine m_engine;
   Dispatcher m_dispatcher;
+  RequestMetrics m_metrics;
   CallerApi m_caller_api;
   AdminApi m_admin_api;
   HttpServer m_caller_server;
@@ -119,6 +122,15 @@
   return absl::OkStatus();
 }
 
+asio::awaitable<HttpResponse> EntryProcess::HandleCaller(
+    const HttpRequest& request) {
+  if (PathOf(request) == "/metrics" && request.method() == HttpVerb::get) {
+    co_return TextResponse(
+        200, MetricsPage(m_metrics, m_config, m_store, m_engine, SteadyNow()));
+  }
+  co_return co_await m_caller_api.Handle(request);
+}
+
 void EntryProcess::ApplyCatalogue(std::shared_ptr<const Catalogue> catalogue) {
   m_dispatcher.Update([&](Engine& engine, TimePoint now, Effects& effects) {
     SetCatalogue(engine, now, catalogue, effects);
--- a/programs/ctl/options.cc
+++ b/programs/ctl/options.cc
@@ -158,8 +158,8 @@
     Number timeout("t", "timeout-ms", "", false, 10'000, "MS", line);
     TCLAP::SwitchArg json("j", "json", "", line);
     TCLAP::SwitchArg dry_run("n", "dry-run", "", line);
-    TCLAP::UnlabeledMultiArg<std::string> words("command", "", true, "COMMAND",
-                                                line);
+    TCLAP::UnlabeledMultiArg<std::string> words(
+        "command", "Command and arguments", true, "COMMAND", line);
     line.parse(argc, argv);
     addresses = address.getValue();
     key_file = key.getValue();
