--- a/filbertspar/entry/src/admin_api.cc
+++ b/filbertspar/entry/src/admin_api.cc
@@ -7,6 +7,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "filbertspar/entry/src/commit.h"
 #include "filbertspar/entry/src/edit.h"
 
 namespace filbertspar {
@@ -32,21 +33,6 @@
   return segments;
 }
 
-/// The version that a change was made against, from the query "base", or the
-/// one in force here.
-absl::StatusOr<ConfigVersion> BaseOf(const HttpRequest& request,
-                                     ConfigVersion in_force) {
-  const std::string text(QueryOf(request, "base"));
-  if (text.empty()) {
-    return in_force;
-  }
-  std::uint64_t number = 0;
-  if (!absl::SimpleAtoi(text, &number)) {
-    return Error(Code::kBadField, "base: expected a version number");
-  }
-  return ConfigVersion(number);
-}
-
 absl::StatusOr<ConfigVersion> VersionOf(std::string_view text) {
   std::uint64_t number = 0;
   if (!absl::SimpleAtoi(std::string(text), &number)) {
@@ -55,20 +41,6 @@
   return ConfigVersion(number);
 }
 
-absl::StatusOr<ConfigVersion> Accepted(const ProposalReply& reply) {
-  if (reply.m_code != Code::kOk) {
-    return Error(reply.m_code, reply.m_message);
-  }
-  return reply.m_version;
-}
-
-HttpResponse VersionResponse(const absl::StatusOr<ConfigVersion>& version) {
-  if (!version.ok()) {
-    return StatusResponse(version.status());
-  }
-  return JsonResponse(200, JsonObject{{"version", version->Value()}});
-}
-
 std::int64_t WallMilliseconds() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -189,69 +161,34 @@
   co_return CodeResponse(Code::kUnknownPath, "");
 }
 
-asio::awaitable<absl::StatusOr<ConfigVersion>> AdminApi::Commit(
-    const HttpRequest& request, std::string author, Change change) {
-  const absl::StatusOr<ConfigVersion> base =
-      BaseOf(request, m_config.Version());
-  if (!base.ok()) {
-    co_return base.status();
-  }
-  const std::shared_ptr<const Catalogue> current = m_config.Current();
-  if (*base != m_config.Version()) {
-    co_return Error(Code::kConfigConflict,
-                    absl::StrCat("version ", m_config.Version().Value(),
-                                 " is in force, not ", base->Value()));
-  }
-  Proposal proposal;
-  proposal.m_base = *base;
-  proposal.m_author = std::move(author);
-  if (current != nullptr) {
-    proposal.m_document = *current;
-  }
-  const absl::Status status = change(proposal.m_document);
-  if (!status.ok()) {
-    co_return status;
-  }
-  const ProposalReply reply =
-      co_await m_config.ProposeChange(std::move(proposal));
-  co_return Accepted(reply);
-}
-
 asio::awaitable<HttpResponse> AdminApi::PutDocument(const HttpRequest& request,
                                                     std::string author) {
   absl::StatusOr<JsonObject> body = ParseJsonObject(request.body());
   if (!body.ok()) {
     co_return StatusResponse(body.status());
   }
-  const Change change = [&](Catalogue& catalogue) {
-    // Keys and operators that the document does not list stay as they are, so
-    // that an exported document, which has no hashes, can be put back.
-    const Catalogue before = std::move(catalogue);
+  const Config::Change change = [&](Catalogue& catalogue) -> absl::Status {
+    FS_RETURN_IF_ERROR(FillHashes(catalogue, *body));
     catalogue = Catalogue();
-    absl::Status status = FromJson(*body, catalogue);
-    if (!body->contains("keys")) {
-      catalogue.m_keys = before.m_keys;
-    }
-    if (!body->contains("operators")) {
-      catalogue.m_operators = before.m_operators;
-    }
-    return status;
+    return FromJson(*body, catalogue);
   };
-  co_return VersionResponse(co_await Commit(request, author, change));
+  co_return co_await CommitChange(m_config, request, author, change);
 }
 
 asio::awaitable<HttpResponse> AdminApi::RestoreVersion(
     const HttpRequest& request, std::string author) {
   const absl::StatusOr<ConfigVersion> version =
       VersionOf(QueryOf(request, "version"));
-  const absl::StatusOr<ConfigVersion> base =
-      BaseOf(request, m_config.Version());
+  const absl::StatusOr<std::optional<ConfigVersion>> base = BaseOf(request);
   if (!version.ok() || !base.ok()) {
     co_return StatusResponse(version.ok() ? base.status() : version.status());
   }
-  const ProposalReply reply =
-      co_await m_config.RestoreVersion(*version, *base, author);
-  co_return VersionResponse(Accepted(reply));
+  const absl::StatusOr<ConfigVersion> restored =
+      co_await m_config.RestoreVersion(*version, *base, std::move(author));
+  if (!restored.ok()) {
+    co_return StatusResponse(restored.status());
+  }
+  co_return JsonResponse(200, JsonObject{{"version", restored->Value()}});
 }
 
 asio::awaitable<HttpResponse> AdminApi::GetVersion(std::string text) {
@@ -265,11 +202,8 @@
         reply.m_code == Code::kOk ? Code::kNotFound : reply.m_code, "");
   }
   JsonObject document = ToJson(reply.m_record->m_catalogue);
-  document.erase("keys");
-  document.erase("operators");
-  co_return JsonResponse(200, JsonObject{{"author", reply.m_record->m_author},
-                                         {"note", reply.m_record->m_note},
-                                         {"document", std::move(document)}});
+  RemoveHashes(document);
+  co_return JsonResponse(200, std::move(document));
 }
 
 HttpResponse AdminApi::GetVersions() const {
@@ -304,7 +238,7 @@
                                                  std::string kind,
                                                  std::string name,
                                                  std::string author) {
-  Change change = [&](Catalogue& catalogue) {
+  Config::Change change = [&](Catalogue& catalogue) {
     return RemoveItem(catalogue, kind, name);
   };
   absl::StatusOr<JsonObject> item = JsonObject();
@@ -317,7 +251,7 @@
       return PutItem(catalogue, kind, name, *item);
     };
   }
-  co_return VersionResponse(co_await Commit(request, author, change));
+  co_return co_await CommitChange(m_config, request, author, change);
 }
 
 asio::awaitable<HttpResponse> AdminApi::GrantKey(const HttpRequest& request,
@@ -335,17 +269,14 @@
     co_return StatusResponse(status);
   }
   key.m_hash = HashOf(*secret);
-  const Change change = [&](Catalogue& catalogue) {
+  const Config::Change change = [&](Catalogue& catalogue) {
     catalogue.m_keys.push_back(key);
     return absl::OkStatus();
   };
-  const absl::StatusOr<ConfigVersion> version =
-      co_await Commit(request, author, change);
-  if (!version.ok()) {
-    co_return StatusResponse(version.status());
-  }
-  co_return JsonResponse(
-      200, JsonObject{{"version", version->Value()}, {"key", *secret}});
+  JsonObject extra;
+  extra["key"] = *secret;
+  co_return co_await CommitChange(m_config, request, author, change,
+                                  std::move(extra));
 }
 
 asio::awaitable<HttpResponse> AdminApi::AddOperator(const HttpRequest& request,
@@ -360,17 +291,14 @@
   if (absl::Status status = FromJson(*body, op); !status.ok()) {
     co_return StatusResponse(status);
   }
-  const Change change = [&](Catalogue& catalogue) {
+  const Config::Change change = [&](Catalogue& catalogue) {
     catalogue.m_operators.push_back(op);
     return absl::OkStatus();
   };
-  const absl::StatusOr<ConfigVersion> version =
-      co_await Commit(request, author, change);
-  if (!version.ok()) {
-    co_return StatusResponse(version.status());
-  }
-  co_return JsonResponse(
-      200, JsonObject{{"version", version->Value()}, {"key", *secret}});
+  JsonObject extra;
+  extra["key"] = *secret;
+  co_return co_await CommitChange(m_config, request, author, change,
+                                  std::move(extra));
 }
 
 asio::awaitable<HttpResponse> AdminApi::PutVm(const HttpRequest& request,
--- a/filbertspar/entry/src/admin_api.h
+++ b/filbertspar/entry/src/admin_api.h
@@ -25,8 +25,6 @@
   asio::awaitable<HttpResponse> Handle(const HttpRequest& request);
 
  private:
-  using Change = std::function<absl::Status(Catalogue&)>;
-
   /// Name of the operator whose key came with the request.
   absl::StatusOr<std::string> Check(const HttpRequest& request,
                                     Role needed) const;
@@ -35,8 +33,6 @@
   asio::awaitable<HttpResponse> ChangeConfig(
       const HttpRequest& request, const std::vector<std::string>& segments,
       std::string author);
-  asio::awaitable<absl::StatusOr<ConfigVersion>> Commit(
-      const HttpRequest& request, std::string author, Change change);
   asio::awaitable<HttpResponse> PutDocument(const HttpRequest& request,
                                             std::string author);
   asio::awaitable<HttpResponse> RestoreVersion(const HttpRequest& request,
--- a/filbertspar/entry/src/config.cc
+++ b/filbertspar/entry/src/config.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "absl/strings/str_cat.h"
 #include "boost/asio/co_spawn.hpp"
 #include "boost/asio/detached.hpp"
 #include "filbertspar/program/program.h"
@@ -13,6 +14,13 @@
 
 constexpr Duration kReadDeadline = Milliseconds(900);
 
+absl::StatusOr<ConfigVersion> Accepted(const ProposalReply& reply) {
+  if (reply.m_code != Code::kOk) {
+    return Error(reply.m_code, reply.m_message);
+  }
+  return reply.m_version;
+}
+
 }  // namespace
 
 Config::Config(asio::io_context& context, Store& store, const NodeName& node)
@@ -35,16 +43,40 @@
   co_return co_await done->Wait();
 }
 
-asio::awaitable<ProposalReply> Config::RestoreVersion(ConfigVersion version,
-                                                      ConfigVersion base,
-                                                      std::string author) {
+asio::awaitable<absl::StatusOr<ConfigVersion>> Config::Commit(
+    std::optional<ConfigVersion> base, std::string author, Change change) {
+  const ConfigVersion in_force = Version();
+  if (base && *base != in_force) {
+    co_return Error(Code::kConfigConflict,
+                    absl::StrCat("version ", in_force.Value(),
+                                 " is in force, not ", base->Value()));
+  }
+  Proposal proposal;
+  proposal.m_base = in_force;
+  proposal.m_author = std::move(author);
+  if (m_current != nullptr) {
+    proposal.m_document = *m_current;
+  }
+  const absl::Status status = change(proposal.m_document);
+  if (!status.ok()) {
+    co_return status;
+  }
+  const ProposalReply reply = co_await ProposeChange(std::move(proposal));
+  co_return Accepted(reply);
+}
+
+asio::awaitable<absl::StatusOr<ConfigVersion>> Config::RestoreVersion(
+    ConfigVersion version, std::optional<ConfigVersion> base,
+    std::string author) {
+  const ConfigVersion stated = base.value_or(Version());
   const ProposalId id(++m_last_id);
   auto done = std::make_shared<OneShot<ProposalReply>>(m_context);
   m_proposals[id] = done;
   Update([&](Rollout& rollout, TimePoint now, RolloutEffects& effects) {
-    Restore(rollout, now, id, version, base, author, effects);
+    Restore(rollout, now, id, version, stated, author, effects);
   });
-  co_return co_await done->Wait();
+  const ProposalReply reply = co_await done->Wait();
+  co_return Accepted(reply);
 }
 
 asio::awaitable<ExportReply> Config::ExportVersion(ConfigVersion version) {
--- a/filbertspar/entry/src/config.h
+++ b/filbertspar/entry/src/config.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,11 +43,22 @@
   /// \brief kOk when new keyed work of the workspace may be taken.
   Code Freshness(const WorkspaceName& workspace) const;
 
-  /// \brief Commits a changed document; the reply says what is known.
-  asio::awaitable<ProposalReply> ProposeChange(Proposal proposal);
-  asio::awaitable<ProposalReply> RestoreVersion(ConfigVersion version,
-                                                ConfigVersion base,
-                                                std::string author);
+  using Change = std::function<absl::Status(Catalogue&)>;
+
+  /// \brief Time up to which no accepted version was missed; none before the
+  /// first confirmation.
+  std::optional<TimePoint> Confirmed() const {
+    return FreshAsOf(m_rollout, SteadyNow());
+  }
+
+  /// \brief Changes the document of version `base` (or the one in force) and
+  /// commits it. kConfigConflict names the newer version, kConfigInvalid the
+  /// fault, kChangeUnconfirmed means that the outcome is not known.
+  asio::awaitable<absl::StatusOr<ConfigVersion>> Commit(
+      std::optional<ConfigVersion> base, std::string author, Change change);
+  asio::awaitable<absl::StatusOr<ConfigVersion>> RestoreVersion(
+      ConfigVersion version, std::optional<ConfigVersion> base,
+      std::string author);
   asio::awaitable<ExportReply> ExportVersion(ConfigVersion version);
   asio::awaitable<CompareReply> CompareVersions(ConfigVersion from,
                                                 ConfigVersion to);
@@ -60,6 +72,8 @@
   }
 
  private:
+  asio::awaitable<ProposalReply> ProposeChange(Proposal proposal);
+
   using Proposed = std::shared_ptr<OneShot<ProposalReply>>;
 
   void Apply(RolloutEffects effects);
