Make share, queue and their tests pass the lint

Cause: scripts/lint reported a move without effect, and a set ordered by Id makes clang-tidy report the defaulted operator<=> in base/src/ids.h. Change: a copy in place of the move; the test keeps id numbers. Conclusion: no change of behaviour.

--- a/filbertspar/share/src/share.cc
+++ b/filbertspar/share/src/share.cc
@@ -261,7 +261,7 @@
   }
   for (std::size_t p = 0; p < share.m_pools.size(); ++p) {
     for (std::size_t i = 0; i < share.m_teams.size(); ++i) {
-      cells[p * leaves + i] = std::move(CellOf(share, p, i));
+      cells[p * leaves + i] = CellOf(share, p, i);
     }
   }
   share.m_cells = std::move(cells);
--- a/tests/queue_order_test.cc
+++ b/tests/queue_order_test.cc
@@ -124,12 +124,12 @@
   }
 
   template <typename Match>
-  std::set<RequestId> Take(Match match) {
-    std::set<RequestId> taken;
+  std::set<std::uint64_t> Take(Match match) {
+    std::set<std::uint64_t> taken;
     std::erase_if(m_waiting, [&](const Waiting& waiting) {
       const bool matches = match(waiting);
       if (matches) {
-        taken.insert(waiting.m_arrival.m_request);
+        taken.insert(waiting.m_arrival.m_request.Value());
       }
       return matches;
     });
@@ -137,10 +137,10 @@
   }
 };
 
-std::set<RequestId> Ids(const std::vector<Arrival>& arrivals) {
-  std::set<RequestId> ids;
+std::set<std::uint64_t> Ids(const std::vector<Arrival>& arrivals) {
+  std::set<std::uint64_t> ids;
   for (const Arrival& arrival : arrivals) {
-    RC_ASSERT(ids.insert(arrival.m_request).second);
+    RC_ASSERT(ids.insert(arrival.m_request.Value()).second);
   }
   return ids;
 }
@@ -210,7 +210,7 @@
           return waiting.m_arrival.m_request == chosen.m_arrival.m_request;
         });
         RC_ASSERT(removed.has_value() == !naive.empty());
-        RC_ASSERT(!removed || naive.contains(removed->m_request));
+        RC_ASSERT(!removed || naive.contains(removed->m_request.Value()));
       }
       break;
     case 2:
