--- a/filbertspar/history/src/checker.cc
+++ b/filbertspar/history/src/checker.cc
@@ -139,9 +139,9 @@
 
 const std::vector<Run>& RunsOf(const Groups& groups,
                                const std::string& request) {
-  static const std::vector<Run> kNone;
+  static const std::vector<Run> none;
   const auto found = groups.m_runs.find(request);
-  return found == groups.m_runs.end() ? kNone : found->second;
+  return found == groups.m_runs.end() ? none : found->second;
 }
 
 // A ceiling with the time until which an earlier, higher one may still apply.
--- a/filbertspar/request/src/engine.h
+++ b/filbertspar/request/src/engine.h
@@ -119,6 +119,7 @@
   /// Heap, earliest first; entries of ended requests and attempts are dropped
   /// when they make up most of it.
   std::vector<internal::Timer> m_timers;
+  TimePoint m_ticked_at = TimePoint::min();
   EngineCounters m_counters;
 };
 
--- a/filbertspar/request/src/timers.cc
+++ b/filbertspar/request/src/timers.cc
@@ -113,6 +113,7 @@
 }  // namespace internal
 
 void Tick(Engine& engine, TimePoint now, Effects& effects) {
+  engine.m_ticked_at = now;
   while (!engine.m_timers.empty() && engine.m_timers.front().m_at <= now) {
     const internal::Timer timer = engine.m_timers.front();
     std::pop_heap(engine.m_timers.begin(), engine.m_timers.end(),
@@ -147,8 +148,10 @@
     next = std::min(next, engine.m_timers.front().m_at);
   }
   for (const internal::PoolState& pool : engine.m_pools) {
-    if (pool.m_waiting > 0) {
-      next = std::min(next, internal::NextProbe(engine, pool));
+    // A probe that is overdue waits for room on its worker, not for a tick.
+    const TimePoint probe = internal::NextProbe(engine, pool);
+    if (pool.m_waiting > 0 && probe > engine.m_ticked_at) {
+      next = std::min(next, probe);
     }
   }
   if (!engine.m_requests.empty()) {
