--- /dev/null
+++ b/tests/grant_split_test.cc
@@ -0,0 +1,172 @@
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <vector>
+
+#include "filbertspar/grant/grant.h"
+
+namespace filbertspar {
+namespace {
+
+using Amounts = std::map<NodeName, std::int64_t>;
+
+Amounts AnyAmounts() {
+  Amounts amounts;
+  const auto units = *rc::gen::container<std::vector<std::int64_t>>(
+      rc::gen::inRange<std::int64_t>(0, 40));
+  for (std::size_t i = 0; i < units.size(); ++i) {
+    amounts[NodeName("n" + std::to_string(i) + "#1")] = units[i];
+  }
+  return amounts;
+}
+
+std::int64_t Sum(const Amounts& amounts) {
+  std::int64_t sum = 0;
+  for (const auto& [node, units] : amounts) {
+    sum += units;
+  }
+  return sum;
+}
+
+// How much farther than one unit a node is from its exact proportion.
+std::int64_t WorstGap(const Amounts& split, const Amounts& demand,
+                      std::int64_t ceiling) {
+  std::int64_t total = 0;
+  for (const auto& [node, units] : demand) {
+    total += std::min(units, ceiling);
+  }
+  std::int64_t worst = 0;
+  for (const auto& [node, units] : demand) {
+    const auto found = split.find(node);
+    const std::int64_t got = found == split.end() ? 0 : found->second;
+    // |got - ceiling * d / total| < 1, in whole numbers.
+    worst = std::max(
+        worst, std::abs(got * total - ceiling * std::min(units, ceiling)) -
+                   (total - 1));
+  }
+  return worst;
+}
+
+// Guards against parts whose sum is above the ceiling, and against parts more
+// than one unit off the exact proportion.
+TEST_CASE("a split stays within the ceiling and near the proportion") {
+  CHECK(rc::check([] {
+    const Amounts demand = AnyAmounts();
+    const Amounts held = AnyAmounts();
+    const auto ceiling = *rc::gen::inRange<std::int64_t>(1, 60);
+    const Amounts split = SplitByDemand(ceiling, demand, held);
+    std::int64_t wanted = 0;
+    for (const auto& [node, units] : demand) {
+      wanted += WantedUnits(units);
+    }
+    RC_ASSERT(Sum(split) == std::min(wanted, ceiling));
+    if (wanted > ceiling) {
+      RC_ASSERT(WorstGap(split, demand, ceiling) <= 0);
+    }
+    const Amounts trimmed = TrimToCeiling(ceiling, held);
+    RC_ASSERT(Sum(trimmed) == std::min(Sum(held), ceiling));
+    for (const auto& [node, units] : trimmed) {
+      RC_ASSERT(units <= held.at(node));
+    }
+  }));
+}
+
+// Guards against a row that another process reads differently.
+TEST_CASE("a grant row survives a round trip, and a bad one is refused") {
+  CHECK(rc::check([] {
+    GrantRow row;
+    row.m_ceiling = *rc::gen::inRange<std::int64_t>(0, 1000);
+    row.m_config = ConfigVersion(*rc::gen::inRange<std::uint64_t>(0, 1000));
+    for (const auto& [node, units] : AnyAmounts()) {
+      if (units > 0) {
+        row.m_holders[node] = units;
+      }
+    }
+    RC_ASSERT(GrantRowFromJson(ToJson(row)).value() == row);
+  }));
+  CHECK_FALSE(GrantRowFromJson(Json(JsonObject{{"ceiling", 3}})).ok());
+  CHECK_FALSE(GrantRowFromJson(
+                  *ParseJson(R"({"ceiling":3,"config":1,"holders":{"a#1":0}})"))
+                  .ok());
+}
+
+struct Process {
+  Grants m_grants;
+  std::int64_t m_in_use = 0;
+};
+
+// Guards against units that a central counter would hand out and the grants do
+// not: over a perfect store the total in use must settle at the same value.
+TEST_CASE("the total in use settles where a central counter has it") {
+  const TeamName team("desk");
+  CHECK(rc::check([&] {
+    const auto ceiling = *rc::gen::inRange<std::int64_t>(0, 12);
+    const auto count = *rc::gen::inRange<std::size_t>(1, 6);
+    Catalogue catalogue;
+    catalogue.m_version = ConfigVersion(1);
+    catalogue.m_teams.push_back({.m_name = team,
+                                 .m_workspace = WorkspaceName("w"),
+                                 .m_weight = 1,
+                                 .m_ceiling = ceiling});
+    TimePoint now{Seconds(100)};
+    std::vector<Process> processes(count);
+    for (std::size_t i = 0; i < count; ++i) {
+      processes[i].m_grants =
+          MakeGrants(NodeName("n" + std::to_string(i) + "#1"), i, now);
+      CeilingsChanged(processes[i].m_grants, catalogue);
+    }
+    Row row{.m_row = GrantRowKey(team)};
+    for (int phase = 0; phase < 3; ++phase) {
+      std::vector<std::int64_t> demand(count);
+      std::int64_t total = 0;
+      for (std::int64_t& units : demand) {
+        units = *rc::gen::inRange<std::int64_t>(0, 8);
+        total += units;
+      }
+      for (int round = 0; round < 40; ++round) {
+        now += Seconds(1);
+        for (std::size_t i = 0; i < count; ++i) {
+          Process& process = processes[i];
+          while (process.m_in_use > 0) {
+            ReturnUnit(process.m_grants, team);
+            --process.m_in_use;
+          }
+          DemandChanged(process.m_grants, team, demand[i]);
+          GrantEffects effects;
+          ChangeList changes{.m_table = "grant"};
+          if (!row.m_version.IsNone()) {
+            changes.m_rows.push_back(row);
+          }
+          GrantChangesRead(process.m_grants, now, Code::kOk, changes, effects);
+          for (const GrantEffect& effect : effects) {
+            const auto& write = std::get<WriteGrant>(effect);
+            RC_ASSERT(write.m_row.m_expect == row.m_version);
+            row.m_version = RowVersion(row.m_version.Value() + 1);
+            row.m_value = write.m_row.m_value;
+            GrantWriteEnded(process.m_grants, now, team, write.m_write,
+                            WriteOutcome::kCommitted, row.m_version);
+          }
+          while (process.m_in_use < demand[i] &&
+                 TakeUnit(process.m_grants, team)) {
+            ++process.m_in_use;
+          }
+          for (Process& peer : processes) {
+            PeerDemanded(peer.m_grants, now, process.m_grants.m_self, team,
+                         process.m_in_use, demand[i] - process.m_in_use,
+                         FreeUnits(process.m_grants, team));
+          }
+        }
+      }
+      std::int64_t in_use = 0;
+      for (const Process& process : processes) {
+        in_use += process.m_in_use;
+      }
+      RC_ASSERT(in_use == std::min(ceiling, total));
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace filbertspar
