--- a/filbertspar/wire/src/decode.cc
+++ b/filbertspar/wire/src/decode.cc
@@ -65,7 +65,8 @@
   r.Get(m.m_zone, t.zone());
   r.Get(m.m_endpoint, t.address(), t.port());
   m.m_state = static_cast<MemberState>(t.state());
-  r.m_in_bounds = r.m_in_bounds && m.m_state <= MemberState::kDead;
+  r.m_in_bounds = r.m_in_bounds && m.m_state <= MemberState::kLeft;
+  m.m_round = t.round();
 }
 
 void Read(Reader& r, const fbs::UseLine& t, UseLine& m) {
@@ -99,6 +100,9 @@
   m.m_config_version = ConfigVersion(t.config_version());
   m.m_reaches_store = t.reaches_store();
   m.m_leaving = t.leaving();
+  m.m_interval = Milliseconds(t.interval_ms());
+  m.m_wanted = t.wanted();
+  m.m_table_hash = t.table_hash();
   r.GetList(m.m_zones, t.zones());
   r.GetList(m.m_updates, t.updates());
 }
--- a/filbertspar/wire/src/encode.cc
+++ b/filbertspar/wire/src/encode.cc
@@ -66,9 +66,9 @@
   const auto node = w.Put(m.m_node);
   const auto zone = w.Put(m.m_zone);
   const auto address = w.Put(m.m_endpoint);
-  return fbs::CreateMemberUpdate(w.m_builder, node, zone, address,
-                                 m.m_endpoint.m_port,
-                                 static_cast<fbs::MemberState>(m.m_state));
+  return fbs::CreateMemberUpdate(
+      w.m_builder, node, zone, address, m.m_endpoint.m_port,
+      static_cast<fbs::MemberState>(m.m_state), m.m_round);
 }
 
 Offset<fbs::UseLine> WriteItem(Writer& w, const UseLine& m) {
@@ -83,9 +83,11 @@
   const auto node = w.Put(m.m_node);
   const auto zones = w.List(m.m_zones, item);
   const auto updates = w.List(m.m_updates, item);
-  return fbs::CreateHeartbeat(w.m_builder, node, m.m_incarnation,
-                              m.m_config_version.Value(), m.m_reaches_store,
-                              m.m_leaving, zones, updates)
+  return fbs::CreateHeartbeat(
+             w.m_builder, node, m.m_incarnation, m.m_config_version.Value(),
+             m.m_reaches_store, m.m_leaving,
+             static_cast<std::uint32_t>(ToMilliseconds(m.m_interval)),
+             m.m_wanted, m.m_table_hash, zones, updates)
       .Union();
 }
 
--- a/filbertspar/wire/src/messages.h
+++ b/filbertspar/wire/src/messages.h
@@ -42,7 +42,15 @@
   friend bool operator==(const ZoneDigest&, const ZoneDigest&) = default;
 };
 
-enum class MemberState : std::uint8_t { kLive, kLeaving, kDead };
+/// \brief Ordered: of two reports of one round the later state holds.
+enum class MemberState : std::uint8_t {
+  kLive,
+  kLeaving,
+  /// Declared dead; it may come back in a higher round.
+  kDead,
+  /// Gone after it announced that it leaves.
+  kLeft,
+};
 
 /// \brief News about one node, passed on from node to node.
 struct MemberUpdate {
@@ -50,6 +58,8 @@
   ZoneName m_zone;
   Endpoint m_endpoint;
   MemberState m_state = MemberState::kLive;
+  /// Raised only by the node itself, to contradict a report of its death.
+  std::uint32_t m_round = 0;
 
   friend bool operator==(const MemberUpdate&, const MemberUpdate&) = default;
 };
@@ -60,6 +70,12 @@
   ConfigVersion m_config_version;
   bool m_reaches_store = false;
   bool m_leaving = false;
+  /// The sender's next heartbeat on this connection follows within this time.
+  Duration m_interval{0};
+  /// Whether the sender plans this link, or only serves the peer's.
+  bool m_wanted = false;
+  /// Hash of the sender's member table; unequal tables are exchanged.
+  std::uint64_t m_table_hash = 0;
   std::vector<ZoneDigest> m_zones;
   std::vector<MemberUpdate> m_updates;
 
--- a/filbertspar/wire/src/peer_generated.h
+++ b/filbertspar/wire/src/peer_generated.h
@@ -62,31 +62,34 @@
   Live = 0,
   Leaving = 1,
   Dead = 2,
+  Left = 3,
   MIN = Live,
-  MAX = Dead
+  MAX = Left
 };
 
-inline const MemberState (&EnumValuesMemberState())[3] {
+inline const MemberState (&EnumValuesMemberState())[4] {
   static const MemberState values[] = {
     MemberState::Live,
     MemberState::Leaving,
-    MemberState::Dead
+    MemberState::Dead,
+    MemberState::Left
   };
   return values;
 }
 
 inline const char * const *EnumNamesMemberState() {
-  static const char * const names[4] = {
+  static const char * const names[5] = {
     "Live",
     "Leaving",
     "Dead",
+    "Left",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMemberState(MemberState e) {
-  if (flatbuffers::IsOutRange(e, MemberState::Live, MemberState::Dead)) return "";
+  if (flatbuffers::IsOutRange(e, MemberState::Live, MemberState::Left)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMemberState()[index];
 }
@@ -467,7 +470,8 @@
     VT_ZONE = 6,
     VT_ADDRESS = 8,
     VT_PORT = 10,
-    VT_STATE = 12
+    VT_STATE = 12,
+    VT_ROUND = 14
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -484,6 +488,9 @@
   filbertspar::fbs::MemberState state() const {
     return static_cast<filbertspar::fbs::MemberState>(GetField<uint8_t>(VT_STATE, 0));
   }
+  uint32_t round() const {
+    return GetField<uint32_t>(VT_ROUND, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -494,6 +501,7 @@
            verifier.VerifyString(address()) &&
            VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_ROUND, 4) &&
            verifier.EndTable();
   }
 };
@@ -517,6 +525,9 @@
   void add_state(filbertspar::fbs::MemberState state) {
     fbb_.AddElement<uint8_t>(MemberUpdate::VT_STATE, static_cast<uint8_t>(state), 0);
   }
+  void add_round(uint32_t round) {
+    fbb_.AddElement<uint32_t>(MemberUpdate::VT_ROUND, round, 0);
+  }
   explicit MemberUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -534,8 +545,10 @@
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
     uint16_t port = 0,
-    filbertspar::fbs::MemberState state = filbertspar::fbs::MemberState::Live) {
+    filbertspar::fbs::MemberState state = filbertspar::fbs::MemberState::Live,
+    uint32_t round = 0) {
   MemberUpdateBuilder builder_(_fbb);
+  builder_.add_round(round);
   builder_.add_address(address);
   builder_.add_zone(zone);
   builder_.add_node(node);
@@ -555,7 +568,8 @@
     const char *zone = nullptr,
     const char *address = nullptr,
     uint16_t port = 0,
-    filbertspar::fbs::MemberState state = filbertspar::fbs::MemberState::Live) {
+    filbertspar::fbs::MemberState state = filbertspar::fbs::MemberState::Live,
+    uint32_t round = 0) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -565,7 +579,8 @@
       zone__,
       address__,
       port,
-      state);
+      state,
+      round);
 }
 
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -577,8 +592,11 @@
     VT_CONFIG_VERSION = 8,
     VT_REACHES_STORE = 10,
     VT_LEAVING = 12,
-    VT_ZONES = 14,
-    VT_UPDATES = 16
+    VT_INTERVAL_MS = 14,
+    VT_WANTED = 16,
+    VT_TABLE_HASH = 18,
+    VT_ZONES = 20,
+    VT_UPDATES = 22
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -595,6 +613,15 @@
   bool leaving() const {
     return GetField<uint8_t>(VT_LEAVING, 0) != 0;
   }
+  uint32_t interval_ms() const {
+    return GetField<uint32_t>(VT_INTERVAL_MS, 0);
+  }
+  bool wanted() const {
+    return GetField<uint8_t>(VT_WANTED, 0) != 0;
+  }
+  uint64_t table_hash() const {
+    return GetField<uint64_t>(VT_TABLE_HASH, 0);
+  }
   const flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::ZoneDigest>> *zones() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::ZoneDigest>> *>(VT_ZONES);
   }
@@ -609,6 +636,9 @@
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            VerifyField<uint8_t>(verifier, VT_REACHES_STORE, 1) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyField<uint32_t>(verifier, VT_INTERVAL_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_WANTED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_TABLE_HASH, 8) &&
            VerifyOffset(verifier, VT_ZONES) &&
            verifier.VerifyVector(zones()) &&
            verifier.VerifyVectorOfTables(zones()) &&
@@ -638,6 +668,15 @@
   void add_leaving(bool leaving) {
     fbb_.AddElement<uint8_t>(Heartbeat::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
   }
+  void add_interval_ms(uint32_t interval_ms) {
+    fbb_.AddElement<uint32_t>(Heartbeat::VT_INTERVAL_MS, interval_ms, 0);
+  }
+  void add_wanted(bool wanted) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_WANTED, static_cast<uint8_t>(wanted), 0);
+  }
+  void add_table_hash(uint64_t table_hash) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_TABLE_HASH, table_hash, 0);
+  }
   void add_zones(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::ZoneDigest>>> zones) {
     fbb_.AddOffset(Heartbeat::VT_ZONES, zones);
   }
@@ -662,14 +701,20 @@
     uint64_t config_version = 0,
     bool reaches_store = false,
     bool leaving = false,
+    uint32_t interval_ms = 0,
+    bool wanted = false,
+    uint64_t table_hash = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::ZoneDigest>>> zones = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::MemberUpdate>>> updates = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_table_hash(table_hash);
   builder_.add_config_version(config_version);
   builder_.add_incarnation(incarnation);
   builder_.add_updates(updates);
   builder_.add_zones(zones);
+  builder_.add_interval_ms(interval_ms);
   builder_.add_node(node);
+  builder_.add_wanted(wanted);
   builder_.add_leaving(leaving);
   builder_.add_reaches_store(reaches_store);
   return builder_.Finish();
@@ -687,6 +732,9 @@
     uint64_t config_version = 0,
     bool reaches_store = false,
     bool leaving = false,
+    uint32_t interval_ms = 0,
+    bool wanted = false,
+    uint64_t table_hash = 0,
     const std::vector<flatbuffers::Offset<filbertspar::fbs::ZoneDigest>> *zones = nullptr,
     const std::vector<flatbuffers::Offset<filbertspar::fbs::MemberUpdate>> *updates = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
@@ -699,6 +747,9 @@
       config_version,
       reaches_store,
       leaving,
+      interval_ms,
+      wanted,
+      table_hash,
       zones__,
       updates__);
 }
--- a/tests/wire_fuzz_test.cc
+++ b/tests/wire_fuzz_test.cc
@@ -16,12 +16,20 @@
                         ConfigVersion(4), true, true,
                         Milliseconds(40)};
   const MemberUpdate update{
-      node, ZoneName("z1"), {"10.0.0.1", 80}, MemberState::kLeaving};
+      node, ZoneName("z1"), {"10.0.0.1", 80}, MemberState::kLeaving, 2};
   return {
       {0, 0, Hello{node, VmName("entry-2"), ZoneName("z"), {"10.0.0.1", 1}, 9}},
       {1, 1,
-       Heartbeat{
-           node, 77, ConfigVersion(4), true, false, {zone, zone}, {update}}},
+       Heartbeat{node,
+                 77,
+                 ConfigVersion(4),
+                 true,
+                 false,
+                 Seconds(1),
+                 true,
+                 3,
+                 {zone, zone},
+                 {update}}},
       {1, 2, Probe{4, node}},
       {1, 3, ProbeReply{4, node, false}},
       {1, 4, ConfigOffer{ConfigVersion(8), "{\"a\":1}"}},
--- a/tests/wire_messages.h
+++ b/tests/wire_messages.h
@@ -57,7 +57,8 @@
 
 inline MemberUpdate AnyUpdate() {
   return {AnyName<NodeName>(), AnyName<ZoneName>(), AnyEndpoint(),
-          static_cast<MemberState>(*rc::gen::inRange(0, 3))};
+          static_cast<MemberState>(*rc::gen::inRange(0, 4)),
+          *rc::gen::arbitrary<std::uint32_t>()};
 }
 
 inline UseLine AnyUseLine() {
@@ -74,10 +75,16 @@
                    AnyName<ZoneName>(), AnyEndpoint(),
                    AnyNumber(),         *rc::gen::arbitrary<std::uint32_t>()};
     case 1:
-      return Heartbeat{
-          AnyName<NodeName>(), AnyNumber(), ConfigVersion(AnyNumber()),
-          AnyBool(),           AnyBool(),   AnyList(AnyZoneDigest),
-          AnyList(AnyUpdate)};
+      return Heartbeat{AnyName<NodeName>(),
+                       AnyNumber(),
+                       ConfigVersion(AnyNumber()),
+                       AnyBool(),
+                       AnyBool(),
+                       Milliseconds(*rc::gen::arbitrary<std::uint32_t>()),
+                       AnyBool(),
+                       AnyNumber(),
+                       AnyList(AnyZoneDigest),
+                       AnyList(AnyUpdate)};
     case 2:
       return Probe{AnyNumber(), AnyName<NodeName>()};
     case 3:
