--- a/filbertspar/entry/src/admin_api.cc
+++ b/filbertspar/entry/src/admin_api.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/str_cat.h"
 #include "filbertspar/entry/src/commit.h"
 #include "filbertspar/entry/src/edit.h"
+#include "filbertspar/entry/src/explain_api.h"
 
 namespace filbertspar {
 namespace {
@@ -95,6 +96,9 @@
     if (kind == "status") {
       co_return GetStatus();
     }
+    if (kind == "explain" && segments.size() >= 2) {
+      co_return GetExplanation(segments);
+    }
     co_return CodeResponse(Code::kUnknownPath, "");
   }
   if (kind == "catalogue" && segments.size() == 1) {
@@ -292,6 +296,27 @@
   return JsonResponse(200, JsonObject{{"vms", std::move(vms)}});
 }
 
+HttpResponse AdminApi::GetExplanation(
+    const std::vector<std::string>& segments) const {
+  const Engine& engine = m_dispatcher.GetEngine();
+  const TimePoint now = SteadyNow();
+  if (segments[1] == "shares" && segments.size() == 2) {
+    return ExplainShares(engine, now);
+  }
+  if (segments[1] == "vm" && segments.size() == 3) {
+    const auto found = m_fleet.m_vms.find(VmName(segments[2]));
+    return ExplainVm(engine, now,
+                     found == m_fleet.m_vms.end() ? nullptr : &found->second,
+                     WallMilliseconds());
+  }
+  std::uint64_t number = 0;
+  if (segments[1] == "job" && segments.size() == 3 &&
+      absl::SimpleAtoi(segments[2], &number)) {
+    return ExplainJob(engine, now, RequestId(number));
+  }
+  return CodeResponse(Code::kUnknownPath, "");
+}
+
 HttpResponse AdminApi::GetStatus() const {
   const Engine& engine = m_dispatcher.GetEngine();
   const EngineCounters& counters = engine.m_counters;
--- a/filbertspar/entry/src/admin_api.h
+++ b/filbertspar/entry/src/admin_api.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include "boost/asio/awaitable.hpp"
 #include "filbertspar/entry/src/config.h"
@@ -38,6 +39,7 @@
   HttpResponse GetDocument() const;
   HttpResponse GetVms() const;
   HttpResponse GetStatus() const;
+  HttpResponse GetExplanation(const std::vector<std::string>& segments) const;
 
   Config& m_config;
   Store& m_store;
--- a/programs/ctl/commands.h
+++ b/programs/ctl/commands.h
@@ -33,6 +33,9 @@
 absl::Status CheckWords(const Session& session, std::size_t min,
                         std::size_t max, const std::string& form);
 
+/// \brief kUsage unless the word can stand in a path as a name.
+absl::Status CheckName(const std::string& name);
+
 /// \brief Path with the query that states base version and dry run.
 std::string ChangePath(const Session& session, const std::string& path,
                        std::int64_t base);
--- a/programs/ctl/common.cc
+++ b/programs/ctl/common.cc
@@ -1,8 +1,10 @@
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <iterator>
 #include <utility>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "programs/ctl/commands.h"
@@ -46,6 +48,20 @@
   return absl::OkStatus();
 }
 
+absl::Status CheckName(const std::string& name) {
+  const bool good =
+      !name.empty() && std::all_of(name.begin(), name.end(), [](char c) {
+        return absl::ascii_isalnum(static_cast<unsigned char>(c)) || c == '-' ||
+               c == '_' || c == '.';
+      });
+  if (!good) {
+    return Error(Code::kUsage,
+                 absl::StrCat("\"", name,
+                              "\": a name has letters, digits, '-', '_', '.'"));
+  }
+  return absl::OkStatus();
+}
+
 std::string ChangePath(const Session& session, const std::string& path,
                        std::int64_t base) {
   if (session.m_options.m_base > 0) {
--- a/programs/ctl/explain.cc
+++ b/programs/ctl/explain.cc
@@ -52,6 +52,7 @@
   FS_RETURN_IF_ERROR(CheckWords(session, named ? 3 : 2, named ? 3 : 2, form));
   std::string path = "explain/" + kind;
   if (named) {
+    FS_RETURN_IF_ERROR(CheckName(WordAt(session, 2)));
     path += "/" + WordAt(session, 2);
   }
   // A job waits at one entry process only, so each address is asked.
--- a/programs/ctl/fleet.cc
+++ b/programs/ctl/fleet.cc
@@ -165,6 +165,7 @@
   if (verb == "register") {
     FS_RETURN_IF_ERROR(
         CheckWords(session, 3, 64, "vms register NAME FIELD=VALUE..."));
+    FS_RETURN_IF_ERROR(CheckName(name));
     return Register(session, name);
   }
   FS_RETURN_IF_ERROR(CheckWords(session, verb == "show" ? 3 : 2,
@@ -204,6 +205,7 @@
     return Error(Code::kUsage, "expected: filbertsparctl drain [cancel] VM");
   }
   const std::string name = WordAt(session, cancels ? 2 : 1);
+  FS_RETURN_IF_ERROR(CheckName(name));
   if (session.m_options.m_dry_run) {
     if (cancels) {
       return Error(Code::kUsage, "a cancelled drain has no dry run");
--- a/programs/ctl/items.cc
+++ b/programs/ctl/items.cc
@@ -218,6 +218,7 @@
   }
   FS_RETURN_IF_ERROR(
       CheckWords(session, 3, 64, absl::StrCat(name, " ", verb, " NAME ...")));
+  FS_RETURN_IF_ERROR(CheckName(item));
   if (verb == "show") {
     return Show(session, *kind, item);
   }
