--- a/filbertspar/entry/src/admin_api.h
+++ b/filbertspar/entry/src/admin_api.h
@@ -54,6 +54,7 @@
   HttpResponse GetDocument() const;
   HttpResponse GetVms() const;
   HttpResponse GetStatus() const;
+  HttpResponse GetExplanation(const std::vector<std::string>& segments) const;
 
   Config& m_config;
   Store& m_store;
