Plan maintenance in a planner process and split ceilings by grants

Cause: drains changed one row without budgets, and ceilings were split evenly over the configured entry VMs. Change: filbertspar-planner under the fenced lease row; operators' fleet calls are one write over the VM row and its budget rows; grants of the table limit what an entry VM starts. Function objects in co_await expressions are named variables, since g++ 12 destroys such temporaries twice (seen as a crash of the entry process at the first registered VM).

--- a/filbertspar/entry/src/config.cc
+++ b/filbertspar/config/src/config.cc
@@ -1,4 +1,4 @@
-#include "filbertspar/entry/src/config.h"
+#include "filbertspar/config/src/config.h"
 
 #include <algorithm>
 #include <utility>
--- a/filbertspar/entry/src/admin_api.cc
+++ b/filbertspar/entry/src/admin_api.cc
@@ -16,7 +16,6 @@
 
 constexpr std::string_view kOperatorHeader = "x-filbertspar-operator-key";
 constexpr std::string_view kPrefix = "/admin/v1/";
-constexpr Duration kWriteDeadline = Seconds(3);
 
 /// Path segments after the prefix; empty when the path has another form.
 std::vector<std::string> SegmentsOf(std::string_view path) {
@@ -65,6 +64,7 @@
       m_store(store),
       m_fleet(fleet),
       m_dispatcher(dispatcher),
+      m_fleet_api(config, store),
       m_bootstrap_hash(std::move(bootstrap_hash)) {}
 
 absl::StatusOr<std::string> AdminApi::Check(const HttpRequest& request,
@@ -90,7 +90,7 @@
     co_return CodeResponse(Code::kUnknownPath, "");
   }
   const std::string& kind = segments[0];
-  const bool fleet_kind = kind == "vms" || kind == "drains";
+  const bool fleet_kind = FleetApi::Serves(kind);
   const Role needed = request.method() == HttpVerb::get ? Role::kViewer
                       : fleet_kind                      ? Role::kFleet
                                                         : Role::kAdmin;
@@ -98,18 +98,12 @@
   if (!author.ok()) {
     co_return StatusResponse(author.status());
   }
+  if (fleet_kind) {
+    co_return co_await m_fleet_api.Handle(request, segments, *author);
+  }
   if (request.method() == HttpVerb::get) {
     co_return co_await Read(request, segments);
   }
-  if (kind == "vms" && segments.size() == 2) {
-    co_return co_await PutVm(request, segments[1]);
-  }
-  if (kind == "drains" && segments.size() == 2) {
-    const bool drain = request.method() != HttpVerb::delete_;
-    co_return co_await SetVmState(
-        segments[1], drain ? VmState::kInService : VmState::kCordoned,
-        drain ? VmState::kCordoned : VmState::kInService);
-  }
   co_return co_await ChangeConfig(request, segments, *author);
 }
 
@@ -128,9 +122,6 @@
   if (kind == "catalogue" && segments.size() == 1) {
     co_return GetDocument();
   }
-  if (kind == "vms" && segments.size() == 1) {
-    co_return GetVms();
-  }
   if (kind == "status" && segments.size() == 1) {
     co_return GetStatus();
   }
@@ -305,62 +296,6 @@
                                   std::move(extra));
 }
 
-asio::awaitable<HttpResponse> AdminApi::PutVm(const HttpRequest& request,
-                                              std::string name) {
-  absl::StatusOr<JsonObject> body = ParseJsonObject(request.body());
-  if (!body.ok()) {
-    co_return StatusResponse(body.status());
-  }
-  (*body)["name"] = name;
-  VmRow vm;
-  if (absl::Status status = FromJson(*body, vm); !status.ok()) {
-    co_return StatusResponse(status);
-  }
-  vm.m_since_ms = WallMilliseconds();
-  std::vector<RowWrite> rows;
-  rows.push_back({{std::string(kVmTable), name}, RowVersion(0), ToJson(vm)});
-  const WriteReport report =
-      co_await m_store.Write(std::move(rows), kWriteDeadline);
-  if (report.m_outcome == WriteOutcome::kCommitted) {
-    co_return JsonResponse(200, JsonObject{{"vm", name}});
-  }
-  co_return CodeResponse(report.m_outcome == WriteOutcome::kConflict
-                             ? Code::kVmWrongState
-                             : Code::kChangeUnconfirmed,
-                         "");
-}
-
-asio::awaitable<HttpResponse> AdminApi::SetVmState(std::string name,
-                                                   VmState from, VmState to) {
-  const RowKey key{std::string(kVmTable), name};
-  absl::StatusOr<Row> row = co_await m_store.Read(key, kWriteDeadline);
-  if (!row.ok()) {
-    co_return StatusResponse(row.status());
-  }
-  VmRow vm;
-  if (!row->m_value || !row->m_value->is_object() ||
-      !FromJson(row->m_value->as_object(), vm).ok()) {
-    co_return CodeResponse(Code::kVmUnknown, "");
-  }
-  if (vm.m_state != from) {
-    co_return CodeResponse(Code::kVmWrongState, "");
-  }
-  vm.m_state = to;
-  vm.m_since_ms = WallMilliseconds();
-  ++vm.m_epoch;
-  std::vector<RowWrite> rows;
-  rows.push_back({key, row->m_version, ToJson(vm)});
-  const WriteReport report =
-      co_await m_store.Write(std::move(rows), kWriteDeadline);
-  if (report.m_outcome == WriteOutcome::kCommitted) {
-    co_return JsonResponse(200, ToJson(vm));
-  }
-  co_return CodeResponse(report.m_outcome == WriteOutcome::kConflict
-                             ? Code::kVmWrongState
-                             : Code::kChangeUnconfirmed,
-                         "");
-}
-
 HttpResponse AdminApi::GetDocument() const {
   const std::shared_ptr<const Catalogue> catalogue = m_config.Current();
   if (catalogue == nullptr) {
@@ -371,14 +306,6 @@
   return JsonResponse(200, std::move(document));
 }
 
-HttpResponse AdminApi::GetVms() const {
-  JsonArray vms;
-  for (const auto& [name, row] : m_fleet.m_vms) {
-    vms.push_back(ToJson(row));
-  }
-  return JsonResponse(200, JsonObject{{"vms", std::move(vms)}});
-}
-
 HttpResponse AdminApi::GetExplanation(
     const std::vector<std::string>& segments) const {
   const Engine& engine = m_dispatcher.GetEngine();
--- a/filbertspar/entry/src/admin_api.h
+++ b/filbertspar/entry/src/admin_api.h
@@ -5,8 +5,9 @@
 #include <vector>
 
 #include "boost/asio/awaitable.hpp"
-#include "filbertspar/entry/src/config.h"
+#include "filbertspar/config/config.h"
 #include "filbertspar/entry/src/dispatcher.h"
+#include "filbertspar/entry/src/fleet_api.h"
 #include "filbertspar/entry/src/worker_directory.h"
 #include "filbertspar/http/http.h"
 
@@ -47,12 +48,7 @@
                                          std::string author);
   asio::awaitable<HttpResponse> AddOperator(const HttpRequest& request,
                                             std::string author);
-  asio::awaitable<HttpResponse> PutVm(const HttpRequest& request,
-                                      std::string name);
-  asio::awaitable<HttpResponse> SetVmState(std::string name, VmState from,
-                                           VmState to);
   HttpResponse GetDocument() const;
-  HttpResponse GetVms() const;
   HttpResponse GetStatus() const;
   HttpResponse GetExplanation(const std::vector<std::string>& segments) const;
 
@@ -60,6 +56,7 @@
   Store& m_store;
   const WorkerDirectory& m_fleet;
   Dispatcher& m_dispatcher;
+  FleetApi m_fleet_api;
   std::string m_bootstrap_hash;
 };
 
--- a/filbertspar/entry/src/caller_api.cc
+++ b/filbertspar/entry/src/caller_api.cc
@@ -153,9 +153,11 @@
   submission.m_request_key = std::move(job->m_request_key);
   submission.m_deadline = job->m_deadline;
   const TeamName owner = permit->m_team;
-  const Reply reply = co_await m_dispatcher.Submit(
-      std::move(submission),
-      [&](RequestId id) { Remember(owner, job->m_id, id); });
+  const std::function<void(RequestId)> admitted = [&](RequestId id) {
+    Remember(owner, job->m_id, id);
+  };
+  const Reply reply =
+      co_await m_dispatcher.Submit(std::move(submission), admitted);
   sample.m_code = reply.m_code;
   co_return JobResponse(reply.m_request, reply.m_code, reply.m_body);
 }
--- a/filbertspar/entry/src/caller_api.h
+++ b/filbertspar/entry/src/caller_api.h
@@ -4,7 +4,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "boost/asio/awaitable.hpp"
-#include "filbertspar/entry/src/config.h"
+#include "filbertspar/config/config.h"
 #include "filbertspar/entry/src/dispatcher.h"
 #include "filbertspar/http/http.h"
 #include "filbertspar/metrics/metrics.h"
--- a/filbertspar/entry/src/commit.h
+++ b/filbertspar/entry/src/commit.h
@@ -5,7 +5,7 @@
 
 #include "boost/asio/awaitable.hpp"
 #include "filbertspar/catalogue/catalogue.h"
-#include "filbertspar/entry/src/config.h"
+#include "filbertspar/config/config.h"
 #include "filbertspar/http/http.h"
 
 namespace filbertspar {
--- a/filbertspar/entry/src/metrics_api.h
+++ b/filbertspar/entry/src/metrics_api.h
@@ -3,7 +3,7 @@
 #include <string>
 
 #include "filbertspar/base/base.h"
-#include "filbertspar/entry/src/config.h"
+#include "filbertspar/config/config.h"
 #include "filbertspar/entry/src/dispatcher.h"
 #include "filbertspar/metrics/metrics.h"
 #include "filbertspar/store/store.h"
--- a/filbertspar/entry/src/process.cc
+++ b/filbertspar/entry/src/process.cc
@@ -8,11 +8,12 @@
 #include "boost/asio/co_spawn.hpp"
 #include "boost/asio/detached.hpp"
 #include "boost/asio/use_awaitable.hpp"
+#include "filbertspar/config/config.h"
 #include "filbertspar/entry/src/admin_api.h"
 #include "filbertspar/entry/src/caller_api.h"
 #include "filbertspar/entry/src/claims.h"
-#include "filbertspar/entry/src/config.h"
 #include "filbertspar/entry/src/dispatcher.h"
+#include "filbertspar/entry/src/grant_keeper.h"
 #include "filbertspar/entry/src/metrics_api.h"
 #include "filbertspar/entry/src/worker_directory.h"
 #include "filbertspar/http/http.h"
@@ -66,6 +67,7 @@
         m_claims(context, m_store, m_node),
         m_engine(MakeEngine(EngineOptionsOf(options, incarnation))),
         m_dispatcher(context, m_client, m_claims, m_fleet, m_engine),
+        m_grant_keeper(context, m_store, m_dispatcher, m_node, incarnation),
         m_caller_api(m_config, m_dispatcher, m_metrics),
         m_admin_api(m_config, m_store, m_fleet, m_dispatcher,
                     options.m_bootstrap_operator_hash),
@@ -99,6 +101,7 @@
   Claims m_claims;
   Engine m_engine;
   Dispatcher m_dispatcher;
+  GrantKeeper m_grant_keeper;
   RequestMetrics m_metrics;
   CallerApi m_caller_api;
   AdminApi m_admin_api;
@@ -116,6 +119,9 @@
   FS_RETURN_IF_ERROR(m_admin_server.Listen(m_options.m_admin_listen));
   m_config.Start();
   m_dispatcher.Start();
+  m_dispatcher.OnWantGrant(
+      [this](const WantGrant& want) { m_grant_keeper.Want(want); });
+  m_grant_keeper.Start();
   asio::co_spawn(m_context, PollFleet(), asio::detached);
   LoggerFor("entry")->info("{} serves callers on {}", m_node.Value(),
                            m_options.m_caller_listen.Text());
@@ -176,6 +182,7 @@
   m_dispatcher.Update([](Engine& engine, TimePoint now, Effects& effects) {
     filbertspar::BeginStop(engine, now, effects);
   });
+  m_grant_keeper.BeginStop();
   while ((!IsIdle(m_engine) || m_claims.Open() > 0) && SteadyNow() < bound) {
     co_await Pause(kStopPoll);
   }
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -18,7 +18,7 @@
 HANG_GUARD_S = 30
 
 
-def call(address, method, path, body=None, headers=None, timeout=10):
+def call(address, method, path, body=None, headers=None, timeout=30):
     """Sends one HTTP request; returns (status, parsed JSON or text)."""
     connection = http.client.HTTPConnection(address, timeout=timeout)
     try:
@@ -130,6 +130,11 @@
                 hashlib.sha256(self.operator_key.encode()).hexdigest(),
         }})
 
+    def start_planner(self, name):
+        self.spawn(name.replace("entry", "planner"), "programs/filbertspar-planner", {
+            "planner": {"name": name, "platform": self.platform, "round_ms": 300,
+                        "maintain_cycle": "false"}})
+
     def start_worker(self, name):
         vm = self.vms[name]
         self.spawn(name, "standins/upstream-standin", {"upstream": {
@@ -153,6 +158,7 @@
             call(self.platform, "POST", "/vms", {
                 "id": name, "address": entry["peer"], "zone": entry["zone"], "state": "live"})
             self.start_entry(name)
+            self.start_planner(name)
         for entry in self.entries.values():
             wait_for(lambda e=entry: call(e["caller"], "GET", "/healthz")[0] == 200, "entry")
         for vm in self.vms.values():
@@ -175,6 +181,9 @@
             "name": "demo", "role": "admin",
             "hash": hashlib.sha256(self.operator_key.encode()).hexdigest()}]
         self.admin_ok("PUT", "catalogue", document)
+        pools = {"pool:" + pool["name"] for pool in document["pools"]}
+        wait_for(lambda: pools <= {b["kind"] + ":" + b["name"] for b in
+                                   self.admin_ok("GET", "budgets")["budgets"]}, "budgets")
         for name, vm in self.vms.items():
             self.admin_ok("PUT", "vms/" + name, vm)
         for team in document["teams"]:
@@ -184,6 +193,14 @@
         self._write_ini("keys", {"keys": self.keys})
         version = answer["version"]
         self.wait_version(version)
+        self.wait_in_service()
+
+    def vm_states(self, entry="entry-1"):
+        return {vm["name"]: vm["state"] for vm in self.admin_ok("GET", "vms", entry=entry)["vms"]}
+
+    def wait_in_service(self):
+        """Waits until the planner has verified every registered VM."""
+        wait_for(lambda: set(self.vm_states().values()) == {"in_service"}, "VMs in service")
 
     def wait_version(self, version):
         """Waits until every running entry has at least the version in force."""
@@ -191,8 +208,6 @@
             if self.processes[name].poll() is None:
                 wait_for(lambda n=name: self.admin("GET", "status", entry=n)[1].get(
                     "config_version", 0) >= version, "version %d at %s" % (version, name))
-                wait_for(lambda n=name: len(self.admin("GET", "vms", entry=n)[1]["vms"])
-                         == len(self.vms), "VMs at " + name)
 
     def load_settings(self, name, duration_ms, extra=None):
         """Writes a scenario of the profile's streams; returns its path."""
@@ -236,8 +251,8 @@
     def stop(self):
         """Stops every process of this cluster; returns exit codes by name."""
         codes = {}
-        entries = [n for n in self.processes if n.startswith("entry")]
-        others = [n for n in self.processes if not n.startswith("entry")]
+        entries = [n for n in self.processes if n.startswith(("entry", "planner"))]
+        others = [n for n in self.processes if n not in entries]
         # Entries stop first: they still need workers and platform to finish.
         for group in (entries, others):
             for name in group:
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -128,9 +128,11 @@
     revoked = {"team": team, "time_us": int(time.time() * 1e6)}
     print("revoked the key of %s in version %d" % (team, answer["version"]))
     drained = next(iter(cluster.vms))
-    cluster.admin_ok("POST", "drains/" + drained, {}, entry="entry-3")
+    cluster.admin_ok("POST", "drains/" + drained, {"purpose": "hold"}, entry="entry-3")
+    maintained = list(cluster.vms)[-1]
+    cluster.admin_ok("POST", "drains/" + maintained, {}, entry="entry-1")
     drain_us = int(time.time() * 1e6)
-    print("drained " + drained)
+    print("drained %s for good and %s for maintenance" % (drained, maintained))
     output, _ = load.communicate()
     summary = json.loads(output.strip().splitlines()[-1])
     history = read_history(os.path.join(cluster.folder, "load.jsonl"))
--- a/standins/upstream/main.cc
+++ b/standins/upstream/main.cc
@@ -281,6 +281,7 @@
 
 HttpResponse Agent::Reboot() {
   m_cut_off += m_worker.StopAll(SteadyNow());
+  m_worker.m_cordoned = false;
   ++m_incarnation;
   m_booted = SteadyNow() + m_options.m_boot_time;
   return JsonResponse(200, JsonObject{{"incarnation", m_incarnation}});
@@ -300,12 +301,20 @@
 }
 
 HttpResponse Agent::Health() const {
+  JsonArray tasks;
+  for (const auto& [attempt, task] : m_worker.Tasks()) {
+    tasks.push_back(JsonObject{
+        {"attempt", attempt},
+        {"job", task->m_job},
+        {"running_ms", ToMilliseconds(SteadyNow() - task->m_started)}});
+  }
   return JsonResponse(200,
                       JsonObject{{"healthy", true},
                                  {"cordoned", m_worker.m_cordoned},
                                  {"incarnation", m_incarnation},
                                  {"running", m_worker.Running()},
-                                 {"free_slots", m_worker.FreeSlots().Count()}});
+                                 {"free_slots", m_worker.FreeSlots().Count()},
+                                 {"tasks", std::move(tasks)}});
 }
 
 /// Run times of tasks that ended at least one lag ago.
--- a/standins/upstream/worker.h
+++ b/standins/upstream/worker.h
@@ -75,6 +75,9 @@
 
   std::shared_ptr<Task> Find(const std::string& attempt) const;
   std::size_t Running() const { return m_running.size(); }
+  const std::map<std::string, std::shared_ptr<Task>>& Tasks() const {
+    return m_running;
+  }
   Slots FreeSlots() const { return m_free.m_slots; }
 
   bool m_cordoned = false;
