--- a/tests/share_order_test.cc
+++ b/tests/share_order_test.cc
@@ -54,6 +54,9 @@
   std::map<std::pair<std::size_t, std::size_t>, double> m_settled;
   TimePoint m_now{};
   TimePoint m_settled_at{};
+  bool m_capacity_changed = false;
+  // The lag over the fleet holds from one settlement to the next.
+  std::vector<double> m_fleet_lag;
 
   Resources Sum(const std::vector<Piece>& pieces, std::size_t pool,
                 std::size_t team) const {
@@ -125,7 +128,12 @@
         m_due[{p, t}] = due[t];
       }
     }
+    m_fleet_lag.clear();
+    for (std::size_t t = 0; t < m_blocked.size(); ++t) {
+      m_fleet_lag.push_back(FleetLag(t));
+    }
     m_settled_at = m_now;
+    m_capacity_changed = false;
   }
 
   double Advance(std::size_t pool, std::size_t team) const {
@@ -163,7 +171,7 @@
     if (!waits || m_blocked[team] || value(m_skipped) != 0) {
       return std::numeric_limits<double>::infinity();
     }
-    return (value(m_lag) + FleetLag(team) + Received(pool, team) -
+    return (value(m_lag) + m_fleet_lag[team] + Received(pool, team) -
             value(m_due) - Advance(pool, team)) /
            m_config.m_teams[team].m_weight;
   }
@@ -223,12 +231,14 @@
   NaiveShare& naive = pair.m_naive;
   const std::size_t p = rng.Below(naive.m_capacity.size());
   const std::size_t t = rng.Below(naive.m_blocked.size());
-  switch (rng.Below(10)) {
+  switch (rng.Below(11)) {
     case 0:
-      now += Milliseconds(static_cast<std::int64_t>(rng.Below(3000)));
+      now += Milliseconds(rng.Chance(0.5)
+                              ? static_cast<std::int64_t>(rng.Below(100))
+                              : static_cast<std::int64_t>(rng.Below(3000)));
       naive.Advance(now);
-      if (naive.m_now - naive.m_settled_at >=
-          share.m_settings.m_settle_interval) {
+      if (naive.m_capacity_changed || naive.m_now - naive.m_settled_at >=
+                                          share.m_settings.m_settle_interval) {
         naive.Settle();
       }
       Settle(share, now);
@@ -276,6 +286,12 @@
         }
       }
       break;
+    case 9:
+      naive.m_capacity[p] = Size(5 + static_cast<int>(rng.Below(30)), 1000,
+                                 static_cast<int>(rng.Below(5)));
+      naive.m_capacity_changed = true;
+      SetCapacity(share, now, PoolIndex(p), naive.m_capacity[p]);
+      break;
     default:
       if (!naive.m_running.empty()) {
         const std::size_t i = rng.Below(naive.m_running.size());
@@ -391,6 +407,100 @@
   CHECK(received() == Approx(0.0));
 }
 
+// Guards against processes that each correct a shortage over all of them.
+TEST_CASE("a process keeps its part of the due share, divided by demand") {
+  Share share;
+  ShareConfig config;
+  config.m_teams = {{.m_name = TeamName("both")}, {.m_name = TeamName("here")}};
+  config.m_pools = {PoolName("pool")};
+  Configure(share, TimePoint(), config);
+  const PoolIndex pool(0);
+  SetCapacity(share, TimePoint(), pool, Size(10, 0, 0));
+  for (std::size_t team = 0; team < 2; ++team) {
+    for (int i = 0; i < 20; ++i) {
+      AddWaiting(share, pool, TeamIndex(team), Size(1, 0, 0));
+    }
+    for (int i = 0; i < 3; ++i) {
+      TaskStarted(share, TimePoint(), pool, TeamIndex(team), Size(1, 0, 0));
+    }
+  }
+  SetPeerUse(share, TimePoint(), NodeName("vm-2#1"),
+             std::vector<PeerCell>{{pool, TeamIndex(0), 0, 23}});
+  Settle(share, TimePoint());
+  CHECK(NextTeam(share, pool) == TeamIndex(1));
+  for (int i = 0; i < 3; ++i) {
+    TaskStarted(share, TimePoint(), pool, TeamIndex(1), Size(1, 0, 0));
+  }
+  CHECK(NextTeam(share, pool) == TeamIndex(0));
+}
+
+// Guards against estimates from a share that the team or this process will
+// not get.
+TEST_CASE("the expected share is the due share with more demand") {
+  Share share;
+  ShareConfig config = Config(2, 1);  // weights 1 and 2
+  config.m_teams.push_back({.m_name = TeamName("idle"), .m_weight = 1.0});
+  Configure(share, TimePoint(), config);
+  const PoolIndex pool(0);
+  const auto expected = [&](std::size_t team) {
+    return ExpectedShare(share, pool, TeamIndex(team));
+  };
+  CHECK(expected(0) == 0.0);
+  SetCapacity(share, TimePoint(), pool, Size(12, 0, 0));
+  Settle(share, TimePoint());
+  CHECK(expected(0) == Approx(1.0));
+  for (int i = 0; i < 100; ++i) {
+    AddWaiting(share, pool, TeamIndex(1), Size(1, 0, 0));
+  }
+  for (int i = 0; i < 3; ++i) {
+    AddWaiting(share, pool, TeamIndex(0), Size(1, 0, 0));
+  }
+  TimePoint now = TimePoint() + Milliseconds(100);
+  Settle(share, now);
+  // Team 0 demands 3 of 12, so team 1 may fill the rest: level 0.375 a weight.
+  CHECK(expected(1) == Approx(0.75));
+  CHECK(expected(0) == Approx(0.375));
+  CHECK(expected(2) == Approx(0.375));
+  SetPeerUse(share, now, NodeName("vm-2#1"),
+             std::vector<PeerCell>{{pool, TeamIndex(1), 0, 101}});
+  now += Milliseconds(100);
+  Settle(share, now);
+  CHECK(expected(1) == Approx(0.375));
+}
+
+// Guards against urgent work that waits for its team's turn, and against an
+// advance that grows without a bound.
+TEST_CASE("urgent work runs ahead of the due share by a bound") {
+  Share share;
+  ShareConfig config = Config(1, 1);
+  config.m_teams.push_back({.m_name = TeamName("urgent")});
+  Configure(share, TimePoint(), config);
+  const PoolIndex pool(0);
+  SetCapacity(share, TimePoint(), pool, Size(10, 0, 0));
+  for (int i = 0; i < 100; ++i) {
+    AddWaiting(share, pool, TeamIndex(0), Size(1, 0, 0));
+    AddWaiting(share, pool, TeamIndex(1), Size(1, 0, 0), WorkClass::kUrgent);
+  }
+  for (int i = 0; i < 5; ++i) {
+    TaskStarted(share, TimePoint(), pool, TeamIndex(0), Size(1, 0, 0));
+  }
+  for (int i = 0; i < 6; ++i) {
+    TaskStarted(share, TimePoint(), pool, TeamIndex(1), Size(1, 0, 0));
+  }
+  Settle(share, TimePoint());
+  CHECK(NextTeam(share, pool) == TeamIndex(1));
+  // Both hold what they hold; the lag of 0.1 a second and the lookahead use up
+  // the bound of 5 s of the due share 0.5.
+  TimePoint now{};
+  while (NextTeam(share, pool) == TeamIndex(1) &&
+         now < TimePoint(Seconds(60))) {
+    now += Milliseconds(100);
+    Settle(share, now);
+  }
+  CHECK(now > TimePoint(Seconds(8)));
+  CHECK(now < TimePoint(Seconds(20)));
+}
+
 // Guards against counts that move to another team when the configuration
 // changes while work runs.
 TEST_CASE("indices stay with their names while work is there") {
