--- a/tests/world/scenario.cc
+++ b/tests/world/scenario.cc
@@ -64,6 +64,17 @@
 }
 
 std::unique_ptr<World> MixedWorld(const WorldOptions& options) {
+  return MixedWorld(options, [&](std::uint32_t node) {
+    EngineOptions engine;
+    engine.m_node = node;
+    engine.m_zone = ZoneName(node == 1 ? "a" : "b");
+    engine.m_seed = options.m_seed + node;
+    return std::make_unique<RealEngine>(engine);
+  });
+}
+
+std::unique_ptr<World> MixedWorld(const WorldOptions& options,
+                                  const EngineFactory& factory) {
   auto catalogue = std::make_shared<Catalogue>();
   catalogue->m_pools.push_back({.m_name = PoolName("quotes")});
   catalogue->m_pools.push_back({.m_name = PoolName("ledgers")});
@@ -87,11 +98,7 @@
   }
   std::vector<std::unique_ptr<EngineApi>> engines;
   for (std::uint32_t node = 1; node <= 2; ++node) {
-    EngineOptions engine;
-    engine.m_node = node;
-    engine.m_zone = ZoneName(node == 1 ? "a" : "b");
-    engine.m_seed = options.m_seed + node;
-    engines.push_back(std::make_unique<RealEngine>(engine));
+    engines.push_back(factory(node));
   }
   return std::make_unique<World>(options, catalogue, workers,
                                  std::move(engines));
--- a/tests/world/scenario.h
+++ b/tests/world/scenario.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 
 #include "tests/world/world.h"
@@ -13,6 +14,11 @@
 /// of every kind.
 std::unique_ptr<World> MixedWorld(const WorldOptions& options);
 
+using EngineFactory =
+    std::function<std::unique_ptr<EngineApi>(std::uint32_t node)>;
+std::unique_ptr<World> MixedWorld(const WorldOptions& options,
+                                  const EngineFactory& factory);
+
 /// \brief One node, one pool of `workers` equal workers, one team that may use
 /// all of them, one repeatable entry.
 std::unique_ptr<World> PoolWorld(const WorldOptions& options, int workers,
