--- a/filbertspar/entry/src/admin_api.h
+++ b/filbertspar/entry/src/admin_api.h
@@ -1,12 +1,13 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <vector>
 
 #include "boost/asio/awaitable.hpp"
 #include "filbertspar/entry/src/config.h"
 #include "filbertspar/entry/src/dispatcher.h"
-#include "filbertspar/entry/src/fleet_view.h"
+#include "filbertspar/entry/src/worker_directory.h"
 #include "filbertspar/http/http.h"
 
 namespace filbertspar {
@@ -16,7 +17,7 @@
  public:
   /// `bootstrap_hash` is the hash of the operator key that may write the first
   /// configuration; it opens nothing once a configuration is in force.
-  AdminApi(Config& config, Store& store, const FleetView& fleet,
+  AdminApi(Config& config, Store& store, const WorkerDirectory& fleet,
            Dispatcher& dispatcher, std::string bootstrap_hash);
   AdminApi(const AdminApi&) = delete;
   AdminApi& operator=(const AdminApi&) = delete;
@@ -24,26 +25,48 @@
   asio::awaitable<HttpResponse> Handle(const HttpRequest& request);
 
  private:
-  absl::Status Check(const HttpRequest& request, Role needed) const;
-  asio::awaitable<HttpResponse> PutDocument(const HttpRequest& request);
-  asio::awaitable<HttpResponse> GetVersion(std::string_view version);
+  using Change = std::function<absl::Status(Catalogue&)>;
+
+  /// Name of the operator whose key came with the request.
+  absl::StatusOr<std::string> Check(const HttpRequest& request,
+                                    Role needed) const;
+  asio::awaitable<HttpResponse> Read(const HttpRequest& request,
+                                     const std::vector<std::string>& segments);
+  asio::awaitable<HttpResponse> ChangeConfig(
+      const HttpRequest& request, const std::vector<std::string>& segments,
+      std::string author);
+  asio::awaitable<absl::StatusOr<ConfigVersion>> Commit(
+      const HttpRequest& request, std::string author, Change change);
+  /// Commits a change, or shows what it would do, and answers with the fields
+  /// of `extra` and the new version.
+  asio::awaitable<HttpResponse> Answer(const HttpRequest& request,
+                                       std::string author, Change change,
+                                       JsonObject extra);
+  asio::awaitable<HttpResponse> PutDocument(const HttpRequest& request,
+                                            std::string author);
+  asio::awaitable<HttpResponse> RestoreVersion(const HttpRequest& request,
+                                               std::string author);
+  asio::awaitable<HttpResponse> GetVersion(std::string text);
+  HttpResponse GetVersions() const;
+  asio::awaitable<HttpResponse> GetComparison(const HttpRequest& request);
   asio::awaitable<HttpResponse> EditItem(const HttpRequest& request,
-                                         std::string kind, std::string name);
-  asio::awaitable<HttpResponse> GrantKey(const HttpRequest& request);
-  asio::awaitable<HttpResponse> AddOperator(const HttpRequest& request);
+                                         std::string kind, std::string name,
+                                         std::string author);
+  asio::awaitable<HttpResponse> GrantKey(const HttpRequest& request,
+                                         std::string author);
+  asio::awaitable<HttpResponse> AddOperator(const HttpRequest& request,
+                                            std::string author);
   asio::awaitable<HttpResponse> PutVm(const HttpRequest& request,
                                       std::string name);
-  asio::awaitable<HttpResponse> SetVmState(const HttpRequest& request,
-                                           std::string name, VmState from,
+  asio::awaitable<HttpResponse> SetVmState(std::string name, VmState from,
                                            VmState to);
   HttpResponse GetDocument() const;
   HttpResponse GetVms() const;
   HttpResponse GetStatus() const;
-  HttpResponse GetExplanation(const std::vector<std::string>& segments) const;
 
   Config& m_config;
   Store& m_store;
-  const FleetView& m_fleet;
+  const WorkerDirectory& m_fleet;
   Dispatcher& m_dispatcher;
   std::string m_bootstrap_hash;
 };
--- a/filbertspar/entry/src/commit.cc
+++ b/filbertspar/entry/src/dry_run.cc
@@ -1,60 +1,16 @@
-#include "filbertspar/entry/src/commit.h"
+#include "filbertspar/entry/src/dry_run.h"
 
 #include <algorithm>
 #include <memory>
-#include <optional>
 #include <string>
 #include <utility>
 
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "filbertspar/rollout/rollout.h"
 
 namespace filbertspar {
 namespace {
 
-/// The version that a change was made against, from the query "base".
-absl::StatusOr<std::optional<ConfigVersion>> BaseOf(
-    const HttpRequest& request) {
-  const std::string text(QueryOf(request, "base"));
-  if (text.empty()) {
-    return std::nullopt;
-  }
-  std::uint64_t number = 0;
-  if (!absl::SimpleAtoi(text, &number)) {
-    return Error(Code::kBadField, "base: expected a version number");
-  }
-  return ConfigVersion(number);
-}
-
-HttpResponse DryRun(const Config& config, std::optional<ConfigVersion> base,
-                    const Config::Change& change) {
-  const ConfigVersion version = config.Version();
-  if (base && *base != version) {
-    return CodeResponse(Code::kConfigConflict,
-                        absl::StrCat("version ", version.Value(),
-                                     " is in force, not ", base->Value()));
-  }
-  const std::shared_ptr<const Catalogue> current = config.Current();
-  const Catalogue before = current == nullptr ? Catalogue() : *current;
-  Catalogue after = before;
-  absl::Status status = change(after);
-  if (status.ok()) {
-    after.m_version = ConfigVersion(version.Value() + 1);
-    status = Validate(after);
-  }
-  if (!status.ok()) {
-    return StatusResponse(status);
-  }
-  JsonArray changes;
-  for (const std::string& line : DiffCatalogues(before, after)) {
-    changes.push_back(Json(line));
-  }
-  return JsonResponse(200, JsonObject{{"dry_run", true},
-                                      {"base", version.Value()},
-                                      {"changes", std::move(changes)}});
-}
-
 std::string TextField(const JsonObject& object, const char* field) {
   const Json* value = object.if_contains(field);
   if (value == nullptr || !value->is_string()) {
@@ -86,24 +42,36 @@
 
 }  // namespace
 
-asio::awaitable<HttpResponse> CommitChange(Config& config,
-                                           const HttpRequest& request,
-                                           Config::Change change,
-                                           JsonObject extra) {
-  absl::StatusOr<std::optional<ConfigVersion>> base = BaseOf(request);
-  if (!base.ok()) {
-    co_return StatusResponse(base.status());
+bool IsDryRun(const HttpRequest& request) {
+  return QueryOf(request, "dry_run") == "1";
+}
+
+HttpResponse DryRun(const Config& config, ConfigVersion base,
+                    const std::function<absl::Status(Catalogue&)>& change) {
+  const ConfigVersion version = config.Version();
+  if (base != version) {
+    return CodeResponse(Code::kConfigConflict,
+                        absl::StrCat("version ", version.Value(),
+                                     " is in force, not ", base.Value()));
+  }
+  const std::shared_ptr<const Catalogue> current = config.Current();
+  const Catalogue before = current == nullptr ? Catalogue() : *current;
+  Catalogue after = before;
+  absl::Status status = change(after);
+  if (status.ok()) {
+    after.m_version = ConfigVersion(version.Value() + 1);
+    status = Validate(after);
   }
-  if (!QueryOf(request, "dry_run").empty()) {
-    co_return DryRun(config, *base, change);
+  if (!status.ok()) {
+    return StatusResponse(status);
   }
-  absl::StatusOr<ConfigVersion> version =
-      co_await config.Commit(*base, std::move(change));
-  if (!version.ok()) {
-    co_return StatusResponse(version.status());
+  JsonArray changes;
+  for (const std::string& line : DiffCatalogues(before, after)) {
+    changes.push_back(Json(line));
   }
-  extra["version"] = version->Value();
-  co_return JsonResponse(200, std::move(extra));
+  return JsonResponse(200, JsonObject{{"dry_run", true},
+                                      {"base", version.Value()},
+                                      {"changes", std::move(changes)}});
 }
 
 absl::Status FillHashes(const Catalogue& current, JsonObject& document) {
--- a/filbertspar/entry/src/explain_api.cc
+++ b/filbertspar/entry/src/explain_api.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
 namespace filbertspar {
@@ -322,4 +323,26 @@
                                       {"fleet", std::move(fleet)}});
 }
 
+HttpResponse ExplainCall(const std::vector<std::string>& segments,
+                         const Engine& engine,
+                         const std::map<VmName, VmRow>& vms,
+                         std::int64_t now_ms) {
+  const TimePoint now = SteadyNow();
+  const std::string kind = segments.size() > 1 ? segments[1] : "";
+  if (kind == "shares" && segments.size() == 2) {
+    return ExplainShares(engine, now);
+  }
+  if (kind == "vm" && segments.size() == 3) {
+    const auto found = vms.find(VmName(segments[2]));
+    return ExplainVm(engine, now, found == vms.end() ? nullptr : &found->second,
+                     now_ms);
+  }
+  std::uint64_t number = 0;
+  if (kind == "job" && segments.size() == 3 &&
+      absl::SimpleAtoi(segments[2], &number)) {
+    return ExplainJob(engine, now, RequestId(number));
+  }
+  return CodeResponse(Code::kUnknownPath, "");
+}
+
 }  // namespace filbertspar
--- a/filbertspar/entry/src/explain_api.h
+++ b/filbertspar/entry/src/explain_api.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
 
 #include "filbertspar/base/base.h"
 #include "filbertspar/fleet/fleet.h"
@@ -23,4 +26,11 @@
 /// over the fleet, each with a reason.
 HttpResponse ExplainShares(const Engine& engine, TimePoint now);
 
+/// \brief Answers the path "explain/job/ID", "explain/vm/NAME" or
+/// "explain/shares", given as its segments.
+HttpResponse ExplainCall(const std::vector<std::string>& segments,
+                         const Engine& engine,
+                         const std::map<VmName, VmRow>& vms,
+                         std::int64_t now_ms);
+
 }  // namespace filbertspar
--- a/filbertspar/entry/src/metrics_api.cc
+++ b/filbertspar/entry/src/metrics_api.cc
@@ -63,7 +63,7 @@
   AppendGauge(text, "filbertspar_config_version",
               "Configuration version in force, 0 before the first.",
               static_cast<double>(config.Version().Value()));
-  const std::optional<TimePoint> confirmed = config.Confirmed();
+  const std::optional<TimePoint> confirmed = config.GetRollout().m_confirmed;
   if (confirmed) {
     AppendGauge(text, "filbertspar_config_age_seconds",
                 "Time since the version in force was confirmed as the newest.",
--- a/filbertspar/entry/src/process.cc
+++ b/filbertspar/entry/src/process.cc
@@ -13,8 +13,8 @@
 #include "filbertspar/entry/src/claims.h"
 #include "filbertspar/entry/src/config.h"
 #include "filbertspar/entry/src/dispatcher.h"
-#include "filbertspar/entry/src/fleet_view.h"
 #include "filbertspar/entry/src/metrics_api.h"
+#include "filbertspar/entry/src/worker_directory.h"
 #include "filbertspar/http/http.h"
 #include "filbertspar/program/program.h"
 #include "filbertspar/store/store.h"
@@ -62,7 +62,7 @@
         m_node(absl::StrCat(options.m_name.Value(), "#", incarnation)),
         m_client(context, {}),
         m_store(context, m_client, options.m_platform, m_node, incarnation),
-        m_config(context, m_store, options.m_poll_period),
+        m_config(context, m_store, m_node),
         m_claims(context, m_store, m_node),
         m_engine(MakeEngine(EngineOptionsOf(options, incarnation))),
         m_dispatcher(context, m_client, m_claims, m_fleet, m_engine),
@@ -95,7 +95,7 @@
   HttpClient m_client;
   Store m_store;
   Config m_config;
-  FleetView m_fleet;
+  WorkerDirectory m_fleet;
   Claims m_claims;
   Engine m_engine;
   Dispatcher m_dispatcher;
--- a/filbertspar/entry/src/fleet_view.cc
+++ b/filbertspar/entry/src/worker_directory.cc
@@ -1,11 +1,11 @@
-#include "filbertspar/entry/src/fleet_view.h"
+#include "filbertspar/entry/src/worker_directory.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace filbertspar {
 
-bool ApplyChanges(FleetView& view, const ChangeList& changes) {
+bool ApplyChanges(WorkerDirectory& view, const ChangeList& changes) {
   for (const Row& row : changes.m_rows) {
     const VmName name(row.m_row.m_key);
     VmRow vm;
@@ -23,7 +23,8 @@
   return !changes.m_rows.empty();
 }
 
-std::optional<Endpoint> AddressOf(const FleetView& view, const VmName& name) {
+std::optional<Endpoint> AddressOf(const WorkerDirectory& view,
+                                  const VmName& name) {
   const auto found = view.m_vms.find(name);
   if (found == view.m_vms.end()) {
     return std::nullopt;
@@ -31,7 +32,7 @@
   return ParseEndpoint(found->second.m_address);
 }
 
-std::vector<WorkerInfo> WorkersOf(const FleetView& view) {
+std::vector<WorkerInfo> WorkersOf(const WorkerDirectory& view) {
   std::vector<WorkerInfo> workers;
   workers.reserve(view.m_vms.size());
   for (const auto& [name, row] : view.m_vms) {
--- a/programs/ctl/config.cc
+++ b/programs/ctl/config.cc
@@ -6,8 +6,6 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "boost/json/serialize.hpp"
-#include "filbertspar/catalogue/catalogue.h"
-#include "filbertspar/rollout/rollout.h"
 #include "programs/ctl/commands.h"
 #include "programs/ctl/table.h"
 
@@ -28,34 +26,45 @@
   return version;
 }
 
-/// The document of a version, or the one in force for 0.
+/// The document of a version, or the one in force for 0. That of a version has
+/// no keys and operators.
 absl::StatusOr<JsonObject> ReadVersion(Session& session, std::int64_t version) {
-  return session.m_client.Get(
-      version == 0 ? "catalogue" : absl::StrCat("config/versions/", version));
+  if (version == 0) {
+    return session.m_client.Get("catalogue");
+  }
+  absl::StatusOr<JsonObject> record =
+      session.m_client.Get(absl::StrCat("config/versions/", version));
+  if (!record.ok()) {
+    return record.status();
+  }
+  const Json* document = record->if_contains("document");
+  if (document == nullptr || !document->is_object()) {
+    return Error(Code::kPlatformBadAnswer, "the answer has no document");
+  }
+  return document->as_object();
 }
 
-absl::StatusOr<Catalogue> Decode(JsonObject document) {
-  for (const char* list : {"keys", "operators"}) {
-    if (Json* items = document.if_contains(list)) {
-      for (Json& item : items->as_array()) {
-        // Reads give no hashes.
-        item.as_object().emplace("hash", "");
-      }
-    }
+absl::StatusOr<std::int64_t> NewestVersion(Session& session) {
+  absl::StatusOr<JsonObject> versions = session.m_client.Get("config/versions");
+  if (!versions.ok()) {
+    return versions.status();
   }
-  Catalogue catalogue;
-  FS_RETURN_IF_ERROR(FromJson(document, catalogue));
-  return catalogue;
+  return NumberField(*versions, "in_force");
 }
 
-absl::StatusOr<std::vector<std::string>> Compare(const JsonObject& from,
-                                                 const JsonObject& to) {
-  absl::StatusOr<Catalogue> a = Decode(from);
-  absl::StatusOr<Catalogue> b = Decode(to);
-  if (!a.ok() || !b.ok()) {
-    return a.ok() ? b.status() : a.status();
-  }
-  return DiffCatalogues(*a, *b);
+/// Differences from one version to another, one line each.
+absl::StatusOr<JsonArray> Compare(Session& session, std::int64_t from,
+                                  std::int64_t to) {
+  absl::StatusOr<JsonObject> answer = session.m_client.Get(
+      absl::StrCat("config/compare?from=", from, "&to=", to));
+  if (!answer.ok()) {
+    return answer.status();
+  }
+  const Json* lines = answer->if_contains("differences");
+  if (lines == nullptr || !lines->is_array()) {
+    return Error(Code::kPlatformBadAnswer, "the answer has no differences");
+  }
+  return lines->as_array();
 }
 
 /// JSON text with one list item per line, so that line-based tools compare it.
@@ -81,43 +90,31 @@
 }
 
 absl::Status ListVersions(Session& session) {
-  absl::StatusOr<JsonObject> current = ReadVersion(session, 0);
-  if (!current.ok()) {
-    return current.status();
+  absl::StatusOr<std::int64_t> newest = NewestVersion(session);
+  if (!newest.ok()) {
+    return newest.status();
   }
-  const std::int64_t newest = NumberField(*current, "version");
   JsonArray versions;
-  JsonObject document = *std::move(current);
-  for (std::int64_t version = newest;
-       version > std::max<std::int64_t>(0, newest - kListed); --version) {
-    JsonArray changes;
-    JsonObject before;
+  for (std::int64_t version = *newest;
+       version > std::max<std::int64_t>(0, *newest - kListed); --version) {
+    absl::StatusOr<JsonObject> record =
+        session.m_client.Get(absl::StrCat("config/versions/", version));
+    absl::StatusOr<JsonArray> changes = JsonArray{"first version"};
     if (version > 1) {
-      absl::StatusOr<JsonObject> read = ReadVersion(session, version - 1);
-      if (!read.ok()) {
-        return read.status();
-      }
-      before = *std::move(read);
-      absl::StatusOr<std::vector<std::string>> lines =
-          Compare(before, document);
-      if (!lines.ok()) {
-        return lines.status();
-      }
-      for (const std::string& line : *lines) {
-        changes.push_back(Json(line));
-      }
-    } else {
-      changes.push_back("first version");
+      changes = Compare(session, version - 1, version);
     }
-    versions.push_back(
-        JsonObject{{"version", version}, {"changes", std::move(changes)}});
-    document = std::move(before);
+    if (!record.ok() || !changes.ok()) {
+      return record.ok() ? changes.status() : record.status();
+    }
+    versions.push_back(JsonObject{{"version", version},
+                                  {"author", TextField(*record, "author")},
+                                  {"changes", *std::move(changes)}});
   }
   if (session.m_options.m_json) {
     std::printf("%s\n", ToText(JsonObject{{"versions", versions}}).c_str());
     return absl::OkStatus();
   }
-  Table table{{"version", "changes"}, {}};
+  Table table{{"version", "author", "changes"}, {}};
   for (const Json& item : versions) {
     const JsonArray& changes = item.at("changes").as_array();
     std::string text;
@@ -127,8 +124,29 @@
     if (changes.size() > kShownChanges) {
       absl::StrAppend(&text, "; and ", changes.size() - kShownChanges, " more");
     }
-    table.m_rows.push_back(
-        {Readable(item.at("version")), text.empty() ? "only hashes" : text});
+    table.m_rows.push_back({Readable(item.at("version")),
+                            Readable(item.at("author")),
+                            text.empty() ? "none" : text});
+  }
+  Print(table);
+  return absl::OkStatus();
+}
+
+absl::Status ListNodes(Session& session) {
+  absl::StatusOr<JsonObject> versions = session.m_client.Get("config/versions");
+  if (!versions.ok()) {
+    return versions.status();
+  }
+  if (session.m_options.m_json) {
+    std::printf("%s\n", ToText(*versions).c_str());
+    return absl::OkStatus();
+  }
+  Table table{{"entry process", "version"}, {}};
+  if (const Json* nodes = versions->if_contains("nodes")) {
+    for (const auto& pair : nodes->as_object()) {
+      table.m_rows.push_back({std::string(pair.key().data(), pair.key().size()),
+                              Readable(pair.value())});
+    }
   }
   Print(table);
   return absl::OkStatus();
@@ -154,28 +172,26 @@
 
 absl::Status PrintCompare(Session& session, std::int64_t from,
                           std::int64_t to) {
-  absl::StatusOr<JsonObject> a = ReadVersion(session, from);
-  absl::StatusOr<JsonObject> b = ReadVersion(session, to);
-  if (!a.ok() || !b.ok()) {
-    return a.ok() ? b.status() : a.status();
+  if (to == 0) {
+    absl::StatusOr<std::int64_t> newest = NewestVersion(session);
+    if (!newest.ok()) {
+      return newest.status();
+    }
+    to = *newest;
   }
-  absl::StatusOr<std::vector<std::string>> lines = Compare(*a, *b);
+  absl::StatusOr<JsonArray> lines = Compare(session, from, to);
   if (!lines.ok()) {
     return lines.status();
   }
   if (session.m_options.m_json) {
-    JsonArray changes;
-    for (const std::string& line : *lines) {
-      changes.push_back(Json(line));
-    }
-    std::printf("%s\n", ToText(JsonObject{{"from", NumberField(*a, "version")},
-                                          {"to", NumberField(*b, "version")},
-                                          {"changes", std::move(changes)}})
+    std::printf("%s\n", ToText(JsonObject{{"from", from},
+                                          {"to", to},
+                                          {"changes", *std::move(lines)}})
                             .c_str());
     return absl::OkStatus();
   }
-  for (const std::string& line : *lines) {
-    std::printf("%s\n", line.c_str());
+  for (const Json& line : *lines) {
+    std::printf("%s\n", Readable(line).c_str());
   }
   if (lines->empty()) {
     std::printf("no difference\n");
@@ -239,6 +255,10 @@
     FS_RETURN_IF_ERROR(CheckWords(session, 2, 2, "config list"));
     return ListVersions(session);
   }
+  if (verb == "nodes") {
+    FS_RETURN_IF_ERROR(CheckWords(session, 2, 2, "config nodes"));
+    return ListNodes(session);
+  }
   if (verb == "export") {
     FS_RETURN_IF_ERROR(
         CheckWords(session, 3, 4, "config export FILE [VERSION]"));
@@ -279,9 +299,10 @@
     FS_RETURN_IF_ERROR(CheckWords(session, 3, 3, "config restore VERSION"));
     return Restore(session, *first);
   }
-  return Error(Code::kUsage,
-               "expected: filbertsparctl config list | show | export | apply | "
-               "compare | restore");
+  return Error(
+      Code::kUsage,
+      "expected: filbertsparctl config list | nodes | show | export | apply | "
+      "compare | restore");
 }
 
 }  // namespace filbertspar::ctl
--- a/programs/ctl/options.cc
+++ b/programs/ctl/options.cc
@@ -55,6 +55,7 @@
   drain VM                        takes a VM out of service gracefully
   drain cancel VM
   config list                     the last versions and what each changed
+  config nodes                    the version in force at each entry process
   config show [VERSION]
   config export FILE [VERSION]
   config apply FILE               puts an exported and edited document in force
