--- a/filbertspar/entry/src/admin_api.cc
+++ b/filbertspar/entry/src/admin_api.cc
@@ -64,13 +64,6 @@
   return reply.m_version;
 }
 
-HttpResponse VersionResponse(const absl::StatusOr<ConfigVersion>& version) {
-  if (!version.ok()) {
-    return StatusResponse(version.status());
-  }
-  return JsonResponse(200, JsonObject{{"version", version->Value()}});
-}
-
 std::int64_t WallMilliseconds() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -248,20 +241,8 @@
   if (!body.ok()) {
     co_return StatusResponse(body.status());
   }
-  const Change change = [&](Catalogue& catalogue) -> absl::Status {
-    // Keys and operators that the document does not list stay as they are, so
-    // that an exported document, which has no hashes, can be put back.
-    const Catalogue before = std::move(catalogue);
-    catalogue = Catalogue();
-    FS_RETURN_IF_ERROR(FillHashes(before, *body));
-    absl::Status status = FromJson(*body, catalogue);
-    if (!body->contains("keys")) {
-      catalogue.m_keys = before.m_keys;
-    }
-    if (!body->contains("operators")) {
-      catalogue.m_operators = before.m_operators;
-    }
-    return status;
+  const Change change = [&](Catalogue& catalogue) {
+    return ReplaceDocument(catalogue, *body);
   };
   co_return co_await Answer(request, author, change, {});
 }
@@ -270,14 +251,19 @@
     const HttpRequest& request, std::string author) {
   const absl::StatusOr<ConfigVersion> version =
       VersionOf(QueryOf(request, "version"));
-  const absl::StatusOr<ConfigVersion> base =
-      BaseOf(request, m_config.Version());
-  if (!version.ok() || !base.ok()) {
-    co_return StatusResponse(version.ok() ? base.status() : version.status());
+  if (!version.ok()) {
+    co_return StatusResponse(version.status());
   }
-  const ProposalReply reply =
-      co_await m_config.RestoreVersion(*version, *base, author);
-  co_return VersionResponse(Accepted(reply));
+  const ExportReply reply = co_await m_config.ExportVersion(*version);
+  if (reply.m_code != Code::kOk || reply.m_record == nullptr) {
+    co_return CodeResponse(
+        reply.m_code == Code::kOk ? Code::kNotFound : reply.m_code, "");
+  }
+  const Change change = [&](Catalogue& catalogue) {
+    RestoreDocument(catalogue, reply.m_record->m_catalogue);
+    return absl::OkStatus();
+  };
+  co_return co_await Answer(request, author, change, {});
 }
 
 asio::awaitable<HttpResponse> AdminApi::GetVersion(std::string text) {
--- a/filbertspar/entry/src/dry_run.h
+++ b/filbertspar/entry/src/dry_run.h
@@ -16,10 +16,4 @@
 HttpResponse DryRun(const Config& config, ConfigVersion base,
                     const std::function<absl::Status(Catalogue&)>& change);
 
-/// \brief Gives each key and operator of a document that comes without a hash
-/// the hash of its namesake in force, so that a document that was read can be
-/// written back. A key keeps its hash only within its team. kBadField when
-/// there is no such namesake.
-absl::Status FillHashes(const Catalogue& current, JsonObject& document);
-
 }  // namespace filbertspar
--- a/filbertspar/entry/src/edit.cc
+++ b/filbertspar/entry/src/edit.cc
@@ -57,6 +57,56 @@
                                              "\" of item to change"));
 }
 
+std::string TextField(const JsonObject& object, const char* field) {
+  const Json* value = object.if_contains(field);
+  if (value == nullptr || !value->is_string()) {
+    return "";
+  }
+  return {value->as_string().data(), value->as_string().size()};
+}
+
+template <typename Find>
+absl::Status FillList(JsonObject& document, const char* list, Find find) {
+  Json* items = document.if_contains(list);
+  if (items == nullptr || !items->is_array()) {
+    return absl::OkStatus();
+  }
+  for (Json& item : items->as_array()) {
+    if (!item.is_object() || item.as_object().contains("hash")) {
+      continue;
+    }
+    const std::string* hash = find(item.as_object());
+    if (hash == nullptr) {
+      return Error(Code::kBadField,
+                   absl::StrCat(list, "/", TextField(item.as_object(), "name"),
+                                ": a new item needs a hash"));
+    }
+    item.as_object()["hash"] = *hash;
+  }
+  return absl::OkStatus();
+}
+
+absl::Status FillHashes(const Catalogue& current, JsonObject& document) {
+  FS_RETURN_IF_ERROR(FillList(
+      document, "keys", [&](const JsonObject& item) -> const std::string* {
+        const auto found = std::find_if(
+            current.m_keys.begin(), current.m_keys.end(), [&](const Key& key) {
+              return key.m_name.Value() == TextField(item, "name") &&
+                     key.m_team.Value() == TextField(item, "team");
+            });
+        return found == current.m_keys.end() ? nullptr : &found->m_hash;
+      }));
+  return FillList(
+      document, "operators", [&](const JsonObject& item) -> const std::string* {
+        const auto found =
+            std::find_if(current.m_operators.begin(), current.m_operators.end(),
+                         [&](const Operator& op) {
+                           return op.m_name.Value() == TextField(item, "name");
+                         });
+        return found == current.m_operators.end() ? nullptr : &found->m_hash;
+      });
+}
+
 }  // namespace
 
 absl::Status PutItem(Catalogue& catalogue, const std::string& kind,
@@ -115,4 +165,28 @@
   return NoSuchKind(kind);
 }
 
+absl::Status ReplaceDocument(Catalogue& catalogue, JsonObject document) {
+  FS_RETURN_IF_ERROR(FillHashes(catalogue, document));
+  Catalogue next;
+  FS_RETURN_IF_ERROR(FromJson(document, next));
+  if (!document.contains("keys")) {
+    next.m_keys = std::move(catalogue.m_keys);
+  }
+  if (!document.contains("operators")) {
+    next.m_operators = std::move(catalogue.m_operators);
+  }
+  catalogue = std::move(next);
+  return absl::OkStatus();
+}
+
+void RestoreDocument(Catalogue& catalogue, const Catalogue& earlier) {
+  Catalogue next = earlier;
+  next.m_operators = std::move(catalogue.m_operators);
+  next.m_keys = std::move(catalogue.m_keys);
+  std::erase_if(next.m_keys, [&](const Key& key) {
+    return FindTeam(next, key.m_team) == nullptr;
+  });
+  catalogue = std::move(next);
+}
+
 }  // namespace filbertspar
--- a/filbertspar/entry/src/edit.h
+++ b/filbertspar/entry/src/edit.h
@@ -19,4 +19,15 @@
 absl::Status RemoveItem(Catalogue& catalogue, const std::string& kind,
                         const std::string& name);
 
+/// \brief Replaces the whole document. Keys and operators that it does not list
+/// stay, and one that it lists without a hash takes the hash of its namesake,
+/// so that a document that was read can be put back. A key keeps its hash only
+/// within its team. kBadField for a new one without a hash.
+absl::Status ReplaceDocument(Catalogue& catalogue, JsonObject document);
+
+/// \brief Replaces the document by an earlier one. Operators and the keys of
+/// teams that it has stay as they are: the earlier ones would bring revoked
+/// keys back.
+void RestoreDocument(Catalogue& catalogue, const Catalogue& earlier);
+
 }  // namespace filbertspar
--- a/programs/ctl/config.cc
+++ b/programs/ctl/config.cc
@@ -210,41 +210,20 @@
   return absl::OkStatus();
 }
 
-/// Keys whose team the document has.
-JsonArray KeysOfTeams(const JsonArray& keys, const JsonArray& teams) {
-  JsonArray kept;
-  for (const Json& key : keys) {
-    const std::string team = TextField(key.as_object(), "team");
-    const bool known =
-        std::any_of(teams.begin(), teams.end(), [&](const Json& item) {
-          return TextField(item.as_object(), "name") == team;
-        });
-    if (known) {
-      kept.push_back(key);
-    }
-  }
-  return kept;
-}
-
-/// Puts an earlier document in force as a new version. Credentials are those
-/// in force: an older version would bring revoked keys back to life.
+/// Puts an earlier document in force as a new version.
 absl::Status Restore(Session& session, std::int64_t version) {
-  absl::StatusOr<JsonObject> old = ReadVersion(session, version);
-  absl::StatusOr<JsonObject> current = ReadVersion(session, 0);
-  if (!old.ok() || !current.ok()) {
-    return old.ok() ? current.status() : old.status();
-  }
-  const JsonArray& keys = current->at("keys").as_array();
-  JsonArray kept = KeysOfTeams(keys, old->at("teams").as_array());
-  if (kept.size() < keys.size()) {
-    std::fprintf(
-        stderr, "note: %zu keys of teams that version %lld lacks are dropped\n",
-        keys.size() - kept.size(), static_cast<long long>(version));
-  }
-  (*old)["keys"] = std::move(kept);
-  (*old)["operators"] = current->at("operators");
-  return Apply(session, *old, NumberField(*current, "version"),
-               absl::StrCat("restored version ", version));
+  absl::StatusOr<std::int64_t> newest = NewestVersion(session);
+  if (!newest.ok()) {
+    return newest.status();
+  }
+  const std::string path = ChangePath(session, "config/restore", *newest);
+  absl::StatusOr<JsonObject> answer = session.m_client.Change(
+      HttpVerb::post, absl::StrCat(path, "&version=", version), "{}");
+  if (!answer.ok()) {
+    return answer.status();
+  }
+  PrintChange(session, *answer, absl::StrCat("restored version ", version));
+  return absl::OkStatus();
 }
 
 }  // namespace
--- a/programs/ctl/main.cc
+++ b/programs/ctl/main.cc
@@ -1,6 +1,8 @@
 /// \file
 /// \brief Command line client of the administration API.
 
+#include <cstdio>
+
 #include "filbertspar/program/program.h"
 #include "programs/ctl/commands.h"
 
@@ -38,6 +40,8 @@
 }  // namespace filbertspar::ctl
 
 int main(int argc, char** argv) {
-  return filbertspar::ExitCodeOf("filbertsparctl",
-                                 filbertspar::ctl::Run(argc, argv));
+  const absl::Status status = filbertspar::ctl::Run(argc, argv);
+  // Keeps the order of output and message when both go to one file.
+  std::fflush(stdout);
+  return filbertspar::ExitCodeOf("filbertsparctl", status);
 }
--- a/scripts/check_api_docs.py
+++ b/scripts/check_api_docs.py
@@ -66,7 +66,8 @@
             FILBERTSPAR_ADDRESSES=",".join(e["admin"] for e in cluster.entries.values()),
             FILBERTSPAR_OPERATOR_KEY=cluster.operator_key,
             CALLER=first["caller"], PLATFORM=cluster.platform,
-            PROFILES=os.path.join(clusters.ROOT, "profiles"))
+            ENTRY_PID=str(cluster.processes["entry-1"].pid),
+            ENTRY_SETTINGS=os.path.join(cluster.folder, "entry-1.ini"))
 
     def fill(self, text):
         return re.sub(r"<([A-Z_]+)>", lambda m: self.names.get(m[1], m[0]), text)
