--- a/filbertspar/entry/src/admin_api.cc
+++ b/filbertspar/entry/src/admin_api.cc
@@ -7,7 +7,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "filbertspar/entry/src/dry_run.h"
+#include "filbertspar/entry/src/commit.h"
 #include "filbertspar/entry/src/edit.h"
 #include "filbertspar/entry/src/explain_api.h"
 
@@ -34,21 +34,6 @@
   return segments;
 }
 
-/// The version that a change was made against, from the query "base", or the
-/// one in force here.
-absl::StatusOr<ConfigVersion> BaseOf(const HttpRequest& request,
-                                     ConfigVersion in_force) {
-  const std::string text(QueryOf(request, "base"));
-  if (text.empty()) {
-    return in_force;
-  }
-  std::uint64_t number = 0;
-  if (!absl::SimpleAtoi(text, &number)) {
-    return Error(Code::kBadField, "base: expected a version number");
-  }
-  return ConfigVersion(number);
-}
-
 absl::StatusOr<ConfigVersion> VersionOf(std::string_view text) {
   std::uint64_t number = 0;
   if (!absl::SimpleAtoi(std::string(text), &number)) {
@@ -57,13 +42,6 @@
   return ConfigVersion(number);
 }
 
-absl::StatusOr<ConfigVersion> Accepted(const ProposalReply& reply) {
-  if (reply.m_code != Code::kOk) {
-    return Error(reply.m_code, reply.m_message);
-  }
-  return reply.m_version;
-}
-
 std::int64_t WallMilliseconds() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -156,9 +134,8 @@
   if (kind == "status" && segments.size() == 1) {
     co_return GetStatus();
   }
-  if (kind == "explain") {
-    co_return ExplainCall(segments, m_dispatcher.GetEngine(), m_fleet.m_vms,
-                          WallMilliseconds());
+  if (kind == "explain" && segments.size() >= 2) {
+    co_return GetExplanation(segments);
   }
   co_return CodeResponse(Code::kUnknownPath, "");
 }
@@ -188,63 +165,18 @@
   co_return CodeResponse(Code::kUnknownPath, "");
 }
 
-asio::awaitable<absl::StatusOr<ConfigVersion>> AdminApi::Commit(
-    const HttpRequest& request, std::string author, Change change) {
-  const absl::StatusOr<ConfigVersion> base =
-      BaseOf(request, m_config.Version());
-  if (!base.ok()) {
-    co_return base.status();
-  }
-  const std::shared_ptr<const Catalogue> current = m_config.Current();
-  if (*base != m_config.Version()) {
-    co_return Error(Code::kConfigConflict,
-                    absl::StrCat("version ", m_config.Version().Value(),
-                                 " is in force, not ", base->Value()));
-  }
-  Proposal proposal;
-  proposal.m_base = *base;
-  proposal.m_author = std::move(author);
-  if (current != nullptr) {
-    proposal.m_document = *current;
-  }
-  const absl::Status status = change(proposal.m_document);
-  if (!status.ok()) {
-    co_return status;
-  }
-  const ProposalReply reply =
-      co_await m_config.ProposeChange(std::move(proposal));
-  co_return Accepted(reply);
-}
-
-asio::awaitable<HttpResponse> AdminApi::Answer(const HttpRequest& request,
-                                               std::string author,
-                                               Change change,
-                                               JsonObject extra) {
-  if (IsDryRun(request)) {
-    const absl::StatusOr<ConfigVersion> base =
-        BaseOf(request, m_config.Version());
-    co_return base.ok() ? DryRun(m_config, *base, change)
-                        : StatusResponse(base.status());
-  }
-  const absl::StatusOr<ConfigVersion> version =
-      co_await Commit(request, std::move(author), std::move(change));
-  if (!version.ok()) {
-    co_return StatusResponse(version.status());
-  }
-  extra["version"] = version->Value();
-  co_return JsonResponse(200, std::move(extra));
-}
-
 asio::awaitable<HttpResponse> AdminApi::PutDocument(const HttpRequest& request,
                                                     std::string author) {
   absl::StatusOr<JsonObject> body = ParseJsonObject(request.body());
   if (!body.ok()) {
     co_return StatusResponse(body.status());
   }
-  const Change change = [&](Catalogue& catalogue) {
-    return ReplaceDocument(catalogue, *body);
+  const Config::Change change = [&](Catalogue& catalogue) -> absl::Status {
+    FS_RETURN_IF_ERROR(FillHashes(catalogue, *body));
+    catalogue = Catalogue();
+    return FromJson(*body, catalogue);
   };
-  co_return co_await Answer(request, author, change, {});
+  co_return co_await CommitChange(m_config, request, author, change);
 }
 
 asio::awaitable<HttpResponse> AdminApi::RestoreVersion(
@@ -259,11 +191,11 @@
     co_return CodeResponse(
         reply.m_code == Code::kOk ? Code::kNotFound : reply.m_code, "");
   }
-  const Change change = [&](Catalogue& catalogue) {
+  const Config::Change change = [&](Catalogue& catalogue) {
     RestoreDocument(catalogue, reply.m_record->m_catalogue);
     return absl::OkStatus();
   };
-  co_return co_await Answer(request, author, change, {});
+  co_return co_await CommitChange(m_config, request, author, change);
 }
 
 asio::awaitable<HttpResponse> AdminApi::GetVersion(std::string text) {
@@ -277,11 +209,8 @@
         reply.m_code == Code::kOk ? Code::kNotFound : reply.m_code, "");
   }
   JsonObject document = ToJson(reply.m_record->m_catalogue);
-  document.erase("keys");
-  document.erase("operators");
-  co_return JsonResponse(200, JsonObject{{"author", reply.m_record->m_author},
-                                         {"note", reply.m_record->m_note},
-                                         {"document", std::move(document)}});
+  RemoveHashes(document);
+  co_return JsonResponse(200, std::move(document));
 }
 
 HttpResponse AdminApi::GetVersions() const {
@@ -316,7 +245,7 @@
                                                  std::string kind,
                                                  std::string name,
                                                  std::string author) {
-  Change change = [&](Catalogue& catalogue) {
+  Config::Change change = [&](Catalogue& catalogue) {
     return RemoveItem(catalogue, kind, name);
   };
   absl::StatusOr<JsonObject> item = JsonObject();
@@ -329,7 +258,7 @@
       return PutItem(catalogue, kind, name, *item);
     };
   }
-  co_return co_await Answer(request, author, change, {});
+  co_return co_await CommitChange(m_config, request, author, change);
 }
 
 asio::awaitable<HttpResponse> AdminApi::GrantKey(const HttpRequest& request,
@@ -347,13 +276,14 @@
     co_return StatusResponse(status);
   }
   key.m_hash = HashOf(*secret);
-  const Change change = [&](Catalogue& catalogue) {
+  const Config::Change change = [&](Catalogue& catalogue) {
     catalogue.m_keys.push_back(key);
     return absl::OkStatus();
   };
   JsonObject extra;
   extra["key"] = *secret;
-  co_return co_await Answer(request, author, change, std::move(extra));
+  co_return co_await CommitChange(m_config, request, author, change,
+                                  std::move(extra));
 }
 
 asio::awaitable<HttpResponse> AdminApi::AddOperator(const HttpRequest& request,
@@ -368,13 +298,14 @@
   if (absl::Status status = FromJson(*body, op); !status.ok()) {
     co_return StatusResponse(status);
   }
-  const Change change = [&](Catalogue& catalogue) {
+  const Config::Change change = [&](Catalogue& catalogue) {
     catalogue.m_operators.push_back(op);
     return absl::OkStatus();
   };
   JsonObject extra;
   extra["key"] = *secret;
-  co_return co_await Answer(request, author, change, std::move(extra));
+  co_return co_await CommitChange(m_config, request, author, change,
+                                  std::move(extra));
 }
 
 asio::awaitable<HttpResponse> AdminApi::PutVm(const HttpRequest& request,
@@ -451,6 +382,27 @@
   return JsonResponse(200, JsonObject{{"vms", std::move(vms)}});
 }
 
+HttpResponse AdminApi::GetExplanation(
+    const std::vector<std::string>& segments) const {
+  const Engine& engine = m_dispatcher.GetEngine();
+  const TimePoint now = SteadyNow();
+  if (segments[1] == "shares" && segments.size() == 2) {
+    return ExplainShares(engine, now);
+  }
+  if (segments[1] == "vm" && segments.size() == 3) {
+    const auto found = m_fleet.m_vms.find(VmName(segments[2]));
+    return ExplainVm(engine, now,
+                     found == m_fleet.m_vms.end() ? nullptr : &found->second,
+                     WallMilliseconds());
+  }
+  std::uint64_t number = 0;
+  if (segments[1] == "job" && segments.size() == 3 &&
+      absl::SimpleAtoi(segments[2], &number)) {
+    return ExplainJob(engine, now, RequestId(number));
+  }
+  return CodeResponse(Code::kUnknownPath, "");
+}
+
 HttpResponse AdminApi::GetStatus() const {
   const Engine& engine = m_dispatcher.GetEngine();
   const EngineCounters& counters = engine.m_counters;
--- a/filbertspar/entry/src/admin_api.h
+++ b/filbertspar/entry/src/admin_api.h
@@ -25,8 +25,6 @@
   asio::awaitable<HttpResponse> Handle(const HttpRequest& request);
 
  private:
-  using Change = std::function<absl::Status(Catalogue&)>;
-
   /// Name of the operator whose key came with the request.
   absl::StatusOr<std::string> Check(const HttpRequest& request,
                                     Role needed) const;
@@ -35,13 +33,6 @@
   asio::awaitable<HttpResponse> ChangeConfig(
       const HttpRequest& request, const std::vector<std::string>& segments,
       std::string author);
-  asio::awaitable<absl::StatusOr<ConfigVersion>> Commit(
-      const HttpRequest& request, std::string author, Change change);
-  /// Commits a change, or shows what it would do, and answers with the fields
-  /// of `extra` and the new version.
-  asio::awaitable<HttpResponse> Answer(const HttpRequest& request,
-                                       std::string author, Change change,
-                                       JsonObject extra);
   asio::awaitable<HttpResponse> PutDocument(const HttpRequest& request,
                                             std::string author);
   asio::awaitable<HttpResponse> RestoreVersion(const HttpRequest& request,
@@ -63,6 +54,7 @@
   HttpResponse GetDocument() const;
   HttpResponse GetVms() const;
   HttpResponse GetStatus() const;
+  HttpResponse GetExplanation(const std::vector<std::string>& segments) const;
 
   Config& m_config;
   Store& m_store;
--- a/programs/ctl/config.cc
+++ b/programs/ctl/config.cc
@@ -26,22 +26,10 @@
   return version;
 }
 
-/// The document of a version, or the one in force for 0. That of a version has
-/// no keys and operators.
+/// The document of a version, or the one in force for 0.
 absl::StatusOr<JsonObject> ReadVersion(Session& session, std::int64_t version) {
-  if (version == 0) {
-    return session.m_client.Get("catalogue");
-  }
-  absl::StatusOr<JsonObject> record =
-      session.m_client.Get(absl::StrCat("config/versions/", version));
-  if (!record.ok()) {
-    return record.status();
-  }
-  const Json* document = record->if_contains("document");
-  if (document == nullptr || !document->is_object()) {
-    return Error(Code::kPlatformBadAnswer, "the answer has no document");
-  }
-  return document->as_object();
+  return session.m_client.Get(
+      version == 0 ? "catalogue" : absl::StrCat("config/versions/", version));
 }
 
 absl::StatusOr<std::int64_t> NewestVersion(Session& session) {
@@ -97,24 +85,21 @@
   JsonArray versions;
   for (std::int64_t version = *newest;
        version > std::max<std::int64_t>(0, *newest - kListed); --version) {
-    absl::StatusOr<JsonObject> record =
-        session.m_client.Get(absl::StrCat("config/versions/", version));
     absl::StatusOr<JsonArray> changes = JsonArray{"first version"};
     if (version > 1) {
       changes = Compare(session, version - 1, version);
     }
-    if (!record.ok() || !changes.ok()) {
-      return record.ok() ? changes.status() : record.status();
+    if (!changes.ok()) {
+      return changes.status();
     }
-    versions.push_back(JsonObject{{"version", version},
-                                  {"author", TextField(*record, "author")},
-                                  {"changes", *std::move(changes)}});
+    versions.push_back(
+        JsonObject{{"version", version}, {"changes", *std::move(changes)}});
   }
   if (session.m_options.m_json) {
     std::printf("%s\n", ToText(JsonObject{{"versions", versions}}).c_str());
     return absl::OkStatus();
   }
-  Table table{{"version", "author", "changes"}, {}};
+  Table table{{"version", "changes"}, {}};
   for (const Json& item : versions) {
     const JsonArray& changes = item.at("changes").as_array();
     std::string text;
@@ -124,9 +109,8 @@
     if (changes.size() > kShownChanges) {
       absl::StrAppend(&text, "; and ", changes.size() - kShownChanges, " more");
     }
-    table.m_rows.push_back({Readable(item.at("version")),
-                            Readable(item.at("author")),
-                            text.empty() ? "none" : text});
+    table.m_rows.push_back(
+        {Readable(item.at("version")), text.empty() ? "none" : text});
   }
   Print(table);
   return absl::OkStatus();
