--- a/filbertspar/burn/src/text.cc
+++ b/filbertspar/burn/src/text.cc
@@ -148,6 +148,7 @@
     sum.m_touched_tasks += hour.m_touched_tasks;
   }
   std::vector<ShareHour> list;
+  list.reserve(sums.size());
   for (auto& [team, sum] : sums) {
     list.push_back(std::move(sum));
   }
--- a/filbertspar/entry/src/explain_api.cc
+++ b/filbertspar/entry/src/explain_api.cc
@@ -45,8 +45,8 @@
   return boost::json::string(text.data(), text.size());
 }
 
-void Say(JsonArray& lines, std::string line) {
-  lines.push_back(Json(std::move(line)));
+void Say(JsonArray& lines, const std::string& line) {
+  lines.push_back(Json(line));
 }
 
 /// Causes for which a waiting request has not started.
