--- a/filbertspar/entry/src/admin_api.cc
+++ b/filbertspar/entry/src/admin_api.cc
@@ -174,16 +174,19 @@
     const HttpRequest& request, std::string author) {
   const absl::StatusOr<ConfigVersion> version =
       VersionOf(QueryOf(request, "version"));
-  const absl::StatusOr<std::optional<ConfigVersion>> base = BaseOf(request);
-  if (!version.ok() || !base.ok()) {
-    co_return StatusResponse(version.ok() ? base.status() : version.status());
+  if (!version.ok()) {
+    co_return StatusResponse(version.status());
   }
-  const absl::StatusOr<ConfigVersion> restored =
-      co_await m_config.RestoreVersion(*version, *base, std::move(author));
-  if (!restored.ok()) {
-    co_return StatusResponse(restored.status());
+  const ExportReply reply = co_await m_config.ExportVersion(*version);
+  if (reply.m_code != Code::kOk || reply.m_record == nullptr) {
+    co_return CodeResponse(
+        reply.m_code == Code::kOk ? Code::kNotFound : reply.m_code, "");
   }
-  co_return JsonResponse(200, JsonObject{{"version", restored->Value()}});
+  const Config::Change change = [&](Catalogue& catalogue) {
+    RestoreDocument(catalogue, reply.m_record->m_catalogue);
+    return absl::OkStatus();
+  };
+  co_return co_await CommitChange(m_config, request, author, change);
 }
 
 asio::awaitable<HttpResponse> AdminApi::GetVersion(std::string text) {
--- a/filbertspar/entry/src/edit.cc
+++ b/filbertspar/entry/src/edit.cc
@@ -115,4 +115,14 @@
   return NoSuchKind(kind);
 }
 
+void RestoreDocument(Catalogue& catalogue, const Catalogue& earlier) {
+  Catalogue next = earlier;
+  next.m_operators = std::move(catalogue.m_operators);
+  next.m_keys = std::move(catalogue.m_keys);
+  std::erase_if(next.m_keys, [&](const Key& key) {
+    return FindTeam(next, key.m_team) == nullptr;
+  });
+  catalogue = std::move(next);
+}
+
 }  // namespace filbertspar
--- a/filbertspar/entry/src/edit.h
+++ b/filbertspar/entry/src/edit.h
@@ -19,4 +19,9 @@
 absl::Status RemoveItem(Catalogue& catalogue, const std::string& kind,
                         const std::string& name);
 
+/// \brief Replaces the document by an earlier one. Operators and the keys of
+/// teams that it has stay as they are: the earlier ones would bring revoked
+/// keys back.
+void RestoreDocument(Catalogue& catalogue, const Catalogue& earlier);
+
 }  // namespace filbertspar
