--- a/filbertspar/placement/src/placement.h
+++ b/filbertspar/placement/src/placement.h
@@ -21,7 +21,7 @@
 struct PlacementOptions {
   /// Workers of this zone are preferred.
   ZoneName m_zone;
-  EjectionRules m_ejection;
+  EjectionRules m_ejection{};
   /// How long a worker that refused gets nothing; doubled with each further
   /// refusal in a row.
   Duration m_first_refusal_pause = Milliseconds(20);
