--- a/bench/state_figures.h
+++ b/bench/state_figures.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cmath>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
@@ -28,7 +29,7 @@
   }
   std::sort(samples.begin(), samples.end());
   const auto index = static_cast<std::size_t>(
-      share * static_cast<double>(samples.size() - 1) + 0.5);
+      std::lround(share * static_cast<double>(samples.size() - 1)));
   return samples[index];
 }
 
@@ -39,6 +40,7 @@
   std::atomic<std::uint64_t> next{1};
   std::atomic<std::int64_t> sum{0};
   std::vector<std::thread> threads;
+  threads.reserve(4);
   for (int i = 0; i < 4; ++i) {
     threads.emplace_back([&] {
       for (std::uint64_t seed = next++; seed <= count; seed = next++) {
