--- a/filbertspar/peer/src/links.cc
+++ b/filbertspar/peer/src/links.cc
@@ -99,7 +99,7 @@
   MembershipEffects effects;
   call(m_state, SteadyNow(), effects);
   for (const MembershipEffect& effect : effects) {
-    std::visit([this](const auto& each) { Carry(each); }, effect);
+    std::visit([this](const auto& each) { this->Carry(each); }, effect);
   }
   ArmTimer();
 }
