--- a/programs/ctl/status.cc
+++ b/programs/ctl/status.cc
@@ -110,7 +110,7 @@
       std::printf("%s%s\n", round == 1 ? "" : "\n", text);
     }
     // A round in which nobody answers is shown; the watch goes on.
-    const absl::Status status = RunStatus(session);
+    absl::Status status = RunStatus(session);
     if (session.m_options.m_count > 0 && round >= session.m_options.m_count) {
       return status;
     }
