Attach entry VMs to each other

Cause: entry processes knew nothing of each other: no offers of a new configuration, no peers' use in the shares, no forwarding to a free grant, and freshness by the store alone. Change: Peers joins membership, wire and peer links to configuration, engine and grants.

--- a/filbertspar/entry/src/grant_keeper.cc
+++ b/filbertspar/entry/src/grant_keeper.cc
@@ -4,17 +4,14 @@
 #include <utility>
 #include <variant>
 
-#include "boost/asio/as_tuple.hpp"
 #include "boost/asio/co_spawn.hpp"
 #include "boost/asio/detached.hpp"
-#include "boost/asio/use_awaitable.hpp"
 
 namespace filbertspar {
 namespace {
 
 constexpr Duration kReadDeadline = Milliseconds(900);
 constexpr Duration kWriteDeadline = Seconds(1);
-constexpr Duration kListPeriod = Seconds(5);
 /// An urgent request may not wait for a whole round; the table's rate budget
 /// allows a round that is brought forward this far.
 constexpr Duration kShortestRound = Milliseconds(250);
@@ -30,10 +27,7 @@
       m_grants(MakeGrants(node, seed, SteadyNow())),
       m_timer(context) {}
 
-void GrantKeeper::Start() {
-  asio::co_spawn(m_context, PollList(), asio::detached);
-  Schedule();
-}
+void GrantKeeper::Start() { Schedule(); }
 
 void GrantKeeper::SetCatalogue(const Catalogue& catalogue) {
   Update([&](Grants& grants, TimePoint, GrantEffects&) {
@@ -136,20 +130,6 @@
       });
 }
 
-asio::awaitable<void> GrantKeeper::PollList() {
-  asio::steady_timer timer(m_context);
-  while (true) {
-    const absl::StatusOr<VmList> list = co_await m_store.ReadVms(kReadDeadline);
-    if (list.ok()) {
-      Update([&](Grants& grants, TimePoint now, GrantEffects&) {
-        VmListRead(grants, now, *list);
-      });
-    }
-    timer.expires_after(kListPeriod);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  }
-}
-
 void GrantKeeper::Schedule() {
   const TimePoint next = NextTick(m_grants);
   if (next >= m_timer_at || next == TimePoint::max()) {
--- a/filbertspar/entry/src/grant_keeper.h
+++ b/filbertspar/entry/src/grant_keeper.h
@@ -45,7 +45,6 @@
   void Apply(GrantEffects effects);
   void PushUnits();
   asio::awaitable<void> ReadChanges(std::uint64_t since);
-  asio::awaitable<void> PollList();
   void Write(const WriteGrant& write);
   void Schedule();
 
--- a/filbertspar/entry/src/options.h
+++ b/filbertspar/entry/src/options.h
@@ -6,6 +6,7 @@
 
 #include "absl/status/statusor.h"
 #include "filbertspar/base/base.h"
+#include "filbertspar/membership/membership.h"
 #include "filbertspar/settings/settings.h"
 
 namespace filbertspar {
@@ -19,15 +20,14 @@
   Endpoint m_admin_listen;
   std::optional<Endpoint> m_peer_listen;
   Endpoint m_platform;
-  /// Addresses of other entry VMs to ask first.
-  std::vector<Endpoint> m_peers;
+  /// Other entry VMs to try before the platform's list is known.
+  std::vector<ListedVm> m_listed_peers;
   std::string m_peer_key_file;
   /// Hash of the operator key that may write the first configuration.
   std::string m_bootstrap_operator_hash;
   std::int64_t m_max_requests = 20'000;
   std::int64_t m_max_body_bytes = 1 << 20;
   Duration m_read_time = Seconds(10);
-  Duration m_platform_timeout = Milliseconds(800);
   Duration m_poll_period = Seconds(1);
   Duration m_stop_bound = Seconds(60);
   Duration m_task_lease = Seconds(10);
--- a/filbertspar/entry/src/process.cc
+++ b/filbertspar/entry/src/process.cc
@@ -1,5 +1,6 @@
 #include "filbertspar/entry/src/process.h"
 
+#include <memory>
 #include <random>
 #include <utility>
 
@@ -15,6 +16,7 @@
 #include "filbertspar/entry/src/dispatcher.h"
 #include "filbertspar/entry/src/grant_keeper.h"
 #include "filbertspar/entry/src/metrics_api.h"
+#include "filbertspar/entry/src/peers.h"
 #include "filbertspar/entry/src/worker_directory.h"
 #include "filbertspar/http/http.h"
 #include "filbertspar/program/program.h"
@@ -57,7 +59,8 @@
 class EntryProcess {
  public:
   EntryProcess(asio::io_context& context, const EntryOptions& options,
-               std::uint64_t incarnation)
+               std::uint64_t incarnation,
+               const std::shared_ptr<const Secrets>& secrets)
       : m_context(context),
         m_options(options),
         m_node(absl::StrCat(options.m_name.Value(), "#", incarnation)),
@@ -78,7 +81,13 @@
         m_admin_server(context, LimitsOf(options),
                        [this](const HttpRequest& request) {
                          return m_admin_api.Handle(request);
-                       }) {}
+                       }) {
+    if (options.m_peer_listen) {
+      m_peers = std::make_unique<Peers>(context, options, m_node, secrets,
+                                        incarnation, m_store, m_config,
+                                        m_dispatcher, m_grant_keeper, m_fleet);
+    }
+  }
 
   absl::Status Start();
   void BeginStop();
@@ -107,6 +116,8 @@
   AdminApi m_admin_api;
   HttpServer m_caller_server;
   HttpServer m_admin_server;
+  /// Null without a peer address.
+  std::unique_ptr<Peers> m_peers;
   absl::Status m_result;
   bool m_stopping = false;
 };
@@ -122,6 +133,9 @@
   m_dispatcher.OnWantGrant(
       [this](const WantGrant& want) { m_grant_keeper.Want(want); });
   m_grant_keeper.Start();
+  if (m_peers != nullptr) {
+    FS_RETURN_IF_ERROR(m_peers->Start());
+  }
   asio::co_spawn(m_context, PollFleet(), asio::detached);
   LoggerFor("entry")->info("{} serves callers on {}", m_node.Value(),
                            m_options.m_caller_listen.Text());
@@ -140,12 +154,8 @@
 void EntryProcess::ApplyCatalogue(std::shared_ptr<const Catalogue> catalogue) {
   m_dispatcher.Update([&](Engine& engine, TimePoint now, Effects& effects) {
     SetCatalogue(engine, now, catalogue, effects);
-    const auto holders =
-        static_cast<std::int64_t>(m_options.m_peers.size()) + 1;
-    for (const Team& team : catalogue->m_teams) {
-      SetGrant(engine, now, team.m_name, team.m_ceiling / holders, effects);
-    }
   });
+  m_grant_keeper.SetCatalogue(*catalogue);
 }
 
 asio::awaitable<void> EntryProcess::Pause(Duration duration) {
@@ -186,6 +196,9 @@
   while ((!IsIdle(m_engine) || m_claims.Open() > 0) && SteadyNow() < bound) {
     co_await Pause(kStopPoll);
   }
+  if (m_peers != nullptr) {
+    m_peers->Leave();
+  }
   m_caller_server.StopAccepting();
   m_admin_server.StopAccepting();
   while (m_caller_server.Connections() > 0 && SteadyNow() < bound) {
@@ -201,7 +214,16 @@
 
 absl::Status RunEntry(const EntryOptions& options) {
   asio::io_context context(1);
-  EntryProcess process(context, options, RandomNumber());
+  std::shared_ptr<const Secrets> secrets;
+  if (options.m_peer_listen) {
+    absl::StatusOr<Secrets> loaded = LoadSecrets(options.m_peer_key_file);
+    if (!loaded.ok()) {
+      return loaded.status();
+    }
+    secrets = std::make_shared<const Secrets>(std::move(*loaded));
+  }
+  // Half the range, so that a node name's number fits a signed integer too.
+  EntryProcess process(context, options, RandomNumber() >> 1U, secrets);
   FS_RETURN_IF_ERROR(process.Start());
   OnStopSignal(context, [&] { process.BeginStop(); });
   context.run();
--- a/filbertspar/fleet/src/events.h
+++ b/filbertspar/fleet/src/events.h
@@ -66,7 +66,7 @@
 };
 
 /// \brief Line of the platform's VM list, which lags.
-struct ListedVm {
+struct FleetListedVm {
   VmName m_name = {};
   std::string m_address = {};
   bool m_leaving = false;
--- a/filbertspar/fleet/src/planner.cc
+++ b/filbertspar/fleet/src/planner.cc
@@ -167,9 +167,9 @@
 }
 
 void VmsListed(Planner& planner, TimePoint now,
-               const std::vector<ListedVm>& vms) {
+               const std::vector<FleetListedVm>& vms) {
   planner.m_listed.clear();
-  for (const ListedVm& vm : vms) {
+  for (const FleetListedVm& vm : vms) {
     planner.m_listed[vm.m_name] = vm;
   }
   for (const auto& [name, row] : planner.m_view.m_vms) {
--- a/filbertspar/fleet/src/planner.h
+++ b/filbertspar/fleet/src/planner.h
@@ -96,7 +96,7 @@
   std::uint64_t m_next_write = 1;
   /// True when rows were read since the last recount of budgets.
   bool m_view_is_fresh = false;
-  std::map<VmName, ListedVm> m_listed;
+  std::map<VmName, FleetListedVm> m_listed;
   std::map<PoolName, std::int64_t> m_loads;
   std::deque<MoveRequest> m_moves;
   std::map<std::string, WaveStatus> m_reported;
@@ -118,7 +118,7 @@
 void WorkerReported(Planner& planner, TimePoint now,
                     const WorkerReport& report);
 void VmsListed(Planner& planner, TimePoint now,
-               const std::vector<ListedVm>& vms);
+               const std::vector<FleetListedVm>& vms);
 void PoolLoadReported(Planner& planner, const PoolLoad& load);
 void WantMove(Planner& planner, const MoveRequest& move);
 
--- a/filbertspar/planner/src/process.cc
+++ b/filbertspar/planner/src/process.cc
@@ -182,7 +182,7 @@
       co_return;
     }
     if (list.ok()) {
-      std::vector<ListedVm> listed;
+      std::vector<FleetListedVm> listed;
       for (const PlatformVm& vm : list->m_vms) {
         listed.push_back({vm.m_id, vm.m_address, vm.m_leaving});
       }
--- a/filbertspar/settings/src/settings.cc
+++ b/filbertspar/settings/src/settings.cc
@@ -178,17 +178,28 @@
   return GetEndpoint(key);
 }
 
-std::vector<Endpoint> Settings::GetEndpoints(std::string_view key) {
-  std::vector<Endpoint> endpoints;
+std::vector<std::string> Settings::GetList(std::string_view key) {
+  std::vector<std::string> items;
   const std::string* value = Find(key);
   if (value == nullptr || value->empty()) {
-    return endpoints;
+    return items;
   }
   for (absl::string_view item : absl::StrSplit(*value, ',')) {
-    const std::string text(absl::StripAsciiWhitespace(item));
+    items.emplace_back(absl::StripAsciiWhitespace(item));
+  }
+  return items;
+}
+
+void Settings::Reject(std::string_view key, std::string_view expected) {
+  Fail(Code::kSettingsBadValue, key, expected);
+}
+
+std::vector<Endpoint> Settings::GetEndpoints(std::string_view key) {
+  std::vector<Endpoint> endpoints;
+  for (const std::string& text : GetList(key)) {
     const std::optional<Endpoint> endpoint = ParseEndpoint(text);
     if (!endpoint) {
-      Fail(Code::kSettingsBadValue, key, "IP:PORT, IP:PORT, ...");
+      Reject(key, "IP:PORT, IP:PORT, ...");
       return {};
     }
     endpoints.push_back(*endpoint);
--- a/filbertspar/settings/src/settings.h
+++ b/filbertspar/settings/src/settings.h
@@ -53,6 +53,10 @@
   std::optional<Endpoint> GetOptionalEndpoint(std::string_view key);
   /// \brief Comma-separated "IP:PORT" items; empty when the key is absent.
   std::vector<Endpoint> GetEndpoints(std::string_view key);
+  /// \brief Comma-separated items without surrounding blanks.
+  std::vector<std::string> GetList(std::string_view key);
+  /// \brief Makes a value whose form the caller checked an error.
+  void Reject(std::string_view key, std::string_view expected);
   /// \brief Keys of one section, in the order of the file, marked as known.
   std::vector<std::string> Section(std::string_view section);
   /// \brief Names of all sections, in the order of the file.
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -119,7 +119,8 @@
 
     def start_entry(self, name):
         entry = self.entries[name]
-        others = [e["peer"] for n, e in self.entries.items() if n != name]
+        others = ["%s/%s/%s" % (n, e["zone"], e["peer"])
+                  for n, e in self.entries.items() if n != name]
         self.spawn(name, "programs/filbertspar-entry", {"entry": {
             "name": name, "zone": entry["zone"], "region": self.fleet["region"],
             "caller_listen": entry["caller"], "admin_listen": entry["admin"],
@@ -145,7 +146,7 @@
     def start(self):
         """Starts everything and installs catalogue, VMs and keys."""
         with open(os.path.join(self.folder, "peer.key"), "w") as file:
-            file.write(secrets.token_hex(32) + "\n")
+            file.write("[secrets]\ncurrent = %s\n" % secrets.token_hex(32))
         self.spawn("platform", "standins/platform-standin",
                    {"platform": {"listen": self.platform, "seed": self.seed}})
         for name in self.vms:
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -550,8 +550,8 @@
     }
   }
 
-  std::vector<ListedVm> LaggingList() {
-    std::vector<ListedVm> list;
+  std::vector<FleetListedVm> LaggingList() {
+    std::vector<FleetListedVm> list;
     for (const auto& [address, worker] : m_workers) {
       list.push_back({worker.m_vm, address, m_leaving.contains(worker.m_vm)});
     }
@@ -688,7 +688,7 @@
   std::map<VmName, RowVersion> m_deleted;
   std::map<std::string, Worker> m_workers;
   std::deque<std::map<VmName, Versioned<VmRow>>> m_entry_views;
-  std::deque<std::vector<ListedVm>> m_lists;
+  std::deque<std::vector<FleetListedVm>> m_lists;
   std::vector<Process> m_processes;
   std::multimap<std::int64_t, std::function<void()>> m_due;
   std::set<VmName> m_leaving;
