Check histories of the demo with filbertspar-check

Cause: the demo compared the caller's own ids with the workers' request ids, so its checks of refusals and of at-most-once could not fail. Change: the load tool records the request id of the answer; filbertspar-check runs the history library over calls, tasks, takeovers by peers, ceilings and keys; entry processes list requests taken over from peers. Conclusion: a violation now fails the demo.

--- a/bench/grant_rate_bench.cc
+++ b/bench/grant_rate_bench.cc
@@ -65,8 +65,9 @@
       GrantChangesRead(grants, now, Code::kOk,
                        ReadChanges(table, "grant", grants.m_sequence), writes);
       rate.m_reads += 1;
-      rate.m_writes += static_cast<double>((writes.size() + kMaxBatchRows - 1) /
-                                           kMaxBatchRows);
+      const std::size_t batches =
+          (writes.size() + kMaxBatchRows - 1) / kMaxBatchRows;
+      rate.m_writes += static_cast<double>(batches);
       rate.m_rows += static_cast<double>(writes.size());
       for (const GrantEffect& effect : writes) {
         const auto& write = std::get<WriteGrant>(effect);
--- a/bench/naive_engine.h
+++ b/bench/naive_engine.h
@@ -35,7 +35,8 @@
                Effects& effects) override {
     m_pools.clear();
     for (WorkerInfo& info : workers) {
-      m_pools[info.m_pool].push_back({.m_info = std::move(info)});
+      auto& pool = m_pools[info.m_pool];
+      pool.push_back({.m_info = std::move(info)});
     }
     Start(now, effects);
   }
--- a/filbertspar/base/src/codes.cc
+++ b/filbertspar/base/src/codes.cc
@@ -29,6 +29,8 @@
      "The stop bound was reached with work still running."},
     {Code::kInternal, "internal", 500, 1, Outcome::kUnknown,
      "An internal error."},
+    {Code::kHistoryViolated, "history_violated", 500, 6, Outcome::kNone,
+     "A recorded history breaks an invariant."},
 
     {Code::kBadJson, "bad_json", 400, 10, Outcome::kNotRun,
      "The body is not valid JSON."},
--- a/filbertspar/base/src/codes.h
+++ b/filbertspar/base/src/codes.h
@@ -23,6 +23,7 @@
   kListenFailed = 106,
   kStopBoundReached = 107,
   kInternal = 108,
+  kHistoryViolated = 109,
 
   kBadJson = 200,
   kBadField = 201,
--- a/filbertspar/base/src/ids.h
+++ b/filbertspar/base/src/ids.h
@@ -21,7 +21,6 @@
   bool Empty() const { return m_value.empty(); }
 
   friend bool operator==(const Name&, const Name&) = default;
-  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on defaulted <=>.
   friend auto operator<=>(const Name&, const Name&) = default;
   friend std::ostream& operator<<(std::ostream& out, const Name& name) {
     return out << name.m_value;
@@ -46,7 +45,6 @@
   constexpr bool IsNone() const { return m_value == 0; }
 
   friend constexpr bool operator==(Id, Id) = default;
-  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on defaulted <=>.
   friend constexpr auto operator<=>(Id, Id) = default;
   friend std::ostream& operator<<(std::ostream& out, Id id) {
     return out << id.m_value;
--- a/filbertspar/entry/src/admin_api.h
+++ b/filbertspar/entry/src/admin_api.h
@@ -25,10 +25,11 @@
 
   asio::awaitable<HttpResponse> Handle(const HttpRequest& request);
 
- private:
-  /// Name of the operator whose key came with the request.
+  /// \brief Name of the operator whose key came with the request.
   absl::StatusOr<std::string> Check(const HttpRequest& request,
                                     Role needed) const;
+
+ private:
   asio::awaitable<HttpResponse> Read(const HttpRequest& request,
                                      const std::vector<std::string>& segments);
   asio::awaitable<HttpResponse> ChangeConfig(
--- a/filbertspar/entry/src/peers.cc
+++ b/filbertspar/entry/src/peers.cc
@@ -19,6 +19,7 @@
 constexpr Duration kRound = Milliseconds(500);
 constexpr Duration kListPeriod = Seconds(5);
 constexpr Duration kReadDeadline = Seconds(1);
+constexpr std::size_t kMaxTakenOver = 10'000;
 constexpr Duration kUseLife = Seconds(5);
 /// Added to a forwarded request's deadline before its answer is given up.
 constexpr Duration kForwardMargin = Seconds(2);
@@ -159,7 +160,12 @@
   submission.m_deadline = forward.m_deadline;
   submission.m_forwarded = true;
   submission.m_forwarded_id = forward.m_request;
-  const std::function<void(RequestId)> admitted = [](RequestId) {};
+  const std::function<void(RequestId)> admitted = [&](RequestId request) {
+    m_taken_over.push_back({forward.m_request, request});
+    if (m_taken_over.size() > kMaxTakenOver) {
+      m_taken_over.pop_front();
+    }
+  };
   const Reply answer =
       co_await m_dispatcher.Submit(std::move(submission), admitted);
   ForwardReply reply;
--- a/filbertspar/entry/src/peers.h
+++ b/filbertspar/entry/src/peers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <vector>
@@ -32,6 +33,14 @@
   void Stop() { m_links.Stop(); }
   const PeerLinks& Links() const { return m_links; }
 
+  /// \brief A request of a peer and the id it got here.
+  struct TakenOver {
+    RequestId m_origin;
+    RequestId m_request;
+  };
+  /// \brief The last requests taken over from peers, oldest first.
+  const std::deque<TakenOver>& LastTakenOver() const { return m_taken_over; }
+
  private:
   struct PendingForward {
     NodeName m_peer;
@@ -68,6 +77,7 @@
   std::map<RequestId, PendingForward> m_forwards;
   /// Node that is live on each VM, to see when a newer one replaces it.
   std::map<VmName, NodeName> m_live;
+  std::deque<TakenOver> m_taken_over;
   TimePoint m_last_round;
   TimePoint m_paused_until;
 };
--- a/filbertspar/entry/src/process.cc
+++ b/filbertspar/entry/src/process.cc
@@ -55,6 +55,22 @@
   return limits;
 }
 
+HttpResponse PeersPage(const Peers& peers) {
+  JsonArray live;
+  for (const MemberUpdate& member : LiveMembers(peers.Links().State())) {
+    live.push_back(JsonObject{{"node", member.m_node.Value()},
+                              {"zone", member.m_zone.Value()}});
+  }
+  JsonArray taken;
+  for (const Peers::TakenOver& each : peers.LastTakenOver()) {
+    taken.push_back(
+        JsonObject{{"origin", std::to_string(each.m_origin.Value())},
+                   {"request", std::to_string(each.m_request.Value())}});
+  }
+  return JsonResponse(200, JsonObject{{"live", std::move(live)},
+                                      {"taken_over", std::move(taken)}});
+}
+
 /// All parts of one entry process.
 class EntryProcess {
  public:
@@ -80,7 +96,7 @@
                         }),
         m_admin_server(context, LimitsOf(options),
                        [this](const HttpRequest& request) {
-                         return m_admin_api.Handle(request);
+                         return HandleAdmin(request);
                        }) {
     if (options.m_peer_listen) {
       m_peers = std::make_unique<Peers>(context, options, m_node, secrets,
@@ -95,6 +111,7 @@
 
  private:
   asio::awaitable<HttpResponse> HandleCaller(const HttpRequest& request);
+  asio::awaitable<HttpResponse> HandleAdmin(const HttpRequest& request);
   asio::awaitable<void> PollFleet();
   asio::awaitable<void> Stop();
   void ApplyCatalogue(std::shared_ptr<const Catalogue> catalogue);
@@ -151,6 +168,22 @@
   co_return co_await m_caller_api.Handle(request);
 }
 
+/// What concerns the peers is answered here, the rest by the API.
+asio::awaitable<HttpResponse> EntryProcess::HandleAdmin(
+    const HttpRequest& request) {
+  const bool peers = PathOf(request) == "/admin/v1/peers" &&
+                     request.method() == HttpVerb::get && m_peers != nullptr;
+  if (!peers) {
+    co_return co_await m_admin_api.Handle(request);
+  }
+  const absl::Status allowed =
+      m_admin_api.Check(request, Role::kViewer).status();
+  if (!allowed.ok()) {
+    co_return StatusResponse(allowed);
+  }
+  co_return PeersPage(*m_peers);
+}
+
 void EntryProcess::ApplyCatalogue(std::shared_ptr<const Catalogue> catalogue) {
   m_dispatcher.Update([&](Engine& engine, TimePoint now, Effects& effects) {
     SetCatalogue(engine, now, catalogue, effects);
--- a/programs/load/recorder.h
+++ b/programs/load/recorder.h
@@ -20,6 +20,8 @@
   std::string m_team;
   std::string m_entry;
   std::string m_request_key;
+  /// Id given by the caller, for queries and cancellation.
+  std::string m_id;
   /// Request id given by the entry process; empty when none came.
   std::string m_request;
   /// Result code of the answer; -1 when no answer came.
--- a/programs/load/runner.cc
+++ b/programs/load/runner.cc
@@ -133,14 +133,14 @@
   co_await Pause(stream.m_cancel_at - SinceStart());
   std::vector<OpenCall> chosen;
   for (const auto& [call, open] : m_open) {
-    if (open.m_stream == index && !open.m_request.empty() &&
+    if (open.m_stream == index && !open.m_id.empty() &&
         m_rng.Chance(stream.m_cancel_share)) {
       chosen.push_back(open);
     }
   }
   for (const OpenCall& open : chosen) {
-    HttpRequest request = MakeRequest(
-        HttpVerb::delete_, absl::StrCat("/v1/jobs/", open.m_request));
+    HttpRequest request =
+        MakeRequest(HttpVerb::delete_, absl::StrCat("/v1/jobs/", open.m_id));
     request.set("x-filbertspar-key", stream.m_key);
     co_await m_client.Call(open.m_target, std::move(request), Seconds(5));
   }
@@ -162,7 +162,7 @@
   JsonObject job{{"entry", stream.m_entry},
                  {"body", body},
                  {"deadline_ms", ToMilliseconds(stream.m_deadline)},
-                 {"id", call.m_request}};
+                 {"id", call.m_id}};
   if (!call.m_request_key.empty()) {
     job["request_key"] = call.m_request_key;
   }
@@ -198,6 +198,7 @@
     call.m_code = static_cast<int>(code->as_int64());
   }
   call.m_outcome = FieldText(*answer, "outcome");
+  call.m_request = FieldText(*answer, "request");
   call.m_own_answer = IsEchoOf(FieldText(*answer, "result"), body);
 }
 
@@ -210,7 +211,7 @@
   call.m_team = stream.m_team;
   call.m_entry = stream.m_entry;
   call.m_request_key = std::move(request_key);
-  call.m_request = absl::StrCat(m_run, "-", call.m_call);
+  call.m_id = absl::StrCat(m_run, "-", call.m_call);
   call.m_sent_us = WallMicroseconds();
   const std::string body = ToText(JsonObject{
       {"work_ms", ToMilliseconds(stream.m_work)},
@@ -219,7 +220,7 @@
                                          : call.m_request_key}});
   const Endpoint target =
       m_scenario.m_targets[call.m_call % m_scenario.m_targets.size()];
-  m_open[call.m_call] = {index, call.m_request, target};
+  m_open[call.m_call] = {index, call.m_id, target};
   m_recorder.Submitted(call);
   const CallResult result =
       co_await m_client.Call(target, BuildRequest(stream, call, body),
--- a/programs/load/runner.h
+++ b/programs/load/runner.h
@@ -30,7 +30,7 @@
  private:
   struct OpenCall {
     std::size_t m_stream = 0;
-    std::string m_request;
+    std::string m_id;
     Endpoint m_target;
   };
 
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -249,6 +249,44 @@
                 events.append(event)
         return events, cut_off
 
+    def write_history(self, load_file, extra):
+        """Writes calls, tasks, takeovers, ceilings and keys as one history."""
+        path = os.path.join(self.folder, "history.jsonl")
+        with open(path, "w") as out, open(load_file) as calls:
+            for line in calls:
+                event = json.loads(line)
+                if event["event"] == "submitted" and event["team"]:
+                    event["key"] = event["team"] + "-1"
+                out.write(json.dumps(event) + "\n")
+            events, cut_off = self.worker_history()
+            for event in events:
+                out.write(json.dumps({
+                    "event": "started" if event["event"] == "start" else "ended",
+                    "time_us": event["time_us"], "request": event["request"],
+                    "attempt": event["attempt"], "worker": event["worker"],
+                    "team": event["team"], "entry": event["job"],
+                    "outcome": "" if event["event"] == "start" else event["state"]}) + "\n")
+            for team in self.catalogue["teams"]:
+                out.write(json.dumps({"event": "ceiling", "team": team["name"],
+                                      "units": team["ceiling"], "time_us": 1}) + "\n")
+                out.write(json.dumps({"event": "key_live", "team": team["name"], "time_us": 1,
+                                      "key": team["name"] + "-1"}) + "\n")
+            for name in self.entries:
+                if self.processes[name].poll() is None:
+                    for each in self.admin("GET", "peers", entry=name)[1]["taken_over"]:
+                        out.write(json.dumps({
+                            "event": "forwarded", "time_us": 1, "node": name,
+                            "origin": each["origin"], "request": each["request"]}) + "\n")
+            for event in extra:
+                out.write(json.dumps(event) + "\n")
+        return path, events, cut_off
+
+    def check_history(self, path, options=()):
+        """Runs the checker; returns its output lines when it found something."""
+        done = subprocess.run([os.path.join(self.build, "programs/filbertspar-check"),
+                               *options, path], capture_output=True, text=True)
+        return [] if done.returncode == 0 else (done.stdout + done.stderr).splitlines()
+
     def stop(self):
         """Stops every process of this cluster; returns exit codes by name."""
         codes = {}
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -43,63 +43,19 @@
     stop.wait()
 
 
-def read_history(path):
-    with open(path) as file:
-        return [json.loads(line) for line in file]
-
-
-def check(cluster, summary, revoked, history):
+def check(cluster, summary, revoked):
     """Faults found in what callers saw and in what workers did."""
     faults = []
-    submitted = [e for e in history if e["event"] == "submitted"]
-    answered = [e for e in history if e["event"] == "answered"]
-    calls = [e["call"] for e in answered]
-    if len(calls) != len(set(calls)) or set(calls) != {e["call"] for e in submitted}:
-        faults.append("a call has no answer or more than one")
-    if summary["foreign_answers"]:
-        faults.append("an answer was not the caller's own")
-    for event in answered:
-        if event["outcome"] not in ("ran", "not run", "unknown"):
-            faults.append("call %s has no outcome" % event["call"])
-    events, cut_off = cluster.worker_history()
+    if summary["missing"] or summary["foreign_answers"]:
+        faults.append("%d calls without an answer, %d answers not the caller's own" % (
+            summary["missing"], summary["foreign_answers"]))
+    path, _, cut_off = cluster.write_history(
+        os.path.join(cluster.folder, "load.jsonl"), [{
+            "event": "key_revoked", "team": revoked["team"],
+            "key": revoked["team"] + "-1", "time_us": revoked["time_us"]}])
     if cut_off:
         faults.append("a reboot cut off %d tasks" % cut_off)
-    started = {}
-    for event in events:
-        if event["event"] == "start":
-            started.setdefault(event["request"], []).append(event)
-    for event in answered:
-        if event["outcome"] == "not run" and event["request"] in started:
-            faults.append("request %s was refused as not run, but ran" % event["request"])
-    runs_by_key = {}
-    request_key = {e["request"]: e["request_key"] for e in answered if e["request_key"]}
-    for request, starts in started.items():
-        key = request_key.get(request)
-        if key:
-            runs_by_key[key] = runs_by_key.get(key, 0) + len(starts)
-    for key, runs in runs_by_key.items():
-        if runs > 1:
-            faults.append("request key %s ran %d times" % (key, runs))
-    for event in answered:
-        late = event["time_us"] > revoked["time_us"] + 2_000_000
-        if event["team"] == revoked["team"] and late and event["code"] == 0:
-            began = [s["time_us"] for s in started.get(event["request"], [])]
-            if began and min(began) > revoked["time_us"] + 2_000_000:
-                faults.append("call %s started after its key was revoked" % event["call"])
-    faults += check_ceilings(cluster, events)
-    return faults
-
-
-def check_ceilings(cluster, events):
-    faults, running = [], {}
-    ceilings = {t["name"]: t["ceiling"] for t in cluster.catalogue["teams"]}
-    for event in sorted(events, key=lambda e: (e["time_us"], e["event"] == "start")):
-        team = event["team"]
-        running[team] = running.get(team, 0) + (1 if event["event"] == "start" else -1)
-        if running[team] > ceilings[team]:
-            faults.append("team %s had %d running" % (team, running[team]))
-            break
-    return faults
+    return faults + cluster.check_history(path)
 
 
 def print_shares(cluster, events):
@@ -135,8 +91,7 @@
     print("drained %s for good and %s for maintenance" % (drained, maintained))
     output, _ = load.communicate()
     summary = json.loads(output.strip().splitlines()[-1])
-    history = read_history(os.path.join(cluster.folder, "load.jsonl"))
-    faults = check(cluster, summary, revoked, history)
+    faults = check(cluster, summary, revoked)
     events, _ = cluster.worker_history()
     late = [e for e in events if e["worker"] == drained and e["event"] == "start"
             and e["time_us"] > drain_us + 3_000_000]
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -62,6 +62,7 @@
   Faults m_faults;
   Store m_store;
   std::deque<std::pair<TimePoint, std::map<std::string, JsonObject>>> m_lists;
+  const std::map<std::string, JsonObject> m_no_vms;
   /// Last token "NAME:EPOCH" carried out per VM; each is carried out once.
   std::map<std::string, std::int64_t> m_reboots;
   std::uint64_t m_reads = 0;
@@ -228,9 +229,8 @@
   while (m_lists.size() > 1 && m_lists[1].first <= shown) {
     m_lists.pop_front();
   }
-  static const std::map<std::string, JsonObject> kEmpty;
   return m_lists.empty() || m_lists.front().first > shown
-             ? kEmpty
+             ? m_no_vms
              : m_lists.front().second;
 }
 
--- a/tests/placement_choice_test.cc
+++ b/tests/placement_choice_test.cc
@@ -109,6 +109,7 @@
   Placement placement = MakePlacement({.m_zone = ZoneName("a")});
   const PlacementPool pool = InternPool(placement, PoolName("p"));
   std::vector<WorkerInfo> infos;
+  infos.reserve(10);
   for (int i = 0; i < 10; ++i) {
     infos.push_back(WorkerOf(i, "a", 8));
   }
--- a/tests/world/scenario.cc
+++ b/tests/world/scenario.cc
@@ -113,6 +113,7 @@
   AddEntry(*catalogue, "price-quote", "quotes", WorkClass::kUrgent)
       .m_max_queue = 10000;
   std::vector<WorkerInfo> list;
+  list.reserve(static_cast<std::size_t>(workers));
   for (int i = 0; i < workers; ++i) {
     list.push_back(WorkerOf("quotes", i, kSlots));
   }
