--- a/filbertspar/http/src/server.cc
+++ b/filbertspar/http/src/server.cc
@@ -1,5 +1,6 @@
 #include "filbertspar/http/src/server.h"
 
+#include <array>
 #include <exception>
 #include <optional>
 #include <set>
@@ -29,6 +30,8 @@
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 /// Pause after accept failed, usually for want of file descriptors.
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
+/// A client that sends more than this after a refusal is cut off.
+constexpr std::size_t kMaxDrainedBytes = 64U << 20U;
 /// One sweep over all connections costs less than a timer for every read and
 /// write, and cancels without closing, so that a slow client can be answered.
 constexpr auto kSweepPeriod = std::chrono::milliseconds(100);
@@ -59,6 +62,7 @@
                                  beast::flat_buffer& buffer);
   asio::awaitable<void> Refuse(Connection& connection,
                                boost::system::error_code error);
+  asio::awaitable<void> Drain(Connection& connection);
   asio::awaitable<HttpResponse> Handle(const HttpRequest& request);
   asio::awaitable<bool> Write(Connection& connection, HttpResponse response,
                               bool keep_alive);
@@ -176,6 +180,7 @@
         CodeResponse(Code::kBodyTooLarge,
                      absl::StrCat("at most ", m_limits.m_body_bytes, " bytes")),
         false);
+    co_await Drain(connection);
   } else if (error.category() ==
                  make_error_code(http::error::bad_version).category() &&
              error != http::error::end_of_stream) {
@@ -184,6 +189,21 @@
   }
 }
 
+/// Reads on after a refusal: closing with unread bytes resets the connection,
+/// and a client that still sends would lose the answer.
+asio::awaitable<void> HttpServer::State::Drain(Connection& connection) {
+  boost::system::error_code error;
+  connection.m_socket.shutdown(tcp::socket::shutdown_send, error);
+  connection.m_deadline = SteadyNow() + m_limits.m_read_time;
+  std::array<char, 16384> discarded;
+  for (std::size_t total = 0; !error && total < kMaxDrainedBytes;) {
+    auto [read_error, bytes] = co_await connection.m_socket.async_read_some(
+        asio::buffer(discarded), kTuple);
+    error = read_error;
+    total += bytes;
+  }
+}
+
 asio::awaitable<HttpResponse> HttpServer::State::Handle(
     const HttpRequest& request) {
   std::optional<std::string> failure;
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -64,6 +64,7 @@
         pick = random.SystemRandom()
         self.net = "127.%d.%d" % (pick.randint(1, 254), pick.randint(0, 254))
         self.processes = {}
+        self.entry_settings = {}
         self.operator_key = secrets.token_hex(32)
         self.operator = {"x-filbertspar-operator-key": self.operator_key}
         self.keys = {}
@@ -129,6 +130,7 @@
             "peer_key_file": os.path.join(self.folder, "peer.key"),
             "bootstrap_operator_hash":
                 hashlib.sha256(self.operator_key.encode()).hexdigest(),
+            **self.entry_settings,
         }})
 
     def start_planner(self, name):
