--- a/filbertspar/entry/src/fleet_api.cc
+++ b/filbertspar/entry/src/fleet_api.cc
@@ -12,6 +12,9 @@
 constexpr Duration kWriteDeadline = Seconds(3);
 /// Attempts of a change that meets conflicts with the planner's own writes.
 constexpr int kTries = 6;
+/// Lists may be this old: an operator who polls must not spend the process's
+/// budget of table reads, which the configuration and the grants share.
+constexpr Duration kMaxListAge = Seconds(2);
 /// Age of the view above which a change reads the tables first.
 constexpr Duration kMaxViewAge = Seconds(10);
 
@@ -88,6 +91,13 @@
   co_return CodeResponse(Code::kUnknownPath, "");
 }
 
+asio::awaitable<absl::Status> FleetApi::RefreshForList() {
+  if (SteadyNow() - m_read_at < kMaxListAge) {
+    co_return absl::OkStatus();
+  }
+  co_return co_await Refresh();
+}
+
 asio::awaitable<absl::Status> FleetApi::Refresh() {
   const absl::StatusOr<RowsRead> rows = co_await m_tables.ReadChanges(true);
   if (rows.ok()) {
@@ -280,7 +290,7 @@
 }
 
 asio::awaitable<HttpResponse> FleetApi::ListVms() {
-  const absl::Status read = co_await Refresh();
+  const absl::Status read = co_await RefreshForList();
   if (!read.ok()) {
     co_return StatusResponse(read);
   }
@@ -292,7 +302,7 @@
 }
 
 asio::awaitable<HttpResponse> FleetApi::ListBudgets() {
-  const absl::Status read = co_await Refresh();
+  const absl::Status read = co_await RefreshForList();
   if (!read.ok()) {
     co_return StatusResponse(read);
   }
@@ -307,7 +317,7 @@
 
 asio::awaitable<HttpResponse> FleetApi::ListWaves() {
   const std::shared_ptr<const Catalogue> catalogue = m_config.Current();
-  const absl::Status read = co_await Refresh();
+  const absl::Status read = co_await RefreshForList();
   if (catalogue == nullptr || !read.ok()) {
     co_return catalogue == nullptr ? CodeResponse(Code::kNoConfig, "")
                                    : StatusResponse(read);
--- a/filbertspar/entry/src/fleet_api.h
+++ b/filbertspar/entry/src/fleet_api.h
@@ -45,6 +45,7 @@
   asio::awaitable<HttpResponse> ListWaves();
   asio::awaitable<HttpResponse> Change(Plan plan);
   asio::awaitable<absl::Status> Refresh();
+  asio::awaitable<absl::Status> RefreshForList();
 
   Config& m_config;
   Store& m_store;
