--- a/filbertspar/base/src/codes.cc
+++ b/filbertspar/base/src/codes.cc
@@ -86,6 +86,8 @@
      "The request did not arrive within the read bound."},
     {Code::kTeamAtCeiling, "team_at_ceiling", 429, 13, Outcome::kNotRun,
      "The team's ceiling allows no work."},
+    {Code::kNoOwner, "no_owner", 503, 15, Outcome::kNotRun,
+     "No VM owns the queue's jobs right now."},
 
     {Code::kTaskFailed, "task_failed", 502, 20, Outcome::kRan,
      "The task ran and reported a failure."},
--- a/filbertspar/base/src/codes.h
+++ b/filbertspar/base/src/codes.h
@@ -52,6 +52,7 @@
   kJournalStoreDown = 224,
   kSlowClient = 225,
   kTeamAtCeiling = 226,
+  kNoOwner = 227,
 
   kTaskFailed = 300,
   kOutcomeUnknown = 301,
--- /dev/null
+++ b/filbertspar/fleetview/fleetview.h
@@ -0,0 +1,10 @@
+#pragma once
+
+/// \file
+/// \brief What workers, VMs and the metadata store say, and the orders given
+/// to them, as plain typed records.
+
+#include "filbertspar/fleetview/src/machine.h"  // IWYU pragma: export
+#include "filbertspar/fleetview/src/orders.h"   // IWYU pragma: export
+#include "filbertspar/fleetview/src/table.h"    // IWYU pragma: export
+#include "filbertspar/fleetview/src/worker.h"   // IWYU pragma: export
--- a/filbertspar/http/src/client.cc
+++ b/filbertspar/http/src/client.cc
@@ -116,6 +116,10 @@
 
 HttpClient::~HttpClient() = default;
 
+void HttpClient::DropIdle(const Endpoint& endpoint) {
+  m_state->m_idle.erase(endpoint);
+}
+
 asio::awaitable<CallResult> HttpClient::Call(Endpoint endpoint,
                                              HttpRequest request,
                                              Duration timeout,
--- a/filbertspar/http/src/client.h
+++ b/filbertspar/http/src/client.h
@@ -52,6 +52,10 @@
                                    Duration timeout,
                                    bool fresh_connection = false);
 
+  /// \brief Closes the idle connections to an endpoint, which may have gone
+  /// silent together with one that timed out.
+  void DropIdle(const Endpoint& endpoint);
+
  private:
   struct State;
   std::shared_ptr<State> m_state;
--- /dev/null
+++ b/filbertspar/job/src/demand.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "filbertspar/base/base.h"
+
+namespace filbertspar {
+
+/// \brief Thousandths of a core.
+using Millicores = Quantity<struct MillicoresTag>;
+
+/// \brief What a task occupies, what a worker has, or what a workspace may
+/// have running.
+struct Demand {
+  Millicores m_cpu;
+  Megabytes m_memory;
+  Accelerators m_accelerators;
+
+  friend bool operator==(const Demand&, const Demand&) = default;
+};
+
+inline Demand& operator+=(Demand& a, const Demand& b) {
+  a.m_cpu += b.m_cpu;
+  a.m_memory += b.m_memory;
+  a.m_accelerators += b.m_accelerators;
+  return a;
+}
+
+inline Demand& operator-=(Demand& a, const Demand& b) {
+  a.m_cpu -= b.m_cpu;
+  a.m_memory -= b.m_memory;
+  a.m_accelerators -= b.m_accelerators;
+  return a;
+}
+
+inline Demand operator+(Demand a, const Demand& b) { return a += b; }
+inline Demand operator-(Demand a, const Demand& b) { return a -= b; }
+
+/// \brief Whether `a` is at most `b` in every resource.
+inline bool FitsIn(const Demand& a, const Demand& b) {
+  return a.m_cpu <= b.m_cpu && a.m_memory <= b.m_memory &&
+         a.m_accelerators <= b.m_accelerators;
+}
+
+}  // namespace filbertspar
--- a/filbertspar/metrics/src/text.cc
+++ b/filbertspar/metrics/src/text.cc
@@ -14,6 +14,8 @@
       return "gauge";
     case MetricType::kSummary:
       return "summary";
+    case MetricType::kHistogram:
+      return "histogram";
   }
   return "untyped";
 }
--- a/filbertspar/metrics/src/text.h
+++ b/filbertspar/metrics/src/text.h
@@ -10,7 +10,12 @@
 
 using MetricLabels = std::vector<std::pair<std::string_view, std::string>>;
 
-enum class MetricType : std::uint8_t { kCounter, kGauge, kSummary };
+enum class MetricType : std::uint8_t {
+  kCounter,
+  kGauge,
+  kSummary,
+  kHistogram,
+};
 
 /// \brief Builds a page in the Prometheus text format, version 0.0.4.
 class MetricsText {
--- /dev/null
+++ b/filbertspar/node/src/configuration.cc
@@ -0,0 +1,127 @@
+#include "filbertspar/node/src/configuration.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "boost/asio/co_spawn.hpp"
+#include "boost/asio/detached.hpp"
+#include "filbertspar/node/src/async.h"
+#include "filbertspar/node/src/clock.h"
+#include "platform/platform.h"
+
+namespace filbertspar {
+namespace {
+
+/// One question to the store lasts this long at most, so that the answer says
+/// often enough that nothing has changed.
+constexpr Duration kFeedWait = Milliseconds(1000);
+constexpr Duration kRetryPause = Milliseconds(100);
+
+}  // namespace
+
+Configuration::Configuration(asio::io_context& context, StoreClient& store,
+                             EventLog& log, Duration freshness_bound)
+    : m_context(context), m_store(store), m_log(log) {
+  m_freshness.m_bound = freshness_bound;
+}
+
+void Configuration::Start(std::function<void()> changed) {
+  m_changed = std::move(changed);
+  asio::co_spawn(m_context, Follow(), asio::detached);
+}
+
+asio::awaitable<void> Configuration::Follow() {
+  bool read = false;
+  while (true) {
+    if (!read) {
+      read = co_await ReadNow();
+    }
+    if (!read) {
+      co_await Pause(kRetryPause);
+      continue;
+    }
+    const TimePoint sent = BootNow();
+    const TableAnswer answer =
+        co_await m_store.Feed(adapter::kOperatorTable, m_version, kFeedWait);
+    if (answer.m_result == StoreResult::kDone) {
+      m_version = std::max(m_version, answer.m_version);
+      m_freshness.m_confirmed_at = sent;
+      TakeRows(answer.m_rows);
+    } else if (answer.m_result == StoreResult::kHistoryGone) {
+      m_log.Info("config", "history_gone",
+                 absl::StrCat("after=", m_version.Value()));
+      read = false;
+    } else {
+      // The feed may be the part that fails; a plain read may still work.
+      read = false;
+      co_await Pause(kRetryPause);
+    }
+  }
+}
+
+asio::awaitable<bool> Configuration::ReadNow() {
+  const TimePoint sent = BootNow();
+  const TableAnswer answer =
+      co_await m_store.ReadAll(std::string(adapter::kOperatorTable), "");
+  if (answer.m_result != StoreResult::kDone) {
+    co_return false;
+  }
+  m_version = answer.m_version;
+  m_freshness.m_confirmed_at = sent;
+  TakeRows(answer.m_rows);
+  co_return true;
+}
+
+void Configuration::TakeRows(const std::vector<TableRow>& rows) {
+  for (const TableRow& row : rows) {
+    if (row.m_deleted) {
+      continue;
+    }
+    if (row.m_key.m_key == adapter::kConfigKey) {
+      TakeDeployment(row.m_value);
+    } else if (row.m_key.m_key.starts_with(adapter::kWavePrefix)) {
+      TakeWave(row);
+    }
+  }
+  if (!rows.empty() && m_changed) {
+    m_changed();
+  }
+}
+
+void Configuration::TakeDeployment(const std::string& text) {
+  std::vector<std::string> damaged;
+  absl::StatusOr<Deployment> deployment =
+      adapter::DecodeDeployment(text, damaged);
+  if (!deployment.ok()) {
+    m_log.Warn("config", "config_unreadable",
+               absl::StrCat("reason=\"", deployment.status().message(), "\""));
+    return;
+  }
+  if (m_current != nullptr && deployment->m_version <= m_current->m_version) {
+    return;
+  }
+  const std::uint64_t before =
+      m_current == nullptr ? 0 : m_current->m_version.Value();
+  m_current = std::make_shared<const Deployment>(*std::move(deployment));
+  m_log.Info("config", "config_in_force",
+             absl::StrCat("version=", m_current->m_version.Value(), " before=",
+                          before, " queues=", m_current->m_queues.size(),
+                          " damaged=", absl::StrJoin(damaged, ",")));
+}
+
+void Configuration::TakeWave(const TableRow& row) {
+  absl::StatusOr<UpkeepWave> wave = adapter::DecodeWave(row.m_value);
+  if (!wave.ok()) {
+    m_log.Warn("config", "wave_unreadable",
+               absl::StrCat("key=", row.m_key.m_key));
+    return;
+  }
+  m_log.Info("config", "wave_asked",
+             absl::StrCat("wave=", wave->m_number, " vms=", wave->m_vms.size(),
+                          " ceiling=", wave->m_ceiling,
+                          " duration_ms=", ToMilliseconds(wave->m_duration)));
+  m_waves[wave->m_number] = *std::move(wave);
+}
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/node/src/configuration.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "filbertspar/fleetview/fleetview.h"
+#include "filbertspar/node/src/event_log.h"
+#include "filbertspar/node/src/store_client.h"
+#include "filbertspar/routing/routing.h"
+
+namespace filbertspar {
+
+/// \brief Follows what operators write: the configuration, which never goes
+/// back to an older version, and the waves of upkeep.
+class Configuration {
+ public:
+  Configuration(asio::io_context& context, StoreClient& store, EventLog& log,
+                Duration freshness_bound);
+
+  /// \brief Begins to follow; `changed` is called after each change.
+  void Start(std::function<void()> changed);
+
+  const DeploymentPtr& Current() const { return m_current; }
+  const std::map<std::uint64_t, UpkeepWave>& Waves() const { return m_waves; }
+  ConfigFreshness Freshness() const { return m_freshness; }
+
+ private:
+  asio::awaitable<void> Follow();
+  asio::awaitable<bool> ReadNow();
+  void TakeRows(const std::vector<TableRow>& rows);
+  void TakeDeployment(const std::string& text);
+  void TakeWave(const TableRow& row);
+
+  asio::io_context& m_context;
+  StoreClient& m_store;
+  EventLog& m_log;
+  std::function<void()> m_changed;
+  DeploymentPtr m_current;
+  std::map<std::uint64_t, UpkeepWave> m_waves;
+  ConfigFreshness m_freshness;
+  RowVersion m_version;
+};
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/node/src/duty.cc
@@ -0,0 +1,519 @@
+#include "filbertspar/node/src/duty.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "boost/asio/co_spawn.hpp"
+#include "boost/asio/detached.hpp"
+#include "filbertspar/node/src/clock.h"
+#include "filbertspar/node/src/metric_names.h"
+#include "platform/platform.h"
+
+namespace filbertspar {
+namespace {
+
+/// Lease asked for with each look, unless the deployment allows only less. A
+/// worker's registration outlives its silence by three reports; a lease of two
+/// has run out by then.
+constexpr int kLeaseReports = 2;
+/// An owner whose writes are not confirmed for this long orders nothing more,
+/// unless nobody else reaches the store either.
+constexpr Duration kOrderBound = Seconds(2);
+/// Clock error and late delivery on top of the last lease of an earlier owner.
+constexpr Duration kInheritMargin = Milliseconds(500);
+constexpr Duration kConfirmedBound = Seconds(1);
+constexpr Duration kTickPeriod = Milliseconds(100);
+/// Events that come together are followed by one round of starts.
+constexpr Duration kDispatchDelay = Milliseconds(2);
+constexpr Duration kRetryPause = Milliseconds(150);
+constexpr Duration kWorkerFeedWait = Seconds(2);
+/// A registration that lapsed while the store was away is back within 2 s.
+constexpr Duration kUnlistAfter = Milliseconds(2200);
+/// A caller is told to come back after this time when the store is away.
+constexpr Duration kStoreReturn = Seconds(2);
+constexpr Duration kAdviceTimeout = Seconds(2);
+constexpr std::size_t kForgetAtOnce = 20;
+/// A link that has been down for this long while the store confirmed the
+/// ownership belongs to a VM that is gone.
+constexpr Duration kPeerGoneAfter = Seconds(10);
+constexpr Duration kPingBound = Seconds(1);
+
+Duration LeaseOf(const NodeOptions& options) {
+  return std::min(options.m_max_lease, options.m_worker_report * kLeaseReports);
+}
+
+std::string JobField(const JobId& id) {
+  return id.Empty() ? "" : absl::StrCat("job=", id.Value());
+}
+
+}  // namespace
+
+Duty::Duty(const DutyParts& parts, OwnerWatch::Won won,
+           std::function<void()> deposed)
+    : m_parts(parts),
+      m_deposed(std::move(deposed)),
+      m_ready_signal(parts.m_context),
+      m_dispatch_timer(parts.m_context) {
+  scheduler::Options& options = m_scheduler.m_options;
+  options.m_fencing = won.m_record.m_epoch;
+  options.m_lease = LeaseOf(parts.m_options);
+  options.m_state_kept = parts.m_options.m_state_kept;
+  options.m_inherited_until =
+      BootNow() + kOrderBound + options.m_lease * 21 / 20 + kInheritMargin;
+  m_scheduler.m_unix_offset = UnixNow() - BootNow().time_since_epoch();
+  m_scheduler.m_deployment = parts.m_configuration.Current();
+  m_log_epoch = absl::StrCat("epoch=", won.m_record.m_epoch.Value());
+  Journal::Hooks hooks;
+  hooks.m_accepted = [this](JobSpec spec) {
+    const JobId id = spec.m_id;
+    scheduler::AddJob(m_scheduler, BootNow(), std::move(spec));
+    Count(m_parts.m_metrics, metric::kJobs, "accepted");
+    Changed();
+  };
+  hooks.m_stored = [this] { m_workers->EndsStored(); };
+  hooks.m_deposed = [this] {
+    m_parts.m_log.Warn("owner", "deposed", m_log_epoch);
+    m_deposed();
+  };
+  m_journal =
+      std::make_shared<Journal>(parts.m_context, parts.m_store, parts.m_log,
+                                m_scheduler, std::move(won), std::move(hooks));
+  m_workers = std::make_shared<WorkerLinks>(
+      parts.m_context, parts.m_client, parts.m_metrics, parts.m_log,
+      m_scheduler,
+      WorkerLinks::Hooks{[this] { return MayOrder(); }, [this] { Changed(); }});
+}
+
+void Duty::Start() {
+  const auto self = shared_from_this();
+  const auto run = [this](asio::awaitable<void> work) {
+    asio::co_spawn(m_parts.m_context, std::move(work), asio::detached);
+  };
+  run([](std::shared_ptr<Duty> duty) -> asio::awaitable<void> {
+    co_await duty->m_journal->Run();
+  }(self));
+  run([](std::shared_ptr<Duty> duty) -> asio::awaitable<void> {
+    co_await duty->Recover();
+  }(self));
+  run([](std::shared_ptr<Duty> duty) -> asio::awaitable<void> {
+    co_await duty->Tick();
+  }(self));
+}
+
+void Duty::Stop() {
+  m_running = false;
+  m_journal->Stop();
+  m_workers->Stop();
+  m_dispatch_timer.cancel();
+  m_ready_signal.Notify();
+}
+
+asio::awaitable<void> Duty::Release() {
+  const auto self = shared_from_this();
+  co_await m_journal->Release();
+  m_parts.m_log.Info("owner", "released", m_log_epoch);
+  Stop();
+}
+
+bool Duty::IsConfirmed() const {
+  return m_running && BootNow() - m_journal->ConfirmedAt() < kConfirmedBound;
+}
+
+bool Duty::OthersAreCutOff(TimePoint now) {
+  const Duration unconfirmed = now - m_journal->ConfirmedAt();
+  for (const auto& [vm, peer] : m_parts.m_links.Peers()) {
+    const bool heard = peer.m_connected && now - peer.m_pinged_at < kPingBound;
+    if (!heard || peer.m_store_age + kPingBound < unconfirmed) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool Duty::MayOrder() {
+  if (!m_running) {
+    return false;
+  }
+  const TimePoint now = BootNow();
+  return now - m_journal->ConfirmedAt() < kOrderBound || OthersAreCutOff(now);
+}
+
+asio::awaitable<void> Duty::Recover() {
+  const auto self = shared_from_this();
+  while (m_running && !co_await ReadJobs()) {
+    co_await Pause(kRetryPause);
+  }
+  if (!m_running) {
+    co_return;
+  }
+  m_is_ready = true;
+  m_parts.m_log.Info(
+      "owner", "jobs_read",
+      absl::StrCat(m_log_epoch, " jobs=", m_scheduler.m_jobs.size()));
+  m_ready_signal.Notify();
+  co_await FollowWorkers();
+}
+
+asio::awaitable<bool> Duty::ReadJobs() {
+  const TableAnswer jobs =
+      co_await m_parts.m_store.ReadAll(job_table::kJobs, job_table::kPart);
+  if (jobs.m_result != StoreResult::kDone) {
+    co_return false;
+  }
+  const TableAnswer progress =
+      co_await m_parts.m_store.ReadAll(job_table::kProgress, job_table::kPart);
+  if (progress.m_result != StoreResult::kDone || !m_running) {
+    co_return false;
+  }
+  absl::flat_hash_map<std::string, JobProgress> known;
+  for (const TableRow& row : progress.m_rows) {
+    absl::StatusOr<JobProgress> decoded = DecodeProgress(row.m_value);
+    if (decoded.ok()) {
+      known[row.m_key.m_key] = *std::move(decoded);
+    } else {
+      m_parts.m_log.Warn("owner", "progress_unreadable",
+                         absl::StrCat("job=", row.m_key.m_key));
+    }
+  }
+  const TimePoint now = BootNow();
+  for (const TableRow& row : jobs.m_rows) {
+    absl::StatusOr<JobSpec> spec = DecodeJob(row.m_value);
+    if (!spec.ok()) {
+      m_parts.m_log.Warn("owner", "job_unreadable",
+                         absl::StrCat("job=", row.m_key.m_key));
+      continue;
+    }
+    const auto found = known.find(row.m_key.m_key);
+    scheduler::RestoreJob(m_scheduler, now, *std::move(spec),
+                          found == known.end() ? JobProgress() : found->second);
+  }
+  for (const auto& [id, done] : known) {
+    if (IsFinal(done.m_state)) {
+      scheduler::RestoreFinal(m_scheduler, now, JobId(id), done);
+    }
+  }
+  co_return true;
+}
+
+asio::awaitable<bool> Duty::ReadWorkers(RowVersion& version) {
+  const TableAnswer rows =
+      co_await m_parts.m_store.ReadAll(std::string(adapter::kWorkerTable), "");
+  if (rows.m_result != StoreResult::kDone || !m_running) {
+    co_return false;
+  }
+  version = rows.m_version;
+  std::map<std::string, bool> listed;
+  for (const TableRow& row : rows.m_rows) {
+    listed[row.m_key.m_key] = true;
+    TakeWorkerRow(row);
+  }
+  for (const auto& worker : m_scheduler.m_workers) {
+    const std::string& name = worker.m_record.m_name.Value();
+    if (worker.m_registered && !listed.contains(name)) {
+      UnlistAfter(name);
+    }
+  }
+  Changed();
+  co_return true;
+}
+
+asio::awaitable<void> Duty::FollowWorkers() {
+  RowVersion version;
+  bool read = false;
+  while (m_running) {
+    if (!read) {
+      read = co_await ReadWorkers(version);
+      if (!read) {
+        co_await Pause(kRetryPause);
+        continue;
+      }
+    }
+    const TableAnswer answer = co_await m_parts.m_store.Feed(
+        adapter::kWorkerTable, version, kWorkerFeedWait);
+    if (!m_running) {
+      co_return;
+    }
+    if (answer.m_result != StoreResult::kDone) {
+      read = false;
+      co_await Pause(kRetryPause);
+      continue;
+    }
+    version = std::max(version, answer.m_version);
+    for (const TableRow& row : answer.m_rows) {
+      TakeWorkerRow(row);
+    }
+    if (!answer.m_rows.empty()) {
+      Changed();
+    }
+  }
+}
+
+void Duty::TakeWorkerRow(const TableRow& row) {
+  const std::string& name = row.m_key.m_key;
+  if (row.m_deleted) {
+    UnlistAfter(name);
+    return;
+  }
+  const absl::StatusOr<WorkerRecord> record =
+      adapter::DecodeWorker(name, row.m_value);
+  if (!record.ok()) {
+    // Such a row names no worker to use; one that was known is kept until its
+    // lease shows that it is gone.
+    m_parts.m_log.Warn(
+        "worker", "registration_unreadable",
+        absl::StrCat("worker=", name, " version=", row.m_version.Value(),
+                     " reason=\"", record.status().message(), "\""));
+    UnlistAfter(name);
+    return;
+  }
+  m_unlisted.erase(name);
+  m_workers->Watch(scheduler::WorkerListed(m_scheduler, BootNow(), *record));
+}
+
+void Duty::UnlistAfter(const std::string& name) {
+  m_unlisted.try_emplace(name, BootNow());
+}
+
+void Duty::UnlistDue(TimePoint now) {
+  for (auto it = m_unlisted.begin(); it != m_unlisted.end();) {
+    if (now - it->second < kUnlistAfter) {
+      ++it;
+      continue;
+    }
+    scheduler::WorkerUnlisted(m_scheduler, now, WorkerName(it->first));
+    it = m_unlisted.erase(it);
+  }
+}
+
+asio::awaitable<void> Duty::Tick() {
+  const auto self = shared_from_this();
+  while (m_running) {
+    co_await Pause(kTickPeriod);
+    if (!m_running) {
+      break;
+    }
+    const TimePoint now = BootNow();
+    m_scheduler.m_unix_offset = UnixNow() - now.time_since_epoch();
+    UnlistDue(now);
+    if (m_is_ready) {
+      scheduler::ExpireLeases(m_scheduler, now);
+      m_journal->Remove(
+          scheduler::ForgetFinal(m_scheduler, now, kForgetAtOnce));
+      Dispatch();
+    }
+    std::vector<VmName> gone;
+    for (const auto& [vm, peer] : m_parts.m_links.Peers()) {
+      if (!peer.m_connected && IsConfirmed() &&
+          now - peer.m_lost_at > kPeerGoneAfter) {
+        gone.push_back(vm);
+      }
+    }
+    for (const VmName& vm : gone) {
+      m_parts.m_links.ForgetPeer(vm);
+    }
+  }
+}
+
+void Duty::ConfigChanged() {
+  m_scheduler.m_deployment = m_parts.m_configuration.Current();
+  Changed();
+}
+
+void Duty::Changed() {
+  Apply();
+  if (m_dispatch_due || !m_is_ready || !m_running) {
+    return;
+  }
+  m_dispatch_due = true;
+  m_dispatch_timer.expires_after(kDispatchDelay);
+  m_dispatch_timer.async_wait(
+      [self = shared_from_this()](boost::system::error_code error) {
+        self->m_dispatch_due = false;
+        if (!error && self->m_running) {
+          self->Dispatch();
+        }
+      });
+}
+
+void Duty::Dispatch() {
+  if (MayOrder()) {
+    scheduler::Dispatch(m_scheduler, BootNow());
+    AskAdvice();
+  }
+  Apply();
+}
+
+void Duty::Apply() {
+  scheduler::Effects effects;
+  std::swap(effects, m_scheduler.m_effects);
+  for (const auto& note : effects.m_notes) {
+    LogNote(note);
+  }
+  m_workers->Carry(effects);
+  if (!m_scheduler.m_unstored.empty()) {
+    m_journal->Kick();
+  }
+}
+
+void Duty::LogNote(const scheduler::Effects::Note& note) {
+  if (note.m_event == "task_end") {
+    const std::size_t begin = note.m_detail.find('=') + 1;
+    Count(m_parts.m_metrics, metric::kEnds,
+          std::string_view(note.m_detail)
+              .substr(begin, note.m_detail.find(' ') - begin));
+  }
+  std::string fields = JobField(note.m_task.m_job);
+  if (!note.m_task.m_job.Empty()) {
+    absl::StrAppend(&fields, " occurrence=", note.m_task.m_occurrence,
+                    " step=", note.m_task.m_step,
+                    " task=", note.m_task.m_index);
+  }
+  if (note.m_worker != scheduler::kNoWorker) {
+    absl::StrAppend(
+        &fields, fields.empty() ? "" : " ", "worker=",
+        m_scheduler.m_workers[note.m_worker].m_record.m_name.Value());
+  }
+  absl::StrAppend(&fields, " ", note.m_detail);
+  m_parts.m_log.Info("scheduler", note.m_event, fields);
+}
+
+void Duty::AskAdvice() {
+  if (!m_parts.m_options.m_recommendation) {
+    return;
+  }
+  for (scheduler::AdviceNeed& need :
+       scheduler::NeededAdvice(m_scheduler, BootNow())) {
+    asio::co_spawn(m_parts.m_context, Advise(std::move(need)), asio::detached);
+  }
+}
+
+asio::awaitable<void> Duty::Advise(scheduler::AdviceNeed need) {
+  const auto self = shared_from_this();
+  const CallResult result = co_await m_parts.m_client.Call(
+      *m_parts.m_options.m_recommendation,
+      adapter::AdviceCall(need.m_any_task, need.m_workers), kAdviceTimeout);
+  const std::optional<Advice> advice = adapter::DecodeAdvice(result);
+  Count(m_parts.m_metrics, metric::kOrders,
+        advice ? "advice_accepted" : "advice_unknown");
+  m_parts.m_log.Info(
+      "scheduler", "advice",
+      absl::StrCat(JobField(need.m_any_task.m_job),
+                   " step=", need.m_any_task.m_step,
+                   " asked=", need.m_workers.size(), " approved=",
+                   advice ? static_cast<int>(advice->m_approved.size()) : -1));
+  if (m_running) {
+    scheduler::AdviceAnswered(m_scheduler, BootNow(), need.m_any_task,
+                              advice ? &*advice : nullptr);
+    Changed();
+  }
+}
+
+asio::awaitable<JobReply> Duty::Execute(JobCall call) {
+  const auto self = shared_from_this();
+  JobReply reply;
+  const TimePoint deadline = BootNow() + call.m_wait;
+  while (m_running && !m_is_ready && BootNow() < deadline) {
+    co_await m_ready_signal.WaitFor(deadline - BootNow());
+  }
+  if (!m_running || !m_is_ready) {
+    reply.m_code = m_running ? Code::kNoOwner : Code::kNotLeaseHolder;
+    co_return reply;
+  }
+  call.m_wait = std::max(Duration(0), deadline - BootNow());
+  switch (call.m_verb) {
+    case JobVerb::kSubmit:
+      co_return co_await Submit(call);
+    case JobVerb::kCancel:
+      co_return co_await Cancel(call);
+    case JobVerb::kState:
+      co_return StateReply(call);
+    case JobVerb::kQueueLength:
+      reply.m_count =
+          scheduler::JobsNotBegun(m_scheduler, QueueName(call.m_queue));
+      co_return reply;
+  }
+  co_return reply;
+}
+
+JobReply Duty::StateReply(const JobCall& call) const {
+  JobReply reply;
+  const std::optional<JobState> state =
+      scheduler::StateOf(m_scheduler, JobId(call.m_job));
+  if (state) {
+    reply.m_state = static_cast<std::uint8_t>(*state);
+  } else {
+    // A VM that was cut off cannot know of jobs that came meanwhile.
+    reply.m_code = IsConfirmed() ? Code::kRequestUnknown : Code::kNoOwner;
+  }
+  return reply;
+}
+
+asio::awaitable<JobReply> Duty::Submit(const JobCall& call) {
+  JobReply reply;
+  const JobId id(call.m_job);
+  if (scheduler::StateOf(m_scheduler, id)) {
+    m_parts.m_log.Info("call", "submit_repeated", JobField(id));
+    co_return reply;
+  }
+  absl::StatusOr<JobSpec> spec = DecodeJob(call.m_body);
+  if (!spec.ok()) {
+    reply.m_code = CodeOf(spec.status());
+    co_return reply;
+  }
+  if (!m_journal->IsAccepting(id)) {
+    const TimePoint now = BootNow();
+    if (m_journal->IsStuck(now)) {
+      reply.m_code = Code::kJournalStoreDown;
+      reply.m_retry_after = kStoreReturn;
+    } else {
+      const scheduler::Admission admission =
+          scheduler::Admit(m_scheduler, now, *spec);
+      reply.m_code = admission.m_code;
+      reply.m_retry_after = admission.m_retry_after;
+      m_parts.m_log.Info(
+          "call",
+          admission.m_code == Code::kOk ? "submit_admitted" : "submit_refused",
+          absl::StrCat(
+              JobField(id), " queue=", call.m_queue,
+              " workspace=", call.m_workspace,
+              " wait_ms=", ToMilliseconds(admission.m_expected_wait),
+              " chain_ms=", ToMilliseconds(admission.m_expected_chain),
+              " retry_after_ms=", ToMilliseconds(admission.m_retry_after)));
+    }
+    if (reply.m_code != Code::kOk) {
+      Count(m_parts.m_metrics, metric::kJobs, "refused");
+      co_return reply;
+    }
+  }
+  const TimePoint began = BootNow();
+  reply.m_code = co_await m_journal->Accept(*std::move(spec), call.m_wait);
+  m_parts.m_log.Info(
+      "call", "submit_done",
+      absl::StrCat(JobField(id), " code=", static_cast<int>(reply.m_code),
+                   " store_ms=", ToMilliseconds(BootNow() - began)));
+  co_return reply;
+}
+
+asio::awaitable<JobReply> Duty::Cancel(const JobCall& call) {
+  JobReply reply;
+  const JobId id(call.m_job);
+  if (!scheduler::StateOf(m_scheduler, id)) {
+    reply.m_code = IsConfirmed() ? Code::kRequestUnknown : Code::kNoOwner;
+    co_return reply;
+  }
+  scheduler::CancelJob(m_scheduler, BootNow(), id);
+  Changed();
+  const TimePoint deadline = BootNow() + call.m_wait;
+  while (m_running && BootNow() < deadline) {
+    const std::optional<JobState> state = scheduler::StateOf(m_scheduler, id);
+    if (!state || IsFinal(*state)) {
+      co_return reply;
+    }
+    co_await Pause(Milliseconds(5));
+  }
+  reply.m_code = m_running ? Code::kOutcomeUnknown : Code::kNotLeaseHolder;
+  co_return reply;
+}
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/node/src/duty.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "filbertspar/node/src/configuration.h"
+#include "filbertspar/node/src/journal.h"
+#include "filbertspar/node/src/link_server.h"
+#include "filbertspar/node/src/options.h"
+#include "filbertspar/node/src/worker_links.h"
+
+namespace filbertspar {
+
+/// \brief What the owner of the jobs works with.
+struct DutyParts {
+  asio::io_context& m_context;
+  const NodeOptions& m_options;
+  StoreClient& m_store;
+  HttpClient& m_client;
+  Configuration& m_configuration;
+  LinkServer& m_links;
+  MetricsBook& m_metrics;
+  EventLog& m_log;
+};
+
+/// \brief The owner's work for one term: reads what is stored, schedules,
+/// orders workers, stores what must last, answers calls on jobs.
+class Duty : public std::enable_shared_from_this<Duty> {
+ public:
+  Duty(const DutyParts& parts, OwnerWatch::Won won,
+       std::function<void()> deposed);
+
+  void Start();
+  /// \brief Ends the term at once.
+  void Stop();
+  /// \brief Hands the ownership over: stores what waits, then ends the term.
+  asio::awaitable<void> Release();
+
+  /// \brief Answers a call; kNotLeaseHolder when the term is over.
+  asio::awaitable<JobReply> Execute(JobCall call);
+
+  void ConfigChanged();
+
+  /// \brief Whether the store confirmed the ownership lately.
+  bool IsConfirmed() const;
+  const scheduler::Scheduler& State() const { return m_scheduler; }
+
+ private:
+  asio::awaitable<void> Recover();
+  asio::awaitable<bool> ReadJobs();
+  asio::awaitable<void> FollowWorkers();
+  asio::awaitable<bool> ReadWorkers(RowVersion& version);
+  asio::awaitable<void> Tick();
+  asio::awaitable<JobReply> Submit(const JobCall& call);
+  asio::awaitable<JobReply> Cancel(const JobCall& call);
+  JobReply StateReply(const JobCall& call) const;
+  void TakeWorkerRow(const TableRow& row);
+  void UnlistAfter(const std::string& name);
+  void UnlistDue(TimePoint now);
+  void Changed();
+  void Dispatch();
+  void Apply();
+  void AskAdvice();
+  asio::awaitable<void> Advise(scheduler::AdviceNeed need);
+  void LogNote(const scheduler::Effects::Note& note);
+  bool MayOrder();
+  bool OthersAreCutOff(TimePoint now);
+
+  DutyParts m_parts;
+  std::function<void()> m_deposed;
+  scheduler::Scheduler m_scheduler;
+  std::shared_ptr<Journal> m_journal;
+  std::shared_ptr<WorkerLinks> m_workers;
+  /// Workers whose registration was removed, and since when.
+  std::map<std::string, TimePoint> m_unlisted;
+  Signal m_ready_signal;
+  asio::steady_timer m_dispatch_timer;
+  bool m_dispatch_due = false;
+  bool m_is_ready = false;
+  bool m_running = true;
+  std::string m_log_epoch;
+};
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/node/src/event_log.cc
@@ -0,0 +1,157 @@
+#include "filbertspar/node/src/event_log.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <climits>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "boost/asio/steady_timer.hpp"
+#include "filbertspar/node/src/clock.h"
+#include "spdlog/pattern_formatter.h"
+#include "spdlog/sinks/base_sink.h"
+#include "spdlog/spdlog.h"
+
+namespace filbertspar {
+namespace {
+
+/// Time between writes; lines of that time go out in one call.
+constexpr auto kFlushPeriod = std::chrono::milliseconds(200);
+/// A pipe that is writable takes this much without blocking (POSIX).
+constexpr std::size_t kChunk = PIPE_BUF;
+
+std::string_view Trimmed(std::string_view text) {
+  return text.substr(0, text.find('\n'));
+}
+
+}  // namespace
+
+struct EventLog::State : spdlog::sinks::base_sink<spdlog::details::null_mutex>,
+                         std::enable_shared_from_this<EventLog::State> {
+  State(asio::io_context& context, EventLogLimits limits, int descriptor)
+      : m_timer(context), m_limits(limits), m_descriptor(descriptor) {
+    set_pattern("%Y-%m-%dT%H:%M:%S.%e %^%l%$ %n: %v");
+    m_tokens = limits.m_burst_lines;
+  }
+
+  bool TakeToken() {
+    const TimePoint now = BootNow();
+    m_tokens = std::min(
+        m_limits.m_burst_lines,
+        m_tokens + ToSeconds(now - m_refilled) * m_limits.m_lines_per_s);
+    m_refilled = now;
+    if (m_tokens < 1 || m_buffer.size() >= m_limits.m_buffered_bytes) {
+      ++m_dropped;
+      ++m_dropped_unsaid;
+      return false;
+    }
+    m_tokens -= 1;
+    return true;
+  }
+
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    spdlog::memory_buf_t line;
+    formatter_->format(message, line);
+    m_buffer.append(line.data(), line.size());
+  }
+
+  void flush_() override { Write(); }
+
+  void Write() {
+    while (!m_buffer.empty()) {
+      pollfd ready{m_descriptor, POLLOUT, 0};
+      if (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) {
+        return;
+      }
+      const ssize_t written = write(m_descriptor, m_buffer.data(),
+                                    std::min(m_buffer.size(), kChunk));
+      if (written <= 0) {
+        return;
+      }
+      m_buffer.erase(0, static_cast<std::size_t>(written));
+    }
+  }
+
+  void ScheduleFlush() {
+    if (m_scheduled) {
+      return;
+    }
+    m_scheduled = true;
+    m_timer.expires_after(kFlushPeriod);
+    m_timer.async_wait(
+        [self = shared_from_this()](boost::system::error_code error) {
+          self->m_scheduled = false;
+          if (error) {
+            return;
+          }
+          self->Write();
+          if (!self->m_buffer.empty()) {
+            self->ScheduleFlush();
+          }
+        });
+  }
+
+  asio::steady_timer m_timer;
+  EventLogLimits m_limits;
+  int m_descriptor;
+  std::string m_buffer;
+  double m_tokens = 0;
+  TimePoint m_refilled{};
+  std::uint64_t m_dropped = 0;
+  std::uint64_t m_dropped_unsaid = 0;
+  bool m_scheduled = false;
+  std::shared_ptr<spdlog::logger> m_logger;
+};
+
+EventLog::EventLog(asio::io_context& context, EventLogLimits limits,
+                   int descriptor)
+    : m_state(std::make_shared<State>(context, limits, descriptor)) {}
+
+EventLog::~EventLog() {
+  m_state->Write();
+  m_state->m_timer.cancel();
+}
+
+void EventLog::Info(std::string_view part, std::string_view event,
+                    std::string_view fields) {
+  State& state = *m_state;
+  if (!state.TakeToken()) {
+    return;
+  }
+  const auto log = [&state](std::string_view name,
+                            spdlog::level::level_enum level,
+                            const std::string& text) {
+    state.log(spdlog::details::log_msg(
+        spdlog::string_view_t(name.data(), name.size()), level, text));
+  };
+  if (state.m_dropped_unsaid > 0) {
+    log("log", spdlog::level::warn,
+        absl::StrCat("event=lines_dropped count=", state.m_dropped_unsaid));
+    state.m_dropped_unsaid = 0;
+  }
+  log(part, spdlog::level::info,
+      absl::StrCat("event=", std::string(event), fields.empty() ? "" : " ",
+                   std::string(Trimmed(fields))));
+  state.ScheduleFlush();
+}
+
+void EventLog::Warn(std::string_view part, std::string_view event,
+                    std::string_view fields) {
+  State& state = *m_state;
+  if (!state.TakeToken()) {
+    return;
+  }
+  state.log(spdlog::details::log_msg(
+      spdlog::string_view_t(part.data(), part.size()), spdlog::level::warn,
+      absl::StrCat("event=", std::string(event), fields.empty() ? "" : " ",
+                   std::string(Trimmed(fields)))));
+  state.ScheduleFlush();
+}
+
+void EventLog::Flush() { m_state->Write(); }
+
+std::uint64_t EventLog::Dropped() const { return m_state->m_dropped; }
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/node/src/front.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <string>
+
+#include "filbertspar/http/http.h"
+#include "filbertspar/node/src/configuration.h"
+#include "filbertspar/node/src/router.h"
+
+namespace filbertspar {
+
+/// \brief Answers callers: finds the queue, checks the key, passes the call on.
+class Front {
+ public:
+  Front(Configuration& configuration, Router& router, MetricsBook& metrics,
+        EventLog& log)
+      : m_configuration(configuration),
+        m_router(router),
+        m_metrics(metrics),
+        m_log(log) {}
+
+  asio::awaitable<HttpResponse> Handle(const HttpRequest& request);
+
+ private:
+  struct Target {
+    const QueueConfig* m_queue = nullptr;
+    WorkspaceName m_workspace;
+    std::string m_job;
+  };
+
+  asio::awaitable<HttpResponse> HandleJob(const HttpRequest& request,
+                                          const Deployment& deployment,
+                                          const Target& target);
+  absl::StatusOr<std::string> JobRow(const HttpRequest& request,
+                                     const Deployment& deployment,
+                                     const Target& target) const;
+  HttpResponse Refuse(Code code, std::string_view message,
+                      Duration retry_after = Duration(0));
+
+  Configuration& m_configuration;
+  Router& m_router;
+  MetricsBook& m_metrics;
+  EventLog& m_log;
+};
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/node/src/journal.cc
@@ -0,0 +1,263 @@
+#include "filbertspar/node/src/journal.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "filbertspar/node/src/clock.h"
+#include "platform/platform.h"
+
+namespace filbertspar {
+namespace {
+
+/// The owner's row is written at least this often, so that others see that
+/// the owner lives.
+constexpr Duration kRenewPeriod = Milliseconds(500);
+/// Least time between the begins of two writes; batches what comes meanwhile.
+constexpr Duration kWriteGap = Milliseconds(15);
+constexpr Duration kFirstTimeout = Milliseconds(400);
+constexpr Duration kLongestTimeout = Milliseconds(1600);
+constexpr Duration kRefusedPause = Milliseconds(60);
+constexpr Duration kStuckAfter = Milliseconds(700);
+/// The owner's row takes two entries of a change.
+constexpr std::size_t kMaxEntries = adapter::kMaxChangeEntries - 4;
+/// Rows grow by a third in the body of a call.
+constexpr std::size_t kMaxBytes = adapter::kMaxChangeBytes / 2;
+
+TableKey JobKey(const char* table, const JobId& id) {
+  return {table, job_table::kPart, id.Value()};
+}
+
+}  // namespace
+
+Journal::Journal(asio::io_context& context, StoreClient& store, EventLog& log,
+                 scheduler::Scheduler& scheduler, OwnerWatch::Won won,
+                 Hooks hooks)
+    : m_context(context),
+      m_store(store),
+      m_log(log),
+      m_scheduler(scheduler),
+      m_record(std::move(won.m_record)),
+      m_version(won.m_version),
+      m_hooks(std::move(hooks)),
+      m_wake(context),
+      m_confirmed_at(BootNow()) {}
+
+bool Journal::HasWork() const {
+  return !m_waiting.empty() || !m_scheduler.m_unstored.empty() ||
+         !m_removals.empty() || m_releasing;
+}
+
+bool Journal::IsStuck(TimePoint now) const {
+  return m_is_writing && now - m_write_began > kStuckAfter;
+}
+
+Journal::Batch Journal::NextBatch() {
+  Batch batch;
+  TableChange& change = batch.m_change;
+  ++m_record.m_write;
+  change.m_conditions.push_back({OwnerRowKey(), m_version});
+  std::size_t bytes = 0;
+  std::size_t entries = 0;
+  while (!m_waiting.empty() && entries < kMaxEntries && bytes < kMaxBytes) {
+    const auto job = m_waiting.front();
+    m_waiting.pop_front();
+    std::string row = EncodeJob(job->m_spec);
+    bytes += row.size();
+    ++entries;
+    change.m_values.push_back(
+        {JobKey(job_table::kJobs, job->m_spec.m_id), std::move(row)});
+    batch.m_jobs.push_back(job);
+  }
+  if (bytes < kMaxBytes && entries < kMaxEntries) {
+    batch.m_progress =
+        scheduler::TakeUnstored(m_scheduler, (kMaxEntries - entries) / 2);
+  }
+  for (const scheduler::JobWrite& write : batch.m_progress) {
+    change.m_values.push_back(
+        {JobKey(job_table::kProgress, write.m_id), write.m_progress});
+    ++entries;
+    if (IsFinal(write.m_state)) {
+      change.m_removals.push_back(JobKey(job_table::kJobs, write.m_id));
+      ++entries;
+    }
+  }
+  while (!m_removals.empty() && entries < kMaxEntries) {
+    change.m_removals.push_back(
+        JobKey(job_table::kProgress, m_removals.front()));
+    m_removals.pop_front();
+    ++entries;
+  }
+  m_record.m_released =
+      m_releasing && m_waiting.empty() && m_scheduler.m_unstored.empty();
+  change.m_values.push_back({OwnerRowKey(), EncodeOwner(m_record)});
+  return batch;
+}
+
+asio::awaitable<void> Journal::Run() {
+  while (m_running) {
+    const TimePoint due = m_confirmed_at + kRenewPeriod;
+    while (m_running && !HasWork() && BootNow() < due) {
+      co_await m_wake.WaitFor(due - BootNow());
+    }
+    const TimePoint earliest = m_write_began + kWriteGap;
+    if (m_running && BootNow() < earliest) {
+      co_await Pause(earliest - BootNow());
+    }
+    if (!m_running) {
+      break;
+    }
+    Batch batch = NextBatch();
+    m_write_began = BootNow();
+    m_is_writing = true;
+    const Outcome outcome = co_await Write(batch.m_change);
+    m_is_writing = false;
+    if (outcome == Outcome::kDeposed) {
+      for (const auto& job : batch.m_jobs) {
+        Finish(job, Code::kNotLeaseHolder);
+      }
+      if (m_running) {
+        m_running = false;
+        m_hooks.m_deposed();
+      }
+      break;
+    }
+    const bool stored = outcome == Outcome::kStored;
+    for (const auto& job : batch.m_jobs) {
+      if (stored) {
+        m_hooks.m_accepted(job->m_spec);
+      }
+      Finish(job, stored ? Code::kOk : Code::kInternal);
+    }
+    if (stored) {
+      scheduler::Stored(m_scheduler, batch.m_progress);
+      m_hooks.m_stored();
+    }
+    if (m_record.m_released) {
+      m_released = true;
+      m_running = false;
+    }
+  }
+  FailAll(Code::kNotLeaseHolder);
+  m_wake.Notify();
+}
+
+asio::awaitable<Journal::Outcome> Journal::Write(const TableChange& change) {
+  Duration timeout = kFirstTimeout;
+  while (m_running) {
+    const TimePoint sent = BootNow();
+    const TableAnswer answer = co_await m_store.Change(change, timeout);
+    switch (answer.m_result) {
+      case StoreResult::kDone:
+        m_version = answer.m_version;
+        m_confirmed_at = sent;
+        co_return Outcome::kStored;
+      case StoreResult::kConflict: {
+        co_return co_await ReadBack(sent);
+      }
+      case StoreResult::kInvalid:
+        m_log.Warn("journal", "write_rejected",
+                   absl::StrCat("entries=", change.Entries()));
+        co_return Outcome::kRejected;
+      case StoreResult::kRefused:
+        co_await Pause(kRefusedPause);
+        break;
+      case StoreResult::kHistoryGone:
+      case StoreResult::kUnknown:
+        m_log.Warn("journal", "write_unanswered",
+                   absl::StrCat("write=", m_record.m_write,
+                                " entries=", change.Entries(),
+                                " timeout_ms=", ToMilliseconds(timeout)));
+        timeout = std::min(timeout * 2, kLongestTimeout);
+        break;
+    }
+  }
+  co_return Outcome::kDeposed;
+}
+
+asio::awaitable<Journal::Outcome> Journal::ReadBack(TimePoint sent) {
+  while (m_running) {
+    const TableAnswer answer = co_await m_store.Read(
+        job_table::kOwner, job_table::kPart, "", kLongestTimeout);
+    if (answer.m_result != StoreResult::kDone) {
+      co_await Pause(kRefusedPause);
+      continue;
+    }
+    for (const TableRow& row : answer.m_rows) {
+      const absl::StatusOr<OwnerRecord> record = DecodeOwner(row.m_value);
+      if (row.m_key == OwnerRowKey() && record.ok() &&
+          record->m_vm == m_record.m_vm &&
+          record->m_incarnation == m_record.m_incarnation &&
+          record->m_epoch == m_record.m_epoch &&
+          record->m_write == m_record.m_write) {
+        m_log.Info("journal", "write_settled",
+                   absl::StrCat("write=", m_record.m_write));
+        m_version = row.m_version;
+        m_confirmed_at = sent;
+        co_return Outcome::kStored;
+      }
+    }
+    co_return Outcome::kDeposed;
+  }
+  co_return Outcome::kDeposed;
+}
+
+asio::awaitable<Code> Journal::Accept(JobSpec spec, Duration wait) {
+  const JobId id = spec.m_id;
+  auto found = m_accepting.find(id);
+  std::shared_ptr<Accepting> job;
+  if (found != m_accepting.end()) {
+    job = found->second;
+  } else {
+    if (!m_running) {
+      co_return Code::kNotLeaseHolder;
+    }
+    job = std::make_shared<Accepting>(m_context);
+    job->m_spec = std::move(spec);
+    m_accepting[id] = job;
+    m_waiting.push_back(job);
+    m_wake.Notify();
+  }
+  const TimePoint deadline = BootNow() + wait;
+  while (!job->m_is_over && BootNow() < deadline) {
+    co_await job->m_done.WaitFor(deadline - BootNow());
+  }
+  co_return job->m_code;
+}
+
+void Journal::Finish(const std::shared_ptr<Accepting>& job, Code code) {
+  job->m_code = code;
+  job->m_is_over = true;
+  job->m_done.Notify();
+  m_accepting.erase(job->m_spec.m_id);
+}
+
+void Journal::FailAll(Code code) {
+  while (!m_waiting.empty()) {
+    const auto job = m_waiting.front();
+    m_waiting.pop_front();
+    Finish(job, code);
+  }
+}
+
+void Journal::Remove(const std::vector<JobId>& jobs) {
+  m_removals.insert(m_removals.end(), jobs.begin(), jobs.end());
+}
+
+asio::awaitable<void> Journal::Release() {
+  /// Longest time for the last writes of an owner that stops.
+  constexpr Duration kReleaseTime = Seconds(2);
+  m_releasing = true;
+  m_wake.Notify();
+  const TimePoint deadline = BootNow() + kReleaseTime;
+  while (!m_released && m_running && BootNow() < deadline) {
+    co_await Pause(Milliseconds(10));
+  }
+}
+
+void Journal::Stop() {
+  m_running = false;
+  m_wake.Notify();
+}
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/node/src/journal.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "filbertspar/node/src/async.h"
+#include "filbertspar/node/src/owner_watch.h"
+#include "filbertspar/scheduler/scheduler.h"
+
+namespace filbertspar {
+
+/// \brief Writes what must last: accepted jobs and their progress, in batches
+/// that are conditional on the owner's row, one write at a time.
+///
+/// Each write rewrites the owner's row with its own number. A write without an
+/// answer is repeated as it is: when it took effect before, its condition
+/// fails and the row shows its number.
+class Journal {
+ public:
+  struct Hooks {
+    /// A job's row is stored.
+    std::function<void(JobSpec)> m_accepted;
+    /// Progress was stored.
+    std::function<void()> m_stored;
+    /// Another VM owns the jobs.
+    std::function<void()> m_deposed;
+  };
+
+  Journal(asio::io_context& context, StoreClient& store, EventLog& log,
+          scheduler::Scheduler& scheduler, OwnerWatch::Won won, Hooks hooks);
+
+  /// \brief Writes until Stop or until another VM owns the jobs.
+  asio::awaitable<void> Run();
+
+  /// \brief Stores a job. kOk once its row is stored; kNotLeaseHolder when
+  /// this VM no longer owns the jobs; kOutcomeUnknown after the wait;
+  /// kInternal when the store will not take the row.
+  asio::awaitable<Code> Accept(JobSpec spec, Duration wait);
+
+  /// \brief Removes the rows of jobs that are forgotten.
+  void Remove(const std::vector<JobId>& jobs);
+
+  /// \brief There may be something to write.
+  void Kick() { m_wake.Notify(); }
+
+  /// \brief When the last write that took effect was sent.
+  TimePoint ConfirmedAt() const { return m_confirmed_at; }
+  /// \brief Whether writes have not been answered for a while.
+  bool IsStuck(TimePoint now) const;
+  /// \brief Whether a job waits to be stored.
+  bool IsAccepting(const JobId& id) const { return m_accepting.contains(id); }
+
+  /// \brief Writes what waits and gives up the ownership.
+  asio::awaitable<void> Release();
+  void Stop();
+
+ private:
+  struct Accepting {
+    explicit Accepting(asio::io_context& context) : m_done(context) {}
+    JobSpec m_spec;
+    Signal m_done;
+    Code m_code = Code::kOutcomeUnknown;
+    bool m_is_over = false;
+  };
+  struct Batch {
+    TableChange m_change;
+    std::vector<std::shared_ptr<Accepting>> m_jobs;
+    std::vector<scheduler::JobWrite> m_progress;
+  };
+  enum class Outcome : std::uint8_t { kStored, kRejected, kDeposed };
+
+  Batch NextBatch();
+  asio::awaitable<Outcome> Write(const TableChange& change);
+  asio::awaitable<Outcome> ReadBack(TimePoint sent);
+  void Finish(const std::shared_ptr<Accepting>& job, Code code);
+  void FailAll(Code code);
+  bool HasWork() const;
+
+  asio::io_context& m_context;
+  StoreClient& m_store;
+  EventLog& m_log;
+  scheduler::Scheduler& m_scheduler;
+  OwnerRecord m_record;
+  RowVersion m_version;
+  Hooks m_hooks;
+  Signal m_wake;
+  std::deque<std::shared_ptr<Accepting>> m_waiting;
+  absl::flat_hash_map<JobId, std::shared_ptr<Accepting>> m_accepting;
+  std::deque<JobId> m_removals;
+  TimePoint m_confirmed_at;
+  TimePoint m_write_began = TimePoint::min();
+  bool m_is_writing = false;
+  bool m_running = true;
+  bool m_releasing = false;
+  bool m_released = false;
+};
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/node/src/link_client.cc
@@ -0,0 +1,305 @@
+#include "filbertspar/node/src/link_client.h"
+
+#include <deque>
+#include <map>
+#include <random>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "boost/asio/co_spawn.hpp"
+#include "boost/asio/detached.hpp"
+#include "boost/asio/ip/tcp.hpp"
+#include "boost/asio/write.hpp"
+#include "filbertspar/node/src/clock.h"
+
+namespace filbertspar {
+namespace {
+
+using tcp = asio::ip::tcp;
+using Socket = asio::basic_stream_socket<tcp, asio::io_context::executor_type>;
+
+constexpr std::size_t kReadBytes = 16 << 10;
+constexpr Duration kPingPeriod = Milliseconds(300);
+/// Silence after which the link is given up and opened again.
+constexpr Duration kSilence = Milliseconds(900);
+constexpr Duration kConnectTimeout = Milliseconds(500);
+constexpr Duration kRetryPause = Milliseconds(100);
+
+std::uint64_t RandomNonce() {
+  std::random_device device;
+  return ((static_cast<std::uint64_t>(device()) << 32) | device()) | 1U;
+}
+
+}  // namespace
+
+struct LinkClient::State : std::enable_shared_from_this<LinkClient::State> {
+  struct Link {
+    Link(asio::io_context& context, std::shared_ptr<const Secrets> secrets)
+        : m_socket(context), m_secrets(std::move(secrets)) {}
+    Socket m_socket;
+    std::shared_ptr<const Secrets> m_secrets;
+    std::unique_ptr<Session> m_session;
+    std::deque<std::string> m_queue;
+    TimePoint m_heard_at{};
+    bool m_writing = false;
+    bool m_closed = false;
+    bool m_was_refused = false;
+  };
+  using LinkPtr = std::shared_ptr<Link>;
+
+  struct Waiter {
+    explicit Waiter(asio::io_context& context) : m_done(context) {}
+    Signal m_done;
+    std::optional<JobReply> m_reply;
+    bool m_is_over = false;
+  };
+
+  State(asio::io_context& context, EventLog& log, Hello self)
+      : m_context(context), m_log(log), m_self(std::move(self)) {}
+
+  asio::awaitable<void> Keep(std::uint64_t generation);
+  asio::awaitable<void> Run(LinkPtr link);
+  asio::awaitable<void> Ping(LinkPtr link);
+  asio::awaitable<void> WriteQueue(LinkPtr link);
+  void Take(const LinkPtr& link, const Envelope& envelope);
+  bool Send(const LinkPtr& link, Envelope envelope);
+  void Close(const LinkPtr& link);
+  void SetHealth(LinkHealth health);
+
+  asio::io_context& m_context;
+  EventLog& m_log;
+  Hello m_self;
+  std::function<void(LinkHealth)> m_changed;
+  std::function<Duration()> m_store_age;
+  std::optional<OwnerRecord> m_owner;
+  std::uint64_t m_generation = 0;
+  LinkPtr m_link;
+  LinkHealth m_health = LinkHealth::kSilent;
+  std::map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters;
+  std::uint64_t m_next_call = 0;
+};
+
+void LinkClient::State::SetHealth(LinkHealth health) {
+  if (m_health != health) {
+    m_health = health;
+    if (m_changed) {
+      m_changed(health);
+    }
+  }
+}
+
+asio::awaitable<void> LinkClient::State::Keep(std::uint64_t generation) {
+  auto self = shared_from_this();
+  while (generation == m_generation && m_owner) {
+    auto secrets = std::make_shared<const Secrets>(
+        Secrets{m_owner->m_link_secret, std::nullopt});
+    auto link = std::make_shared<Link>(m_context, secrets);
+    m_link = link;
+    co_await Run(link);
+    Close(link);
+    if (generation != m_generation) {
+      co_return;
+    }
+    SetHealth(link->m_was_refused ? LinkHealth::kRefused : LinkHealth::kSilent);
+    co_await Pause(kRetryPause);
+  }
+}
+
+asio::awaitable<void> LinkClient::State::Run(LinkPtr link) {
+  boost::system::error_code address_error;
+  const tcp::endpoint remote(
+      asio::ip::make_address(m_owner->m_link.m_address, address_error),
+      m_owner->m_link.m_port);
+  if (address_error) {
+    co_return;
+  }
+  asio::steady_timer limit(m_context, kConnectTimeout);
+  limit.async_wait([link](boost::system::error_code error) {
+    boost::system::error_code ignored;
+    if (!error && link->m_session == nullptr) {
+      link->m_socket.close(ignored);
+    }
+  });
+  auto [error] = co_await link->m_socket.async_connect(remote, kAsTuple);
+  limit.cancel();
+  if (error || link->m_closed) {
+    link->m_was_refused = error == asio::error::connection_refused;
+    co_return;
+  }
+  link->m_socket.set_option(tcp::no_delay(true), address_error);
+  Hello hello = m_self;
+  hello.m_nonce = RandomNonce();
+  hello.m_to = m_owner->m_vm;
+  link->m_session = std::make_unique<Session>(hello, /*initiator=*/true);
+  link->m_heard_at = BootNow();
+  Send(link, link->m_session->WrapHello());
+  asio::co_spawn(m_context, Ping(link), asio::detached);
+  FrameDecoder decoder(link->m_secrets);
+  std::vector<char> buffer(kReadBytes);
+  while (!link->m_closed) {
+    auto [read_error, bytes] =
+        co_await link->m_socket.async_read_some(asio::buffer(buffer), kAsTuple);
+    if (read_error) {
+      break;
+    }
+    std::vector<Envelope> envelopes;
+    const absl::Status status =
+        decoder.Feed(std::string_view(buffer.data(), bytes), envelopes);
+    for (const Envelope& envelope : envelopes) {
+      if (!link->m_session->Accept(envelope).ok()) {
+        Close(link);
+        break;
+      }
+      Take(link, envelope);
+    }
+    if (!status.ok()) {
+      break;
+    }
+  }
+}
+
+void LinkClient::State::Take(const LinkPtr& link, const Envelope& envelope) {
+  link->m_heard_at = BootNow();
+  if (const auto* pong = std::get_if<LinkPong>(&envelope.m_message)) {
+    SetHealth(pong->m_confirmed ? LinkHealth::kGood : LinkHealth::kUnconfirmed);
+  } else if (const auto* reply = std::get_if<JobReply>(&envelope.m_message)) {
+    const auto found = m_waiters.find(reply->m_number);
+    if (found != m_waiters.end()) {
+      found->second->m_reply = *reply;
+      found->second->m_is_over = true;
+      found->second->m_done.Notify();
+    }
+  } else if (std::holds_alternative<Hello>(envelope.m_message)) {
+    m_log.Info("link", "owner_linked",
+               absl::StrCat("vm=", m_owner ? m_owner->m_vm.Value() : "-"));
+    SetHealth(LinkHealth::kGood);
+  }
+}
+
+asio::awaitable<void> LinkClient::State::Ping(LinkPtr link) {
+  auto self = shared_from_this();
+  std::uint64_t number = 0;
+  while (!link->m_closed) {
+    if (BootNow() - link->m_heard_at > kSilence) {
+      m_log.Warn("link", "owner_silent",
+                 absl::StrCat("silent_ms=",
+                              ToMilliseconds(BootNow() - link->m_heard_at)));
+      Close(link);
+      co_return;
+    }
+    if (link->m_session->CanSend()) {
+      Send(link, link->m_session->Wrap(LinkPing{
+                     ++number, m_store_age ? m_store_age() : Duration(0)}));
+    }
+    co_await Pause(kPingPeriod);
+  }
+}
+
+bool LinkClient::State::Send(const LinkPtr& link, Envelope envelope) {
+  absl::StatusOr<std::string> frame = EncodeFrame(envelope, *link->m_secrets);
+  if (!frame.ok()) {
+    m_log.Warn("link", "frame_not_sent",
+               absl::StrCat("reason=\"", frame.status().message(), "\""));
+    return false;
+  }
+  link->m_queue.push_back(*std::move(frame));
+  if (!link->m_writing) {
+    link->m_writing = true;
+    asio::co_spawn(m_context, WriteQueue(link), asio::detached);
+  }
+  return true;
+}
+
+asio::awaitable<void> LinkClient::State::WriteQueue(LinkPtr link) {
+  auto self = shared_from_this();
+  while (!link->m_queue.empty() && !link->m_closed) {
+    std::string bytes;
+    while (!link->m_queue.empty()) {
+      bytes += link->m_queue.front();
+      link->m_queue.pop_front();
+    }
+    auto [error, written] = co_await asio::async_write(
+        link->m_socket, asio::buffer(bytes), kAsTuple);
+    static_cast<void>(written);
+    if (error) {
+      Close(link);
+    }
+  }
+  link->m_writing = false;
+}
+
+void LinkClient::State::Close(const LinkPtr& link) {
+  if (link->m_closed) {
+    return;
+  }
+  link->m_closed = true;
+  boost::system::error_code ignored;
+  link->m_socket.close(ignored);
+  if (m_link == link) {
+    m_link = nullptr;
+    for (const auto& [number, waiter] : m_waiters) {
+      waiter->m_is_over = true;
+      waiter->m_done.Notify();
+    }
+  }
+}
+
+LinkClient::LinkClient(asio::io_context& context, EventLog& log, Hello self)
+    : m_state(std::make_shared<State>(context, log, std::move(self))) {}
+
+LinkClient::~LinkClient() { SetOwner(std::nullopt); }
+
+void LinkClient::OnHealth(std::function<void(LinkHealth)> changed) {
+  m_state->m_changed = std::move(changed);
+}
+
+void LinkClient::SetStoreAge(std::function<Duration()> store_age) {
+  m_state->m_store_age = std::move(store_age);
+}
+
+void LinkClient::SetOwner(const std::optional<OwnerRecord>& owner) {
+  const auto& current = m_state->m_owner;
+  if (owner && current && owner->m_vm == current->m_vm &&
+      owner->m_incarnation == current->m_incarnation) {
+    return;
+  }
+  ++m_state->m_generation;
+  m_state->m_owner = owner;
+  m_state->m_health = LinkHealth::kSilent;
+  if (const auto link = m_state->m_link) {
+    m_state->Close(link);
+  }
+  if (owner) {
+    asio::co_spawn(m_state->m_context, m_state->Keep(m_state->m_generation),
+                   asio::detached);
+  }
+}
+
+bool LinkClient::IsReady() const {
+  return m_state->m_link != nullptr && m_state->m_link->m_session != nullptr &&
+         m_state->m_link->m_session->CanSend();
+}
+
+asio::awaitable<LinkClient::Result> LinkClient::Call(JobCall call,
+                                                     Duration timeout) {
+  const std::shared_ptr<State> state = m_state;
+  Result result;
+  if (!IsReady()) {
+    co_return result;
+  }
+  const std::uint64_t number = ++state->m_next_call;
+  call.m_number = number;
+  call.m_wait = timeout;
+  auto waiter = std::make_shared<State::Waiter>(state->m_context);
+  state->m_waiters[number] = waiter;
+  const State::LinkPtr link = state->m_link;
+  result.m_sent = state->Send(link, link->m_session->Wrap(std::move(call)));
+  if (result.m_sent && !waiter->m_is_over) {
+    co_await waiter->m_done.WaitFor(timeout);
+  }
+  state->m_waiters.erase(number);
+  result.m_reply = waiter->m_reply;
+  co_return result;
+}
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/node/src/link_server.cc
@@ -0,0 +1,284 @@
+#include "filbertspar/node/src/link_server.h"
+
+#include <array>
+#include <deque>
+#include <random>
+#include <set>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "boost/asio/co_spawn.hpp"
+#include "boost/asio/detached.hpp"
+#include "boost/asio/ip/tcp.hpp"
+#include "boost/asio/write.hpp"
+#include "filbertspar/node/src/clock.h"
+
+namespace filbertspar {
+namespace {
+
+using tcp = asio::ip::tcp;
+using Socket = asio::basic_stream_socket<tcp, asio::io_context::executor_type>;
+
+constexpr std::size_t kReadBytes = 16 << 10;
+constexpr Duration kAcceptPause = Milliseconds(50);
+/// Bytes that a peer which does not read may keep waiting.
+constexpr std::size_t kMaxQueuedBytes = 8 << 20;
+
+std::uint64_t RandomNonce() {
+  std::random_device device;
+  return ((static_cast<std::uint64_t>(device()) << 32) | device()) | 1U;
+}
+
+}  // namespace
+
+struct LinkServer::State : std::enable_shared_from_this<LinkServer::State> {
+  struct Link {
+    explicit Link(Socket socket) : m_socket(std::move(socket)) {}
+    Socket m_socket;
+    std::unique_ptr<Session> m_session;
+    VmName m_peer;
+    std::deque<std::string> m_queue;
+    std::size_t m_queued_bytes = 0;
+    bool m_writing = false;
+    bool m_closed = false;
+  };
+  using LinkPtr = std::shared_ptr<Link>;
+
+  State(asio::io_context& context, EventLog& log, Hello self,
+        std::string secret)
+      : m_context(context),
+        m_log(log),
+        m_acceptor(context),
+        m_self(std::move(self)),
+        m_secrets(std::make_shared<const Secrets>(
+            Secrets{std::move(secret), std::nullopt})) {}
+
+  asio::awaitable<void> Accept();
+  asio::awaitable<void> Serve(LinkPtr link);
+  asio::awaitable<void> Answer(LinkPtr link, JobCall call);
+  asio::awaitable<void> WriteQueue(LinkPtr link);
+  bool Take(const LinkPtr& link, const Envelope& envelope);
+  void Send(const LinkPtr& link, Envelope envelope);
+  void Close(const LinkPtr& link);
+
+  asio::io_context& m_context;
+  EventLog& m_log;
+  asio::basic_socket_acceptor<tcp, asio::io_context::executor_type> m_acceptor;
+  Hello m_self;
+  std::shared_ptr<const Secrets> m_secrets;
+  Handler m_handler;
+  std::function<bool()> m_confirmed;
+  std::set<LinkPtr> m_links;
+  std::map<VmName, LinkPeer> m_peers;
+};
+
+asio::awaitable<void> LinkServer::State::Accept() {
+  auto self = shared_from_this();
+  while (m_acceptor.is_open()) {
+    auto [error, socket] = co_await m_acceptor.async_accept(kAsTuple);
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      co_await Pause(kAcceptPause);
+      continue;
+    }
+    if (!m_handler) {
+      continue;
+    }
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto link = std::make_shared<Link>(std::move(socket));
+    m_links.insert(link);
+    asio::co_spawn(m_context, Serve(link), asio::detached);
+  }
+}
+
+asio::awaitable<void> LinkServer::State::Serve(LinkPtr link) {
+  auto self = shared_from_this();
+  Hello hello = m_self;
+  hello.m_nonce = RandomNonce();
+  link->m_session = std::make_unique<Session>(hello, /*initiator=*/false);
+  FrameDecoder decoder(m_secrets);
+  std::vector<char> buffer(kReadBytes);
+  while (!link->m_closed) {
+    auto [error, bytes] =
+        co_await link->m_socket.async_read_some(asio::buffer(buffer), kAsTuple);
+    if (error) {
+      break;
+    }
+    std::vector<Envelope> envelopes;
+    const absl::Status status =
+        decoder.Feed(std::string_view(buffer.data(), bytes), envelopes);
+    bool accepted = status.ok();
+    for (const Envelope& envelope : envelopes) {
+      accepted = accepted && Take(link, envelope);
+    }
+    if (!accepted) {
+      m_log.Warn("link", "link_refused",
+                 absl::StrCat("peer=", link->m_peer.Value()));
+      break;
+    }
+  }
+  Close(link);
+}
+
+bool LinkServer::State::Take(const LinkPtr& link, const Envelope& envelope) {
+  if (!link->m_session->Accept(envelope).ok()) {
+    return false;
+  }
+  if (std::holds_alternative<Hello>(envelope.m_message)) {
+    if (!link->m_session->CanSendHello()) {
+      return false;
+    }
+    Send(link, link->m_session->WrapHello());
+    link->m_peer = VmOf(link->m_session->Peer()->m_node);
+    LinkPeer& peer = m_peers[link->m_peer];
+    peer.m_connected = true;
+    peer.m_pinged_at = BootNow();
+    m_log.Info("link", "link_opened",
+               absl::StrCat("peer=", link->m_peer.Value()));
+    return true;
+  }
+  if (const auto* ping = std::get_if<LinkPing>(&envelope.m_message)) {
+    LinkPeer& peer = m_peers[link->m_peer];
+    peer.m_pinged_at = BootNow();
+    peer.m_store_age = ping->m_store_age;
+    Send(link, link->m_session->Wrap(
+                   LinkPong{ping->m_number, m_confirmed && m_confirmed()}));
+    return true;
+  }
+  if (const auto* call = std::get_if<JobCall>(&envelope.m_message)) {
+    asio::co_spawn(m_context, Answer(link, *call), asio::detached);
+    return true;
+  }
+  return false;
+}
+
+asio::awaitable<void> LinkServer::State::Answer(LinkPtr link, JobCall call) {
+  auto self = shared_from_this();
+  const std::uint64_t number = call.m_number;
+  if (!m_handler) {
+    co_return;
+  }
+  JobReply reply = co_await m_handler(std::move(call));
+  reply.m_number = number;
+  if (!link->m_closed && link->m_session->CanSend()) {
+    Send(link, link->m_session->Wrap(std::move(reply)));
+  }
+}
+
+void LinkServer::State::Send(const LinkPtr& link, Envelope envelope) {
+  absl::StatusOr<std::string> frame = EncodeFrame(envelope, *m_secrets);
+  if (!frame.ok() || link->m_queued_bytes > kMaxQueuedBytes) {
+    m_log.Warn("link", "frame_not_sent",
+               absl::StrCat("peer=", link->m_peer.Value(),
+                            " queued_bytes=", link->m_queued_bytes));
+    Close(link);
+    return;
+  }
+  link->m_queued_bytes += frame->size();
+  link->m_queue.push_back(*std::move(frame));
+  if (!link->m_writing) {
+    link->m_writing = true;
+    asio::co_spawn(m_context, WriteQueue(link), asio::detached);
+  }
+}
+
+asio::awaitable<void> LinkServer::State::WriteQueue(LinkPtr link) {
+  auto self = shared_from_this();
+  while (!link->m_queue.empty() && !link->m_closed) {
+    std::string bytes;
+    while (!link->m_queue.empty()) {
+      bytes += link->m_queue.front();
+      link->m_queue.pop_front();
+    }
+    auto [error, written] = co_await asio::async_write(
+        link->m_socket, asio::buffer(bytes), kAsTuple);
+    link->m_queued_bytes -= bytes.size();
+    static_cast<void>(written);
+    if (error) {
+      Close(link);
+    }
+  }
+  link->m_writing = false;
+}
+
+void LinkServer::State::Close(const LinkPtr& link) {
+  if (link->m_closed) {
+    return;
+  }
+  link->m_closed = true;
+  boost::system::error_code ignored;
+  link->m_socket.close(ignored);
+  m_links.erase(link);
+  if (link->m_peer.Empty()) {
+    return;
+  }
+  for (const LinkPtr& other : m_links) {
+    if (other->m_peer == link->m_peer) {
+      return;
+    }
+  }
+  LinkPeer& peer = m_peers[link->m_peer];
+  peer.m_connected = false;
+  peer.m_lost_at = BootNow();
+  m_log.Info("link", "link_closed",
+             absl::StrCat("peer=", link->m_peer.Value()));
+}
+
+LinkServer::LinkServer(asio::io_context& context, EventLog& log, Hello self,
+                       std::string secret)
+    : m_state(std::make_shared<State>(context, log, std::move(self),
+                                      std::move(secret))) {}
+
+LinkServer::~LinkServer() { Disable(); }
+
+absl::Status LinkServer::Listen(const Endpoint& endpoint) {
+  boost::system::error_code error;
+  const tcp::endpoint local(asio::ip::make_address(endpoint.m_address, error),
+                            endpoint.m_port);
+  auto& acceptor = m_state->m_acceptor;
+  if (!error) {
+    acceptor.open(local.protocol(), error);
+  }
+  if (!error) {
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor.bind(local, error);
+  }
+  if (!error) {
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Error(Code::kListenFailed,
+                 absl::StrCat("cannot listen on ", endpoint.Text(), ": ",
+                              error.message()));
+  }
+  asio::co_spawn(m_state->m_context, m_state->Accept(), asio::detached);
+  return absl::OkStatus();
+}
+
+void LinkServer::SetHandler(Handler handler, std::function<bool()> confirmed) {
+  m_state->m_handler = std::move(handler);
+  m_state->m_confirmed = std::move(confirmed);
+}
+
+void LinkServer::Disable() {
+  m_state->m_handler = nullptr;
+  m_state->m_confirmed = nullptr;
+  const auto links = m_state->m_links;
+  for (const auto& link : links) {
+    m_state->Close(link);
+  }
+  m_state->m_peers.clear();
+}
+
+const std::map<VmName, LinkPeer>& LinkServer::Peers() const {
+  return m_state->m_peers;
+}
+
+void LinkServer::ForgetPeer(const VmName& vm) { m_state->m_peers.erase(vm); }
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/node/src/link_server.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "filbertspar/node/src/async.h"
+#include "filbertspar/node/src/event_log.h"
+#include "filbertspar/settings/settings.h"
+#include "filbertspar/wire/wire.h"
+
+namespace filbertspar {
+
+/// \brief A VM that passes calls on to this one.
+struct LinkPeer {
+  bool m_connected = false;
+  TimePoint m_pinged_at = TimePoint::min();
+  /// The VM's time since it reached the store, as of the ping.
+  Duration m_store_age{0};
+  /// When its link was lost.
+  TimePoint m_lost_at = TimePoint::min();
+};
+
+/// \brief Accepts links of other VMs and answers the calls on them.
+class LinkServer {
+ public:
+  using Handler = std::function<asio::awaitable<JobReply>(JobCall)>;
+
+  LinkServer(asio::io_context& context, EventLog& log, Hello self,
+             std::string secret);
+  ~LinkServer();
+  LinkServer(const LinkServer&) = delete;
+  LinkServer& operator=(const LinkServer&) = delete;
+
+  absl::Status Listen(const Endpoint& endpoint);
+  /// \brief Serves calls with the handler; without one, links are refused.
+  void SetHandler(Handler handler, std::function<bool()> confirmed);
+  /// \brief Closes all links and refuses new ones.
+  void Disable();
+
+  const std::map<VmName, LinkPeer>& Peers() const;
+  void ForgetPeer(const VmName& vm);
+
+ private:
+  struct State;
+  std::shared_ptr<State> m_state;
+};
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/node/src/node.cc
@@ -0,0 +1,291 @@
+#include "filbertspar/node/src/node.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "boost/asio/co_spawn.hpp"
+#include "boost/asio/detached.hpp"
+#include "filbertspar/node/src/clock.h"
+#include "filbertspar/node/src/front.h"
+#include "filbertspar/node/src/metric_names.h"
+
+namespace filbertspar {
+namespace {
+
+/// Keys are refused at this share of the time in which a revoked one must stop
+/// working; the rest is for calls that are already under way.
+constexpr double kFreshnessShare = 0.6;
+/// Time for the balancer to notice that the process is not ready.
+constexpr Duration kUnreadyTime = Milliseconds(2500);
+/// Share of the grace time after which the process ends at the latest.
+constexpr double kGraceShare = 0.8;
+constexpr Duration kStopPoll = Milliseconds(50);
+/// Connections to workers and the store are kept while they are of use.
+constexpr Duration kIdleTime = Seconds(60);
+constexpr Duration kConnectTime = Milliseconds(400);
+constexpr std::size_t kBodyBytes = 1 << 20;
+constexpr std::size_t kHeaderBytes = 16 << 10;
+
+std::uint64_t RandomNumber() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+std::string RandomSecret() {
+  std::string secret;
+  for (int i = 0; i < 4; ++i) {
+    absl::StrAppend(&secret, absl::Hex(RandomNumber(), absl::kZeroPad16));
+  }
+  return secret;
+}
+
+HttpClientLimits ClientLimits() {
+  HttpClientLimits limits;
+  limits.m_idle_time = kIdleTime;
+  limits.m_connect_time = kConnectTime;
+  return limits;
+}
+
+HttpServerLimits ServerLimits() {
+  HttpServerLimits limits;
+  limits.m_body_bytes = kBodyBytes;
+  limits.m_header_bytes = kHeaderBytes;
+  return limits;
+}
+
+Hello HelloOf(const NodeOptions& options, std::uint64_t incarnation) {
+  Hello hello;
+  hello.m_node = MakeNodeName(options.m_vm, incarnation);
+  hello.m_zone = options.m_zone;
+  hello.m_endpoint = options.m_link_listen;
+  return hello;
+}
+
+OwnerRecord RecordOf(const NodeOptions& options, std::uint64_t incarnation,
+                     const std::string& secret) {
+  OwnerRecord record;
+  record.m_vm = options.m_vm;
+  record.m_incarnation = incarnation;
+  record.m_link = options.m_link_listen;
+  record.m_link_secret = secret;
+  return record;
+}
+
+}  // namespace
+
+struct Node::Parts {
+  Parts(asio::io_context& context, NodeOptions options)
+      : m_context(context),
+        m_options(std::move(options)),
+        m_incarnation(RandomNumber() | 1U),
+        m_secret(RandomSecret()),
+        m_log(context, EventLogLimits(), STDOUT_FILENO),
+        m_client(context, ClientLimits()),
+        m_store(m_client, m_metrics, m_log, m_options.m_store),
+        m_configuration(context, m_store, m_log,
+                        Duration(static_cast<std::int64_t>(
+                            kFreshnessShare *
+                            static_cast<double>(m_options.m_revoke.count())))),
+        m_watch(context, m_store, m_log,
+                {m_options.m_vm, m_incarnation,
+                 ClaimDelay(m_options.m_cpu_share,
+                            static_cast<double>(RandomNumber() % 1000) / 1000)},
+                RecordOf(m_options, m_incarnation, m_secret)),
+        m_link_server(context, m_log, HelloOf(m_options, m_incarnation),
+                      m_secret),
+        m_link_client(context, m_log, HelloOf(m_options, m_incarnation)),
+        m_router(m_watch, m_link_client, [this] { return m_duty; }),
+        m_front(m_configuration, m_router, m_metrics, m_log),
+        m_callers(context, ServerLimits(),
+                  [this](const HttpRequest& request) {
+                    return m_front.Handle(request);
+                  }),
+        m_ready(context, ServerLimits(),
+                [this](const HttpRequest& request) { return Ready(request); }),
+        m_metrics_server(
+            context, ServerLimits(),
+            [this](const HttpRequest& request) { return Metrics(request); }) {}
+
+  asio::awaitable<HttpResponse> Ready(const HttpRequest& request);
+  asio::awaitable<HttpResponse> Metrics(const HttpRequest& request);
+  void Won(OwnerWatch::Won won);
+  void Deposed();
+  void FollowOwner();
+  asio::awaitable<void> LinkLoop();
+  asio::awaitable<void> StopGracefully();
+
+  asio::io_context& m_context;
+  NodeOptions m_options;
+  std::uint64_t m_incarnation;
+  std::string m_secret;
+  MetricsBook m_metrics;
+  EventLog m_log;
+  HttpClient m_client;
+  StoreClient m_store;
+  Configuration m_configuration;
+  OwnerWatch m_watch;
+  LinkServer m_link_server;
+  LinkClient m_link_client;
+  std::shared_ptr<Duty> m_duty;
+  Router m_router;
+  Front m_front;
+  HttpServer m_callers;
+  HttpServer m_ready;
+  HttpServer m_metrics_server;
+  bool m_stopping = false;
+};
+
+asio::awaitable<HttpResponse> Node::Parts::Ready(const HttpRequest& request) {
+  static_cast<void>(request);
+  const ConfigFreshness freshness = m_configuration.Freshness();
+  const bool serves = !m_stopping && m_configuration.Current() != nullptr &&
+                      IsFresh(freshness, BootNow()) &&
+                      (m_duty != nullptr || m_link_client.IsReady());
+  co_return TextResponse(serves ? 200 : 503,
+                         serves ? "ready\n" : "not ready\n");
+}
+
+asio::awaitable<HttpResponse> Node::Parts::Metrics(const HttpRequest& request) {
+  static_cast<void>(request);
+  SetGauge(m_metrics, metric::kOwner, "", m_duty != nullptr ? 1 : 0);
+  if (const DeploymentPtr& config = m_configuration.Current()) {
+    SetGauge(m_metrics, metric::kConfigVersion, "",
+             static_cast<double>(config->m_version.Value()));
+    SetGauge(m_metrics, metric::kConfigAge, "",
+             ToSeconds(BootNow() - m_configuration.Freshness().m_confirmed_at));
+  }
+  m_metrics.m_counters[std::string(metric::kLogDropped.m_name)][""] =
+      static_cast<double>(m_log.Dropped());
+  if (m_duty != nullptr) {
+    const scheduler::Scheduler& state = m_duty->State();
+    std::size_t active = 0;
+    for (const auto& [name, pool] : state.m_pools) {
+      active += pool.m_jobs.size();
+      const auto answering = std::count_if(
+          pool.m_workers.begin(), pool.m_workers.end(),
+          [&state](scheduler::WorkerIndex index) {
+            return scheduler::IsResponsive(state.m_workers[index], BootNow());
+          });
+      SetGauge(m_metrics, metric::kWorkers, name.Value(),
+               static_cast<double>(answering));
+    }
+    SetGauge(m_metrics, metric::kActiveJobs, "", static_cast<double>(active));
+  }
+  co_return TextResponse(200, RenderMetrics(m_metrics, metric::kAll));
+}
+
+void Node::Parts::Won(OwnerWatch::Won won) {
+  const DutyParts parts{m_context,       m_options,     m_store,   m_client,
+                        m_configuration, m_link_server, m_metrics, m_log};
+  m_duty = std::make_shared<Duty>(parts, std::move(won), [this] { Deposed(); });
+  m_link_client.SetOwner(std::nullopt);
+  m_link_server.SetHandler(
+      [duty = m_duty](JobCall call) { return duty->Execute(std::move(call)); },
+      [duty = m_duty] { return duty->IsConfirmed(); });
+  m_duty->Start();
+}
+
+void Node::Parts::Deposed() {
+  if (m_duty != nullptr) {
+    m_duty->Stop();
+    m_duty.reset();
+  }
+  m_link_server.Disable();
+  m_watch.Resigned();
+}
+
+asio::awaitable<void> Node::Parts::LinkLoop() {
+  /// The owner is looked up again at least this often.
+  constexpr Duration kPeriod = Seconds(1);
+  while (true) {
+    const OwnerView& view = m_watch.View();
+    const bool has_owner = !m_watch.IsOwner() && view.m_record &&
+                           !view.m_record->m_released &&
+                           view.m_record->m_incarnation != m_incarnation;
+    m_link_client.SetOwner(has_owner ? view.m_record : std::nullopt);
+    co_await m_watch.Changed().WaitFor(kPeriod);
+  }
+}
+
+asio::awaitable<void> Node::Parts::StopGracefully() {
+  const TimePoint began = BootNow();
+  const TimePoint latest =
+      began +
+      Duration(static_cast<std::int64_t>(
+          kGraceShare * static_cast<double>(m_options.m_grace.count())));
+  m_watch.SetWilling(false);
+  if (const std::shared_ptr<Duty> duty = m_duty) {
+    co_await duty->Release();
+    Deposed();
+  }
+  const TimePoint unready = std::min(began + kUnreadyTime, latest);
+  while (BootNow() < unready) {
+    co_await Pause(kStopPoll);
+  }
+  m_callers.StopAccepting();
+  while (m_callers.Connections() > 0 && BootNow() < latest) {
+    co_await Pause(kStopPoll);
+  }
+  m_log.Info("node", "stopped",
+             absl::StrCat("took_ms=", ToMilliseconds(BootNow() - began),
+                          " connections=", m_callers.Connections()));
+  m_log.Flush();
+  m_context.stop();
+}
+
+Node::Node(asio::io_context& context, NodeOptions options)
+    : m_parts(std::make_unique<Parts>(context, std::move(options))) {}
+
+Node::~Node() = default;
+
+absl::Status Node::Start() {
+  Parts& parts = *m_parts;
+  FS_RETURN_IF_ERROR(parts.m_callers.Listen(parts.m_options.m_caller_listen));
+  FS_RETURN_IF_ERROR(parts.m_ready.Listen(parts.m_options.m_ready_listen));
+  FS_RETURN_IF_ERROR(parts.m_link_server.Listen(parts.m_options.m_link_listen));
+  FS_RETURN_IF_ERROR(
+      parts.m_metrics_server.Listen(parts.m_options.m_metrics_listen));
+  parts.m_log.Info("node", "started",
+                   absl::StrCat("vm=", parts.m_options.m_vm.Value(),
+                                " zone=", parts.m_options.m_zone.Value(),
+                                " incarnation=", parts.m_incarnation));
+  parts.m_configuration.Start([&parts] {
+    if (parts.m_duty != nullptr) {
+      parts.m_duty->ConfigChanged();
+    }
+  });
+  parts.m_link_client.OnHealth(
+      [&parts](LinkHealth health) { parts.m_watch.LinkChanged(health); });
+  parts.m_link_client.SetStoreAge([&parts] {
+    const TimePoint reached = parts.m_store.ReachedAt();
+    return reached == TimePoint::min() ? Seconds(3600) : BootNow() - reached;
+  });
+  parts.m_watch.Start(
+      [&parts](OwnerWatch::Won won) { parts.Won(std::move(won)); });
+  asio::co_spawn(parts.m_context, parts.LinkLoop(), asio::detached);
+  return absl::OkStatus();
+}
+
+void Node::Stop() {
+  if (m_parts->m_stopping) {
+    return;
+  }
+  m_parts->m_stopping = true;
+  m_parts->m_log.Info("node", "stopping");
+  asio::co_spawn(m_parts->m_context, m_parts->StopGracefully(), asio::detached);
+}
+
+void Node::Reload(const NodeOptions& options) {
+  m_parts->m_store.SetEndpoint(options.m_store);
+  m_parts->m_options.m_fleet = options.m_fleet;
+  m_parts->m_options.m_recommendation = options.m_recommendation;
+  m_parts->m_log.Info("node", "settings_read",
+                      absl::StrCat("store=", options.m_store.Text()));
+}
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/node/src/options.cc
@@ -0,0 +1,69 @@
+#include "filbertspar/node/src/options.h"
+
+namespace filbertspar {
+namespace {
+
+constexpr Duration kDay = Seconds(86400);
+
+Duration GetSeconds(Settings& settings, std::string_view key, double fallback) {
+  const double seconds = settings.GetDouble(key, fallback, 0, 86400);
+  return Duration(static_cast<std::int64_t>(seconds * 1e6));
+}
+
+}  // namespace
+
+NodeOptions ReadNodeOptions(Settings& settings) {
+  NodeOptions options;
+  options.m_vm = VmName(settings.GetText("node.name"));
+  options.m_zone = ZoneName(settings.GetText("node.zone"));
+  settings.GetText("node.region", "");
+  options.m_address = settings.GetText("node.address");
+  options.m_caller_listen = settings.GetEndpoint("node.caller_listen");
+  options.m_ready_listen = settings.GetEndpoint("node.ready_listen");
+  const auto port = [&settings](std::string_view key, std::int64_t fallback) {
+    return static_cast<std::uint16_t>(settings.GetInt(key, fallback, 1, 65535));
+  };
+  options.m_link_listen = {options.m_address, port("node.link_port", 7000)};
+  options.m_metrics_listen = {options.m_address,
+                              port("node.metrics_port", 9464)};
+  options.m_cpu_share = settings.GetDouble("node.cpu_share", 1, 0.001, 1024);
+  settings.GetInt("node.memory_mb", 256, 1, 1 << 30);
+  settings.GetBool("node.first_start", false);
+  options.m_store = settings.GetEndpoint("store.address");
+  settings.GetDouble("store.writes_per_s", 600, 0, 1e9);
+  settings.GetDouble("store.reads_per_s", 2000, 0, 1e9);
+  settings.GetDouble("store.change_ms", 5, 0, 1e6);
+  options.m_part_changes_per_s = static_cast<std::int64_t>(
+      settings.GetDouble("store.part_changes_per_s", 200, 1, 1e6));
+  options.m_row_bytes =
+      settings.GetInt("store.row_bytes", 65536, 1024, 1 << 30);
+  options.m_fleet = settings.GetOptionalEndpoint("fleet.address");
+  options.m_fleet_reads_per_s =
+      settings.GetDouble("fleet.reads_per_s", 20, 0, 1e6);
+  options.m_fleet_orders_per_s =
+      settings.GetDouble("fleet.orders_per_s", 20, 0, 1e6);
+  options.m_move_time = GetSeconds(settings, "fleet.move_s", 1.5);
+  options.m_upkeep_time = GetSeconds(settings, "fleet.upkeep_s", 2);
+  options.m_holder_ttl = settings.GetMilliseconds(
+      "fleet.holder_ttl_ms", Seconds(3), Duration(0), kDay);
+  options.m_recommendation =
+      settings.GetOptionalEndpoint("recommendation.address");
+  options.m_worker_report = settings.GetMilliseconds(
+      "workers.report_ms", Milliseconds(1500), Milliseconds(1), kDay);
+  options.m_max_lease = settings.GetMilliseconds(
+      "workers.max_lease_ms", Seconds(6), Milliseconds(100), kDay);
+  options.m_stop_time = settings.GetMilliseconds("workers.stop_ms", Seconds(1),
+                                                 Duration(0), kDay);
+  settings.GetMilliseconds("workers.notice_ms", Seconds(4), Duration(0), kDay);
+  options.m_config_apply = settings.GetMilliseconds(
+      "bounds.config_apply_ms", Seconds(2), Milliseconds(1), kDay);
+  options.m_revoke = settings.GetMilliseconds("bounds.revoke_ms", Seconds(5),
+                                              Milliseconds(1), kDay);
+  options.m_strict_revocation =
+      settings.GetBool("bounds.strict_revocation", true);
+  options.m_grace = GetSeconds(settings, "bounds.grace_s", 6);
+  options.m_state_kept = GetSeconds(settings, "bounds.state_kept_s", 120);
+  return options;
+}
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/node/src/owner_watch.cc
@@ -0,0 +1,159 @@
+#include "filbertspar/node/src/owner_watch.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "boost/asio/co_spawn.hpp"
+#include "boost/asio/detached.hpp"
+#include "filbertspar/node/src/clock.h"
+
+namespace filbertspar {
+namespace {
+
+constexpr Duration kReadTimeout = Milliseconds(800);
+constexpr Duration kClaimTimeout = Milliseconds(800);
+/// While this process owns the jobs, nothing is to be followed.
+constexpr Duration kOwnerPause = Seconds(5);
+
+}  // namespace
+
+TableKey OwnerRowKey() {
+  return {job_table::kOwner, job_table::kPart, job_table::kOwnerKey};
+}
+
+OwnerWatch::OwnerWatch(asio::io_context& context, StoreClient& store,
+                       EventLog& log, Candidate self, OwnerRecord mine)
+    : m_context(context),
+      m_store(store),
+      m_log(log),
+      m_self(std::move(self)),
+      m_mine(std::move(mine)),
+      m_changed(context),
+      m_wake(context) {}
+
+void OwnerWatch::Start(std::function<void(Won)> won) {
+  m_won = std::move(won);
+  asio::co_spawn(m_context, Follow(), asio::detached);
+}
+
+void OwnerWatch::Resigned() {
+  m_is_owner = false;
+  m_view = OwnerView();
+  m_changed.Notify();
+  m_wake.Notify();
+}
+
+void OwnerWatch::LinkChanged(LinkHealth health) {
+  if (m_view.m_link != health) {
+    m_view.m_link = health;
+    m_view.m_link_since = BootNow();
+    m_wake.Notify();
+  }
+}
+
+asio::awaitable<void> OwnerWatch::Follow() {
+  while (true) {
+    if (m_is_owner) {
+      co_await m_wake.WaitFor(kOwnerPause);
+      continue;
+    }
+    co_await ReadRow();
+    if (!m_is_owner && m_willing && ShouldClaim(m_view, m_self, BootNow())) {
+      co_await Claim();
+    }
+    if (!m_is_owner) {
+      co_await m_wake.WaitFor(
+          std::max(Milliseconds(20), NextOwnerRead(m_view, BootNow())));
+    }
+  }
+}
+
+void OwnerWatch::TakeView(const std::optional<OwnerRecord>& record,
+                          RowVersion version, TimePoint sent) {
+  const bool same_holder =
+      record && m_view.m_record && record->m_vm == m_view.m_record->m_vm &&
+      record->m_incarnation == m_view.m_record->m_incarnation &&
+      record->m_released == m_view.m_record->m_released;
+  if (!m_view.m_read || version != m_view.m_version) {
+    m_view.m_version = version;
+    m_view.m_version_since = BootNow();
+  }
+  m_view.m_confirmed_at = sent;
+  m_view.m_read = true;
+  m_view.m_record = record;
+  if (same_holder || !record) {
+    return;
+  }
+  m_view.m_link = LinkHealth::kSilent;
+  m_log.Info("owner", "owner_seen",
+             absl::StrCat("vm=", record->m_vm.Value(), " epoch=",
+                          record->m_epoch.Value(), " version=", version.Value(),
+                          " released=", record->m_released));
+  m_changed.Notify();
+}
+
+asio::awaitable<void> OwnerWatch::ReadRow() {
+  const TimePoint sent = BootNow();
+  const TableAnswer answer = co_await m_store.Read(
+      job_table::kOwner, job_table::kPart, "", kReadTimeout);
+  if (answer.m_result != StoreResult::kDone) {
+    co_return;
+  }
+  for (const TableRow& row : answer.m_rows) {
+    if (row.m_key != OwnerRowKey()) {
+      continue;
+    }
+    absl::StatusOr<OwnerRecord> record = DecodeOwner(row.m_value);
+    if (record.ok()) {
+      TakeView(*record, row.m_version, sent);
+    } else {
+      m_log.Warn("owner", "owner_row_unreadable",
+                 absl::StrCat("reason=\"", record.status().message(), "\""));
+    }
+    co_return;
+  }
+  TakeView(std::nullopt, RowVersion(), sent);
+}
+
+asio::awaitable<void> OwnerWatch::Claim() {
+  OwnerRecord claim = m_mine;
+  claim.m_epoch =
+      FencingNumber(m_view.m_record ? m_view.m_record->m_epoch.Value() + 1 : 1);
+  claim.m_write = 0;
+  claim.m_released = false;
+  TableChange change;
+  change.m_conditions.push_back({OwnerRowKey(), m_view.m_version});
+  change.m_values.push_back({OwnerRowKey(), EncodeOwner(claim)});
+  m_log.Info(
+      "owner", "claim",
+      absl::StrCat(
+          "epoch=", claim.m_epoch.Value(),
+          " holder=", m_view.m_record ? m_view.m_record->m_vm.Value() : "-",
+          " link=", static_cast<int>(m_view.m_link), " unchanged_ms=",
+          ToMilliseconds(m_view.m_confirmed_at - m_view.m_version_since)));
+  const TableAnswer answer = co_await m_store.Change(change, kClaimTimeout);
+  if (answer.m_result == StoreResult::kDone) {
+    m_is_owner = true;
+    m_log.Info("owner", "claim_won",
+               absl::StrCat("epoch=", claim.m_epoch.Value(),
+                            " version=", answer.m_version.Value()));
+    m_changed.Notify();
+    m_won({claim, answer.m_version});
+    co_return;
+  }
+  // A claim without an answer may take effect later; the row then names this
+  // process and its incarnation, and is taken up as won.
+  m_log.Info(
+      "owner", "claim_not_won",
+      absl::StrCat("result=", std::string(StoreResultName(answer.m_result))));
+  co_await ReadRow();
+  if (m_view.m_record && m_view.m_record->m_vm == m_self.m_vm &&
+      m_view.m_record->m_incarnation == m_self.m_incarnation &&
+      !m_view.m_record->m_released) {
+    m_is_owner = true;
+    m_changed.Notify();
+    m_won({*m_view.m_record, m_view.m_version});
+  }
+}
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/node/src/router.cc
@@ -0,0 +1,55 @@
+#include "filbertspar/node/src/router.h"
+
+#include <algorithm>
+
+#include "filbertspar/node/src/clock.h"
+
+namespace filbertspar {
+namespace {
+
+/// A call waits this long for an owner to be found; longer than a take-over
+/// usually lasts.
+constexpr Duration kOwnerWait = Milliseconds(1500);
+constexpr Duration kPoll = Milliseconds(20);
+constexpr Duration kReturnWithoutOwner = Seconds(1);
+/// Left of the caller's wait for the answer to travel.
+constexpr Duration kAnswerMargin = Milliseconds(60);
+
+}  // namespace
+
+asio::awaitable<JobReply> Router::Execute(JobCall call) {
+  const TimePoint began = BootNow();
+  const TimePoint deadline = began + call.m_wait - kAnswerMargin;
+  bool may_have_effect = false;
+  while (BootNow() < deadline) {
+    JobReply reply;
+    reply.m_code = Code::kNotLeaseHolder;
+    call.m_wait = deadline - BootNow();
+    if (const std::shared_ptr<Duty> duty = m_duty()) {
+      reply = co_await duty->Execute(call);
+    } else if (m_link.IsReady()) {
+      const LinkClient::Result result = co_await m_link.Call(call, call.m_wait);
+      may_have_effect = may_have_effect || result.m_sent;
+      if (result.m_reply) {
+        reply = *result.m_reply;
+      }
+    } else if (!may_have_effect && BootNow() - began > kOwnerWait) {
+      break;
+    }
+    if (reply.m_code == Code::kOutcomeUnknown) {
+      may_have_effect = true;
+    } else if (reply.m_code != Code::kNotLeaseHolder &&
+               reply.m_code != Code::kNoOwner) {
+      co_return reply;
+    }
+    co_await m_watch.Changed().WaitFor(kPoll);
+  }
+  JobReply reply;
+  const bool unknown = may_have_effect && (call.m_verb == JobVerb::kSubmit ||
+                                           call.m_verb == JobVerb::kCancel);
+  reply.m_code = unknown ? Code::kOutcomeUnknown : Code::kNoOwner;
+  reply.m_retry_after = kReturnWithoutOwner;
+  co_return reply;
+}
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/node/src/store_client.cc
@@ -0,0 +1,115 @@
+#include "filbertspar/node/src/store_client.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "filbertspar/node/src/clock.h"
+#include "filbertspar/node/src/metric_names.h"
+#include "platform/platform.h"
+
+namespace filbertspar {
+namespace {
+
+/// Beyond the wait of a feed: time for its answer to come.
+constexpr Duration kFeedSlack = Milliseconds(1200);
+constexpr Duration kReadTimeout = Milliseconds(1500);
+
+}  // namespace
+
+StoreClient::StoreClient(HttpClient& client, MetricsBook& metrics,
+                         EventLog& log, Endpoint endpoint)
+    : m_client(client),
+      m_metrics(metrics),
+      m_log(log),
+      m_endpoint(std::move(endpoint)) {}
+
+void StoreClient::NoteResult(StoreResult result, TimePoint sent) {
+  const bool answered = result == StoreResult::kDone ||
+                        result == StoreResult::kConflict ||
+                        result == StoreResult::kHistoryGone;
+  if (!answered) {
+    if (++m_failures == kLostAfter) {
+      m_log.Warn("store", "store_lost",
+                 absl::StrCat("result=", std::string(StoreResultName(result))));
+    }
+    return;
+  }
+  if (IsLost()) {
+    m_regained_at = BootNow();
+    m_log.Info(
+        "store", "store_regained",
+        absl::StrCat("away_ms=", m_reached_at == TimePoint::min()
+                                     ? -1
+                                     : ToMilliseconds(sent - m_reached_at)));
+  }
+  m_failures = 0;
+  m_reached_at = std::max(m_reached_at, sent);
+}
+
+asio::awaitable<TableAnswer> StoreClient::Call(std::string_view kind,
+                                               HttpRequest request,
+                                               Duration timeout) {
+  const TimePoint sent = BootNow();
+  const CallResult result =
+      co_await m_client.Call(m_endpoint, std::move(request), timeout);
+  if (result.m_end != CallEnd::kAnswered) {
+    m_client.DropIdle(m_endpoint);
+  }
+  TableAnswer answer = adapter::DecodeTableAnswer(result);
+  Count(m_metrics, metric::kStoreCalls,
+        absl::StrCat(std::string(kind), "_",
+                     std::string(StoreResultName(answer.m_result))));
+  RecordLatency(m_metrics, metric::kStoreSeconds, kind, BootNow() - sent);
+  NoteResult(answer.m_result, sent);
+  co_return answer;
+}
+
+asio::awaitable<TableAnswer> StoreClient::Change(const TableChange& change,
+                                                 Duration timeout) {
+  co_return co_await Call("change", adapter::ChangeCall(change), timeout);
+}
+
+asio::awaitable<TableAnswer> StoreClient::Read(std::string_view table,
+                                               std::string_view part,
+                                               std::string_view from_key,
+                                               Duration timeout) {
+  co_return co_await Call("read", adapter::ReadCall(table, part, from_key),
+                          timeout);
+}
+
+asio::awaitable<TableAnswer> StoreClient::Feed(std::string_view table,
+                                               RowVersion after,
+                                               Duration wait) {
+  co_return co_await Call("feed", adapter::FeedCall(table, after, wait),
+                          wait + kFeedSlack);
+}
+
+asio::awaitable<TableAnswer> StoreClient::ReadAll(std::string table,
+                                                  std::string part) {
+  TableAnswer all;
+  std::string from;
+  while (true) {
+    TableAnswer page = co_await Read(table, part, from, kReadTimeout);
+    if (page.m_result != StoreResult::kDone) {
+      co_return page;
+    }
+    if (from.empty()) {
+      all.m_version = page.m_version;
+    }
+    const bool more = page.m_more && !page.m_rows.empty();
+    if (more) {
+      // The range begins after the last key that was read.
+      from = page.m_rows.back().m_key.m_key + '\x01';
+    }
+    for (TableRow& row : page.m_rows) {
+      all.m_rows.push_back(std::move(row));
+    }
+    if (!more) {
+      break;
+    }
+  }
+  all.m_result = StoreResult::kDone;
+  co_return all;
+}
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/node/src/store_client.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "filbertspar/fleetview/fleetview.h"
+#include "filbertspar/http/http.h"
+#include "filbertspar/metrics/metrics.h"
+#include "filbertspar/node/src/event_log.h"
+
+namespace filbertspar {
+
+/// \brief The process' only way to the metadata store.
+class StoreClient {
+ public:
+  StoreClient(HttpClient& client, MetricsBook& metrics, EventLog& log,
+              Endpoint endpoint);
+
+  asio::awaitable<TableAnswer> Change(const TableChange& change,
+                                      Duration timeout);
+  asio::awaitable<TableAnswer> Read(std::string_view table,
+                                    std::string_view part,
+                                    std::string_view from_key,
+                                    Duration timeout);
+  asio::awaitable<TableAnswer> Feed(std::string_view table, RowVersion after,
+                                    Duration wait);
+
+  /// \brief All rows of a part. The version is that of the first page, after
+  /// which a feed misses nothing.
+  asio::awaitable<TableAnswer> ReadAll(std::string table, std::string part);
+
+  /// \brief When the last answered call was sent; min() before the first.
+  TimePoint ReachedAt() const { return m_reached_at; }
+  /// \brief When the store came back after it was away; min() if it never was.
+  TimePoint RegainedAt() const { return m_regained_at; }
+  bool IsLost() const { return m_failures >= kLostAfter; }
+
+  void SetEndpoint(const Endpoint& endpoint) { m_endpoint = endpoint; }
+
+ private:
+  /// Calls in a row without an answer after which the store counts as lost.
+  static constexpr int kLostAfter = 3;
+
+  asio::awaitable<TableAnswer> Call(std::string_view kind, HttpRequest request,
+                                    Duration timeout);
+  void NoteResult(StoreResult result, TimePoint sent);
+
+  HttpClient& m_client;
+  MetricsBook& m_metrics;
+  EventLog& m_log;
+  Endpoint m_endpoint;
+  TimePoint m_reached_at = TimePoint::min();
+  TimePoint m_regained_at = TimePoint::min();
+  int m_failures = 0;
+};
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/node/src/worker_links.cc
@@ -0,0 +1,299 @@
+#include "filbertspar/node/src/worker_links.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "boost/asio/co_spawn.hpp"
+#include "boost/asio/detached.hpp"
+#include "filbertspar/node/src/clock.h"
+#include "filbertspar/node/src/metric_names.h"
+#include "platform/platform.h"
+
+namespace filbertspar {
+namespace {
+
+using scheduler::WorkerIndex;
+
+/// Longest wait of a worker for an end; the lease must outlast it and one
+/// lost look.
+constexpr Duration kBusyWait = Milliseconds(900);
+constexpr Duration kIdleWait = Milliseconds(1500);
+constexpr Duration kLookSlack = Milliseconds(700);
+constexpr Duration kFirstLookTimeout = Milliseconds(500);
+/// Between two looks at one worker; ends that come close together are read
+/// together.
+constexpr Duration kLookGap = Milliseconds(30);
+/// Longest time to wait for ends to be stored before the next look.
+constexpr Duration kStoreWait = Milliseconds(250);
+constexpr Duration kFirstPause = Milliseconds(80);
+constexpr Duration kLongestPause = Milliseconds(500);
+constexpr Duration kOrderTimeout = Milliseconds(350);
+constexpr int kMaxStopAttempts = 6;
+/// Connections for orders to one worker.
+constexpr int kOrderConnections = 2;
+constexpr Duration kNotAllowedPause = Milliseconds(100);
+
+}  // namespace
+
+WorkerLinks::WorkerLinks(asio::io_context& context, HttpClient& client,
+                         MetricsBook& metrics, EventLog& log,
+                         scheduler::Scheduler& scheduler, Hooks hooks)
+    : m_context(context),
+      m_client(client),
+      m_metrics(metrics),
+      m_log(log),
+      m_scheduler(scheduler),
+      m_hooks(std::move(hooks)),
+      m_ends_stored(context) {}
+
+void WorkerLinks::Stop() {
+  m_running = false;
+  m_ends_stored.Notify();
+}
+
+WorkerLinks::Channel& WorkerLinks::ChannelOf(WorkerIndex index) {
+  while (m_channels.size() <= index) {
+    m_channels.push_back(std::make_unique<Channel>());
+  }
+  return *m_channels[index];
+}
+
+void WorkerLinks::Watch(WorkerIndex index) {
+  Channel& channel = ChannelOf(index);
+  if (!channel.m_is_watched && m_running) {
+    channel.m_is_watched = true;
+    asio::co_spawn(m_context, LookLoop(index), asio::detached);
+  }
+}
+
+asio::awaitable<CallResult> WorkerLinks::Send(WorkerIndex index,
+                                              std::string_view kind,
+                                              HttpRequest request,
+                                              Duration timeout,
+                                              bool fresh_connection) {
+  const Endpoint endpoint = m_scheduler.m_workers[index].m_record.m_endpoint;
+  const TimePoint sent = BootNow();
+  CallResult result = co_await m_client.Call(endpoint, std::move(request),
+                                             timeout, fresh_connection);
+  if (result.m_end != CallEnd::kAnswered) {
+    m_client.DropIdle(endpoint);
+  } else if (kind != "look") {
+    RecordLatency(m_metrics, metric::kOrderSeconds, kind, BootNow() - sent);
+  }
+  co_return result;
+}
+
+asio::awaitable<void> WorkerLinks::LookLoop(WorkerIndex index) {
+  auto self = shared_from_this();
+  Duration pause = kFirstPause;
+  bool fresh = false;
+  bool was_answered = true;
+  while (m_running) {
+    if (scheduler::IsFinished(m_scheduler.m_workers[index], BootNow())) {
+      break;
+    }
+    if (!m_hooks.m_may_order()) {
+      co_await Pause(kNotAllowedPause);
+      continue;
+    }
+    const bool answered = co_await LookOnce(index, fresh);
+    if (!m_running) {
+      break;
+    }
+    if (answered != was_answered) {
+      was_answered = answered;
+      const std::string fields = absl::StrCat(
+          "worker=", m_scheduler.m_workers[index].m_record.m_name.Value());
+      answered ? m_log.Info("worker", "worker_regained", fields)
+               : m_log.Warn("worker", "worker_lost", fields);
+    }
+    fresh = !answered;
+    if (!answered) {
+      co_await Pause(pause);
+      pause = std::min(pause * 2, kLongestPause);
+      continue;
+    }
+    pause = kFirstPause;
+    const auto& worker = m_scheduler.m_workers[index];
+    if (worker.m_read_end > worker.m_stored_end) {
+      const TimePoint until = BootNow() + kStoreWait;
+      while (m_running && BootNow() < until &&
+             m_scheduler.m_workers[index].m_read_end >
+                 m_scheduler.m_workers[index].m_stored_end) {
+        co_await m_ends_stored.WaitFor(until - BootNow());
+      }
+    }
+    co_await Pause(kLookGap);
+  }
+  ChannelOf(index).m_is_watched = false;
+}
+
+asio::awaitable<bool> WorkerLinks::LookOnce(WorkerIndex index,
+                                            bool fresh_connection) {
+  const TimePoint sent = BootNow();
+  LookOrder order;
+  order.m_fencing = m_scheduler.m_options.m_fencing;
+  const bool had_looked = m_scheduler.m_workers[index].m_looked;
+  order.m_deadline_ms = scheduler::TakeLease(m_scheduler, sent, index);
+  const auto& worker = m_scheduler.m_workers[index];
+  const WorkerName name = worker.m_record.m_name;
+  order.m_acknowledged = worker.m_stored_end;
+  if (had_looked && !fresh_connection) {
+    order.m_wait = worker.m_tasks.empty() ? kIdleWait : kBusyWait;
+  }
+  const CallResult result =
+      co_await Send(index, "look", adapter::LookCall(name, order),
+                    order.m_wait > Duration(0) ? order.m_wait + kLookSlack
+                                               : kFirstLookTimeout,
+                    fresh_connection);
+  if (!m_running) {
+    co_return false;
+  }
+  std::size_t damaged = 0;
+  const std::optional<WorkerLook> look = adapter::DecodeLook(result, damaged);
+  if (damaged > 0) {
+    m_log.Warn("worker", "look_damaged",
+               absl::StrCat("worker=", name.Value(), " rows=", damaged));
+  }
+  if (look) {
+    Count(m_metrics, metric::kOrders, "look_accepted");
+    scheduler::LookAnswered(m_scheduler, sent, BootNow(), index, *look);
+    m_hooks.m_changed();
+    co_return true;
+  }
+  const OrderResult refusal = adapter::DecodeOrderAnswer(result).m_result;
+  Count(m_metrics, metric::kOrders,
+        absl::StrCat("look_", std::string(OrderResultName(refusal))));
+  if (refusal == OrderResult::kOtherInstance) {
+    scheduler::InstanceGone(m_scheduler, BootNow(), index);
+    m_hooks.m_changed();
+  }
+  co_return false;
+}
+
+void WorkerLinks::Carry(scheduler::Effects& effects) {
+  for (auto& start : effects.m_starts) {
+    Enqueue(start.m_worker,
+            [this, index = start.m_worker, order = std::move(start.m_order)] {
+              return SendStart(index, order);
+            });
+  }
+  for (auto& stop : effects.m_stops) {
+    Enqueue(stop.m_worker, [this, index = stop.m_worker, order = stop.m_order] {
+      return SendStop(index, order);
+    });
+  }
+  for (auto& pace : effects.m_paces) {
+    Enqueue(pace.m_worker, [this, index = pace.m_worker, order = pace.m_order] {
+      return SendPace(index, order);
+    });
+  }
+}
+
+void WorkerLinks::Enqueue(WorkerIndex index,
+                          std::function<asio::awaitable<void>()> order) {
+  if (index == scheduler::kNoWorker) {
+    return;
+  }
+  Channel& channel = ChannelOf(index);
+  channel.m_orders.push_back(std::move(order));
+  if (channel.m_active < kOrderConnections) {
+    ++channel.m_active;
+    asio::co_spawn(m_context, Drain(index), asio::detached);
+  }
+}
+
+asio::awaitable<void> WorkerLinks::Drain(WorkerIndex index) {
+  auto self = shared_from_this();
+  Channel& channel = ChannelOf(index);
+  while (m_running && !channel.m_orders.empty()) {
+    // The order lives in this frame while its coroutine runs.
+    const std::function<asio::awaitable<void>()> order =
+        std::move(channel.m_orders.front());
+    channel.m_orders.pop_front();
+    co_await order();
+  }
+  --channel.m_active;
+}
+
+asio::awaitable<void> WorkerLinks::SendStart(WorkerIndex index,
+                                             StartOrder order) {
+  const WorkerName name = m_scheduler.m_workers[index].m_record.m_name;
+  const TimePoint deadline = BootNow() + m_scheduler.m_options.m_start_window;
+  bool unanswered = false;
+  OrderAnswer answer;
+  while (m_running && m_hooks.m_may_order() && BootNow() < deadline) {
+    const auto ref = scheduler::FindTask(m_scheduler, order.m_task);
+    if (!ref || ref.GetTask().m_phase != scheduler::TaskPhase::kStarting ||
+        ref.GetTask().m_run != order.m_run.Value()) {
+      co_return;
+    }
+    const CallResult result = co_await Send(
+        index, "start", adapter::StartCall(name, order),
+        std::min(kOrderTimeout, deadline - BootNow()), unanswered);
+    answer = adapter::DecodeOrderAnswer(result);
+    Count(
+        m_metrics, metric::kOrders,
+        absl::StrCat("start_", std::string(OrderResultName(answer.m_result))));
+    if (answer.m_result != OrderResult::kUnknown) {
+      break;
+    }
+    if (result.m_end == CallEnd::kNotSent) {
+      co_await Pause(kFirstPause);
+    } else {
+      unanswered = true;
+    }
+  }
+  if (!m_running) {
+    co_return;
+  }
+  if (answer.m_result != OrderResult::kAccepted) {
+    m_log.Info(
+        "worker", "start_not_accepted",
+        absl::StrCat("job=", order.m_task.m_job.Value(),
+                     " step=", order.m_task.m_step,
+                     " task=", order.m_task.m_index, " worker=", name.Value(),
+                     " result=", std::string(OrderResultName(answer.m_result)),
+                     " earlier_unanswered=", unanswered));
+  }
+  scheduler::StartAnswered(m_scheduler, BootNow(), index, order, answer,
+                           unanswered);
+  m_hooks.m_changed();
+}
+
+asio::awaitable<void> WorkerLinks::SendStop(WorkerIndex index,
+                                            StopOrder order) {
+  const WorkerName name = m_scheduler.m_workers[index].m_record.m_name;
+  for (int attempt = 0; attempt < kMaxStopAttempts && m_running; ++attempt) {
+    if (!m_hooks.m_may_order()) {
+      co_return;
+    }
+    const OrderAnswer answer = adapter::DecodeOrderAnswer(
+        co_await Send(index, "stop", adapter::StopCall(name, order),
+                      kOrderTimeout, attempt > 0));
+    Count(m_metrics, metric::kOrders,
+          absl::StrCat("stop_", std::string(OrderResultName(answer.m_result))));
+    if (!m_running) {
+      co_return;
+    }
+    if (answer.m_result != OrderResult::kUnknown &&
+        answer.m_result != OrderResult::kUnhealthy) {
+      scheduler::StopAnswered(m_scheduler, BootNow(), index, order, answer);
+      m_hooks.m_changed();
+      co_return;
+    }
+    co_await Pause(kFirstPause);
+  }
+}
+
+asio::awaitable<void> WorkerLinks::SendPace(WorkerIndex index,
+                                            PaceOrder order) {
+  const WorkerName name = m_scheduler.m_workers[index].m_record.m_name;
+  const OrderAnswer answer = adapter::DecodeOrderAnswer(co_await Send(
+      index, "pace", adapter::PaceCall(name, order), kOrderTimeout, false));
+  Count(m_metrics, metric::kOrders,
+        absl::StrCat("pace_", std::string(OrderResultName(answer.m_result))));
+}
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/ownership/src/claim.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <optional>
+
+#include "filbertspar/ownership/src/record.h"
+
+namespace filbertspar {
+
+/// \brief What a VM knows of its link to the owner.
+enum class LinkHealth : std::uint8_t {
+  /// Answers, and the owner says that it reaches the store.
+  kGood,
+  /// Answers, but the owner does not reach the store.
+  kUnconfirmed,
+  /// No answer in time.
+  kSilent,
+  /// Nothing listens at the owner's address.
+  kRefused,
+};
+
+/// \brief What a VM knows of the owner.
+struct OwnerView {
+  /// Nothing while the row was never read or does not exist.
+  std::optional<OwnerRecord> m_record;
+  RowVersion m_version;
+  bool m_read = false;
+  /// When the row's version was first read.
+  TimePoint m_version_since{};
+  /// When the last read that showed this version was sent.
+  TimePoint m_confirmed_at{};
+  LinkHealth m_link = LinkHealth::kSilent;
+  TimePoint m_link_since{};
+};
+
+/// \brief This process, as a candidate.
+struct Candidate {
+  VmName m_vm;
+  std::uint64_t m_incarnation = 0;
+  /// Head start of other candidates; shorter on stronger VMs.
+  Duration m_delay{0};
+};
+
+/// \brief Whether to claim ownership now. Any claim is safe, since the owner's
+/// row and the fencing number shut out the holder before; the waiting times
+/// only keep a working owner in place.
+bool ShouldClaim(const OwnerView& view, const Candidate& self, TimePoint now);
+
+/// \brief Time until the owner's row should be read again.
+Duration NextOwnerRead(const OwnerView& view, TimePoint now);
+
+/// \brief Delay of a candidate with this share of a core and a random number
+/// in [0, 1): stronger VMs come first, equal ones do not collide.
+Duration ClaimDelay(double cpu_share, double random);
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/routing/src/authorize.cc
@@ -0,0 +1,38 @@
+#include "filbertspar/routing/src/authorize.h"
+
+namespace filbertspar {
+
+std::string_view BearerKey(std::string_view authorization) {
+  constexpr std::string_view kScheme = "Bearer ";
+  if (!authorization.starts_with(kScheme)) {
+    return {};
+  }
+  return authorization.substr(kScheme.size());
+}
+
+Authorization Authorize(const Deployment& deployment, const QueueConfig& queue,
+                        std::string_view authorization,
+                        const ConfigFreshness& freshness, TimePoint now) {
+  const std::string_view key = BearerKey(authorization);
+  const auto found = deployment.m_workspace_by_key.find(
+      absl::string_view(key.data(), key.size()));
+  const bool known =
+      !key.empty() && found != deployment.m_workspace_by_key.end();
+  if (queue.m_open) {
+    // Work of an open queue is counted for the key's workspace if it has one.
+    return {Code::kOk, known ? deployment.m_workspaces[found->second].m_name
+                             : WorkspaceName()};
+  }
+  if (!IsFresh(freshness, now)) {
+    return {Code::kConfigStale, {}};
+  }
+  if (key.empty()) {
+    return {Code::kKeyMissing, {}};
+  }
+  if (!known) {
+    return {Code::kKeyUnknown, {}};
+  }
+  return {Code::kOk, deployment.m_workspaces[found->second].m_name};
+}
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/routing/src/deployment.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "filbertspar/base/base.h"
+#include "filbertspar/job/job.h"
+
+namespace filbertspar {
+
+/// \brief A queue of jobs and where its calls arrive.
+struct QueueConfig {
+  QueueName m_name;
+  std::string m_host;
+  std::string m_path_prefix;
+  QueuePolicy m_policy;
+  /// Longest time in which a call on the queue is answered.
+  Duration m_call_timeout{0};
+  /// Whether calls need no key.
+  bool m_open = false;
+};
+
+struct PoolConfig {
+  PoolName m_name;
+  /// Whether its workers refuse a task that does not fit.
+  bool m_guards_capacity = false;
+  /// Whether its VMs are off and cost nothing.
+  bool m_standby = false;
+  std::string m_health_path;
+};
+
+struct WorkspaceConfig {
+  WorkspaceName m_name;
+  std::vector<std::string> m_keys;
+  /// Its share when the fleet is full.
+  double m_weight = 1;
+  /// What it may have running on all workers; 0 means no limit.
+  Demand m_ceiling;
+};
+
+/// \brief Bounds on calls of callers.
+struct CallLimits {
+  std::size_t m_header_bytes = 16 << 10;
+  std::size_t m_body_bytes = 256 << 10;
+  Duration m_header_time = Seconds(3);
+  Duration m_idle_time = Seconds(15);
+};
+
+/// \brief One version of the configuration.
+struct Deployment {
+  ConfigVersion m_version;
+  std::vector<QueueConfig> m_queues;
+  absl::flat_hash_map<PoolName, PoolConfig> m_pools;
+  std::vector<WorkspaceConfig> m_workspaces;
+  CallLimits m_limits;
+
+  /// Queues of a host, longest path prefix first.
+  absl::flat_hash_map<std::string, std::vector<std::size_t>> m_by_host;
+  absl::flat_hash_map<std::string, std::size_t> m_workspace_by_key;
+  absl::flat_hash_map<WorkspaceName, std::size_t> m_workspace_by_name;
+  absl::flat_hash_map<QueueName, std::size_t> m_queue_by_name;
+};
+
+using DeploymentPtr = std::shared_ptr<const Deployment>;
+
+/// \brief Fills the look-up tables from the lists.
+void BuildIndex(Deployment& deployment);
+
+/// \brief The queue whose host is equal, without a port, and whose prefix is
+/// the longest that the path begins with; null if there is none.
+const QueueConfig* FindQueue(const Deployment& deployment,
+                             std::string_view host, std::string_view path);
+
+const QueueConfig* FindQueue(const Deployment& deployment,
+                             const QueueName& name);
+
+const WorkspaceConfig* FindWorkspace(const Deployment& deployment,
+                                     const WorkspaceName& name);
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/scheduler/src/admit.cc
@@ -0,0 +1,158 @@
+#include "filbertspar/scheduler/src/admit.h"
+
+#include <algorithm>
+
+#include "filbertspar/scheduler/src/workers.h"
+
+namespace filbertspar::scheduler {
+namespace {
+
+/// An answer this many times later than the objective is of no use.
+constexpr double kUselessAfter = 3;
+/// Shortest and longest time after which a refused caller is told to return.
+constexpr Duration kShortestReturn = Seconds(1);
+constexpr Duration kLongestReturn = Seconds(10);
+
+Duration Scaled(Duration duration, double factor) {
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(duration.count()) * factor));
+}
+
+/// Core-seconds of a job's tasks that are not done, less what has run.
+double WorkLeft(TimePoint now, const Job& job, double ratio) {
+  double work = 0;
+  for (const auto& occurrence : job.m_occurrences) {
+    for (std::size_t s = 0; s < occurrence->m_steps.size(); ++s) {
+      const StepSpec& spec = job.m_spec->m_steps[s];
+      if (spec.m_long_running || spec.m_fills) {
+        continue;
+      }
+      const double each = ToSeconds(spec.m_estimate) * ratio;
+      const double cores =
+          static_cast<double>(spec.m_demand.m_cpu.Count()) / 1000;
+      const Step& step = occurrence->m_steps[s];
+      work += each * cores * static_cast<double>(step.m_waiting);
+      if (step.m_waiting + step.m_done == step.m_tasks.size()) {
+        continue;
+      }
+      for (const Task& task : step.m_tasks) {
+        if (task.m_worker != kNoWorker) {
+          work += cores * std::max(0.0, each - ToSeconds(now - task.m_since));
+        }
+      }
+    }
+  }
+  return work;
+}
+
+}  // namespace
+
+double RatioOf(const Scheduler& scheduler, const QueueName& queue) {
+  const auto found = scheduler.m_history.find(queue);
+  return found == scheduler.m_history.end() ? 1 : found->second.m_ratio;
+}
+
+TimePoint ObjectiveOf(const Scheduler& scheduler, const Job& job) {
+  const QueuePolicy& policy = job.m_spec->m_policy;
+  return job.m_accepted_at +
+         Scaled(job.m_chain,
+                policy.m_stretch * RatioOf(scheduler, job.m_spec->m_queue)) +
+         policy.m_target;
+}
+
+Duration RemainingChain(const Scheduler& scheduler, TimePoint now,
+                        const Job& job) {
+  const double ratio = RatioOf(scheduler, job.m_spec->m_queue);
+  Duration longest{0};
+  for (const auto& occurrence : job.m_occurrences) {
+    std::vector<Duration> ends(occurrence->m_steps.size(), Duration(0));
+    for (std::size_t s = 0; s < occurrence->m_steps.size(); ++s) {
+      const Step& step = occurrence->m_steps[s];
+      const StepSpec& spec = job.m_spec->m_steps[s];
+      if (step.m_done == step.m_tasks.size()) {
+        continue;
+      }
+      Duration begin{0};
+      for (const std::uint32_t earlier : spec.m_after) {
+        begin = std::max(begin, ends[earlier]);
+      }
+      Duration needed = Scaled(spec.m_estimate, ratio);
+      if (step.m_waiting == 0) {
+        Duration left{0};
+        for (const Task& task : step.m_tasks) {
+          if (task.m_phase != TaskPhase::kDone) {
+            left = std::max(left, needed - (now - task.m_since));
+          }
+        }
+        needed = left;
+      }
+      ends[s] = begin + needed;
+      longest = std::max(longest, ends[s]);
+    }
+  }
+  return longest;
+}
+
+Admission Admit(const Scheduler& scheduler, TimePoint now,
+                const JobSpec& spec) {
+  Admission admission;
+  const bool long_running =
+      std::any_of(spec.m_steps.begin(), spec.m_steps.end(),
+                  [](const StepSpec& step) { return step.m_long_running; });
+  const auto found = scheduler.m_pools.find(spec.m_policy.m_pool);
+  if (long_running || spec.m_times > 0 || found == scheduler.m_pools.end()) {
+    return admission;
+  }
+  double cores = 0;
+  for (const WorkerIndex index : found->second.m_workers) {
+    const Worker& worker = scheduler.m_workers[index];
+    if (worker.m_registered && IsResponsive(worker, now) &&
+        !worker.m_record.m_draining) {
+      cores += static_cast<double>(worker.m_record.m_capacity.m_cpu.Count());
+    }
+  }
+  double work = 0;
+  for (const Job* job : found->second.m_jobs) {
+    if (job->m_long_running) {
+      for (const auto& occurrence : job->m_occurrences) {
+        for (std::size_t s = 0; s < occurrence->m_steps.size(); ++s) {
+          cores -= static_cast<double>(
+              RoomOf(job->m_spec->m_steps[s]).m_cpu.Count() *
+              static_cast<std::int64_t>(occurrence->m_steps[s].m_tasks.size()));
+        }
+      }
+    } else {
+      work += WorkLeft(now, *job, RatioOf(scheduler, job->m_spec->m_queue));
+    }
+  }
+  cores /= 1000;
+  if (cores <= 0) {
+    return admission;
+  }
+  const double ratio = RatioOf(scheduler, spec.m_queue);
+  std::vector<Duration> ends(spec.m_steps.size(), Duration(0));
+  for (std::size_t s = 0; s < spec.m_steps.size(); ++s) {
+    Duration begin{0};
+    for (const std::uint32_t earlier : spec.m_steps[s].m_after) {
+      begin = std::max(begin, ends[earlier]);
+    }
+    ends[s] = begin + Scaled(spec.m_steps[s].m_estimate, ratio);
+    admission.m_expected_chain = std::max(admission.m_expected_chain, ends[s]);
+  }
+  admission.m_expected_wait =
+      Duration(static_cast<std::int64_t>(work / cores * 1e6));
+  const Duration objective =
+      Scaled(admission.m_expected_chain, spec.m_policy.m_stretch) +
+      spec.m_policy.m_target;
+  const Duration useful = Scaled(objective, kUselessAfter);
+  const Duration needed =
+      admission.m_expected_wait + admission.m_expected_chain;
+  if (needed > useful) {
+    admission.m_code = Code::kDeadlineTooShort;
+    admission.m_retry_after =
+        std::clamp(needed - useful, kShortestReturn, kLongestReturn);
+  }
+  return admission;
+}
+
+}  // namespace filbertspar::scheduler
--- /dev/null
+++ b/filbertspar/scheduler/src/admit.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "filbertspar/scheduler/src/state.h"
+
+namespace filbertspar::scheduler {
+
+/// \brief Whether a job is taken in; when not, after which time a repeat has a
+/// better chance.
+struct Admission {
+  Code m_code = Code::kOk;
+  Duration m_retry_after{0};
+  /// Estimates that decided, for the log.
+  Duration m_expected_wait{0};
+  Duration m_expected_chain{0};
+};
+
+/// \brief Refuses a job that cannot end in useful time behind the work ahead.
+Admission Admit(const Scheduler& scheduler, TimePoint now, const JobSpec& spec);
+
+/// \brief Time by which a job should end to be of full use to its caller.
+TimePoint ObjectiveOf(const Scheduler& scheduler, const Job& job);
+
+/// \brief Estimate of the time from now to the job's end when all its tasks
+/// find room at once.
+Duration RemainingChain(const Scheduler& scheduler, TimePoint now,
+                        const Job& job);
+
+/// \brief Learned run time over estimate of a queue.
+double RatioOf(const Scheduler& scheduler, const QueueName& queue);
+
+}  // namespace filbertspar::scheduler
--- /dev/null
+++ b/filbertspar/scheduler/src/dispatch.cc
@@ -0,0 +1,342 @@
+#include "filbertspar/scheduler/src/dispatch.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "absl/strings/str_cat.h"
+#include "filbertspar/scheduler/src/admit.h"
+#include "filbertspar/scheduler/src/evacuate.h"
+#include "filbertspar/scheduler/src/jobs.h"
+#include "filbertspar/scheduler/src/pace.h"
+#include "filbertspar/scheduler/src/placement.h"
+#include "filbertspar/scheduler/src/workers.h"
+
+namespace filbertspar::scheduler {
+namespace {
+
+/// Run numbers of an owner begin here times the owners before it, so that they
+/// are higher than those of all earlier owners without a write a start.
+constexpr std::uint64_t kRunsPerOwner = 1000;
+
+/// A long-running task first: it is of use as long as it runs. Then work that
+/// can still meet its objective, then what is late already.
+enum class Urgency : std::uint8_t {
+  kServing,
+  kFilling,
+  kOnTime,
+  kLate,
+};
+
+struct Candidate {
+  Urgency m_urgency = Urgency::kLate;
+  std::uint32_t m_priority = 0;
+  TimePoint m_objective{};
+  Job* m_job = nullptr;
+  Occurrence* m_occurrence = nullptr;
+
+  auto Key() const { return std::tuple(m_urgency, m_priority, m_objective); }
+};
+
+bool MayStartTasks(const Scheduler& scheduler, const Job& job) {
+  return !job.m_inherited || scheduler.m_settled;
+}
+
+TimePoint ObjectiveOfOccurrence(const Scheduler& scheduler, const Job& job,
+                                const Occurrence& occurrence) {
+  const TimePoint objective = ObjectiveOf(scheduler, job);
+  if (job.m_spec->m_times == 0) {
+    return objective;
+  }
+  const Duration due =
+      Milliseconds(job.m_spec->m_first_due_ms) +
+      job.m_spec->m_interval * static_cast<std::int64_t>(occurrence.m_number) -
+      scheduler.m_unix_offset;
+  return objective + (TimePoint(due) - job.m_accepted_at);
+}
+
+std::vector<Candidate> CandidatesOf(const Scheduler& scheduler, TimePoint now,
+                                    const Pool& pool) {
+  std::vector<Candidate> candidates;
+  for (Job* job : pool.m_jobs) {
+    if (!MayStartTasks(scheduler, *job)) {
+      continue;
+    }
+    for (const auto& occurrence : job->m_occurrences) {
+      const bool waits =
+          std::any_of(occurrence->m_steps.begin(), occurrence->m_steps.end(),
+                      [](const Step& step) { return step.m_waiting > 0; });
+      if (!waits) {
+        continue;
+      }
+      Candidate candidate;
+      candidate.m_priority = job->m_spec->m_policy.m_priority;
+      candidate.m_objective =
+          ObjectiveOfOccurrence(scheduler, *job, *occurrence);
+      candidate.m_job = job;
+      candidate.m_occurrence = occurrence.get();
+      if (job->m_long_running) {
+        candidate.m_urgency = job->m_spec->m_steps[0].m_fills
+                                  ? Urgency::kFilling
+                                  : Urgency::kServing;
+      } else {
+        const bool on_time =
+            now + RemainingChain(scheduler, now, *job) <= candidate.m_objective;
+        candidate.m_urgency = on_time ? Urgency::kOnTime : Urgency::kLate;
+      }
+      candidates.push_back(candidate);
+    }
+  }
+  std::sort(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& a, const Candidate& b) { return a.Key() < b.Key(); });
+  return candidates;
+}
+
+bool IsReady(const Candidate& candidate, std::uint32_t number, TimePoint now) {
+  Step& step = candidate.m_occurrence->m_steps[number];
+  const StepSpec& spec = candidate.m_job->m_spec->m_steps[number];
+  const bool ready = std::all_of(
+      spec.m_after.begin(), spec.m_after.end(), [&](std::uint32_t earlier) {
+        const Step& before = candidate.m_occurrence->m_steps[earlier];
+        return before.m_done == before.m_tasks.size();
+      });
+  if (ready && step.m_ready_at == TimePoint::max()) {
+    step.m_ready_at = now;
+  }
+  return ready;
+}
+
+bool UnderCeiling(const Scheduler& scheduler, const WorkspaceName& workspace,
+                  const Demand& more) {
+  if (workspace.Empty() || scheduler.m_deployment == nullptr) {
+    return true;
+  }
+  const WorkspaceConfig* config =
+      FindWorkspace(*scheduler.m_deployment, workspace);
+  if (config == nullptr) {
+    return true;
+  }
+  const auto held = scheduler.m_held.find(workspace);
+  const Demand sum =
+      held == scheduler.m_held.end() ? more : held->second + more;
+  const auto within = [](auto amount, auto limit) {
+    return limit.Count() == 0 || amount <= limit;
+  };
+  const Demand& ceiling = config->m_ceiling;
+  return within(sum.m_cpu, ceiling.m_cpu) &&
+         within(sum.m_memory, ceiling.m_memory) &&
+         within(sum.m_accelerators, ceiling.m_accelerators);
+}
+
+void Start(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
+           WorkerIndex index, std::uint64_t run) {
+  Task& task = ref.GetTask();
+  const Worker& worker = scheduler.m_workers[index];
+  Hold(scheduler, ref, index);
+  --ref.GetStep().m_waiting;
+  task.m_phase = TaskPhase::kStarting;
+  task.m_run = run;
+  task.m_since = now;
+  task.m_answered_at = TimePoint::max();
+  task.m_pace = 100;
+  task.m_load = -1;
+  task.m_start_deadline_ms = TakeStartDeadline(scheduler, now, index);
+  StartOrder order;
+  order.m_task = ref.Id();
+  order.m_run = RunNumber(run);
+  order.m_payload = ref.m_job->m_spec->m_payload;
+  order.m_deadline_ms = task.m_start_deadline_ms;
+  order.m_fencing = scheduler.m_options.m_fencing;
+  order.m_checkpoint =
+      ref.Spec().m_gang ? ref.GetStep().m_gang_checkpoint : task.m_checkpoint;
+  if (const std::string* ticket =
+          TicketFor(scheduler, now, ref.Id(), worker.m_record.m_name)) {
+    order.m_ticket = *ticket;
+  }
+  scheduler.m_effects.m_starts.push_back({index, std::move(order)});
+}
+
+std::uint64_t NextRun(const Scheduler& scheduler, const Task& task) {
+  const std::uint64_t first =
+      (scheduler.m_options.m_fencing.Value() - 1) * kRunsPerOwner + 1;
+  return std::max(first, task.m_run + 1);
+}
+
+void TakeRoom(std::vector<Room>& rooms, WorkerIndex worker,
+              const Demand& demand) {
+  for (Room& room : rooms) {
+    if (room.m_worker == worker) {
+      room.m_free -= demand;
+    }
+  }
+}
+
+void StartGang(Scheduler& scheduler, TimePoint now, std::vector<Room>& rooms,
+               const TaskRef& first) {
+  const Step& step = first.GetStep();
+  const StepSpec& spec = first.Spec();
+  Demand total;
+  std::uint64_t run = 0;
+  for (const Task& task : step.m_tasks) {
+    if (task.m_phase != TaskPhase::kWaiting || now < task.m_not_before) {
+      return;
+    }
+    total += spec.m_demand;
+    run = std::max(run, NextRun(scheduler, task));
+  }
+  if (!UnderCeiling(scheduler, first.m_job->m_spec->m_workspace, total)) {
+    return;
+  }
+  const std::vector<WorkerIndex> places =
+      ChooseForGang(scheduler, now, rooms, first);
+  for (std::uint32_t i = 0; i < places.size(); ++i) {
+    const TaskRef ref{first.m_job, first.m_occurrence, first.m_step, i};
+    Start(scheduler, now, ref, places[i], run);
+    TakeRoom(rooms, places[i], RoomOf(spec));
+  }
+}
+
+void StartStep(Scheduler& scheduler, TimePoint now, std::vector<Room>& rooms,
+               const TaskRef& first) {
+  const StepSpec& spec = first.Spec();
+  if (spec.m_gang) {
+    StartGang(scheduler, now, rooms, first);
+    return;
+  }
+  const auto count = static_cast<std::uint32_t>(first.GetStep().m_tasks.size());
+  std::uint32_t started = 0;
+  for (std::uint32_t i = 0; i < count; ++i) {
+    const TaskRef ref{first.m_job, first.m_occurrence, first.m_step, i};
+    const Task& task = ref.GetTask();
+    if (task.m_phase != TaskPhase::kWaiting || now < task.m_not_before) {
+      continue;
+    }
+    if (!UnderCeiling(scheduler, ref.m_job->m_spec->m_workspace,
+                      spec.m_demand)) {
+      break;
+    }
+    const WorkerIndex worker = ChooseWorker(scheduler, now, rooms, ref);
+    if (worker == kNoWorker) {
+      break;
+    }
+    Start(scheduler, now, ref, worker, NextRun(scheduler, task));
+    TakeRoom(rooms, worker, RoomOf(spec));
+    ++started;
+  }
+  if (started > 0) {
+    AddNote(scheduler, "step_start", first.Id(), kNoWorker,
+            absl::StrCat(
+                "tasks=", started, " waiting=", first.GetStep().m_waiting,
+                " age_ms=", ToMilliseconds(now - first.m_job->m_accepted_at)));
+  }
+}
+
+/// Whether any worker has room left at all.
+bool AnyRoom(const std::vector<Room>& rooms) {
+  return std::any_of(rooms.begin(), rooms.end(), [](const Room& room) {
+    return room.m_free.m_cpu > Millicores(0) &&
+           room.m_free.m_memory > Megabytes(0);
+  });
+}
+
+}  // namespace
+
+void Dispatch(Scheduler& scheduler, TimePoint now) {
+  AdvanceOccurrences(scheduler, now);
+  Evacuate(scheduler, now);
+  for (auto& [name, pool] : scheduler.m_pools) {
+    if (pool.m_jobs.empty()) {
+      continue;
+    }
+    std::vector<Room> rooms = RoomsOf(scheduler, now, pool);
+    if (rooms.empty()) {
+      continue;
+    }
+    for (const Candidate& candidate : CandidatesOf(scheduler, now, pool)) {
+      const auto steps =
+          static_cast<std::uint32_t>(candidate.m_occurrence->m_steps.size());
+      for (std::uint32_t s = 0; s < steps; ++s) {
+        if (candidate.m_occurrence->m_steps[s].m_waiting > 0 &&
+            IsReady(candidate, s, now)) {
+          StartStep(scheduler, now, rooms,
+                    {candidate.m_job, candidate.m_occurrence, s, 0});
+        }
+      }
+      if (!AnyRoom(rooms)) {
+        break;
+      }
+    }
+  }
+  PaceFills(scheduler, now);
+}
+
+std::vector<AdviceNeed> NeededAdvice(Scheduler& scheduler, TimePoint now) {
+  /// Approvals are renewed when less than this is left of them.
+  constexpr Duration kRenewBefore = Milliseconds(500);
+  /// No second question about a step in this time.
+  constexpr Duration kAskAgain = Seconds(1);
+  /// Answering takes time for each worker named.
+  constexpr std::size_t kWorkersAsked = 12;
+  std::vector<AdviceNeed> needs;
+  for (auto& [name, pool] : scheduler.m_pools) {
+    for (const Candidate& candidate : CandidatesOf(scheduler, now, pool)) {
+      if (!candidate.m_job->m_spec->m_policy.m_advised) {
+        continue;
+      }
+      for (std::uint32_t s = 0; s < candidate.m_occurrence->m_steps.size();
+           ++s) {
+        const TaskRef ref{candidate.m_job, candidate.m_occurrence, s, 0};
+        if (ref.GetStep().m_waiting == 0 || !IsReady(candidate, s, now)) {
+          continue;
+        }
+        Approvals& approvals = scheduler.m_approvals[ref.Id()];
+        if (now < approvals.m_asked_until ||
+            (!approvals.m_tickets.empty() &&
+             now + kRenewBefore < approvals.m_valid_until)) {
+          continue;
+        }
+        std::vector<Room> rooms = RoomsOf(scheduler, now, pool);
+        std::sort(rooms.begin(), rooms.end(), [](const Room& a, const Room& b) {
+          return a.m_free.m_cpu > b.m_free.m_cpu;
+        });
+        AdviceNeed need;
+        need.m_any_task = ref.Id();
+        const std::size_t skipped = approvals.m_asked;
+        for (std::size_t i = 0;
+             i < rooms.size() && need.m_workers.size() < kWorkersAsked; ++i) {
+          const Room& room = rooms[(skipped + i) % rooms.size()];
+          need.m_workers.push_back(
+              scheduler.m_workers[room.m_worker].m_record.m_name);
+        }
+        if (!need.m_workers.empty()) {
+          approvals.m_asked += need.m_workers.size();
+          approvals.m_asked_until = now + kAskAgain;
+          needs.push_back(std::move(need));
+        }
+      }
+    }
+  }
+  return needs;
+}
+
+void AdviceAnswered(Scheduler& scheduler, TimePoint now, const TaskId& task,
+                    const Advice* advice) {
+  const auto found = scheduler.m_approvals.find(task);
+  if (found == scheduler.m_approvals.end()) {
+    return;
+  }
+  Approvals& approvals = found->second;
+  approvals.m_asked_until = now;
+  if (advice == nullptr) {
+    return;
+  }
+  if (now >= approvals.m_valid_until) {
+    approvals.m_tickets.clear();
+  }
+  for (const Approval& approval : advice->m_approved) {
+    approvals.m_tickets[approval.m_worker] = approval.m_ticket;
+  }
+  approvals.m_valid_until = now + advice->m_validity;
+}
+
+}  // namespace filbertspar::scheduler
--- /dev/null
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -0,0 +1,493 @@
+#include "filbertspar/scheduler/src/jobs.h"
+
+#include <algorithm>
+#include <string>
+
+#include "absl/strings/str_cat.h"
+#include "filbertspar/scheduler/src/workers.h"
+
+namespace filbertspar::scheduler {
+namespace {
+
+/// A long-running task that ends this soon after its start is started again
+/// only after a pause, which doubles up to the longest one.
+constexpr Duration kEarlyEnd = Seconds(1);
+constexpr Duration kShortestPause = Milliseconds(50);
+constexpr Duration kLongestPause = Milliseconds(400);
+/// Weight of a new sample of run time over estimate.
+constexpr double kRatioWeight = 0.05;
+/// Bounds of a sample, so that one odd run does not spoil the estimate.
+constexpr double kSmallestRatio = 0.2;
+constexpr double kLargestRatio = 5;
+
+bool IsBitSet(const std::string& bits, std::uint32_t index) {
+  return index / 8 < bits.size() &&
+         ((static_cast<unsigned char>(bits[index / 8]) >> (index % 8)) & 1U) !=
+             0;
+}
+
+Duration LongestChain(const JobSpec& spec) {
+  std::vector<Duration> ends(spec.m_steps.size(), Duration(0));
+  Duration longest{0};
+  for (std::size_t i = 0; i < spec.m_steps.size(); ++i) {
+    Duration begin{0};
+    for (const std::uint32_t earlier : spec.m_steps[i].m_after) {
+      begin = std::max(begin, ends[earlier]);
+    }
+    ends[i] = begin + spec.m_steps[i].m_estimate;
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+Occurrence& AddOccurrence(Job& job, std::uint32_t number) {
+  auto occurrence = std::make_unique<Occurrence>();
+  occurrence->m_number = number;
+  for (const StepSpec& spec : job.m_spec->m_steps) {
+    Step step;
+    step.m_tasks.resize(spec.m_count);
+    step.m_waiting = spec.m_count;
+    occurrence->m_steps.push_back(std::move(step));
+  }
+  occurrence->m_steps_left =
+      static_cast<std::uint32_t>(job.m_spec->m_steps.size());
+  job.m_occurrences.push_back(std::move(occurrence));
+  return *job.m_occurrences.back();
+}
+
+std::int64_t DueMs(const JobSpec& spec, std::uint32_t occurrence) {
+  return spec.m_first_due_ms + static_cast<std::int64_t>(occurrence) *
+                                   ToMilliseconds(spec.m_interval);
+}
+
+Job& Insert(Scheduler& scheduler, TimePoint now, JobSpec spec) {
+  auto job = std::make_unique<Job>();
+  job->m_accepted_at = now;
+  job->m_long_running =
+      std::any_of(spec.m_steps.begin(), spec.m_steps.end(),
+                  [](const StepSpec& step) { return step.m_long_running; });
+  job->m_chain = LongestChain(spec);
+  job->m_spec = std::make_shared<const JobSpec>(std::move(spec));
+  Job& inserted = *job;
+  scheduler.m_jobs[job->m_spec->m_id] = std::move(job);
+  return inserted;
+}
+
+void Activate(Scheduler& scheduler, TimePoint now, Job& job) {
+  scheduler.m_pools[job.m_spec->m_policy.m_pool].m_jobs.push_back(&job);
+  if (job.m_spec->m_times == 0 && job.m_next_occurrence == 0) {
+    AddOccurrence(job, 0);
+    job.m_next_occurrence = 1;
+  }
+  AdvanceOccurrences(scheduler, now);
+}
+
+/// Ends the job's life as far as scheduling goes; running tasks are stopped.
+void Finish(Scheduler& scheduler, TimePoint now, Job& job, JobState state) {
+  job.m_state = state;
+  job.m_ended_at = now;
+  job.m_ended_ms = UnixMs(scheduler, now);
+  auto& jobs = scheduler.m_pools[job.m_spec->m_policy.m_pool].m_jobs;
+  jobs.erase(std::remove(jobs.begin(), jobs.end(), &job), jobs.end());
+  for (const auto& occurrence : job.m_occurrences) {
+    for (std::uint32_t s = 0; s < occurrence->m_steps.size(); ++s) {
+      for (std::uint32_t t = 0; t < occurrence->m_steps[s].m_tasks.size();
+           ++t) {
+        const TaskRef ref{&job, occurrence.get(), s, t};
+        const TaskPhase phase = ref.GetTask().m_phase;
+        if (phase == TaskPhase::kStarting || phase == TaskPhase::kRunning) {
+          StopTask(scheduler, now, ref, JobStateName(state));
+        }
+      }
+    }
+  }
+  MarkChanged(scheduler, job);
+  AddNote(scheduler, absl::StrCat("job_", std::string(JobStateName(state))),
+          {job.m_spec->m_id}, kNoWorker,
+          absl::StrCat("after_ms=", ToMilliseconds(now - job.m_accepted_at)));
+}
+
+void FinishOccurrence(Scheduler& scheduler, TimePoint now, Job& job,
+                      const Occurrence* occurrence) {
+  const auto found =
+      std::find_if(job.m_occurrences.begin(), job.m_occurrences.end(),
+                   [occurrence](const std::unique_ptr<Occurrence>& each) {
+                     return each.get() == occurrence;
+                   });
+  const bool placed = std::any_of(
+      (*found)->m_steps.begin(), (*found)->m_steps.end(), [](const Step& step) {
+        return std::any_of(
+            step.m_tasks.begin(), step.m_tasks.end(),
+            [](const Task& task) { return task.m_worker != kNoWorker; });
+      });
+  const std::uint32_t total = std::max(job.m_spec->m_times, 1U);
+  const bool all_done =
+      job.m_next_occurrence >= total &&
+      std::all_of(job.m_occurrences.begin(), job.m_occurrences.end(),
+                  [](const std::unique_ptr<Occurrence>& each) {
+                    return each->m_steps_left == 0;
+                  });
+  if (all_done) {
+    Finish(scheduler, now, job, JobState::kCompleted);
+  } else if (!placed) {
+    job.m_occurrences.erase(found);
+  }
+}
+
+void SetWaiting(Scheduler& scheduler, TimePoint now, const TaskRef& ref) {
+  Task& task = ref.GetTask();
+  Release(scheduler, ref);
+  if (task.m_phase != TaskPhase::kWaiting && task.m_phase != TaskPhase::kDone) {
+    task.m_phase = TaskPhase::kWaiting;
+    ++ref.GetStep().m_waiting;
+  }
+  task.m_since = now;
+  task.m_pace = 100;
+}
+
+void SetDone(Scheduler& scheduler, TimePoint now, const TaskRef& ref) {
+  Task& task = ref.GetTask();
+  if (task.m_phase == TaskPhase::kDone) {
+    return;
+  }
+  if (task.m_phase == TaskPhase::kWaiting) {
+    --ref.GetStep().m_waiting;
+  }
+  Release(scheduler, ref);
+  task.m_phase = TaskPhase::kDone;
+  task.m_since = now;
+  Step& step = ref.GetStep();
+  ++step.m_done;
+  MarkChanged(scheduler, *ref.m_job);
+  if (step.m_done == step.m_tasks.size() &&
+      --ref.m_occurrence->m_steps_left == 0) {
+    FinishOccurrence(scheduler, now, *ref.m_job, ref.m_occurrence);
+  }
+}
+
+void LearnRunTime(Scheduler& scheduler, TimePoint now, const TaskRef& ref) {
+  const Task& task = ref.GetTask();
+  const StepSpec& spec = ref.Spec();
+  if (spec.m_estimate <= Duration(0) || !task.m_checkpoint.empty() ||
+      task.m_phase != TaskPhase::kRunning) {
+    return;
+  }
+  QueueHistory& history = scheduler.m_history[ref.m_job->m_spec->m_queue];
+  const double ratio =
+      std::clamp(ToSeconds(now - task.m_since) / ToSeconds(spec.m_estimate),
+                 kSmallestRatio, kLargestRatio);
+  ++history.m_samples;
+  const double weight =
+      std::max(kRatioWeight, 1.0 / static_cast<double>(history.m_samples));
+  history.m_ratio += (ratio - history.m_ratio) * weight;
+}
+
+void EndedDone(Scheduler& scheduler, TimePoint now, const TaskRef& ref) {
+  LearnRunTime(scheduler, now, ref);
+  if (!ref.Spec().m_gang) {
+    SetDone(scheduler, now, ref);
+    return;
+  }
+  // One end of a gang stands for all its members.
+  Occurrence* occurrence = ref.m_occurrence;
+  const std::uint32_t step = ref.m_step;
+  const auto count = static_cast<std::uint32_t>(ref.GetStep().m_tasks.size());
+  for (std::uint32_t i = 0; i < count; ++i) {
+    SetDone(scheduler, now, {ref.m_job, occurrence, step, i});
+  }
+}
+
+void EndedFailed(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
+                 const ListedEnd& end, WorkerIndex worker) {
+  Task& task = ref.GetTask();
+  const StepSpec& spec = ref.Spec();
+  task.m_failed_on = worker;
+  SetWaiting(scheduler, now, ref);
+  if (spec.m_long_running) {
+    return;
+  }
+  // A gang fails once a run, whichever member says so.
+  Task& counted = spec.m_gang ? ref.GetStep().m_tasks[0] : task;
+  if (end.m_run.Value() <= counted.m_failed_run) {
+    return;
+  }
+  counted.m_failed_run = end.m_run.Value();
+  ++counted.m_failures;
+  MarkChanged(scheduler, *ref.m_job);
+  if (counted.m_failures >= ref.m_job->m_spec->m_policy.m_attempts) {
+    Finish(scheduler, now, *ref.m_job, JobState::kFailed);
+  }
+}
+
+void PauseAfterEarlyEnd(TimePoint now, Task& task, TimePoint began) {
+  if (now - began >= kEarlyEnd) {
+    task.m_not_before = now;
+    return;
+  }
+  const Duration last = task.m_not_before - began;
+  const Duration pause = std::clamp(last * 2, kShortestPause, kLongestPause);
+  task.m_not_before = now + pause;
+}
+
+}  // namespace
+
+void AddJob(Scheduler& scheduler, TimePoint now, JobSpec spec) {
+  if (scheduler.m_jobs.contains(spec.m_id)) {
+    return;
+  }
+  Activate(scheduler, now, Insert(scheduler, now, std::move(spec)));
+}
+
+void RestoreJob(Scheduler& scheduler, TimePoint now, JobSpec spec,
+                const JobProgress& progress) {
+  if (scheduler.m_jobs.contains(spec.m_id)) {
+    return;
+  }
+  const std::int64_t age_ms =
+      std::max<std::int64_t>(0, UnixMs(scheduler, now) - spec.m_received_ms);
+  Job& job = Insert(scheduler, now, std::move(spec));
+  job.m_accepted_at = now - Milliseconds(age_ms);
+  job.m_inherited = true;
+  job.m_state = progress.m_state;
+  job.m_stored_state = progress.m_state;
+  job.m_next_occurrence = progress.m_next_occurrence;
+  for (const OccurrenceProgress& stored : progress.m_occurrences) {
+    Occurrence& occurrence = AddOccurrence(job, stored.m_number);
+    for (std::size_t s = 0;
+         s < occurrence.m_steps.size() && s < stored.m_steps.size(); ++s) {
+      Step& step = occurrence.m_steps[s];
+      for (const TaskProgress& known : stored.m_steps[s].m_tasks) {
+        if (known.m_index < step.m_tasks.size()) {
+          Task& task = step.m_tasks[known.m_index];
+          task.m_failures = known.m_failures;
+          task.m_failed_run = known.m_failed_run;
+          task.m_checkpoint = known.m_checkpoint;
+          if (job.m_spec->m_steps[s].m_gang) {
+            step.m_gang_checkpoint = known.m_checkpoint;
+          }
+        }
+      }
+      for (std::uint32_t t = 0; t < step.m_tasks.size(); ++t) {
+        if (IsBitSet(stored.m_steps[s].m_done, t)) {
+          step.m_tasks[t].m_phase = TaskPhase::kDone;
+          ++step.m_done;
+          --step.m_waiting;
+        }
+      }
+      if (step.m_done == step.m_tasks.size()) {
+        --occurrence.m_steps_left;
+      }
+      job.m_begun = job.m_begun || step.m_done > 0;
+    }
+  }
+  if (IsFinal(job.m_state)) {
+    job.m_ended_ms = progress.m_ended_ms;
+    job.m_ended_at = now;
+  } else {
+    Activate(scheduler, now, job);
+  }
+}
+
+void RestoreFinal(Scheduler& scheduler, TimePoint now, const JobId& id,
+                  const JobProgress& progress) {
+  if (scheduler.m_jobs.contains(id)) {
+    return;
+  }
+  JobSpec spec;
+  spec.m_id = id;
+  Job& job = Insert(scheduler, now, std::move(spec));
+  job.m_state = progress.m_state;
+  job.m_stored_state = progress.m_state;
+  job.m_ended_ms = progress.m_ended_ms;
+  job.m_ended_at = now;
+}
+
+void CancelJob(Scheduler& scheduler, TimePoint now, const JobId& id) {
+  const auto found = scheduler.m_jobs.find(id);
+  if (found != scheduler.m_jobs.end() && !IsFinal(found->second->m_state)) {
+    Finish(scheduler, now, *found->second, JobState::kCancelled);
+  }
+}
+
+std::optional<JobState> StateOf(const Scheduler& scheduler, const JobId& id) {
+  const auto found = scheduler.m_jobs.find(id);
+  if (found == scheduler.m_jobs.end()) {
+    return std::nullopt;
+  }
+  const Job& job = *found->second;
+  if (IsFinal(job.m_stored_state)) {
+    return job.m_stored_state;
+  }
+  return job.m_begun ? JobState::kRunning : JobState::kQueued;
+}
+
+std::int64_t JobsNotBegun(const Scheduler& scheduler, const QueueName& queue) {
+  std::int64_t count = 0;
+  for (const auto& [id, job] : scheduler.m_jobs) {
+    count += !IsFinal(job->m_state) && !job->m_begun &&
+             job->m_spec->m_queue == queue;
+  }
+  return count;
+}
+
+JobProgress ProgressOf(const Job& job) {
+  JobProgress progress;
+  progress.m_state = job.m_state;
+  progress.m_ended_ms = job.m_ended_ms;
+  progress.m_next_occurrence = job.m_next_occurrence;
+  if (IsFinal(job.m_state)) {
+    return progress;
+  }
+  for (const auto& occurrence : job.m_occurrences) {
+    OccurrenceProgress stored;
+    stored.m_number = occurrence->m_number;
+    for (const Step& step : occurrence->m_steps) {
+      StepProgress listed;
+      if (step.m_done > 0) {
+        listed.m_done.assign((step.m_tasks.size() + 7) / 8, '\0');
+      }
+      for (std::uint32_t t = 0; t < step.m_tasks.size(); ++t) {
+        const Task& task = step.m_tasks[t];
+        if (task.m_phase == TaskPhase::kDone) {
+          listed.m_done[t / 8] = static_cast<char>(
+              static_cast<unsigned char>(listed.m_done[t / 8]) |
+              (1U << (t % 8)));
+        } else if (task.m_failures > 0 || !task.m_checkpoint.empty()) {
+          listed.m_tasks.push_back(
+              {t, task.m_failures, task.m_failed_run, task.m_checkpoint});
+        }
+      }
+      stored.m_steps.push_back(std::move(listed));
+    }
+    progress.m_occurrences.push_back(std::move(stored));
+  }
+  return progress;
+}
+
+std::vector<JobWrite> TakeUnstored(Scheduler& scheduler, std::size_t limit) {
+  std::vector<JobWrite> writes;
+  while (!scheduler.m_unstored.empty() && writes.size() < limit) {
+    const auto first = scheduler.m_unstored.begin();
+    Job& job = *first->second;
+    if (writes.empty()) {
+      scheduler.m_writing_change = first->first;
+    }
+    scheduler.m_unstored.erase(first);
+    job.m_unstored = 0;
+    writes.push_back(
+        {job.m_spec->m_id, job.m_state, EncodeProgress(ProgressOf(job))});
+  }
+  return writes;
+}
+
+void Stored(Scheduler& scheduler, const std::vector<JobWrite>& jobs) {
+  scheduler.m_writing_change = 0;
+  for (const JobWrite& write : jobs) {
+    const auto found = scheduler.m_jobs.find(write.m_id);
+    if (found != scheduler.m_jobs.end()) {
+      found->second->m_stored_state = write.m_state;
+    }
+  }
+  AcknowledgeStoredEnds(scheduler);
+}
+
+void AdvanceOccurrences(Scheduler& scheduler, TimePoint now) {
+  const std::int64_t unix_ms = UnixMs(scheduler, now);
+  for (auto& [name, pool] : scheduler.m_pools) {
+    for (Job* job : pool.m_jobs) {
+      const JobSpec& spec = *job->m_spec;
+      while (job->m_next_occurrence < spec.m_times &&
+             DueMs(spec, job->m_next_occurrence) <= unix_ms) {
+        AddOccurrence(*job, job->m_next_occurrence);
+        ++job->m_next_occurrence;
+      }
+    }
+  }
+}
+
+std::vector<JobId> ForgetFinal(Scheduler& scheduler, TimePoint now,
+                               std::size_t limit) {
+  std::vector<JobId> forgotten;
+  for (const auto& [id, job] : scheduler.m_jobs) {
+    if (forgotten.size() >= limit) {
+      break;
+    }
+    if (IsFinal(job->m_stored_state) && job->m_placed == 0 &&
+        job->m_unstored == 0 &&
+        now - job->m_ended_at > scheduler.m_options.m_state_kept) {
+      forgotten.push_back(id);
+    }
+  }
+  for (const JobId& id : forgotten) {
+    scheduler.m_jobs.erase(id);
+  }
+  return forgotten;
+}
+
+void TaskEnded(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
+               const ListedEnd& end, WorkerIndex worker) {
+  Task& task = ref.GetTask();
+  const bool is_last_run = end.m_run.Value() >= task.m_run;
+  const TimePoint began = task.m_since;
+  if (task.m_phase == TaskPhase::kDone ||
+      (task.m_worker != worker && end.m_kind != EndKind::kDone &&
+       end.m_kind != EndKind::kFailed)) {
+    return;
+  }
+  if (IsFinal(ref.m_job->m_state)) {
+    if (task.m_worker == worker && is_last_run) {
+      SetWaiting(scheduler, now, ref);
+    }
+    return;
+  }
+  task.m_run = std::max(task.m_run, end.m_run.Value());
+  if (end.m_kind == EndKind::kDone && !ref.Spec().m_long_running) {
+    if (task.m_worker != kNoWorker && task.m_worker != worker) {
+      StopTask(scheduler, now, ref, "done_elsewhere");
+    }
+    EndedDone(scheduler, now, ref);
+    return;
+  }
+  if (!is_last_run || (task.m_worker != worker && task.m_worker != kNoWorker)) {
+    // A run that was given up before; only its failure still counts.
+    return;
+  }
+  if (!end.m_checkpoint.empty() && end.m_checkpoint != task.m_checkpoint) {
+    task.m_checkpoint = end.m_checkpoint;
+    if (ref.Spec().m_gang) {
+      ref.GetStep().m_gang_checkpoint = end.m_checkpoint;
+    }
+    MarkChanged(scheduler, *ref.m_job);
+  }
+  if (ref.Spec().m_long_running) {
+    PauseAfterEarlyEnd(now, task, began);
+  }
+  if (end.m_kind == EndKind::kFailed) {
+    EndedFailed(scheduler, now, ref, end, worker);
+  } else {
+    SetWaiting(scheduler, now, ref);
+  }
+}
+
+void TaskLost(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
+              std::string_view reason) {
+  const WorkerIndex worker = ref.GetTask().m_worker;
+  AddNote(scheduler, "task_lost", ref.Id(), worker,
+          absl::StrCat("reason=", std::string(reason)));
+  SetWaiting(scheduler, now, ref);
+}
+
+void StopTask(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
+              std::string_view reason) {
+  Task& task = ref.GetTask();
+  scheduler.m_effects.m_stops.push_back(
+      {task.m_worker,
+       {ref.Id(), RunNumber(task.m_run), scheduler.m_options.m_fencing}});
+  task.m_phase = TaskPhase::kStopping;
+  task.m_since = now;
+  task.m_answered_at = TimePoint::max();
+  AddNote(scheduler, "task_stop", ref.Id(), task.m_worker,
+          absl::StrCat("reason=", std::string(reason), " run=", task.m_run));
+}
+
+}  // namespace filbertspar::scheduler
--- /dev/null
+++ b/filbertspar/scheduler/src/pace.cc
@@ -0,0 +1,71 @@
+#include "filbertspar/scheduler/src/pace.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+namespace filbertspar::scheduler {
+namespace {
+
+/// Shares of the bound of a serving task's tail at which fills are slowed and
+/// sped up. The figure is rough and half a second old.
+constexpr double kSlowAt = 0.85;
+constexpr double kSpeedAt = 0.6;
+/// Time between two steps on one worker; a step shows after the worker's lag
+/// and the half second over which the tail is taken.
+constexpr Duration kStepTime = Milliseconds(700);
+constexpr std::int64_t kSpeedStep = 20;
+constexpr std::int64_t kFullPace = 100;
+
+/// Largest share of its bound that a serving task on the worker has reached;
+/// below 0 when none is known.
+double WorstTail(const Worker& worker) {
+  double worst = -1;
+  for (const TaskRef& ref : worker.m_tasks) {
+    const Duration bound = ref.Spec().m_tail_target;
+    const Task& task = ref.GetTask();
+    if (bound > Duration(0) && task.m_phase == TaskPhase::kRunning &&
+        task.m_load >= 0) {
+      worst = std::max(worst, static_cast<double>(task.m_load) /
+                                  static_cast<double>(ToMilliseconds(bound)));
+    }
+  }
+  return worst;
+}
+
+}  // namespace
+
+void PaceFills(Scheduler& scheduler, TimePoint now) {
+  for (WorkerIndex i = 0; i < scheduler.m_workers.size(); ++i) {
+    Worker& worker = scheduler.m_workers[i];
+    if (worker.m_tasks.size() < 2 || now < worker.m_paced_at + kStepTime) {
+      continue;
+    }
+    const double tail = WorstTail(worker);
+    if (tail < 0 || (tail > kSpeedAt && tail < kSlowAt)) {
+      continue;
+    }
+    for (const TaskRef& ref : worker.m_tasks) {
+      Task& task = ref.GetTask();
+      if (!ref.Spec().m_fills || task.m_phase != TaskPhase::kRunning) {
+        continue;
+      }
+      const std::int64_t wanted =
+          tail >= kSlowAt ? (task.m_pace > 25 ? task.m_pace / 2 : 0)
+                          : std::min(kFullPace, task.m_pace + kSpeedStep);
+      if (wanted == task.m_pace) {
+        continue;
+      }
+      task.m_pace = wanted;
+      worker.m_paced_at = now;
+      scheduler.m_effects.m_paces.push_back(
+          {i,
+           {ref.Id(), RunNumber(task.m_run), wanted,
+            scheduler.m_options.m_fencing}});
+      AddNote(scheduler, "task_pace", ref.Id(), i,
+              absl::StrCat("percent=", wanted, " tail_share=", tail));
+    }
+  }
+}
+
+}  // namespace filbertspar::scheduler
--- /dev/null
+++ b/filbertspar/scheduler/src/placement.cc
@@ -0,0 +1,214 @@
+#include "filbertspar/scheduler/src/placement.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+#include "filbertspar/scheduler/src/workers.h"
+
+namespace filbertspar::scheduler {
+namespace {
+
+/// Penalties of a choice, in units of a whole worker in use.
+constexpr double kFailedThere = 8;
+constexpr double kSameStepOnWorker = 4;
+constexpr double kSameStepInRack = 2;
+constexpr double kUpkeepDue = 3;
+constexpr double kDisturbed = 2;
+
+/// A task waits for a worker near its data for this share of its run time
+/// before it takes one elsewhere.
+constexpr double kWaitForData = 1.0;
+
+bool HasLabel(const Worker& worker, const LabelName& label) {
+  const auto& labels = worker.m_record.m_labels;
+  return label.Empty() ||
+         std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+std::uint32_t CountOfStep(const Worker& worker, const TaskRef& ref) {
+  return static_cast<std::uint32_t>(
+      std::count_if(worker.m_tasks.begin(), worker.m_tasks.end(),
+                    [&ref](const TaskRef& other) {
+                      return other.m_occurrence == ref.m_occurrence &&
+                             other.m_step == ref.m_step;
+                    }));
+}
+
+bool MayRun(const Scheduler& scheduler, TimePoint now, const Worker& worker,
+            const TaskRef& ref) {
+  const StepSpec& spec = ref.Spec();
+  if (!HasLabel(worker, spec.m_required_label)) {
+    return false;
+  }
+  if (spec.m_max_per_worker > 0 &&
+      CountOfStep(worker, ref) >= spec.m_max_per_worker) {
+    return false;
+  }
+  return !ref.m_job->m_spec->m_policy.m_advised ||
+         TicketFor(scheduler, now, ref.Id(), worker.m_record.m_name) != nullptr;
+}
+
+double UsedShare(const Worker& worker, const Demand& free) {
+  const auto capacity =
+      static_cast<double>(worker.m_record.m_capacity.m_cpu.Count());
+  const auto left = static_cast<double>(free.m_cpu.Count());
+  return capacity <= 0 ? 1 : 1 - left / capacity;
+}
+
+/// Spreads a long-running step over workers and racks, so that one loss takes
+/// few of its tasks, and keeps tasks that fill away from those that serve.
+double LongRunningPenalty(const Scheduler& scheduler, const Pool& pool,
+                          const Worker& worker, const TaskRef& ref) {
+  double penalty = worker.m_upkeep_due ? kUpkeepDue : 0;
+  penalty += kSameStepOnWorker * CountOfStep(worker, ref);
+  for (const WorkerIndex index : pool.m_workers) {
+    const Worker& other = scheduler.m_workers[index];
+    if (&other != &worker && other.m_record.m_rack == worker.m_record.m_rack) {
+      penalty += kSameStepInRack * CountOfStep(other, ref);
+    }
+  }
+  const StepSpec& spec = ref.Spec();
+  for (const TaskRef& other : worker.m_tasks) {
+    const bool disturbs =
+        (spec.m_fills && other.Spec().m_tail_target > Duration(0)) ||
+        (spec.m_tail_target > Duration(0) && other.Spec().m_fills);
+    penalty += disturbs ? kDisturbed : 0;
+  }
+  return penalty;
+}
+
+bool WaitsForData(const Scheduler& scheduler, TimePoint now,
+                  const TaskRef& ref) {
+  const StepSpec& spec = ref.Spec();
+  if (spec.m_data_rack.Empty()) {
+    return false;
+  }
+  const auto found = scheduler.m_pools.find(ref.m_job->m_spec->m_policy.m_pool);
+  const bool exists =
+      std::any_of(found->second.m_workers.begin(),
+                  found->second.m_workers.end(), [&](WorkerIndex index) {
+                    const Worker& worker = scheduler.m_workers[index];
+                    return worker.m_record.m_rack == spec.m_data_rack &&
+                           IsUsable(scheduler, worker, now);
+                  });
+  const TimePoint ready = ref.GetStep().m_ready_at;
+  return exists &&
+         ToSeconds(now - ready) < kWaitForData * ToSeconds(spec.m_estimate);
+}
+
+}  // namespace
+
+std::vector<Room> RoomsOf(const Scheduler& scheduler, TimePoint now,
+                          const Pool& pool) {
+  std::vector<Room> rooms;
+  for (const WorkerIndex index : pool.m_workers) {
+    const Worker& worker = scheduler.m_workers[index];
+    if (IsUsable(scheduler, worker, now)) {
+      rooms.push_back({index, worker.m_record.m_capacity - worker.m_used});
+    }
+  }
+  return rooms;
+}
+
+WorkerIndex ChooseWorker(const Scheduler& scheduler, TimePoint now,
+                         const std::vector<Room>& rooms, const TaskRef& ref) {
+  const StepSpec& spec = ref.Spec();
+  const Demand needed = RoomOf(spec);
+  const bool near_data_only = WaitsForData(scheduler, now, ref);
+  const Pool& pool =
+      scheduler.m_pools.find(ref.m_job->m_spec->m_policy.m_pool)->second;
+  WorkerIndex best = kNoWorker;
+  double best_penalty = std::numeric_limits<double>::max();
+  for (const Room& room : rooms) {
+    const Worker& worker = scheduler.m_workers[room.m_worker];
+    const bool near_data = worker.m_record.m_rack == spec.m_data_rack;
+    if (!FitsIn(needed, room.m_free) || (near_data_only && !near_data) ||
+        !MayRun(scheduler, now, worker, ref)) {
+      continue;
+    }
+    double penalty = UsedShare(worker, room.m_free);
+    penalty += ref.GetTask().m_failed_on == room.m_worker ? kFailedThere : 0;
+    penalty += worker.m_failure_streak;
+    if (!spec.m_data_rack.Empty() && !near_data) {
+      penalty += kSameStepInRack;
+    }
+    if (spec.m_long_running) {
+      penalty += LongRunningPenalty(scheduler, pool, worker, ref);
+    }
+    if (penalty < best_penalty) {
+      best_penalty = penalty;
+      best = room.m_worker;
+    }
+  }
+  return best;
+}
+
+std::vector<WorkerIndex> ChooseForGang(const Scheduler& scheduler,
+                                       TimePoint now, std::vector<Room> rooms,
+                                       const TaskRef& first) {
+  const StepSpec& spec = first.Spec();
+  const Demand needed = RoomOf(spec);
+  const std::size_t count = first.GetStep().m_tasks.size();
+  const auto fill = [&](const RackName* rack) {
+    std::vector<Room> left = rooms;
+    std::sort(left.begin(), left.end(), [](const Room& a, const Room& b) {
+      return a.m_free.m_cpu > b.m_free.m_cpu;
+    });
+    std::vector<WorkerIndex> places;
+    for (Room& room : left) {
+      const Worker& worker = scheduler.m_workers[room.m_worker];
+      if ((rack != nullptr && worker.m_record.m_rack != *rack) ||
+          !MayRun(scheduler, now, worker, first)) {
+        continue;
+      }
+      std::uint32_t here = CountOfStep(worker, first);
+      while (places.size() < count && FitsIn(needed, room.m_free) &&
+             (spec.m_max_per_worker == 0 || here < spec.m_max_per_worker)) {
+        room.m_free -= needed;
+        places.push_back(room.m_worker);
+        ++here;
+      }
+    }
+    return places.size() == count ? places : std::vector<WorkerIndex>();
+  };
+  if (!spec.m_data_rack.Empty()) {
+    const auto near = fill(&spec.m_data_rack);
+    if (!near.empty() || WaitsForData(scheduler, now, first)) {
+      return near;
+    }
+  }
+  if (!spec.m_colocated) {
+    return fill(nullptr);
+  }
+  std::set<RackName> racks;
+  for (const Room& room : rooms) {
+    racks.insert(scheduler.m_workers[room.m_worker].m_record.m_rack);
+  }
+  for (const RackName& rack : racks) {
+    auto places = fill(&rack);
+    if (!places.empty()) {
+      return places;
+    }
+  }
+  // Far slower over several racks, but better than never.
+  const bool waited = ToSeconds(now - first.GetStep().m_ready_at) >=
+                      kWaitForData * ToSeconds(spec.m_estimate);
+  return waited ? fill(nullptr) : std::vector<WorkerIndex>();
+}
+
+const std::string* TicketFor(const Scheduler& scheduler, TimePoint now,
+                             const TaskId& task, const WorkerName& worker) {
+  TaskId step = task;
+  step.m_index = 0;
+  const auto approvals = scheduler.m_approvals.find(step);
+  if (approvals == scheduler.m_approvals.end() ||
+      now >= approvals->second.m_valid_until) {
+    return nullptr;
+  }
+  const auto ticket = approvals->second.m_tickets.find(worker);
+  return ticket == approvals->second.m_tickets.end() ? nullptr
+                                                     : &ticket->second;
+}
+
+}  // namespace filbertspar::scheduler
--- /dev/null
+++ b/filbertspar/scheduler/src/state.cc
@@ -0,0 +1,88 @@
+#include "filbertspar/scheduler/src/state.h"
+
+#include <algorithm>
+
+namespace filbertspar::scheduler {
+
+TaskRef FindTask(Scheduler& scheduler, const TaskId& id) {
+  const auto found = scheduler.m_jobs.find(id.m_job);
+  if (found == scheduler.m_jobs.end()) {
+    return {};
+  }
+  Job* job = found->second.get();
+  for (const auto& occurrence : job->m_occurrences) {
+    if (occurrence->m_number == id.m_occurrence) {
+      if (id.m_step >= occurrence->m_steps.size() ||
+          id.m_index >= occurrence->m_steps[id.m_step].m_tasks.size()) {
+        return {};
+      }
+      return {job, occurrence.get(), id.m_step, id.m_index};
+    }
+  }
+  return {};
+}
+
+std::uint64_t MarkChanged(Scheduler& scheduler, Job& job) {
+  const std::uint64_t change = ++scheduler.m_last_change;
+  if (job.m_unstored == 0) {
+    job.m_unstored = change;
+    scheduler.m_unstored[change] = &job;
+  }
+  return change;
+}
+
+std::uint64_t StoredUpTo(const Scheduler& scheduler) {
+  if (scheduler.m_writing_change != 0) {
+    return scheduler.m_writing_change - 1;
+  }
+  return scheduler.m_unstored.empty() ? scheduler.m_last_change
+                                      : scheduler.m_unstored.begin()->first - 1;
+}
+
+std::int64_t UnixMs(const Scheduler& scheduler, TimePoint now) {
+  return ToMilliseconds(now.time_since_epoch() + scheduler.m_unix_offset);
+}
+
+Demand RoomOf(const StepSpec& step) {
+  Demand room = step.m_demand;
+  if (step.m_fills) {
+    room.m_cpu = Millicores(0);
+  }
+  return room;
+}
+
+void Hold(Scheduler& scheduler, const TaskRef& ref, WorkerIndex worker) {
+  Task& task = ref.GetTask();
+  FS_ASSERT(task.m_worker == kNoWorker, "a task holds room on one worker");
+  task.m_worker = worker;
+  ++ref.m_job->m_placed;
+  ref.m_job->m_begun = true;
+  scheduler.m_workers[worker].m_used += RoomOf(ref.Spec());
+  scheduler.m_workers[worker].m_tasks.push_back(ref);
+  scheduler.m_held[ref.m_job->m_spec->m_workspace] += ref.Spec().m_demand;
+}
+
+void Release(Scheduler& scheduler, const TaskRef& ref) {
+  Task& task = ref.GetTask();
+  if (task.m_worker == kNoWorker) {
+    return;
+  }
+  Worker& worker = scheduler.m_workers[task.m_worker];
+  worker.m_used -= RoomOf(ref.Spec());
+  const auto found =
+      std::find(worker.m_tasks.begin(), worker.m_tasks.end(), ref);
+  FS_ASSERT(found != worker.m_tasks.end(), "a worker lists the tasks it holds");
+  *found = worker.m_tasks.back();
+  worker.m_tasks.pop_back();
+  scheduler.m_held[ref.m_job->m_spec->m_workspace] -= ref.Spec().m_demand;
+  task.m_worker = kNoWorker;
+  --ref.m_job->m_placed;
+}
+
+void AddNote(Scheduler& scheduler, std::string event, const TaskId& task,
+             WorkerIndex worker, std::string detail) {
+  scheduler.m_effects.m_notes.push_back(
+      {std::move(event), task, worker, std::move(detail)});
+}
+
+}  // namespace filbertspar::scheduler
--- /dev/null
+++ b/filbertspar/scheduler/src/state.h
@@ -0,0 +1,267 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <limits>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "filbertspar/fleetview/fleetview.h"
+#include "filbertspar/job/job.h"
+#include "filbertspar/routing/routing.h"
+
+namespace filbertspar::scheduler {
+
+using WorkerIndex = std::uint32_t;
+inline constexpr WorkerIndex kNoWorker =
+    std::numeric_limits<WorkerIndex>::max();
+
+enum class TaskPhase : std::uint8_t {
+  kWaiting,
+  /// Ordered; it is not known yet whether it runs.
+  kStarting,
+  kRunning,
+  /// Ordered to stop; it may still run.
+  kStopping,
+  kDone,
+};
+
+struct Task {
+  TaskPhase m_phase = TaskPhase::kWaiting;
+  /// Where it starts, runs or stops.
+  WorkerIndex m_worker = kNoWorker;
+  /// Number of its last start.
+  std::uint64_t m_run = 0;
+  std::uint32_t m_failures = 0;
+  std::uint64_t m_failed_run = 0;
+  /// Where its last run failed; it is started elsewhere if it can be.
+  WorkerIndex m_failed_on = kNoWorker;
+  std::string m_checkpoint;
+  /// Since when it is in its phase; of a running task since it began.
+  TimePoint m_since{};
+  /// Not started before this time, after an end that came too early.
+  TimePoint m_not_before{};
+  /// When the last order about it was answered.
+  TimePoint m_answered_at = TimePoint::max();
+  /// On the worker's clock: after it the worker refuses the last start.
+  std::int64_t m_start_deadline_ms = 0;
+  std::int64_t m_percent = 0;
+  std::int64_t m_load = -1;
+  /// Speed that the last pace order asked for.
+  std::int64_t m_pace = 100;
+};
+
+struct Step {
+  std::vector<Task> m_tasks;
+  std::uint32_t m_done = 0;
+  std::uint32_t m_waiting = 0;
+  /// When its earlier steps were all done; max() before that.
+  TimePoint m_ready_at = TimePoint::max();
+  /// Newest checkpoint of any member of a gang.
+  std::string m_gang_checkpoint;
+};
+
+struct Occurrence {
+  std::uint32_t m_number = 0;
+  std::vector<Step> m_steps;
+  std::uint32_t m_steps_left = 0;
+};
+
+struct Job {
+  std::shared_ptr<const JobSpec> m_spec;
+  JobState m_state = JobState::kQueued;
+  /// State that a stored row shows, which is what callers are told.
+  JobState m_stored_state = JobState::kQueued;
+  std::int64_t m_ended_ms = 0;
+  TimePoint m_ended_at{};
+  TimePoint m_accepted_at{};
+  std::uint32_t m_next_occurrence = 0;
+  std::vector<std::unique_ptr<Occurrence>> m_occurrences;
+  bool m_begun = false;
+  /// Taken over from an earlier owner: a task not found yet may still run on
+  /// a worker that has not answered.
+  bool m_inherited = false;
+  /// Tasks that hold room on a worker.
+  std::uint32_t m_placed = 0;
+  /// Number of the first change that no write has taken up; 0 when none is.
+  std::uint64_t m_unstored = 0;
+  bool m_long_running = false;
+  /// Sum of the estimates along its longest chain of steps.
+  Duration m_chain{0};
+};
+
+/// \brief Place of a task in a job; stays valid while the job exists.
+struct TaskRef {
+  Job* m_job = nullptr;
+  Occurrence* m_occurrence = nullptr;
+  std::uint32_t m_step = 0;
+  std::uint32_t m_index = 0;
+
+  Step& GetStep() const { return m_occurrence->m_steps[m_step]; }
+  Task& GetTask() const { return GetStep().m_tasks[m_index]; }
+  const StepSpec& Spec() const { return m_job->m_spec->m_steps[m_step]; }
+  TaskId Id() const {
+    return {m_job->m_spec->m_id, m_occurrence->m_number, m_step, m_index};
+  }
+  explicit operator bool() const { return m_job != nullptr; }
+  friend bool operator==(const TaskRef&, const TaskRef&) = default;
+};
+
+/// \brief What is believed of one worker.
+struct Worker {
+  WorkerRecord m_record;
+  /// Whether the store lists it.
+  bool m_registered = false;
+  /// Whether it answered a look of this owner.
+  bool m_looked = false;
+  TimePoint m_drains_until = TimePoint::max();
+  /// Last answered look.
+  TimePoint m_seen_at = TimePoint::min();
+  /// When the newest answered look was sent.
+  TimePoint m_look_sent = TimePoint::min();
+  /// Worker's clock at m_clock_at, a lower bound.
+  std::int64_t m_clock_ms = 0;
+  TimePoint m_clock_at{};
+  std::int64_t m_incarnation = 0;
+  /// After this time nothing that was ordered runs there any more.
+  TimePoint m_lease_until = TimePoint::min();
+  Demand m_used;
+  std::vector<TaskRef> m_tasks;
+  /// Highest end that was read, and highest whose effects are stored.
+  std::uint64_t m_read_end = 0;
+  std::uint64_t m_stored_end = 0;
+  /// Ends read and the change that has to be stored before each may be
+  /// forgotten.
+  std::deque<std::pair<std::uint64_t, std::uint64_t>> m_unstored_ends;
+  /// When runs that are not wanted there were last ordered to stop.
+  absl::flat_hash_map<std::string, TimePoint> m_unwanted;
+  std::uint32_t m_failure_streak = 0;
+  /// No task is started there until then.
+  TimePoint m_avoid_until = TimePoint::min();
+  /// Nothing is started there while its VM is to be emptied.
+  bool m_cordoned = false;
+  /// The VM is due for upkeep: long-running tasks are better placed elsewhere.
+  bool m_upkeep_due = false;
+  /// Last change of the pace of a task that fills.
+  TimePoint m_paced_at = TimePoint::min();
+  /// Room reported as missing although the books show it, until then.
+  TimePoint m_full_until = TimePoint::min();
+};
+
+/// \brief Orders and changes that a call of the scheduler asks for.
+struct Effects {
+  struct Start {
+    WorkerIndex m_worker = kNoWorker;
+    StartOrder m_order;
+  };
+  struct Stop {
+    WorkerIndex m_worker = kNoWorker;
+    StopOrder m_order;
+  };
+  struct Pace {
+    WorkerIndex m_worker = kNoWorker;
+    PaceOrder m_order;
+  };
+  /// A decision for the log.
+  struct Note {
+    std::string m_event;
+    TaskId m_task;
+    WorkerIndex m_worker = kNoWorker;
+    std::string m_detail;
+  };
+  std::vector<Start> m_starts;
+  std::vector<Stop> m_stops;
+  std::vector<Pace> m_paces;
+  std::vector<Note> m_notes;
+};
+
+struct Options {
+  FencingNumber m_fencing;
+  /// Lease asked for with each look.
+  Duration m_lease = Seconds(3);
+  /// A worker refuses a start that arrives later than this.
+  Duration m_start_window = Seconds(2);
+  /// Longest time for which a job's state is kept after its end.
+  Duration m_state_kept = Seconds(120);
+  /// Until when runs ordered by an earlier owner may go on at workers that do
+  /// not answer.
+  TimePoint m_inherited_until = TimePoint::min();
+};
+
+/// \brief Learned of a queue's tasks.
+struct QueueHistory {
+  /// Run time over estimate, smoothed.
+  double m_ratio = 1;
+  std::uint64_t m_samples = 0;
+};
+
+struct Pool {
+  std::vector<WorkerIndex> m_workers;
+  /// Jobs that are not final.
+  std::vector<Job*> m_jobs;
+};
+
+struct Approvals {
+  /// Ticket by worker; an approval ends with the time.
+  absl::flat_hash_map<WorkerName, std::string> m_tickets;
+  TimePoint m_valid_until = TimePoint::min();
+  /// Asked for and not answered until then.
+  TimePoint m_asked_until = TimePoint::min();
+  /// Workers asked about so far; the next question goes on after them.
+  std::size_t m_asked = 0;
+};
+
+/// \brief All state of one owner.
+struct Scheduler {
+  Options m_options;
+  DeploymentPtr m_deployment;
+  absl::flat_hash_map<JobId, std::unique_ptr<Job>> m_jobs;
+  std::vector<Worker> m_workers;
+  absl::flat_hash_map<WorkerName, WorkerIndex> m_worker_index;
+  absl::flat_hash_map<PoolName, Pool> m_pools;
+  /// Room that each workspace's tasks hold on all workers.
+  absl::flat_hash_map<WorkspaceName, Demand> m_held;
+  absl::flat_hash_map<QueueName, QueueHistory> m_history;
+  /// Per step of an advised queue: job, occurrence, step.
+  std::map<TaskId, Approvals> m_approvals;
+  /// Jobs with changes that no write has taken up, by number of the first one.
+  std::map<std::uint64_t, Job*> m_unstored;
+  std::uint64_t m_last_change = 0;
+  /// First change of the write under way; 0 when there is none.
+  std::uint64_t m_writing_change = 0;
+  /// Unix time minus scheduler time.
+  Duration m_unix_offset{0};
+  /// Whether all inherited runs are accounted for.
+  bool m_settled = false;
+  Effects m_effects;
+};
+
+/// \brief The task, or an empty reference when it is not known.
+TaskRef FindTask(Scheduler& scheduler, const TaskId& id);
+
+/// \brief Notes that a job's progress changed and has to be stored; gives the
+/// number of the change.
+std::uint64_t MarkChanged(Scheduler& scheduler, Job& job);
+
+/// \brief Last change before which all changes are stored.
+std::uint64_t StoredUpTo(const Scheduler& scheduler);
+
+/// \brief Unix milliseconds at `now`.
+std::int64_t UnixMs(const Scheduler& scheduler, TimePoint now);
+
+/// \brief Room that a task takes on its worker; fills take no processor.
+Demand RoomOf(const StepSpec& step);
+
+/// \brief Takes and gives back the room of a task on a worker and in its
+/// workspace.
+void Hold(Scheduler& scheduler, const TaskRef& ref, WorkerIndex worker);
+void Release(Scheduler& scheduler, const TaskRef& ref);
+
+void AddNote(Scheduler& scheduler, std::string event, const TaskId& task,
+             WorkerIndex worker, std::string detail = "");
+
+}  // namespace filbertspar::scheduler
--- /dev/null
+++ b/filbertspar/scheduler/src/workers.cc
@@ -0,0 +1,432 @@
+#include "filbertspar/scheduler/src/workers.h"
+
+#include <algorithm>
+
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/str_cat.h"
+#include "filbertspar/scheduler/src/jobs.h"
+
+namespace filbertspar::scheduler {
+namespace {
+
+/// A worker's clock may run this much slow; rounded up from 2%.
+constexpr double kSlowClock = 1.03;
+/// Beyond the lease: time in which a worker kills what has lapsed.
+constexpr Duration kKillTime = Milliseconds(200);
+/// A worker that has not answered for this long gets no new task.
+constexpr Duration kSilence = Milliseconds(2500);
+/// An unwanted run is ordered to stop again after this time.
+constexpr Duration kStopAgain = Seconds(1);
+/// Failures in a row, on a worker without a success between them, after which
+/// it gets no task for a while.
+constexpr std::uint32_t kMaxFailureStreak = 3;
+constexpr Duration kAvoidTime = Seconds(5);
+/// A refusal keeps new starts away this long.
+constexpr Duration kUnhealthyPause = Milliseconds(700);
+constexpr Duration kNoRoomPause = Milliseconds(150);
+
+Duration SlowestTime(std::int64_t milliseconds) {
+  return Duration(static_cast<std::int64_t>(static_cast<double>(milliseconds) *
+                                            1000 * kSlowClock));
+}
+
+/// Keeps the reading that tells most: the clock is at least what it was.
+void ReadClock(Worker& worker, TimePoint now, std::int64_t clock_ms) {
+  if (clock_ms >= ClockAtLeast(worker, now) || !worker.m_looked) {
+    worker.m_clock_ms = clock_ms;
+    worker.m_clock_at = now;
+  }
+}
+
+void ExtendLease(Worker& worker, std::int64_t deadline_ms) {
+  const std::int64_t left =
+      std::max<std::int64_t>(0, deadline_ms - worker.m_clock_ms);
+  worker.m_lease_until = std::max(
+      worker.m_lease_until, worker.m_clock_at + SlowestTime(left) + kKillTime);
+}
+
+void LoseTasks(Scheduler& scheduler, TimePoint now, Worker& worker,
+               std::string_view reason) {
+  const std::vector<TaskRef> tasks = worker.m_tasks;
+  for (const TaskRef& ref : tasks) {
+    TaskLost(scheduler, now, ref, reason);
+  }
+}
+
+/// A new incarnation knows nothing of the earlier one. A start that got no
+/// answer may still reach it, so that run is stopped there for good.
+void BeginIncarnation(Scheduler& scheduler, TimePoint now, WorkerIndex index,
+                      std::int64_t incarnation) {
+  Worker& worker = scheduler.m_workers[index];
+  const bool is_first = worker.m_incarnation == 0;
+  worker.m_incarnation = incarnation;
+  worker.m_looked = false;
+  if (is_first) {
+    return;
+  }
+  worker.m_read_end = 0;
+  worker.m_stored_end = 0;
+  worker.m_unstored_ends.clear();
+  worker.m_failure_streak = 0;
+  const std::vector<TaskRef> tasks = worker.m_tasks;
+  for (const TaskRef& ref : tasks) {
+    const Task& task = ref.GetTask();
+    if (task.m_phase == TaskPhase::kStarting) {
+      StopTask(scheduler, now, ref, "worker_restarted");
+    } else if (task.m_phase != TaskPhase::kStopping) {
+      TaskLost(scheduler, now, ref, "worker_restarted");
+    }
+  }
+  AddNote(scheduler, "worker_restarted", {}, index,
+          absl::StrCat("incarnation=", incarnation));
+}
+
+void NoteOutcome(Scheduler& scheduler, TimePoint now, WorkerIndex index,
+                 EndKind kind) {
+  Worker& worker = scheduler.m_workers[index];
+  if (kind == EndKind::kDone) {
+    worker.m_failure_streak = 0;
+    return;
+  }
+  if (kind != EndKind::kFailed) {
+    return;
+  }
+  if (++worker.m_failure_streak >= kMaxFailureStreak) {
+    worker.m_avoid_until = now + kAvoidTime;
+    // One further failure is enough after the pause.
+    worker.m_failure_streak = kMaxFailureStreak - 1;
+    AddNote(scheduler, "worker_avoided", {}, index, "reason=failures");
+  }
+}
+
+void AcknowledgeStored(const Scheduler& scheduler, Worker& worker) {
+  const std::uint64_t stored = StoredUpTo(scheduler);
+  while (!worker.m_unstored_ends.empty() &&
+         worker.m_unstored_ends.front().second <= stored) {
+    worker.m_stored_end = worker.m_unstored_ends.front().first;
+    worker.m_unstored_ends.pop_front();
+  }
+}
+
+void ReadEnds(Scheduler& scheduler, TimePoint now, WorkerIndex index,
+              const WorkerLook& look) {
+  for (const ListedEnd& end : look.m_ends) {
+    Worker& worker = scheduler.m_workers[index];
+    if (end.m_number <= worker.m_read_end) {
+      continue;
+    }
+    worker.m_read_end = end.m_number;
+    NoteOutcome(scheduler, now, index, end.m_kind);
+    const TaskRef ref = FindTask(scheduler, end.m_task);
+    const bool is_kept = ref && !ref.Spec().m_long_running;
+    if (ref) {
+      TaskEnded(scheduler, now, ref, end, index);
+    }
+    // Also an end that changed nothing may rest on a change not stored yet.
+    const std::uint64_t change = is_kept ? scheduler.m_last_change : 0;
+    AddNote(scheduler, "task_end", end.m_task, index,
+            absl::StrCat("how=", std::string(EndKindName(end.m_kind)),
+                         " run=", end.m_run.Value()));
+    scheduler.m_workers[index].m_unstored_ends.emplace_back(end.m_number,
+                                                            change);
+  }
+  AcknowledgeStored(scheduler, scheduler.m_workers[index]);
+}
+
+void StopUnwanted(Scheduler& scheduler, TimePoint now, WorkerIndex index,
+                  const ListedRun& run) {
+  Worker& worker = scheduler.m_workers[index];
+  const std::string key = absl::StrCat(
+      run.m_task.m_job.Value(), ".", run.m_task.m_occurrence, ".",
+      run.m_task.m_step, ".", run.m_task.m_index, "/", run.m_run.Value());
+  const auto found = worker.m_unwanted.find(key);
+  if (found != worker.m_unwanted.end() && now - found->second < kStopAgain) {
+    return;
+  }
+  worker.m_unwanted[key] = now;
+  scheduler.m_effects.m_stops.push_back(
+      {index, {run.m_task, run.m_run, scheduler.m_options.m_fencing}});
+  AddNote(scheduler, "unwanted_run_stop", run.m_task, index,
+          absl::StrCat("run=", run.m_run.Value()));
+}
+
+void Adopt(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
+           WorkerIndex index, const ListedRun& run) {
+  Task& task = ref.GetTask();
+  Hold(scheduler, ref, index);
+  --ref.GetStep().m_waiting;
+  task.m_phase = TaskPhase::kRunning;
+  task.m_run = run.m_run.Value();
+  task.m_since = now;
+  task.m_answered_at = now;
+  AddNote(scheduler, "task_adopted", ref.Id(), index,
+          absl::StrCat("run=", run.m_run.Value()));
+}
+
+void ReadRun(Scheduler& scheduler, TimePoint now, WorkerIndex index,
+             const ListedRun& run) {
+  const TaskRef ref = FindTask(scheduler, run.m_task);
+  if (!ref || IsFinal(ref.m_job->m_state) ||
+      ref.GetTask().m_phase == TaskPhase::kDone) {
+    StopUnwanted(scheduler, now, index, run);
+    return;
+  }
+  Task& task = ref.GetTask();
+  if (task.m_phase == TaskPhase::kWaiting && run.m_run.Value() >= task.m_run) {
+    Adopt(scheduler, now, ref, index, run);
+  }
+  if (task.m_worker != index || task.m_run != run.m_run.Value()) {
+    StopUnwanted(scheduler, now, index, run);
+    return;
+  }
+  if (task.m_phase == TaskPhase::kStarting) {
+    task.m_phase = TaskPhase::kRunning;
+    task.m_since = now;
+    task.m_answered_at = now;
+  }
+  if (task.m_phase == TaskPhase::kStopping && now - task.m_since > kStopAgain) {
+    StopTask(scheduler, now, ref, "still_running");
+  }
+  task.m_percent = run.m_percent;
+  task.m_load = run.m_load;
+  if (!run.m_checkpoint.empty()) {
+    task.m_checkpoint = run.m_checkpoint;
+    if (ref.Spec().m_gang) {
+      ref.GetStep().m_gang_checkpoint = run.m_checkpoint;
+    }
+  }
+}
+
+/// Tasks that the worker should list and does not.
+void LoseUnlisted(Scheduler& scheduler, TimePoint sent, TimePoint now,
+                  WorkerIndex index, const WorkerLook& look) {
+  if (look.m_truncated) {
+    return;
+  }
+  absl::flat_hash_set<std::pair<const Task*, std::uint64_t>> listed;
+  for (const ListedRun& run : look.m_running) {
+    if (const TaskRef ref = FindTask(scheduler, run.m_task)) {
+      listed.insert({&ref.GetTask(), run.m_run.Value()});
+    }
+  }
+  const std::vector<TaskRef> tasks = scheduler.m_workers[index].m_tasks;
+  for (const TaskRef& ref : tasks) {
+    const Task& task = ref.GetTask();
+    if (listed.contains({&task, task.m_run})) {
+      continue;
+    }
+    const bool never_ran = task.m_phase == TaskPhase::kStarting &&
+                           look.m_clock_ms > task.m_start_deadline_ms;
+    const bool gone =
+        task.m_phase != TaskPhase::kStarting && task.m_answered_at < sent;
+    if (never_ran || gone) {
+      TaskLost(scheduler, now, ref, never_ran ? "never_ran" : "not_listed");
+    }
+  }
+}
+
+}  // namespace
+
+WorkerIndex WorkerListed(Scheduler& scheduler, TimePoint now,
+                         const WorkerRecord& record) {
+  const auto [found, is_new] = scheduler.m_worker_index.try_emplace(
+      record.m_name, static_cast<WorkerIndex>(scheduler.m_workers.size()));
+  const WorkerIndex index = found->second;
+  if (is_new) {
+    scheduler.m_workers.emplace_back();
+    scheduler.m_pools[record.m_pool].m_workers.push_back(index);
+    AddNote(scheduler, "worker_listed", {}, index,
+            absl::StrCat("pool=", record.m_pool.Value()));
+  }
+  Worker& worker = scheduler.m_workers[index];
+  if (!is_new && worker.m_record.m_pool != record.m_pool) {
+    auto& old = scheduler.m_pools[worker.m_record.m_pool].m_workers;
+    old.erase(std::remove(old.begin(), old.end(), index), old.end());
+    scheduler.m_pools[record.m_pool].m_workers.push_back(index);
+  }
+  if (record.m_draining && !worker.m_record.m_draining) {
+    AddNote(scheduler, "worker_draining", {}, index,
+            absl::StrCat("remaining_ms=", ToMilliseconds(record.m_remaining)));
+  }
+  worker.m_record = record;
+  worker.m_registered = true;
+  worker.m_drains_until =
+      record.m_draining ? now + record.m_remaining : TimePoint::max();
+  return index;
+}
+
+void WorkerUnlisted(Scheduler& scheduler, TimePoint now,
+                    const WorkerName& name) {
+  static_cast<void>(now);
+  const auto found = scheduler.m_worker_index.find(name);
+  if (found == scheduler.m_worker_index.end()) {
+    return;
+  }
+  Worker& worker = scheduler.m_workers[found->second];
+  if (worker.m_registered) {
+    worker.m_registered = false;
+    AddNote(scheduler, "worker_unlisted", {}, found->second);
+  }
+}
+
+void LookAnswered(Scheduler& scheduler, TimePoint sent, TimePoint now,
+                  WorkerIndex index, const WorkerLook& look) {
+  Worker& worker = scheduler.m_workers[index];
+  if (look.m_incarnation != worker.m_incarnation) {
+    BeginIncarnation(scheduler, now, index, look.m_incarnation);
+  } else if (sent < worker.m_look_sent) {
+    // A newer look was answered first.
+    return;
+  }
+  worker.m_look_sent = sent;
+  ReadClock(worker, now, look.m_clock_ms);
+  worker.m_seen_at = now;
+  worker.m_looked = true;
+  if (worker.m_unwanted.size() > look.m_running.size() + 64) {
+    worker.m_unwanted.clear();
+  }
+  ReadEnds(scheduler, now, index, look);
+  for (const ListedRun& run : look.m_running) {
+    ReadRun(scheduler, now, index, run);
+  }
+  LoseUnlisted(scheduler, sent, now, index, look);
+}
+
+void InstanceGone(Scheduler& scheduler, TimePoint now, WorkerIndex index) {
+  Worker& worker = scheduler.m_workers[index];
+  worker.m_registered = false;
+  worker.m_looked = false;
+  worker.m_lease_until = TimePoint::min();
+  LoseTasks(scheduler, now, worker, "instance_gone");
+  AddNote(scheduler, "worker_gone", {}, index, "reason=other_instance");
+}
+
+void StartAnswered(Scheduler& scheduler, TimePoint now, WorkerIndex index,
+                   const StartOrder& order, const OrderAnswer& answer,
+                   bool earlier_unanswered) {
+  Worker& worker = scheduler.m_workers[index];
+  const TaskRef ref = FindTask(scheduler, order.m_task);
+  if (answer.m_result == OrderResult::kUnhealthy) {
+    worker.m_avoid_until =
+        std::max(worker.m_avoid_until, now + kUnhealthyPause);
+  }
+  if (answer.m_result == OrderResult::kNoRoom) {
+    worker.m_full_until = now + kNoRoomPause;
+  }
+  if (answer.m_result == OrderResult::kUnknown) {
+    worker.m_avoid_until =
+        std::max(worker.m_avoid_until, now + kUnhealthyPause);
+  }
+  if (!ref || ref.GetTask().m_worker != index ||
+      ref.GetTask().m_run != order.m_run.Value() ||
+      ref.GetTask().m_phase != TaskPhase::kStarting) {
+    return;
+  }
+  Task& task = ref.GetTask();
+  if (answer.m_result == OrderResult::kAccepted) {
+    task.m_phase = TaskPhase::kRunning;
+    task.m_answered_at = now;
+    return;
+  }
+  if (answer.m_result == OrderResult::kTicketRefused) {
+    TaskId step = order.m_task;
+    step.m_index = 0;
+    const auto approvals = scheduler.m_approvals.find(step);
+    if (approvals != scheduler.m_approvals.end()) {
+      approvals->second.m_tickets.erase(worker.m_record.m_name);
+    }
+  }
+  const bool refused = answer.m_result != OrderResult::kUnknown &&
+                       answer.m_result != OrderResult::kOldRun;
+  if (refused && !earlier_unanswered) {
+    TaskLost(scheduler, now, ref, OrderResultName(answer.m_result));
+  }
+  // Otherwise the run may exist; a look settles it.
+}
+
+void StopAnswered(Scheduler& scheduler, TimePoint now, WorkerIndex index,
+                  const StopOrder& order, const OrderAnswer& answer) {
+  const TaskRef ref = FindTask(scheduler, order.m_task);
+  if (!ref || ref.GetTask().m_worker != index ||
+      ref.GetTask().m_run != order.m_run.Value() ||
+      ref.GetTask().m_phase != TaskPhase::kStopping) {
+    return;
+  }
+  if (answer.m_result == OrderResult::kAccepted ||
+      answer.m_result == OrderResult::kOldRun) {
+    ref.GetTask().m_answered_at = now;
+  }
+}
+
+void AcknowledgeStoredEnds(Scheduler& scheduler) {
+  for (Worker& worker : scheduler.m_workers) {
+    AcknowledgeStored(scheduler, worker);
+  }
+}
+
+void ExpireLeases(Scheduler& scheduler, TimePoint now) {
+  for (Worker& worker : scheduler.m_workers) {
+    if (!worker.m_tasks.empty() && now > worker.m_lease_until) {
+      LoseTasks(scheduler, now, worker, "lease_ran_out");
+    }
+  }
+  if (scheduler.m_settled) {
+    return;
+  }
+  const bool all_looked =
+      std::all_of(scheduler.m_workers.begin(), scheduler.m_workers.end(),
+                  [](const Worker& worker) { return worker.m_looked; });
+  if (all_looked || now > scheduler.m_options.m_inherited_until) {
+    scheduler.m_settled = true;
+    AddNote(scheduler, "settled", {}, kNoWorker,
+            all_looked ? "reason=all_workers_answered" : "reason=leases_over");
+  }
+}
+
+std::optional<std::int64_t> TakeLease(Scheduler& scheduler, TimePoint now,
+                                      WorkerIndex index) {
+  Worker& worker = scheduler.m_workers[index];
+  if (!worker.m_looked) {
+    return std::nullopt;
+  }
+  const std::int64_t deadline =
+      ClockAtLeast(worker, now) + ToMilliseconds(scheduler.m_options.m_lease);
+  ExtendLease(worker, deadline);
+  return deadline;
+}
+
+std::int64_t TakeStartDeadline(Scheduler& scheduler, TimePoint now,
+                               WorkerIndex index) {
+  Worker& worker = scheduler.m_workers[index];
+  const std::int64_t deadline =
+      ClockAtLeast(worker, now) +
+      ToMilliseconds(scheduler.m_options.m_start_window);
+  ExtendLease(worker, deadline);
+  return deadline;
+}
+
+std::int64_t ClockAtLeast(const Worker& worker, TimePoint now) {
+  return worker.m_clock_ms +
+         static_cast<std::int64_t>(
+             static_cast<double>(ToMilliseconds(now - worker.m_clock_at)) /
+             kSlowClock);
+}
+
+bool IsResponsive(const Worker& worker, TimePoint now) {
+  return worker.m_looked && now - worker.m_seen_at < kSilence;
+}
+
+bool IsUsable(const Scheduler& scheduler, const Worker& worker, TimePoint now) {
+  return worker.m_registered && !worker.m_record.m_draining &&
+         !worker.m_cordoned && IsResponsive(worker, now) &&
+         now >= worker.m_avoid_until && now >= worker.m_full_until &&
+         (scheduler.m_deployment == nullptr ||
+          scheduler.m_deployment->m_pools.contains(worker.m_record.m_pool));
+}
+
+bool IsFinished(const Worker& worker, TimePoint now) {
+  return !worker.m_registered && worker.m_tasks.empty() &&
+         now > worker.m_lease_until;
+}
+
+}  // namespace filbertspar::scheduler
--- a/filbertspar/settings/src/settings.cc
+++ b/filbertspar/settings/src/settings.cc
@@ -84,6 +84,13 @@
   return settings;
 }
 
+void Settings::DropEmpty() {
+  std::erase_if(m_values, [](const auto& item) { return item.second.empty(); });
+  std::erase_if(m_order, [this](const std::string& key) {
+    return !m_values.contains(key);
+  });
+}
+
 const std::string* Settings::Find(std::string_view key) {
   m_asked.insert(std::string(key));
   const auto found = m_values.find(key);
@@ -158,8 +165,11 @@
 
 Duration Settings::GetMilliseconds(std::string_view key, Duration fallback,
                                    Duration min, Duration max) {
-  return Milliseconds(GetInt(key, ToMilliseconds(fallback), ToMilliseconds(min),
-                             ToMilliseconds(max)));
+  const double milliseconds =
+      GetDouble(key, static_cast<double>(ToMilliseconds(fallback)),
+                static_cast<double>(ToMilliseconds(min)),
+                static_cast<double>(ToMilliseconds(max)));
+  return Duration(static_cast<std::int64_t>(milliseconds * 1000));
 }
 
 Endpoint Settings::GetEndpoint(std::string_view key) {
--- a/filbertspar/settings/src/settings.h
+++ b/filbertspar/settings/src/settings.h
@@ -39,6 +39,10 @@
   static absl::StatusOr<Settings> Parse(std::string name,
                                         const std::string& text);
 
+  /// \brief Treats keys without a value as absent, as a template leaves them
+  /// where it has nothing to fill in.
+  void DropEmpty();
+
   std::string GetText(std::string_view key);
   std::string GetText(std::string_view key, std::string_view fallback);
   std::int64_t GetInt(std::string_view key, std::int64_t fallback,
@@ -46,7 +50,7 @@
   double GetDouble(std::string_view key, double fallback, double min,
                    double max);
   bool GetBool(std::string_view key, bool fallback);
-  /// \brief Whole milliseconds in the file.
+  /// \brief Milliseconds in the file.
   Duration GetMilliseconds(std::string_view key, Duration fallback,
                            Duration min, Duration max);
   Endpoint GetEndpoint(std::string_view key);
--- a/filbertspar/wire/src/decode.cc
+++ b/filbertspar/wire/src/decode.cc
@@ -156,6 +156,37 @@
   m.m_free = t.free();
 }
 
+void Read(Reader& r, const fbs::JobCall& t, JobCall& m) {
+  m.m_number = t.number();
+  m.m_verb = static_cast<JobVerb>(t.verb());
+  r.m_in_bounds = r.m_in_bounds && m.m_verb <= JobVerb::kQueueLength;
+  m.m_queue = r.Text(t.queue());
+  m.m_workspace = r.Text(t.workspace());
+  m.m_job = r.Text(t.job());
+  m.m_body = r.Text(t.body());
+  m.m_wait = Milliseconds(t.wait_ms());
+}
+
+void Read(Reader& r, const fbs::JobReply& t, JobReply& m) {
+  m.m_number = t.number();
+  const std::optional<Code> code = CodeFromNumber(t.code());
+  r.m_in_bounds = r.m_in_bounds && code.has_value();
+  m.m_code = code.value_or(Code::kInternal);
+  m.m_state = t.state();
+  m.m_count = t.count();
+  m.m_retry_after = Milliseconds(t.retry_after_ms());
+}
+
+void Read(Reader& /*r*/, const fbs::LinkPing& t, LinkPing& m) {
+  m.m_number = t.number();
+  m.m_store_age = Milliseconds(t.store_age_ms());
+}
+
+void Read(Reader& /*r*/, const fbs::LinkPong& t, LinkPong& m) {
+  m.m_number = t.number();
+  m.m_confirmed = t.confirmed();
+}
+
 template <typename M, typename Table>
 bool ReadKind(Reader& reader, const Table* table, Message& message) {
   if (table == nullptr) {
@@ -187,6 +218,14 @@
       return ReadKind<ForwardReply>(r, t.message_as_ForwardReply(), message);
     case fbs::Message::GrantHint:
       return ReadKind<GrantHint>(r, t.message_as_GrantHint(), message);
+    case fbs::Message::JobCall:
+      return ReadKind<JobCall>(r, t.message_as_JobCall(), message);
+    case fbs::Message::JobReply:
+      return ReadKind<JobReply>(r, t.message_as_JobReply(), message);
+    case fbs::Message::LinkPing:
+      return ReadKind<LinkPing>(r, t.message_as_LinkPing(), message);
+    case fbs::Message::LinkPong:
+      return ReadKind<LinkPong>(r, t.message_as_LinkPong(), message);
     case fbs::Message::NONE:
       return false;
   }
--- a/filbertspar/wire/src/encode.cc
+++ b/filbertspar/wire/src/encode.cc
@@ -143,6 +143,38 @@
       .Union();
 }
 
+std::uint32_t WholeMilliseconds(Duration duration) {
+  return static_cast<std::uint32_t>(ToMilliseconds(duration));
+}
+
+Offset<void> Write(Writer& w, const JobCall& m) {
+  const auto queue = w.Text(m.m_queue);
+  const auto workspace = w.Text(m.m_workspace);
+  const auto job = w.Text(m.m_job);
+  const auto body = w.Text(m.m_body);
+  return fbs::CreateJobCall(w.m_builder, m.m_number,
+                            static_cast<std::uint8_t>(m.m_verb), queue,
+                            workspace, job, body, WholeMilliseconds(m.m_wait))
+      .Union();
+}
+
+Offset<void> Write(Writer& w, const JobReply& m) {
+  return fbs::CreateJobReply(w.m_builder, m.m_number,
+                             static_cast<std::uint16_t>(m.m_code), m.m_state,
+                             m.m_count, WholeMilliseconds(m.m_retry_after))
+      .Union();
+}
+
+Offset<void> Write(Writer& w, const LinkPing& m) {
+  return fbs::CreateLinkPing(w.m_builder, m.m_number,
+                             WholeMilliseconds(m.m_store_age))
+      .Union();
+}
+
+Offset<void> Write(Writer& w, const LinkPong& m) {
+  return fbs::CreateLinkPong(w.m_builder, m.m_number, m.m_confirmed).Union();
+}
+
 }  // namespace
 
 absl::StatusOr<std::string> EncodePayload(const Envelope& envelope) {
--- a/filbertspar/wire/src/messages.h
+++ b/filbertspar/wire/src/messages.h
@@ -162,9 +162,57 @@
   friend bool operator==(const GrantHint&, const GrantHint&) = default;
 };
 
-using Message =
-    std::variant<Hello, Heartbeat, Probe, ProbeReply, ConfigOffer, ConfigFetch,
-                 UseSummary, Forward, ForwardReply, GrantHint>;
+enum class JobVerb : std::uint8_t { kSubmit, kState, kCancel, kQueueLength };
+
+/// \brief A caller's call, passed on to the VM that owns the jobs.
+struct JobCall {
+  std::uint64_t m_number = 0;
+  JobVerb m_verb = JobVerb::kState;
+  std::string m_queue;
+  /// Workspace that the caller's key belongs to; empty without a key.
+  std::string m_workspace;
+  std::string m_job;
+  /// Bytes of the job row; only with a submit.
+  std::string m_body;
+  /// Time in which the answer is of use to the caller.
+  Duration m_wait{0};
+
+  friend bool operator==(const JobCall&, const JobCall&) = default;
+};
+
+struct JobReply {
+  std::uint64_t m_number = 0;
+  Code m_code = Code::kOk;
+  /// State of the job, as its number in JobState.
+  std::uint8_t m_state = 0;
+  /// Jobs of the queue that have not begun.
+  std::int64_t m_count = 0;
+  /// When a caller that was refused should come back; 0: not stated.
+  Duration m_retry_after{0};
+
+  friend bool operator==(const JobReply&, const JobReply&) = default;
+};
+
+/// \brief Sent to the owner regularly, so that both ends notice silence.
+struct LinkPing {
+  std::uint64_t m_number = 0;
+  /// Time since the sender last reached the store.
+  Duration m_store_age{0};
+
+  friend bool operator==(const LinkPing&, const LinkPing&) = default;
+};
+
+struct LinkPong {
+  std::uint64_t m_number = 0;
+  /// Whether the owner's last write to the store is recent.
+  bool m_confirmed = false;
+
+  friend bool operator==(const LinkPong&, const LinkPong&) = default;
+};
+
+using Message = std::variant<Hello, Heartbeat, Probe, ProbeReply, ConfigOffer,
+                             ConfigFetch, UseSummary, Forward, ForwardReply,
+                             GrantHint, JobCall, JobReply, LinkPing, LinkPong>;
 
 /// \brief Payload of one frame.
 struct Envelope {
