--- a/filbertspar/wire/src/peer_generated.h
+++ b/filbertspar/wire/src/peer_generated.h
@@ -55,6 +55,18 @@
 struct GrantHint;
 struct GrantHintBuilder;
 
+struct JobCall;
+struct JobCallBuilder;
+
+struct JobReply;
+struct JobReplyBuilder;
+
+struct LinkPing;
+struct LinkPingBuilder;
+
+struct LinkPong;
+struct LinkPongBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -106,11 +118,15 @@
   Forward = 8,
   ForwardReply = 9,
   GrantHint = 10,
+  JobCall = 11,
+  JobReply = 12,
+  LinkPing = 13,
+  LinkPong = 14,
   MIN = NONE,
-  MAX = GrantHint
+  MAX = LinkPong
 };
 
-inline const Message (&EnumValuesMessage())[11] {
+inline const Message (&EnumValuesMessage())[15] {
   static const Message values[] = {
     Message::NONE,
     Message::Hello,
@@ -122,13 +138,17 @@
     Message::UseSummary,
     Message::Forward,
     Message::ForwardReply,
-    Message::GrantHint
+    Message::GrantHint,
+    Message::JobCall,
+    Message::JobReply,
+    Message::LinkPing,
+    Message::LinkPong
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[12] = {
+  static const char * const names[16] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -140,13 +160,17 @@
     "Forward",
     "ForwardReply",
     "GrantHint",
+    "JobCall",
+    "JobReply",
+    "LinkPing",
+    "LinkPong",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::GrantHint)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::LinkPong)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -195,6 +219,22 @@
   static const Message enum_value = Message::GrantHint;
 };
 
+template<> struct MessageTraits<filbertspar::fbs::JobCall> {
+  static const Message enum_value = Message::JobCall;
+};
+
+template<> struct MessageTraits<filbertspar::fbs::JobReply> {
+  static const Message enum_value = Message::JobReply;
+};
+
+template<> struct MessageTraits<filbertspar::fbs::LinkPing> {
+  static const Message enum_value = Message::LinkPing;
+};
+
+template<> struct MessageTraits<filbertspar::fbs::LinkPong> {
+  static const Message enum_value = Message::LinkPong;
+};
+
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
@@ -1498,6 +1538,342 @@
       free);
 }
 
+struct JobCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobCallBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_VERB = 6,
+    VT_QUEUE = 8,
+    VT_WORKSPACE = 10,
+    VT_JOB = 12,
+    VT_BODY = 14,
+    VT_WAIT_MS = 16
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint8_t verb() const {
+    return GetField<uint8_t>(VT_VERB, 0);
+  }
+  const flatbuffers::String *queue() const {
+    return GetPointer<const flatbuffers::String *>(VT_QUEUE);
+  }
+  const flatbuffers::String *workspace() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
+  }
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  const flatbuffers::String *body() const {
+    return GetPointer<const flatbuffers::String *>(VT_BODY);
+  }
+  uint32_t wait_ms() const {
+    return GetField<uint32_t>(VT_WAIT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_VERB, 1) &&
+           VerifyOffset(verifier, VT_QUEUE) &&
+           verifier.VerifyString(queue()) &&
+           VerifyOffset(verifier, VT_WORKSPACE) &&
+           verifier.VerifyString(workspace()) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyString(body()) &&
+           VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct JobCallBuilder {
+  typedef JobCall Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(JobCall::VT_NUMBER, number, 0);
+  }
+  void add_verb(uint8_t verb) {
+    fbb_.AddElement<uint8_t>(JobCall::VT_VERB, verb, 0);
+  }
+  void add_queue(flatbuffers::Offset<flatbuffers::String> queue) {
+    fbb_.AddOffset(JobCall::VT_QUEUE, queue);
+  }
+  void add_workspace(flatbuffers::Offset<flatbuffers::String> workspace) {
+    fbb_.AddOffset(JobCall::VT_WORKSPACE, workspace);
+  }
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(JobCall::VT_JOB, job);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::String> body) {
+    fbb_.AddOffset(JobCall::VT_BODY, body);
+  }
+  void add_wait_ms(uint32_t wait_ms) {
+    fbb_.AddElement<uint32_t>(JobCall::VT_WAIT_MS, wait_ms, 0);
+  }
+  explicit JobCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobCall> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobCall>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobCall> CreateJobCall(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint8_t verb = 0,
+    flatbuffers::Offset<flatbuffers::String> queue = 0,
+    flatbuffers::Offset<flatbuffers::String> workspace = 0,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    flatbuffers::Offset<flatbuffers::String> body = 0,
+    uint32_t wait_ms = 0) {
+  JobCallBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_wait_ms(wait_ms);
+  builder_.add_body(body);
+  builder_.add_job(job);
+  builder_.add_workspace(workspace);
+  builder_.add_queue(queue);
+  builder_.add_verb(verb);
+  return builder_.Finish();
+}
+
+struct JobCall::Traits {
+  using type = JobCall;
+  static auto constexpr Create = CreateJobCall;
+};
+
+inline flatbuffers::Offset<JobCall> CreateJobCallDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint8_t verb = 0,
+    const char *queue = nullptr,
+    const char *workspace = nullptr,
+    const char *job = nullptr,
+    const char *body = nullptr,
+    uint32_t wait_ms = 0) {
+  auto queue__ = queue ? _fbb.CreateString(queue) : 0;
+  auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  auto body__ = body ? _fbb.CreateString(body) : 0;
+  return filbertspar::fbs::CreateJobCall(
+      _fbb,
+      number,
+      verb,
+      queue__,
+      workspace__,
+      job__,
+      body__,
+      wait_ms);
+}
+
+struct JobReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_CODE = 6,
+    VT_STATE = 8,
+    VT_COUNT = 10,
+    VT_RETRY_AFTER_MS = 12
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint16_t code() const {
+    return GetField<uint16_t>(VT_CODE, 0);
+  }
+  uint8_t state() const {
+    return GetField<uint8_t>(VT_STATE, 0);
+  }
+  int64_t count() const {
+    return GetField<int64_t>(VT_COUNT, 0);
+  }
+  uint32_t retry_after_ms() const {
+    return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint16_t>(verifier, VT_CODE, 2) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           VerifyField<int64_t>(verifier, VT_COUNT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct JobReplyBuilder {
+  typedef JobReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(JobReply::VT_NUMBER, number, 0);
+  }
+  void add_code(uint16_t code) {
+    fbb_.AddElement<uint16_t>(JobReply::VT_CODE, code, 0);
+  }
+  void add_state(uint8_t state) {
+    fbb_.AddElement<uint8_t>(JobReply::VT_STATE, state, 0);
+  }
+  void add_count(int64_t count) {
+    fbb_.AddElement<int64_t>(JobReply::VT_COUNT, count, 0);
+  }
+  void add_retry_after_ms(uint32_t retry_after_ms) {
+    fbb_.AddElement<uint32_t>(JobReply::VT_RETRY_AFTER_MS, retry_after_ms, 0);
+  }
+  explicit JobReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobReply> CreateJobReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint16_t code = 0,
+    uint8_t state = 0,
+    int64_t count = 0,
+    uint32_t retry_after_ms = 0) {
+  JobReplyBuilder builder_(_fbb);
+  builder_.add_count(count);
+  builder_.add_number(number);
+  builder_.add_retry_after_ms(retry_after_ms);
+  builder_.add_code(code);
+  builder_.add_state(state);
+  return builder_.Finish();
+}
+
+struct JobReply::Traits {
+  using type = JobReply;
+  static auto constexpr Create = CreateJobReply;
+};
+
+struct LinkPing FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LinkPingBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_STORE_AGE_MS = 6
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint32_t store_age_ms() const {
+    return GetField<uint32_t>(VT_STORE_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint32_t>(verifier, VT_STORE_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct LinkPingBuilder {
+  typedef LinkPing Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(LinkPing::VT_NUMBER, number, 0);
+  }
+  void add_store_age_ms(uint32_t store_age_ms) {
+    fbb_.AddElement<uint32_t>(LinkPing::VT_STORE_AGE_MS, store_age_ms, 0);
+  }
+  explicit LinkPingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LinkPing> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LinkPing>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LinkPing> CreateLinkPing(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint32_t store_age_ms = 0) {
+  LinkPingBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_store_age_ms(store_age_ms);
+  return builder_.Finish();
+}
+
+struct LinkPing::Traits {
+  using type = LinkPing;
+  static auto constexpr Create = CreateLinkPing;
+};
+
+struct LinkPong FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LinkPongBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_CONFIRMED = 6
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool confirmed() const {
+    return GetField<uint8_t>(VT_CONFIRMED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_CONFIRMED, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct LinkPongBuilder {
+  typedef LinkPong Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(LinkPong::VT_NUMBER, number, 0);
+  }
+  void add_confirmed(bool confirmed) {
+    fbb_.AddElement<uint8_t>(LinkPong::VT_CONFIRMED, static_cast<uint8_t>(confirmed), 0);
+  }
+  explicit LinkPongBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LinkPong> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LinkPong>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LinkPong> CreateLinkPong(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    bool confirmed = false) {
+  LinkPongBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_confirmed(confirmed);
+  return builder_.Finish();
+}
+
+struct LinkPong::Traits {
+  using type = LinkPong;
+  static auto constexpr Create = CreateLinkPong;
+};
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   struct Traits;
@@ -1550,6 +1926,18 @@
   const filbertspar::fbs::GrantHint *message_as_GrantHint() const {
     return message_type() == filbertspar::fbs::Message::GrantHint ? static_cast<const filbertspar::fbs::GrantHint *>(message()) : nullptr;
   }
+  const filbertspar::fbs::JobCall *message_as_JobCall() const {
+    return message_type() == filbertspar::fbs::Message::JobCall ? static_cast<const filbertspar::fbs::JobCall *>(message()) : nullptr;
+  }
+  const filbertspar::fbs::JobReply *message_as_JobReply() const {
+    return message_type() == filbertspar::fbs::Message::JobReply ? static_cast<const filbertspar::fbs::JobReply *>(message()) : nullptr;
+  }
+  const filbertspar::fbs::LinkPing *message_as_LinkPing() const {
+    return message_type() == filbertspar::fbs::Message::LinkPing ? static_cast<const filbertspar::fbs::LinkPing *>(message()) : nullptr;
+  }
+  const filbertspar::fbs::LinkPong *message_as_LinkPong() const {
+    return message_type() == filbertspar::fbs::Message::LinkPong ? static_cast<const filbertspar::fbs::LinkPong *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SESSION, 8) &&
@@ -1601,6 +1989,22 @@
   return message_as_GrantHint();
 }
 
+template<> inline const filbertspar::fbs::JobCall *Envelope::message_as<filbertspar::fbs::JobCall>() const {
+  return message_as_JobCall();
+}
+
+template<> inline const filbertspar::fbs::JobReply *Envelope::message_as<filbertspar::fbs::JobReply>() const {
+  return message_as_JobReply();
+}
+
+template<> inline const filbertspar::fbs::LinkPing *Envelope::message_as<filbertspar::fbs::LinkPing>() const {
+  return message_as_LinkPing();
+}
+
+template<> inline const filbertspar::fbs::LinkPong *Envelope::message_as<filbertspar::fbs::LinkPong>() const {
+  return message_as_LinkPong();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1692,6 +2096,22 @@
       auto ptr = reinterpret_cast<const filbertspar::fbs::GrantHint *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::JobCall: {
+      auto ptr = reinterpret_cast<const filbertspar::fbs::JobCall *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::JobReply: {
+      auto ptr = reinterpret_cast<const filbertspar::fbs::JobReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::LinkPing: {
+      auto ptr = reinterpret_cast<const filbertspar::fbs::LinkPing *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::LinkPong: {
+      auto ptr = reinterpret_cast<const filbertspar::fbs::LinkPong *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
