--- a/filbertspar/node/src/duty.cc
+++ b/filbertspar/node/src/duty.cc
@@ -83,6 +83,11 @@
       parts.m_context, parts.m_client, parts.m_metrics, parts.m_log,
       m_scheduler,
       WorkerLinks::Hooks{[this] { return MayOrder(); }, [this] { Changed(); }});
+  m_vms = std::make_shared<VmKeeper>(
+      VmKeeper::Parts{parts.m_context, parts.m_options, parts.m_client,
+                      parts.m_store, parts.m_configuration, parts.m_metrics,
+                      parts.m_log, m_scheduler, *m_journal},
+      VmKeeper::Hooks{[this] { return MayOrder(); }, [this] { Changed(); }});
 }
 
 void Duty::Start() {
@@ -105,6 +110,7 @@
   m_running = false;
   m_journal->Stop();
   m_workers->Stop();
+  m_vms->Stop();
   m_dispatch_timer.cancel();
   m_ready_signal.Notify();
 }
@@ -221,6 +227,7 @@
 asio::awaitable<void> Duty::FollowWorkers() {
   RowVersion version;
   bool read = false;
+  bool started = false;
   while (m_running) {
     if (!read) {
       read = co_await ReadWorkers(version);
@@ -229,6 +236,10 @@
         continue;
       }
     }
+    if (!started) {
+      started = true;
+      m_vms->Start();
+    }
     const TableAnswer answer = co_await m_parts.m_store.Feed(
         adapter::kWorkerTable, version, kWorkerFeedWait);
     if (!m_running) {
--- a/filbertspar/node/src/duty.h
+++ b/filbertspar/node/src/duty.h
@@ -9,6 +9,7 @@
 #include "filbertspar/node/src/journal.h"
 #include "filbertspar/node/src/link_server.h"
 #include "filbertspar/node/src/options.h"
+#include "filbertspar/node/src/vm_keeper.h"
 #include "filbertspar/node/src/worker_links.h"
 
 namespace filbertspar {
@@ -73,6 +74,7 @@
   scheduler::Scheduler m_scheduler;
   std::shared_ptr<Journal> m_journal;
   std::shared_ptr<WorkerLinks> m_workers;
+  std::shared_ptr<VmKeeper> m_vms;
   /// Workers whose registration was removed, and since when.
   std::map<std::string, TimePoint> m_unlisted;
   Signal m_ready_signal;
--- a/filbertspar/node/src/journal.cc
+++ b/filbertspar/node/src/journal.cc
@@ -45,7 +45,7 @@
 
 bool Journal::HasWork() const {
   return !m_waiting.empty() || !m_scheduler.m_unstored.empty() ||
-         !m_removals.empty() || m_releasing;
+         !m_removals.empty() || !m_puts.empty() || m_releasing;
 }
 
 bool Journal::IsStuck(TimePoint now) const {
@@ -88,6 +88,12 @@
     m_removals.pop_front();
     ++entries;
   }
+  while (!m_puts.empty() && entries < kMaxEntries) {
+    change.m_values.push_back(
+        {m_puts.begin()->first, std::move(m_puts.begin()->second)});
+    m_puts.erase(m_puts.begin());
+    ++entries;
+  }
   m_record.m_released =
       m_releasing && m_waiting.empty() && m_scheduler.m_unstored.empty();
   change.m_values.push_back({OwnerRowKey(), EncodeOwner(m_record)});
@@ -244,6 +250,11 @@
   m_removals.insert(m_removals.end(), jobs.begin(), jobs.end());
 }
 
+void Journal::Put(const TableKey& key, std::string value) {
+  m_puts[key] = std::move(value);
+  m_wake.Notify();
+}
+
 asio::awaitable<void> Journal::Release() {
   /// Longest time for the last writes of an owner that stops.
   constexpr Duration kReleaseTime = Seconds(2);
--- a/filbertspar/node/src/journal.h
+++ b/filbertspar/node/src/journal.h
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -43,6 +44,9 @@
   /// \brief Removes the rows of jobs that are forgotten.
   void Remove(const std::vector<JobId>& jobs);
 
+  /// \brief Stores a row with the next write; a later value replaces it.
+  void Put(const TableKey& key, std::string value);
+
   /// \brief There may be something to write.
   void Kick() { m_wake.Notify(); }
 
@@ -90,6 +94,7 @@
   std::deque<std::shared_ptr<Accepting>> m_waiting;
   absl::flat_hash_map<JobId, std::shared_ptr<Accepting>> m_accepting;
   std::deque<JobId> m_removals;
+  std::map<TableKey, std::string> m_puts;
   TimePoint m_confirmed_at;
   TimePoint m_write_began = TimePoint::min();
   bool m_is_writing = false;
--- /dev/null
+++ b/filbertspar/node/src/vm_keeper.cc
@@ -0,0 +1,238 @@
+#include "filbertspar/node/src/vm_keeper.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "boost/asio/co_spawn.hpp"
+#include "boost/asio/detached.hpp"
+#include "filbertspar/node/src/clock.h"
+#include "filbertspar/node/src/metric_names.h"
+#include "platform/platform.h"
+
+namespace filbertspar {
+namespace {
+
+constexpr const char* kWaveTable = "filbertspar_waves";
+constexpr Duration kRoundPeriod = Milliseconds(250);
+constexpr Duration kListPeriod = Seconds(2);
+constexpr Duration kBusyListPeriod = Milliseconds(500);
+constexpr Duration kListTimeout = Seconds(1);
+constexpr Duration kOrderTimeout = Milliseconds(800);
+/// On top of the time in which two holders may not take turns.
+constexpr Duration kTurnMargin = Milliseconds(400);
+constexpr Duration kStatusTimeout = Seconds(1);
+
+}  // namespace
+
+VmKeeper::VmKeeper(const Parts& parts, Hooks hooks)
+    : m_parts(parts),
+      m_hooks(std::move(hooks)),
+      m_orders_from(BootNow() + parts.m_options.m_holder_ttl + kTurnMargin) {}
+
+void VmKeeper::Start() {
+  if (!m_parts.m_options.m_fleet) {
+    m_parts.m_scheduler.m_roster.emplace();
+    TakeRoster();
+    return;
+  }
+  asio::co_spawn(m_parts.m_context, Run(), asio::detached);
+}
+
+bool VmKeeper::MayOrderVms() const {
+  return BootNow() >= m_orders_from && m_hooks.m_may_order();
+}
+
+asio::awaitable<void> VmKeeper::Run() {
+  const auto self = shared_from_this();
+  while (m_running && !co_await ReadDone()) {
+    co_await Pause(kRoundPeriod);
+  }
+  TimePoint next_list{};
+  while (m_running) {
+    upkeep::TakeWaves(m_state, BootNow(), m_parts.m_configuration.Waves());
+    const bool busy = std::any_of(
+        m_state.m_waves.begin(), m_state.m_waves.end(),
+        [](const auto& entry) { return !entry.second.m_is_completed; });
+    if (BootNow() >= next_list) {
+      const bool read = co_await ReadList();
+      next_list = BootNow() + (busy || !read ? kBusyListPeriod : kListPeriod);
+    }
+    if (!m_running) {
+      co_return;
+    }
+    if (!m_state.m_vms.empty()) {
+      ApplyPlan(
+          upkeep::MakePlan(m_state, BootNow(),
+                           [this](const VmRecord& vm) { return FactsOf(vm); }));
+    }
+    co_await ShowStatus();
+    co_await Pause(kRoundPeriod);
+  }
+}
+
+asio::awaitable<bool> VmKeeper::ReadDone() {
+  const TableAnswer rows =
+      co_await m_parts.m_store.ReadAll(kWaveTable, job_table::kPart);
+  if (rows.m_result != StoreResult::kDone || !m_running) {
+    co_return false;
+  }
+  upkeep::TakeWaves(m_state, BootNow(), m_parts.m_configuration.Waves());
+  for (const TableRow& row : rows.m_rows) {
+    const absl::StatusOr<std::vector<VmName>> done =
+        upkeep::DecodeDone(row.m_value);
+    std::uint64_t wave = 0;
+    if (done.ok() && absl::SimpleAtoi(row.m_key.m_key, &wave)) {
+      upkeep::TakeDone(m_state, wave, *done);
+    }
+  }
+  co_return true;
+}
+
+asio::awaitable<bool> VmKeeper::ReadList() {
+  std::vector<VmRecord> vms;
+  std::string page;
+  std::size_t damaged = 0;
+  const TimePoint asked = BootNow();
+  do {
+    const CallResult result = co_await m_parts.m_client.Call(
+        *m_parts.m_options.m_fleet, adapter::VmListCall(page), kListTimeout);
+    std::optional<adapter::VmPage> read =
+        adapter::DecodeVmPage(result, damaged);
+    Count(m_parts.m_metrics, metric::kVmOrders,
+          read ? "list_accepted" : "list_unknown");
+    if (!read || !m_running) {
+      co_return false;
+    }
+    vms.insert(vms.end(), read->m_vms.begin(), read->m_vms.end());
+    page = read->m_next;
+  } while (!page.empty());
+  if (damaged > 0) {
+    m_parts.m_log.Warn("vm", "list_damaged", absl::StrCat("rows=", damaged));
+  }
+  upkeep::TakeList(m_state, asked, BootNow(), vms);
+  TakeRoster();
+  co_return true;
+}
+
+void VmKeeper::TakeRoster() {
+  scheduler::Scheduler& scheduler = m_parts.m_scheduler;
+  if (scheduler.m_settled) {
+    return;
+  }
+  std::set<WorkerName> roster;
+  for (const auto& worker : scheduler.m_workers) {
+    if (worker.m_registered) {
+      roster.insert(worker.m_record.m_name);
+    }
+  }
+  for (const auto& [name, vm] : m_state.m_vms) {
+    if (vm.m_state == VmState::kUp && !vm.m_worker.Empty()) {
+      roster.insert(vm.m_worker);
+    }
+  }
+  scheduler.m_roster.emplace(roster.begin(), roster.end());
+}
+
+upkeep::VmFacts VmKeeper::FactsOf(const VmRecord& vm) const {
+  upkeep::VmFacts facts;
+  const scheduler::Scheduler& scheduler = m_parts.m_scheduler;
+  const auto found = scheduler.m_worker_index.find(vm.m_worker);
+  if (found == scheduler.m_worker_index.end()) {
+    return facts;
+  }
+  const scheduler::Worker& worker = scheduler.m_workers[found->second];
+  facts.m_tasks = worker.m_tasks.size();
+  facts.m_long_running = static_cast<std::size_t>(
+      std::count_if(worker.m_tasks.begin(), worker.m_tasks.end(),
+                    [](const auto& ref) { return ref.Spec().m_long_running; }));
+  const auto capacity = worker.m_record.m_capacity.m_cpu.Count();
+  facts.m_used_share = capacity == 0
+                           ? 0
+                           : static_cast<double>(worker.m_used.m_cpu.Count()) /
+                                 static_cast<double>(capacity);
+  facts.m_is_usable = scheduler::IsUsable(scheduler, worker, BootNow());
+  return facts;
+}
+
+void VmKeeper::ApplyPlan(const upkeep::Plan& plan) {
+  std::set<WorkerName> emptied;
+  std::set<WorkerName> due;
+  const auto worker_of = [this](const VmName& vm) {
+    const auto found = m_state.m_vms.find(vm);
+    return found == m_state.m_vms.end() ? WorkerName() : found->second.m_worker;
+  };
+  for (const VmName& vm : plan.m_emptied) {
+    emptied.insert(worker_of(vm));
+  }
+  for (const VmName& vm : plan.m_due) {
+    due.insert(worker_of(vm));
+  }
+  bool changed = false;
+  for (scheduler::Worker& worker : m_parts.m_scheduler.m_workers) {
+    const bool cordoned = emptied.contains(worker.m_record.m_name);
+    changed = changed || worker.m_cordoned != cordoned;
+    worker.m_cordoned = cordoned;
+    worker.m_upkeep_due = cordoned || due.contains(worker.m_record.m_name);
+  }
+  for (const upkeep::Plan::Order& order : plan.m_orders) {
+    asio::co_spawn(m_parts.m_context, OrderUpkeep(order), asio::detached);
+  }
+  if (changed) {
+    m_hooks.m_changed();
+  }
+}
+
+asio::awaitable<void> VmKeeper::OrderUpkeep(upkeep::Plan::Order order) {
+  const auto self = shared_from_this();
+  VmOrderResult result = VmOrderResult::kTryLater;
+  if (MayOrderVms()) {
+    const adapter::VmDuty duty{m_parts.m_options.m_vm.Value(),
+                               m_parts.m_scheduler.m_options.m_fencing};
+    result = adapter::DecodeVmOrder(co_await m_parts.m_client.Call(
+        *m_parts.m_options.m_fleet,
+        adapter::UpkeepCall(order.m_vm, order.m_wave, duty), kOrderTimeout));
+    m_parts.m_log.Info(
+        "vm", "upkeep_ordered",
+        absl::StrCat("vm=", order.m_vm.Value(), " wave=", order.m_wave,
+                     " result=", static_cast<int>(result)));
+  }
+  if (!m_running) {
+    co_return;
+  }
+  upkeep::OrderAnswered(m_state, BootNow(), order.m_wave, order.m_vm, result);
+  if (result == VmOrderResult::kAccepted) {
+    const upkeep::Wave& wave = m_state.m_waves[order.m_wave];
+    m_parts.m_journal.Put(
+        {kWaveTable, job_table::kPart, absl::StrCat(order.m_wave)},
+        upkeep::EncodeDone(wave));
+  }
+}
+
+asio::awaitable<void> VmKeeper::ShowStatus() {
+  for (auto& [number, wave] : m_state.m_waves) {
+    const bool complete = upkeep::IsComplete(m_state, wave, BootNow());
+    if (wave.m_is_shown_completed || !m_hooks.m_may_order() ||
+        (!complete && wave.m_is_shown_running)) {
+      continue;
+    }
+    TableChange change;
+    change.m_values.push_back(
+        {{std::string(adapter::kStatusTable), "",
+          absl::StrCat(std::string(adapter::kWavePrefix), number)},
+         adapter::EncodeWaveStatus(complete)});
+    const TableAnswer answer =
+        co_await m_parts.m_store.Change(change, kStatusTimeout);
+    if (answer.m_result == StoreResult::kDone) {
+      wave.m_is_shown_running = true;
+      wave.m_is_shown_completed = complete;
+      wave.m_is_completed = complete;
+      m_parts.m_log.Info("vm", complete ? "wave_completed" : "wave_running",
+                         absl::StrCat("wave=", number));
+    }
+  }
+}
+
+}  // namespace filbertspar
--- /dev/null
+++ b/filbertspar/node/src/vm_keeper.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "filbertspar/node/src/configuration.h"
+#include "filbertspar/node/src/journal.h"
+#include "filbertspar/node/src/options.h"
+#include "filbertspar/upkeep/upkeep.h"
+
+namespace filbertspar {
+
+/// \brief The owner's dealings with VMs: reads their list, has their upkeep
+/// done within the operators' waves.
+class VmKeeper : public std::enable_shared_from_this<VmKeeper> {
+ public:
+  struct Parts {
+    asio::io_context& m_context;
+    const NodeOptions& m_options;
+    HttpClient& m_client;
+    StoreClient& m_store;
+    Configuration& m_configuration;
+    MetricsBook& m_metrics;
+    EventLog& m_log;
+    scheduler::Scheduler& m_scheduler;
+    Journal& m_journal;
+  };
+  struct Hooks {
+    std::function<bool()> m_may_order;
+    std::function<void()> m_changed;
+  };
+
+  VmKeeper(const Parts& parts, Hooks hooks);
+  void Start();
+  void Stop() { m_running = false; }
+
+ private:
+  asio::awaitable<void> Run();
+  asio::awaitable<bool> ReadDone();
+  asio::awaitable<bool> ReadList();
+  asio::awaitable<void> OrderUpkeep(upkeep::Plan::Order order);
+  asio::awaitable<void> ShowStatus();
+  upkeep::VmFacts FactsOf(const VmRecord& vm) const;
+  void TakeRoster();
+  void ApplyPlan(const upkeep::Plan& plan);
+  bool MayOrderVms() const;
+
+  Parts m_parts;
+  Hooks m_hooks;
+  upkeep::State m_state;
+  /// Earlier holders' orders have had their effect by then.
+  TimePoint m_orders_from;
+  bool m_running = true;
+};
+
+}  // namespace filbertspar
--- a/filbertspar/node/src/worker_links.cc
+++ b/filbertspar/node/src/worker_links.cc
@@ -162,6 +162,7 @@
     m_hooks.m_changed();
     co_return true;
   }
+  scheduler::LookFailed(m_scheduler, index);
   const OrderResult refusal = adapter::DecodeOrderAnswer(result).m_result;
   Count(m_metrics, metric::kOrders,
         absl::StrCat("look_", std::string(OrderResultName(refusal))));
--- a/filbertspar/scheduler/src/dispatch.cc
+++ b/filbertspar/scheduler/src/dispatch.cc
@@ -139,6 +139,7 @@
   task.m_since = now;
   task.m_answered_at = TimePoint::max();
   task.m_pace = 100;
+  task.m_percent = 0;
   task.m_load = -1;
   task.m_start_deadline_ms = TakeStartDeadline(scheduler, now, index);
   StartOrder order;
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -5,6 +5,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -119,6 +120,8 @@
   /// Whether it answered a look of this owner.
   bool m_looked = false;
   TimePoint m_drains_until = TimePoint::max();
+  /// Whether the last look got no answer.
+  bool m_is_silent = false;
   /// Last answered look.
   TimePoint m_seen_at = TimePoint::min();
   /// When the newest answered look was sent.
@@ -235,6 +238,8 @@
   std::uint64_t m_writing_change = 0;
   /// Unix time minus scheduler time.
   Duration m_unix_offset{0};
+  /// Workers that may hold inherited runs; nothing until all are known.
+  std::optional<std::vector<WorkerName>> m_roster;
   /// Whether all inherited runs are accounted for.
   bool m_settled = false;
   Effects m_effects;
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -281,6 +281,7 @@
   worker.m_look_sent = sent;
   ReadClock(worker, now, look.m_clock_ms);
   worker.m_seen_at = now;
+  worker.m_is_silent = false;
   worker.m_looked = true;
   if (worker.m_unwanted.size() > look.m_running.size() + 64) {
     worker.m_unwanted.clear();
@@ -292,6 +293,10 @@
   LoseUnlisted(scheduler, sent, now, index, look);
 }
 
+void LookFailed(Scheduler& scheduler, WorkerIndex index) {
+  scheduler.m_workers[index].m_is_silent = true;
+}
+
 void InstanceGone(Scheduler& scheduler, TimePoint now, WorkerIndex index) {
   Worker& worker = scheduler.m_workers[index];
   worker.m_registered = false;
@@ -374,8 +379,13 @@
     return;
   }
   const bool all_looked =
-      std::all_of(scheduler.m_workers.begin(), scheduler.m_workers.end(),
-                  [](const Worker& worker) { return worker.m_looked; });
+      scheduler.m_roster &&
+      std::all_of(scheduler.m_roster->begin(), scheduler.m_roster->end(),
+                  [&scheduler](const WorkerName& name) {
+                    const auto found = scheduler.m_worker_index.find(name);
+                    return found != scheduler.m_worker_index.end() &&
+                           scheduler.m_workers[found->second].m_looked;
+                  });
   if (all_looked || now > scheduler.m_options.m_inherited_until) {
     scheduler.m_settled = true;
     AddNote(scheduler, "settled", {}, kNoWorker,
@@ -386,7 +396,7 @@
 std::optional<std::int64_t> TakeLease(Scheduler& scheduler, TimePoint now,
                                       WorkerIndex index) {
   Worker& worker = scheduler.m_workers[index];
-  if (!worker.m_looked) {
+  if (!worker.m_looked || worker.m_is_silent) {
     return std::nullopt;
   }
   const std::int64_t deadline =
@@ -413,7 +423,8 @@
 }
 
 bool IsResponsive(const Worker& worker, TimePoint now) {
-  return worker.m_looked && now - worker.m_seen_at < kSilence;
+  return worker.m_looked && !worker.m_is_silent &&
+         now - worker.m_seen_at < kSilence;
 }
 
 bool IsUsable(const Scheduler& scheduler, const Worker& worker, TimePoint now) {
--- a/filbertspar/scheduler/src/workers.h
+++ b/filbertspar/scheduler/src/workers.h
@@ -16,6 +16,10 @@
 void LookAnswered(Scheduler& scheduler, TimePoint sent, TimePoint now,
                   WorkerIndex index, const WorkerLook& look);
 
+/// \brief A look got no answer. Further looks renew no lease until one is
+/// answered, so that the tasks there are given up when it has run out.
+void LookFailed(Scheduler& scheduler, WorkerIndex index);
+
 /// \brief The worker's address answers for another worker: this incarnation
 /// has ended and nothing of it runs.
 void InstanceGone(Scheduler& scheduler, TimePoint now, WorkerIndex index);
@@ -34,7 +38,8 @@
 void AcknowledgeStoredEnds(Scheduler& scheduler);
 
 /// \brief Gives up the tasks of workers whose lease has run out for certain,
-/// and settles what an earlier owner left.
+/// and settles what an earlier owner left: once every worker of the roster
+/// answered, a run that none lists does not exist.
 void ExpireLeases(Scheduler& scheduler, TimePoint now);
 
 /// \brief Lease to ask for on the worker's clock at `now`; nothing before its
--- /dev/null
+++ b/filbertspar/upkeep/src/state.cc
@@ -0,0 +1,29 @@
+#include "filbertspar/upkeep/src/state.h"
+
+#include "filbertspar/json/json.h"
+
+namespace filbertspar::upkeep {
+
+std::string EncodeDone(const Wave& wave) {
+  JsonArray done;
+  for (const auto& [vm, item] : wave.m_items) {
+    if (item.m_phase == Phase::kDown || item.m_phase == Phase::kDone) {
+      done.emplace_back(vm.Value());
+    }
+  }
+  return ToText(JsonObject{{"done", std::move(done)}});
+}
+
+absl::StatusOr<std::vector<VmName>> DecodeDone(std::string_view text) {
+  absl::StatusOr<JsonObject> object = ParseJsonObject(text);
+  if (!object.ok()) {
+    return object.status();
+  }
+  FieldReader reader(*object, "wave");
+  std::vector<std::string> names;
+  reader.Read("done", names);
+  FS_RETURN_IF_ERROR(reader.Finish());
+  return std::vector<VmName>(names.begin(), names.end());
+}
+
+}  // namespace filbertspar::upkeep
--- /dev/null
+++ b/filbertspar/upkeep/src/state.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "filbertspar/fleetview/fleetview.h"
+
+namespace filbertspar::upkeep {
+
+enum class Phase : std::uint8_t {
+  /// Due; nothing done yet.
+  kDue,
+  /// Gets no new task; running ones end or move.
+  kEmptying,
+  /// Ordered; the answer has not come or was lost.
+  kOrdered,
+  /// Down for its upkeep.
+  kDown,
+  kDone,
+};
+
+/// \brief One VM in one wave.
+struct Item {
+  Phase m_phase = Phase::kDue;
+  TimePoint m_since{};
+  /// An order about it is under way.
+  bool m_is_asking = false;
+};
+
+struct Wave {
+  UpkeepWave m_asked;
+  TimePoint m_began{};
+  std::map<VmName, Item> m_items;
+  bool m_is_completed = false;
+  /// Status last stored for operators.
+  bool m_is_shown_running = false;
+  bool m_is_shown_completed = false;
+};
+
+/// \brief What the planner knows of one VM besides its record.
+struct VmFacts {
+  /// Tasks that hold room on its worker.
+  std::size_t m_tasks = 0;
+  std::size_t m_long_running = 0;
+  double m_used_share = 0;
+  bool m_is_usable = false;
+};
+
+struct State {
+  std::map<std::uint64_t, Wave> m_waves;
+  std::map<VmName, VmRecord> m_vms;
+  /// When the list that holds the records was asked for.
+  TimePoint m_listed_at = TimePoint::min();
+  /// Missing from the list since then.
+  std::map<VmName, TimePoint> m_missing;
+};
+
+/// \brief Text of a wave's VMs that are done, for its row.
+std::string EncodeDone(const Wave& wave);
+absl::StatusOr<std::vector<VmName>> DecodeDone(std::string_view text);
+
+}  // namespace filbertspar::upkeep
