Count failed runs one by one; new owners wait for earlier stops

Ruled out: unstored ends, silent workers. Change: failed runs are kept as a list; guarded tasks are not stopped before earlier stops must have ended. Tests of take-over in virtual time.

--- a/filbertspar/job/src/progress.h
+++ b/filbertspar/job/src/progress.h
@@ -27,9 +27,8 @@
 /// \brief What a successor must know of a task that is not done.
 struct TaskProgress {
   std::uint32_t m_index = 0;
-  std::uint32_t m_failures = 0;
-  /// Last run whose failure was counted; a repeated report of it is not.
-  std::uint64_t m_failed_run = 0;
+  /// Runs whose failure was counted; a repeated report of one is not.
+  std::vector<std::uint64_t> m_failed_runs;
   std::string m_checkpoint;
 
   friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
--- a/filbertspar/job/src/rows.cc
+++ b/filbertspar/job/src/rows.cc
@@ -81,8 +81,14 @@
   }
   if (row.tasks() != nullptr) {
     for (const auto* task : *row.tasks()) {
-      step.m_tasks.push_back({task->index(), task->failures(),
-                              task->failed_run(), Text(task->checkpoint())});
+      TaskProgress known;
+      known.m_index = task->index();
+      if (task->failed_runs() != nullptr) {
+        known.m_failed_runs.assign(task->failed_runs()->begin(),
+                                   task->failed_runs()->end());
+      }
+      known.m_checkpoint = Text(task->checkpoint());
+      step.m_tasks.push_back(std::move(known));
     }
   }
   return step;
@@ -93,8 +99,9 @@
   std::vector<Offset<fbs::TaskProgressRow>> tasks;
   for (const TaskProgress& task : step.m_tasks) {
     const auto checkpoint = builder.CreateString(task.m_checkpoint);
-    tasks.push_back(fbs::CreateTaskProgressRow(
-        builder, task.m_index, task.m_failures, task.m_failed_run, checkpoint));
+    const auto failed_runs = builder.CreateVector(task.m_failed_runs);
+    tasks.push_back(fbs::CreateTaskProgressRow(builder, task.m_index,
+                                               failed_runs, checkpoint));
   }
   const auto done = builder.CreateVector(
       reinterpret_cast<const std::uint8_t*>(step.m_done.data()),
--- a/filbertspar/job/src/rows_generated.h
+++ b/filbertspar/job/src/rows_generated.h
@@ -542,18 +542,14 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_INDEX = 4,
-    VT_FAILURES = 6,
-    VT_FAILED_RUN = 8,
-    VT_CHECKPOINT = 10
+    VT_FAILED_RUNS = 6,
+    VT_CHECKPOINT = 8
   };
   uint32_t index() const {
     return GetField<uint32_t>(VT_INDEX, 0);
   }
-  uint32_t failures() const {
-    return GetField<uint32_t>(VT_FAILURES, 0);
-  }
-  uint64_t failed_run() const {
-    return GetField<uint64_t>(VT_FAILED_RUN, 0);
+  const flatbuffers::Vector<uint64_t> *failed_runs() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_FAILED_RUNS);
   }
   const flatbuffers::String *checkpoint() const {
     return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
@@ -561,8 +557,8 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
-           VerifyField<uint32_t>(verifier, VT_FAILURES, 4) &&
-           VerifyField<uint64_t>(verifier, VT_FAILED_RUN, 8) &&
+           VerifyOffset(verifier, VT_FAILED_RUNS) &&
+           verifier.VerifyVector(failed_runs()) &&
            VerifyOffset(verifier, VT_CHECKPOINT) &&
            verifier.VerifyString(checkpoint()) &&
            verifier.EndTable();
@@ -576,11 +572,8 @@
   void add_index(uint32_t index) {
     fbb_.AddElement<uint32_t>(TaskProgressRow::VT_INDEX, index, 0);
   }
-  void add_failures(uint32_t failures) {
-    fbb_.AddElement<uint32_t>(TaskProgressRow::VT_FAILURES, failures, 0);
-  }
-  void add_failed_run(uint64_t failed_run) {
-    fbb_.AddElement<uint64_t>(TaskProgressRow::VT_FAILED_RUN, failed_run, 0);
+  void add_failed_runs(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> failed_runs) {
+    fbb_.AddOffset(TaskProgressRow::VT_FAILED_RUNS, failed_runs);
   }
   void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
     fbb_.AddOffset(TaskProgressRow::VT_CHECKPOINT, checkpoint);
@@ -599,13 +592,11 @@
 inline flatbuffers::Offset<TaskProgressRow> CreateTaskProgressRow(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t index = 0,
-    uint32_t failures = 0,
-    uint64_t failed_run = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> failed_runs = 0,
     flatbuffers::Offset<flatbuffers::String> checkpoint = 0) {
   TaskProgressRowBuilder builder_(_fbb);
-  builder_.add_failed_run(failed_run);
   builder_.add_checkpoint(checkpoint);
-  builder_.add_failures(failures);
+  builder_.add_failed_runs(failed_runs);
   builder_.add_index(index);
   return builder_.Finish();
 }
@@ -618,15 +609,14 @@
 inline flatbuffers::Offset<TaskProgressRow> CreateTaskProgressRowDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t index = 0,
-    uint32_t failures = 0,
-    uint64_t failed_run = 0,
+    const std::vector<uint64_t> *failed_runs = nullptr,
     const char *checkpoint = nullptr) {
+  auto failed_runs__ = failed_runs ? _fbb.CreateVector<uint64_t>(*failed_runs) : 0;
   auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
   return filbertspar::fbs::CreateTaskProgressRow(
       _fbb,
       index,
-      failures,
-      failed_run,
+      failed_runs__,
       checkpoint__);
 }
 
--- a/filbertspar/node/src/duty.cc
+++ b/filbertspar/node/src/duty.cc
@@ -22,6 +22,9 @@
 constexpr Duration kOrderBound = Seconds(2);
 /// Clock error and late delivery on top of the last lease of an earlier owner.
 constexpr Duration kInheritMargin = Milliseconds(500);
+/// On top of the time of a stop: until the workers were looked at first, which
+/// shuts out further orders of an earlier owner.
+constexpr Duration kEarlierStops = Seconds(1);
 constexpr Duration kConfirmedBound = Seconds(1);
 constexpr Duration kTickPeriod = Milliseconds(100);
 /// Events that come together are followed by one round of starts.
@@ -61,6 +64,8 @@
   options.m_state_kept = parts.m_options.m_state_kept;
   options.m_inherited_until =
       BootNow() + kOrderBound + options.m_lease * 21 / 20 + kInheritMargin;
+  options.m_takes_away_from =
+      BootNow() + parts.m_options.m_stop_time + kEarlierStops;
   m_scheduler.m_unix_offset = UnixNow() - BootNow().time_since_epoch();
   m_scheduler.m_deployment = parts.m_configuration.Current();
   m_log_epoch = absl::StrCat("epoch=", won.m_record.m_epoch.Value());
--- a/filbertspar/scheduler/src/evacuate.cc
+++ b/filbertspar/scheduler/src/evacuate.cc
@@ -72,7 +72,9 @@
           ChooseWorker(scheduler, now, RoomsOf(scheduler, now, pool), ref) !=
           kNoWorker;
       const bool guarded = !worker.m_record.m_draining;
-      if (has_place && (!guarded || MayTakeAway(ref))) {
+      if (has_place &&
+          (!guarded || (now >= scheduler.m_options.m_takes_away_from &&
+                        MayTakeAway(ref)))) {
         StopTask(scheduler, now, ref,
                  guarded ? "worker_emptied" : "worker_leaves");
       }
--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -197,24 +197,18 @@
   }
 }
 
-void EndedFailed(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
-                 const ListedEnd& end, WorkerIndex worker) {
-  Task& task = ref.GetTask();
-  const StepSpec& spec = ref.Spec();
-  task.m_failed_on = worker;
-  SetWaiting(scheduler, now, ref);
-  if (spec.m_long_running) {
-    return;
-  }
-  // A gang fails once a run, whichever member says so.
-  Task& counted = spec.m_gang ? ref.GetStep().m_tasks[0] : task;
-  if (end.m_run.Value() <= counted.m_failed_run) {
+/// Counts a failed run once, whatever the order in which ends are read; a gang
+/// fails once a run, whichever member says so.
+void CountFailure(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
+                  std::uint64_t run) {
+  Task& counted = ref.Spec().m_gang ? ref.GetStep().m_tasks[0] : ref.GetTask();
+  auto& runs = counted.m_failed_runs;
+  if (std::find(runs.begin(), runs.end(), run) != runs.end()) {
     return;
   }
-  counted.m_failed_run = end.m_run.Value();
-  ++counted.m_failures;
+  runs.push_back(run);
   MarkChanged(scheduler, *ref.m_job);
-  if (counted.m_failures >= ref.m_job->m_spec->m_policy.m_attempts) {
+  if (runs.size() >= ref.m_job->m_spec->m_policy.m_attempts) {
     Finish(scheduler, now, *ref.m_job, JobState::kFailed);
   }
 }
@@ -259,8 +253,7 @@
       for (const TaskProgress& known : stored.m_steps[s].m_tasks) {
         if (known.m_index < step.m_tasks.size()) {
           Task& task = step.m_tasks[known.m_index];
-          task.m_failures = known.m_failures;
-          task.m_failed_run = known.m_failed_run;
+          task.m_failed_runs = known.m_failed_runs;
           task.m_checkpoint = known.m_checkpoint;
           if (job.m_spec->m_steps[s].m_gang) {
             step.m_gang_checkpoint = known.m_checkpoint;
@@ -352,9 +345,8 @@
           listed.m_done[t / 8] = static_cast<char>(
               static_cast<unsigned char>(listed.m_done[t / 8]) |
               (1U << (t % 8)));
-        } else if (task.m_failures > 0 || !task.m_checkpoint.empty()) {
-          listed.m_tasks.push_back(
-              {t, task.m_failures, task.m_failed_run, task.m_checkpoint});
+        } else if (!task.m_failed_runs.empty() || !task.m_checkpoint.empty()) {
+          listed.m_tasks.push_back({t, task.m_failed_runs, task.m_checkpoint});
         }
       }
       stored.m_steps.push_back(std::move(listed));
@@ -427,46 +419,47 @@
 void TaskEnded(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
                const ListedEnd& end, WorkerIndex worker) {
   Task& task = ref.GetTask();
-  const bool is_last_run = end.m_run.Value() >= task.m_run;
-  const TimePoint began = task.m_since;
-  if (task.m_phase == TaskPhase::kDone ||
-      (task.m_worker != worker && end.m_kind != EndKind::kDone &&
-       end.m_kind != EndKind::kFailed)) {
+  if (task.m_phase == TaskPhase::kDone) {
     return;
   }
+  const bool is_last_run = end.m_run.Value() >= task.m_run;
+  const bool is_here = task.m_worker == worker;
   if (IsFinal(ref.m_job->m_state)) {
-    if (task.m_worker == worker && is_last_run) {
+    if (is_here && is_last_run) {
       SetWaiting(scheduler, now, ref);
     }
     return;
   }
-  task.m_run = std::max(task.m_run, end.m_run.Value());
-  if (end.m_kind == EndKind::kDone && !ref.Spec().m_long_running) {
-    if (task.m_worker != kNoWorker && task.m_worker != worker) {
+  const bool long_running = ref.Spec().m_long_running;
+  if (end.m_kind == EndKind::kDone && !long_running) {
+    task.m_run = std::max(task.m_run, end.m_run.Value());
+    if (task.m_worker != kNoWorker && !is_here) {
       StopTask(scheduler, now, ref, "done_elsewhere");
     }
     EndedDone(scheduler, now, ref);
     return;
   }
-  if (!is_last_run || (task.m_worker != worker && task.m_worker != kNoWorker)) {
-    // A run that was given up before; only its failure still counts.
-    return;
-  }
-  if (!end.m_checkpoint.empty() && end.m_checkpoint != task.m_checkpoint) {
-    task.m_checkpoint = end.m_checkpoint;
-    if (ref.Spec().m_gang) {
-      ref.GetStep().m_gang_checkpoint = end.m_checkpoint;
+  if (is_last_run && (is_here || task.m_worker == kNoWorker)) {
+    const TimePoint began = task.m_since;
+    task.m_run = end.m_run.Value();
+    if (!end.m_checkpoint.empty() && end.m_checkpoint != task.m_checkpoint) {
+      task.m_checkpoint = end.m_checkpoint;
+      if (ref.Spec().m_gang) {
+        ref.GetStep().m_gang_checkpoint = end.m_checkpoint;
+      }
+      MarkChanged(scheduler, *ref.m_job);
+    }
+    if (long_running) {
+      PauseAfterEarlyEnd(now, task, began);
+    }
+    if (end.m_kind == EndKind::kFailed) {
+      task.m_failed_on = worker;
     }
-    MarkChanged(scheduler, *ref.m_job);
-  }
-  if (ref.Spec().m_long_running) {
-    PauseAfterEarlyEnd(now, task, began);
-  }
-  if (end.m_kind == EndKind::kFailed) {
-    EndedFailed(scheduler, now, ref, end, worker);
-  } else {
     SetWaiting(scheduler, now, ref);
   }
+  if (end.m_kind == EndKind::kFailed && !long_running) {
+    CountFailure(scheduler, now, ref, end.m_run.Value());
+  }
 }
 
 void TaskLost(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -37,8 +37,8 @@
   WorkerIndex m_worker = kNoWorker;
   /// Number of its last start.
   std::uint64_t m_run = 0;
-  std::uint32_t m_failures = 0;
-  std::uint64_t m_failed_run = 0;
+  /// Runs that ended as failed.
+  std::vector<std::uint64_t> m_failed_runs;
   /// Where its last run failed; it is started elsewhere if it can be.
   WorkerIndex m_failed_on = kNoWorker;
   std::string m_checkpoint;
@@ -193,6 +193,9 @@
   /// Until when runs ordered by an earlier owner may go on at workers that do
   /// not answer.
   TimePoint m_inherited_until = TimePoint::min();
+  /// From when guarded tasks may be stopped: what an earlier owner ordered to
+  /// stop has ended by then.
+  TimePoint m_takes_away_from = TimePoint::min();
 };
 
 /// \brief Learned of a queue's tasks.
--- /dev/null
+++ b/tests/scheduler_world.h
@@ -0,0 +1,334 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "filbertspar/scheduler/scheduler.h"
+
+namespace filbertspar::scheduler {
+
+/// \brief A worker that carries out orders at once, in virtual time.
+struct FakeWorker {
+  struct Run {
+    std::uint64_t m_run = 0;
+    TimePoint m_ends_at{};
+    EndKind m_kind = EndKind::kDone;
+    std::string m_checkpoint;
+    std::int64_t m_percent = 100;
+    std::int64_t m_load = -1;
+  };
+  WorkerRecord m_record;
+  std::int64_t m_incarnation = 1;
+  TimePoint m_booted{};
+  std::map<TaskId, Run> m_running;
+  std::vector<ListedEnd> m_ends;
+  std::uint64_t m_next_end = 1;
+  FencingNumber m_fencing;
+  TimePoint m_lease_until{};
+  /// Answers nothing, but runs on.
+  bool m_is_cut = false;
+  /// Carries out starts and answers them with nothing.
+  bool m_loses_answers = false;
+  /// Fails all that it starts.
+  bool m_fails_all = false;
+};
+
+/// \brief One owner, its workers and its stored rows, in virtual time.
+class World {
+ public:
+  World() {
+    auto deployment = std::make_shared<Deployment>();
+    deployment->m_version = ConfigVersion(1);
+    m_deployment = deployment;
+    m_owner = std::make_unique<Scheduler>();
+    m_owner->m_options.m_fencing = FencingNumber(1);
+    m_owner->m_deployment = m_deployment;
+    m_owner->m_roster.emplace();
+  }
+
+  /// Changes the configuration in force.
+  template <typename Change>
+  void Configure(Change change) {
+    auto next = std::make_shared<Deployment>(*m_deployment);
+    change(*next);
+    BuildIndex(*next);
+    m_deployment = next;
+    m_owner->m_deployment = m_deployment;
+  }
+
+  FakeWorker& AddWorker(const std::string& name, const std::string& pool,
+                        std::int64_t cores, const std::string& rack = "r1") {
+    Configure([&pool](Deployment& deployment) {
+      PoolConfig config;
+      config.m_name = PoolName(pool);
+      deployment.m_pools[config.m_name] = config;
+    });
+    auto worker = std::make_unique<FakeWorker>();
+    worker->m_record.m_name = WorkerName(name);
+    worker->m_record.m_pool = PoolName(pool);
+    worker->m_record.m_rack = RackName(rack);
+    worker->m_record.m_labels = {LabelName("a"), LabelName(rack)};
+    worker->m_record.m_capacity = {Millicores(cores * 1000), Megabytes(32768),
+                                   Accelerators(0)};
+    worker->m_booted = m_now;
+    m_workers.push_back(std::move(worker));
+    WorkerListed(*m_owner, m_now, m_workers.back()->m_record);
+    return *m_workers.back();
+  }
+
+  static JobSpec MakeJob(const std::string& id, const std::string& pool,
+                         std::uint32_t tasks, Duration estimate,
+                         std::int64_t millicores = 1000) {
+    JobSpec job;
+    job.m_id = JobId(id);
+    job.m_queue = QueueName("q-" + pool);
+    job.m_policy.m_pool = PoolName(pool);
+    job.m_policy.m_attempts = 2;
+    job.m_policy.m_stretch = 2;
+    job.m_policy.m_target = Milliseconds(600);
+    StepSpec step;
+    step.m_count = tasks;
+    step.m_estimate = estimate;
+    step.m_demand = {Millicores(millicores), Megabytes(100), Accelerators(0)};
+    job.m_steps.push_back(step);
+    return job;
+  }
+
+  /// Admits, stores and takes in a job; false when it was refused.
+  bool Submit(const JobSpec& job) {
+    if (Admit(*m_owner, m_now, job).m_code != Code::kOk) {
+      return false;
+    }
+    m_jobs[job.m_id] = EncodeJob(job);
+    AddJob(*m_owner, m_now, job);
+    return true;
+  }
+
+  void Run(Duration duration) {
+    const TimePoint end = m_now + duration;
+    while (m_now < end) {
+      Step();
+    }
+  }
+
+  /// The owner dies; another one takes over from what is stored.
+  void TakeOver() {
+    const std::uint64_t epoch = m_owner->m_options.m_fencing.Value() + 1;
+    m_owner = std::make_unique<Scheduler>();
+    m_owner->m_options.m_fencing = FencingNumber(epoch);
+    m_owner->m_options.m_inherited_until = m_now + Seconds(6);
+    m_owner->m_options.m_takes_away_from = m_now + Seconds(2);
+    m_owner->m_deployment = m_deployment;
+    for (const auto& [id, row] : m_jobs) {
+      const auto known = m_progress.find(id);
+      const JobProgress progress = known == m_progress.end()
+                                       ? JobProgress()
+                                       : *DecodeProgress(known->second);
+      RestoreJob(*m_owner, m_now, *DecodeJob(row), progress);
+    }
+    m_owner->m_roster.emplace();
+    for (const auto& worker : m_workers) {
+      WorkerListed(*m_owner, m_now, worker->m_record);
+      m_owner->m_roster->push_back(worker->m_record.m_name);
+    }
+  }
+
+  /// A new incarnation of the worker that knows nothing.
+  void Restart(FakeWorker& worker) {
+    ++worker.m_incarnation;
+    worker.m_booted = m_now;
+    worker.m_running.clear();
+    worker.m_ends.clear();
+    worker.m_next_end = 1;
+    worker.m_fencing = FencingNumber();
+  }
+
+  std::size_t RunningCopies(const TaskId& task) const {
+    std::size_t copies = 0;
+    for (const auto& worker : m_workers) {
+      copies += worker->m_running.count(task);
+    }
+    return copies;
+  }
+
+  JobState StateOfJob(const std::string& id) const {
+    return *StateOf(*m_owner, JobId(id));
+  }
+
+  TimePoint m_now{Seconds(1000)};
+  std::unique_ptr<Scheduler> m_owner;
+  std::vector<std::unique_ptr<FakeWorker>> m_workers;
+  std::map<JobId, std::string> m_jobs;
+  std::map<JobId, std::string> m_progress;
+  /// Starts that were carried out, by task.
+  std::map<TaskId, int> m_starts;
+  /// Run time over estimate.
+  double m_ratio = 1;
+  Duration m_stop_time = Milliseconds(200);
+  bool m_store_is_down = false;
+  /// Most copies of one task that were ever seen at a time.
+  std::size_t m_most_copies = 0;
+  std::set<std::string> m_poison;
+
+ private:
+  static constexpr Duration kStep = Milliseconds(20);
+
+  std::int64_t ClockOf(const FakeWorker& worker) const {
+    return ToMilliseconds(m_now - worker.m_booted) + 1000;
+  }
+
+  void Step() {
+    m_now += kStep;
+    for (WorkerIndex i = 0; i < m_owner->m_workers.size(); ++i) {
+      FakeWorker* worker = Find(m_owner->m_workers[i].m_record.m_name);
+      if (worker == nullptr) {
+        continue;
+      }
+      EndRuns(*worker);
+      Look(i, *worker);
+    }
+    if (!m_store_is_down) {
+      const std::vector<JobWrite> writes = TakeUnstored(*m_owner, 100);
+      for (const JobWrite& write : writes) {
+        m_progress[write.m_id] = write.m_progress;
+      }
+      Stored(*m_owner, writes);
+    }
+    ExpireLeases(*m_owner, m_now);
+    Dispatch(*m_owner, m_now);
+    Carry();
+    for (const auto& worker : m_workers) {
+      for (const auto& [task, run] : worker->m_running) {
+        m_most_copies = std::max(m_most_copies, RunningCopies(task));
+      }
+    }
+  }
+
+  FakeWorker* Find(const WorkerName& name) {
+    for (const auto& worker : m_workers) {
+      if (worker->m_record.m_name == name) {
+        return worker.get();
+      }
+    }
+    return nullptr;
+  }
+
+  void End(FakeWorker& worker, const TaskId& task, const FakeWorker::Run& run,
+           EndKind kind) {
+    worker.m_ends.push_back({worker.m_next_end++, task, RunNumber(run.m_run),
+                             kind, run.m_checkpoint});
+  }
+
+  void EndRuns(FakeWorker& worker) {
+    for (auto it = worker.m_running.begin(); it != worker.m_running.end();) {
+      const bool lapsed = m_now > worker.m_lease_until;
+      if (it->second.m_ends_at <= m_now || lapsed) {
+        End(worker, it->first, it->second,
+            lapsed ? EndKind::kLapsed : it->second.m_kind);
+        it = worker.m_running.erase(it);
+      } else {
+        ++it;
+      }
+    }
+  }
+
+  void Look(WorkerIndex index, FakeWorker& worker) {
+    const TimePoint sent = m_now;
+    const auto deadline = TakeLease(*m_owner, m_now, index);
+    if (worker.m_is_cut) {
+      LookFailed(*m_owner, index);
+      return;
+    }
+    worker.m_fencing = std::max(worker.m_fencing, m_owner->m_options.m_fencing);
+    if (deadline) {
+      worker.m_lease_until =
+          std::max(worker.m_lease_until,
+                   m_now + Milliseconds(*deadline - ClockOf(worker)));
+    }
+    const std::uint64_t acknowledged = m_owner->m_workers[index].m_stored_end;
+    std::erase_if(worker.m_ends, [acknowledged](const ListedEnd& end) {
+      return end.m_number <= acknowledged;
+    });
+    WorkerLook look;
+    look.m_clock_ms = ClockOf(worker);
+    look.m_incarnation = worker.m_incarnation;
+    look.m_ends = worker.m_ends;
+    for (const auto& [task, run] : worker.m_running) {
+      look.m_running.push_back({task, RunNumber(run.m_run), run.m_checkpoint,
+                                run.m_percent, run.m_load});
+    }
+    LookAnswered(*m_owner, sent, m_now, index, look);
+  }
+
+  void Carry() {
+    Effects effects;
+    std::swap(effects, m_owner->m_effects);
+    for (const auto& start : effects.m_starts) {
+      CarryStart(start);
+    }
+    for (const auto& stop : effects.m_stops) {
+      FakeWorker* worker =
+          Find(m_owner->m_workers[stop.m_worker].m_record.m_name);
+      if (worker == nullptr || worker->m_is_cut) {
+        continue;
+      }
+      const auto run = worker->m_running.find(stop.m_order.m_task);
+      if (run != worker->m_running.end() &&
+          run->second.m_run == stop.m_order.m_run.Value()) {
+        run->second.m_ends_at = m_now + m_stop_time;
+        run->second.m_kind = EndKind::kStopped;
+      }
+      StopAnswered(*m_owner, m_now, stop.m_worker, stop.m_order,
+                   {OrderResult::kAccepted, ClockOf(*worker)});
+    }
+    for (const auto& pace : effects.m_paces) {
+      FakeWorker* worker =
+          Find(m_owner->m_workers[pace.m_worker].m_record.m_name);
+      const auto run = worker->m_running.find(pace.m_order.m_task);
+      if (run != worker->m_running.end()) {
+        run->second.m_percent = pace.m_order.m_percent;
+      }
+    }
+  }
+
+  void CarryStart(const Effects::Start& start) {
+    FakeWorker* worker =
+        Find(m_owner->m_workers[start.m_worker].m_record.m_name);
+    const StartOrder& order = start.m_order;
+    if (worker == nullptr || worker->m_is_cut) {
+      return;
+    }
+    const JobSpec& job = *m_owner->m_jobs.at(order.m_task.m_job)->m_spec;
+    const StepSpec& step = job.m_steps[order.m_task.m_step];
+    FakeWorker::Run run;
+    run.m_run = order.m_run.Value();
+    run.m_checkpoint = order.m_checkpoint;
+    const bool fails =
+        worker->m_fails_all || m_poison.contains(job.m_id.Value());
+    run.m_kind = fails ? EndKind::kFailed : EndKind::kDone;
+    run.m_ends_at =
+        step.m_long_running
+            ? TimePoint::max()
+            : m_now + Duration(static_cast<std::int64_t>(
+                          static_cast<double>(step.m_estimate.count()) *
+                          (fails ? 0.2 : m_ratio)));
+    worker->m_lease_until =
+        std::max(worker->m_lease_until,
+                 m_now + Milliseconds(order.m_deadline_ms - ClockOf(*worker)));
+    worker->m_running[order.m_task] = run;
+    ++m_starts[order.m_task];
+    if (!worker->m_loses_answers) {
+      StartAnswered(*m_owner, m_now, start.m_worker, order,
+                    {OrderResult::kAccepted, ClockOf(*worker)}, false);
+    }
+  }
+
+  DeploymentPtr m_deployment;
+};
+
+}  // namespace filbertspar::scheduler
