--- /dev/null
+++ b/filbertspar/capacity/src/moves.cc
@@ -0,0 +1,209 @@
+#include "filbertspar/capacity/src/moves.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace filbertspar::capacity {
+namespace {
+
+/// Arrivals are compared over this time, to see the rate and its change.
+constexpr Duration kRateWindow = Seconds(1);
+/// Demand of this long is kept in mind before VMs are given away.
+constexpr Duration kDemandMemory = Seconds(3);
+/// Room kept above the demand, because tasks do not fill a worker evenly.
+constexpr double kHeadroom = 1.15;
+/// Room kept above the highest demand of late before a VM is given away.
+constexpr double kKeepFactor = 1.3;
+/// A backlog that the pool clears within this time needs no move.
+constexpr double kClearSeconds = 0.4;
+/// A VM is parked only after it was idle for this long; a move costs about as
+/// much as a VM for this time.
+constexpr Duration kIdleTime = Milliseconds(1200);
+/// A move that has not shown by then is forgotten.
+constexpr Duration kPendingTime = Seconds(4);
+
+double ValueBefore(const std::deque<std::pair<TimePoint, double>>& samples,
+                   TimePoint when) {
+  double value = samples.empty() ? 0 : samples.front().second;
+  for (const auto& [time, sample] : samples) {
+    if (time > when) {
+      break;
+    }
+    value = sample;
+  }
+  return value;
+}
+
+/// Demand of a pool now and when a move that is ordered now is over.
+struct Need {
+  double m_now = 0;
+  double m_soon = 0;
+  double m_lately = 0;
+};
+
+Need NeedOf(State::Track& track, const Policy& policy, TimePoint now,
+            const PoolLoad& load) {
+  track.m_arrived.emplace_back(now, load.m_arrived);
+  while (track.m_arrived.front().first < now - kRateWindow * 3) {
+    track.m_arrived.pop_front();
+  }
+  const double window = ToSeconds(kRateWindow);
+  const double one_ago = ValueBefore(track.m_arrived, now - kRateWindow);
+  const double two_ago = ValueBefore(track.m_arrived, now - kRateWindow * 2);
+  const double rate = (load.m_arrived - one_ago) / window;
+  const double rise = std::max(0.0, rate - (one_ago - two_ago) / window);
+  Need need;
+  need.m_now = std::max(load.m_running + load.m_waiting, rate);
+  need.m_soon = rate + rise * ToSeconds(policy.m_move_time) / window;
+  track.m_demand.emplace_back(now, std::max(need.m_now, need.m_soon));
+  while (track.m_demand.front().first < now - kDemandMemory) {
+    track.m_demand.pop_front();
+  }
+  for (const auto& [time, demand] : track.m_demand) {
+    need.m_lately = std::max(need.m_lately, demand);
+  }
+  return need;
+}
+
+struct Balance {
+  const PoolLoad* m_load = nullptr;
+  Need m_need;
+  double m_incoming = 0;
+
+  double Have() const { return m_load->m_cores + m_incoming; }
+  double Missing() const {
+    const double want = std::max(m_need.m_now, m_need.m_soon) * kHeadroom;
+    const bool clears =
+        m_load->m_backlog <= kClearSeconds * std::max(1.0, Have()) &&
+        m_need.m_soon <= Have();
+    return clears ? 0 : std::max(0.0, want - Have());
+  }
+  double Spare() const { return Have() - m_need.m_lately * kKeepFactor; }
+};
+
+void RefreshIdle(State& state, TimePoint now, const std::vector<VmView>& vms) {
+  std::map<VmName, TimePoint> idle;
+  for (const VmView& vm : vms) {
+    if (vm.m_movable) {
+      const auto known = state.m_idle_since.find(vm.m_name);
+      idle[vm.m_name] = known == state.m_idle_since.end() ? now : known->second;
+    }
+  }
+  state.m_idle_since = std::move(idle);
+  for (auto it = state.m_pending.begin(); it != state.m_pending.end();) {
+    const bool arrived =
+        now - it->second.m_since > kRateWindow &&
+        std::any_of(vms.begin(), vms.end(), [&it](const VmView& vm) {
+          return vm.m_name == it->first && vm.m_pool == it->second.m_to &&
+                 vm.m_movable;
+        });
+    it = arrived || now - it->second.m_since > kPendingTime
+             ? state.m_pending.erase(it)
+             : std::next(it);
+  }
+}
+
+}  // namespace
+
+std::vector<Move> PlanMoves(State& state, const Policy& policy, TimePoint now,
+                            const std::vector<PoolLoad>& pools,
+                            const std::vector<VmView>& vms) {
+  RefreshIdle(state, now, vms);
+  std::map<PoolName, Balance> balances;
+  PoolName standby;
+  for (const PoolLoad& load : pools) {
+    if (load.m_standby) {
+      standby = load.m_name;
+      continue;
+    }
+    Balance& balance = balances[load.m_name];
+    balance.m_load = &load;
+    balance.m_need = NeedOf(state.m_tracks[load.m_name], policy, now, load);
+  }
+  for (const auto& [vm, pending] : state.m_pending) {
+    const auto found = balances.find(pending.m_to);
+    if (found != balances.end()) {
+      found->second.m_incoming += pending.m_cores;
+    }
+  }
+  std::vector<Move> moves;
+  std::set<VmName> taken;
+  const auto move = [&](const VmView& vm, const PoolName& to) {
+    taken.insert(vm.m_name);
+    state.m_pending[vm.m_name] = {to, vm.m_cores, now};
+    moves.push_back({vm.m_name, to});
+  };
+  const auto is_free = [&](const VmView& vm, const PoolName& to) {
+    return vm.m_movable && vm.m_pool != to && !taken.contains(vm.m_name) &&
+           !state.m_pending.contains(vm.m_name) &&
+           !state.m_barred.contains({vm.m_kind, to});
+  };
+  std::vector<Balance*> missing;
+  for (auto& [name, balance] : balances) {
+    if (balance.Missing() > 0) {
+      missing.push_back(&balance);
+    }
+  }
+  std::sort(missing.begin(), missing.end(),
+            [](Balance* a, Balance* b) { return a->Missing() > b->Missing(); });
+  for (Balance* balance : missing) {
+    for (const bool from_standby : {false, true}) {
+      for (const VmView& vm : vms) {
+        const PoolName& to = balance->m_load->m_name;
+        if (balance->Missing() <= vm.m_cores / 2) {
+          break;
+        }
+        if (!is_free(vm, to) || (vm.m_pool == standby) != from_standby) {
+          continue;
+        }
+        const auto donor = balances.find(vm.m_pool);
+        if (donor != balances.end()) {
+          if (donor->second.Spare() < vm.m_cores) {
+            continue;
+          }
+          donor->second.m_incoming -= vm.m_cores;
+        }
+        move(vm, to);
+        balance->m_incoming += vm.m_cores;
+      }
+    }
+  }
+  if (standby.Empty()) {
+    return moves;
+  }
+  for (const VmView& vm : vms) {
+    const auto owner = balances.find(vm.m_pool);
+    if (owner == balances.end() || !is_free(vm, standby) ||
+        now - state.m_idle_since[vm.m_name] < kIdleTime ||
+        owner->second.Spare() < vm.m_cores * 2) {
+      continue;
+    }
+    owner->second.m_incoming -= vm.m_cores;
+    move(vm, standby);
+  }
+  return moves;
+}
+
+void MoveAnswered(State& state, TimePoint now, const Move& move,
+                  const std::string& kind, VmOrderResult result) {
+  switch (result) {
+    case VmOrderResult::kAccepted:
+      state.m_pending[move.m_vm].m_since = now;
+      break;
+    case VmOrderResult::kMalformed:
+      state.m_barred.insert({kind, move.m_to});
+      state.m_pending.erase(move.m_vm);
+      break;
+    case VmOrderResult::kUnknown:
+      // It may be under way; it shows in the list, or is forgotten in time.
+      break;
+    case VmOrderResult::kBusy:
+    case VmOrderResult::kFenced:
+    case VmOrderResult::kNotOfWave:
+    case VmOrderResult::kTryLater:
+      state.m_pending.erase(move.m_vm);
+      break;
+  }
+}
+
+}  // namespace filbertspar::capacity
--- a/filbertspar/node/src/duty.cc
+++ b/filbertspar/node/src/duty.cc
@@ -485,6 +485,8 @@
     } else {
       const scheduler::Admission admission =
           scheduler::Admit(m_scheduler, now, *spec);
+      m_scheduler.m_pools[spec->m_policy.m_pool].m_arrived_work +=
+          scheduler::WorkOf(m_scheduler, *spec);
       reply.m_code = admission.m_code;
       reply.m_retry_after = admission.m_retry_after;
       m_parts.m_log.Info(
--- a/filbertspar/node/src/vm_keeper.cc
+++ b/filbertspar/node/src/vm_keeper.cc
@@ -19,10 +19,15 @@
 constexpr Duration kRoundPeriod = Milliseconds(250);
 constexpr Duration kListPeriod = Seconds(2);
 constexpr Duration kBusyListPeriod = Milliseconds(500);
+/// From the end of a move until the worker has registered and was looked at.
+constexpr Duration kJoinTime = Milliseconds(300);
 constexpr Duration kListTimeout = Seconds(1);
 constexpr Duration kOrderTimeout = Milliseconds(800);
 /// On top of the time in which two holders may not take turns.
 constexpr Duration kTurnMargin = Milliseconds(400);
+/// A worker whose VM was ordered to move gets no task for this long; by then
+/// it is gone and the list shows it.
+constexpr Duration kMovedFor = Seconds(4);
 constexpr Duration kStatusTimeout = Seconds(1);
 
 }  // namespace
@@ -30,6 +35,7 @@
 VmKeeper::VmKeeper(const Parts& parts, Hooks hooks)
     : m_parts(parts),
       m_hooks(std::move(hooks)),
+      m_policy{parts.m_options.m_move_time + kJoinTime},
       m_orders_from(BootNow() + parts.m_options.m_holder_ttl + kTurnMargin) {}
 
 void VmKeeper::Start() {
@@ -56,9 +62,11 @@
     const bool busy = std::any_of(
         m_state.m_waves.begin(), m_state.m_waves.end(),
         [](const auto& entry) { return !entry.second.m_is_completed; });
+    const bool moving = !m_moves.m_pending.empty();
     if (BootNow() >= next_list) {
       const bool read = co_await ReadList();
-      next_list = BootNow() + (busy || !read ? kBusyListPeriod : kListPeriod);
+      next_list =
+          BootNow() + (busy || moving || !read ? kBusyListPeriod : kListPeriod);
     }
     if (!m_running) {
       co_return;
@@ -170,6 +178,9 @@
   for (const VmName& vm : plan.m_due) {
     due.insert(worker_of(vm));
   }
+  for (const auto& [worker, since] : m_moved_workers) {
+    emptied.insert(worker);
+  }
   bool changed = false;
   for (scheduler::Worker& worker : m_parts.m_scheduler.m_workers) {
     const bool cordoned = emptied.contains(worker.m_record.m_name);
@@ -185,6 +196,113 @@
   }
 }
 
+std::vector<capacity::PoolLoad> VmKeeper::PoolLoads() const {
+  const scheduler::Scheduler& scheduler = m_parts.m_scheduler;
+  std::vector<capacity::PoolLoad> loads;
+  if (scheduler.m_deployment == nullptr) {
+    return loads;
+  }
+  for (const auto& [name, config] : scheduler.m_deployment->m_pools) {
+    capacity::PoolLoad load;
+    load.m_name = name;
+    load.m_standby = config.m_standby;
+    const auto pool = scheduler.m_pools.find(name);
+    if (pool != scheduler.m_pools.end()) {
+      const scheduler::PoolUse use =
+          scheduler::UseOf(scheduler, BootNow(), pool->second);
+      load.m_cores = use.m_cores;
+      load.m_running = use.m_running;
+      load.m_waiting = use.m_ready;
+      load.m_backlog = use.m_backlog;
+      load.m_arrived = pool->second.m_arrived_work;
+    }
+    loads.push_back(load);
+  }
+  return loads;
+}
+
+std::vector<capacity::VmView> VmKeeper::VmViews(
+    const upkeep::Plan& plan) const {
+  const std::set<VmName> in_upkeep(plan.m_emptied.begin(),
+                                   plan.m_emptied.end());
+  const scheduler::Scheduler& scheduler = m_parts.m_scheduler;
+  std::vector<capacity::VmView> views;
+  for (const auto& [name, vm] : m_state.m_vms) {
+    capacity::VmView view;
+    view.m_name = name;
+    view.m_pool = vm.m_pool;
+    view.m_kind = vm.m_labels.empty() ? "" : vm.m_labels.front().Value();
+    view.m_cores = static_cast<double>(vm.m_capacity.m_cpu.Count()) / 1000;
+    const auto config = scheduler.m_deployment->m_pools.find(vm.m_pool);
+    const bool standby = config != scheduler.m_deployment->m_pools.end() &&
+                         config->second.m_standby;
+    const auto worker = scheduler.m_worker_index.find(vm.m_worker);
+    // The worker of a VM that is off need not be known.
+    const bool is_empty =
+        standby ||
+        (worker != scheduler.m_worker_index.end() &&
+         scheduler.m_workers[worker->second].m_tasks.empty() &&
+         scheduler::IsUsable(scheduler, scheduler.m_workers[worker->second],
+                             BootNow()));
+    view.m_movable = vm.m_state == VmState::kUp && is_empty &&
+                     !in_upkeep.contains(name) &&
+                     !m_moved_workers.contains(vm.m_worker);
+    views.push_back(view);
+  }
+  return views;
+}
+
+void VmKeeper::PlanMoves(const upkeep::Plan& plan) {
+  const TimePoint now = BootNow();
+  std::erase_if(m_moved_workers, [now](const auto& entry) {
+    return now - entry.second > kMovedFor;
+  });
+  if (!MayOrderVms() || m_parts.m_scheduler.m_deployment == nullptr ||
+      !m_parts.m_scheduler.m_settled) {
+    return;
+  }
+  const std::vector<capacity::VmView> views = VmViews(plan);
+  for (capacity::Move& move :
+       capacity::PlanMoves(m_moves, m_policy, now, PoolLoads(), views)) {
+    const VmRecord& vm = m_state.m_vms[move.m_vm];
+    const auto worker = m_parts.m_scheduler.m_worker_index.find(vm.m_worker);
+    if (worker != m_parts.m_scheduler.m_worker_index.end()) {
+      m_parts.m_scheduler.m_workers[worker->second].m_cordoned = true;
+    }
+    m_moved_workers[vm.m_worker] = now;
+    const std::string kind =
+        vm.m_labels.empty() ? "" : vm.m_labels.front().Value();
+    asio::co_spawn(m_parts.m_context, OrderMove(std::move(move), kind),
+                   asio::detached);
+  }
+}
+
+asio::awaitable<void> VmKeeper::OrderMove(capacity::Move move,
+                                          std::string kind) {
+  const auto self = shared_from_this();
+  const PoolName from = m_state.m_vms[move.m_vm].m_pool;
+  const WorkerName worker = m_state.m_vms[move.m_vm].m_worker;
+  const adapter::VmDuty duty{m_parts.m_options.m_vm.Value(),
+                             m_parts.m_scheduler.m_options.m_fencing};
+  const VmOrderResult result =
+      adapter::DecodeVmOrder(co_await m_parts.m_client.Call(
+          *m_parts.m_options.m_fleet,
+          adapter::MoveCall(move.m_vm, move.m_to, duty), kOrderTimeout));
+  Count(m_parts.m_metrics, metric::kVmOrders,
+        absl::StrCat("move_", static_cast<int>(result)));
+  m_parts.m_log.Info(
+      "vm", "move_ordered",
+      absl::StrCat("vm=", move.m_vm.Value(), " from=", from.Value(), " to=",
+                   move.m_to.Value(), " result=", static_cast<int>(result)));
+  if (!m_running) {
+    co_return;
+  }
+  capacity::MoveAnswered(m_moves, BootNow(), move, kind, result);
+  if (result != VmOrderResult::kAccepted && result != VmOrderResult::kUnknown) {
+    m_moved_workers.erase(worker);
+  }
+}
+
 asio::awaitable<void> VmKeeper::OrderUpkeep(upkeep::Plan::Order order) {
   const auto self = shared_from_this();
   VmOrderResult result = VmOrderResult::kTryLater;
--- a/filbertspar/node/src/vm_keeper.h
+++ b/filbertspar/node/src/vm_keeper.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
+#include "filbertspar/capacity/capacity.h"
 #include "filbertspar/node/src/configuration.h"
 #include "filbertspar/node/src/journal.h"
 #include "filbertspar/node/src/options.h"
@@ -12,7 +15,7 @@
 namespace filbertspar {
 
 /// \brief The owner's dealings with VMs: reads their list, has their upkeep
-/// done within the operators' waves.
+/// done within the operators' waves, and moves them to where work waits.
 class VmKeeper : public std::enable_shared_from_this<VmKeeper> {
  public:
   struct Parts {
@@ -40,7 +43,11 @@
   asio::awaitable<bool> ReadDone();
   asio::awaitable<bool> ReadList();
   asio::awaitable<void> OrderUpkeep(upkeep::Plan::Order order);
+  asio::awaitable<void> OrderMove(capacity::Move move, std::string kind);
   asio::awaitable<void> ShowStatus();
+  void PlanMoves(const upkeep::Plan& plan);
+  std::vector<capacity::PoolLoad> PoolLoads() const;
+  std::vector<capacity::VmView> VmViews(const upkeep::Plan& plan) const;
   upkeep::VmFacts FactsOf(const VmRecord& vm) const;
   void TakeRoster();
   void ApplyPlan(const upkeep::Plan& plan);
@@ -49,6 +56,10 @@
   Parts m_parts;
   Hooks m_hooks;
   upkeep::State m_state;
+  capacity::State m_moves;
+  capacity::Policy m_policy;
+  /// Workers of VMs that were ordered to move, and since when.
+  std::map<WorkerName, TimePoint> m_moved_workers;
   /// Earlier holders' orders have had their effect by then.
   TimePoint m_orders_from;
   bool m_running = true;
--- a/filbertspar/scheduler/scheduler.h
+++ b/filbertspar/scheduler/scheduler.h
@@ -7,5 +7,6 @@
 #include "filbertspar/scheduler/src/admit.h"     // IWYU pragma: export
 #include "filbertspar/scheduler/src/dispatch.h"  // IWYU pragma: export
 #include "filbertspar/scheduler/src/jobs.h"      // IWYU pragma: export
+#include "filbertspar/scheduler/src/load.h"      // IWYU pragma: export
 #include "filbertspar/scheduler/src/state.h"     // IWYU pragma: export
 #include "filbertspar/scheduler/src/workers.h"   // IWYU pragma: export
--- a/filbertspar/scheduler/src/admit.cc
+++ b/filbertspar/scheduler/src/admit.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "filbertspar/scheduler/src/load.h"
 #include "filbertspar/scheduler/src/workers.h"
 
 namespace filbertspar::scheduler {
@@ -18,33 +19,6 @@
       static_cast<double>(duration.count()) * factor));
 }
 
-/// Core-seconds of a job's tasks that are not done, less what has run.
-double WorkLeft(TimePoint now, const Job& job, double ratio) {
-  double work = 0;
-  for (const auto& occurrence : job.m_occurrences) {
-    for (std::size_t s = 0; s < occurrence->m_steps.size(); ++s) {
-      const StepSpec& spec = job.m_spec->m_steps[s];
-      if (spec.m_long_running || spec.m_fills) {
-        continue;
-      }
-      const double each = ToSeconds(spec.m_estimate) * ratio;
-      const double cores =
-          static_cast<double>(spec.m_demand.m_cpu.Count()) / 1000;
-      const Step& step = occurrence->m_steps[s];
-      work += each * cores * static_cast<double>(step.m_waiting);
-      if (step.m_waiting + step.m_done == step.m_tasks.size()) {
-        continue;
-      }
-      for (const Task& task : step.m_tasks) {
-        if (task.m_worker != kNoWorker) {
-          work += cores * std::max(0.0, each - ToSeconds(now - task.m_since));
-        }
-      }
-    }
-  }
-  return work;
-}
-
 }  // namespace
 
 double RatioOf(const Scheduler& scheduler, const QueueName& queue) {
@@ -103,30 +77,8 @@
   if (long_running || spec.m_times > 0 || found == scheduler.m_pools.end()) {
     return admission;
   }
-  double cores = 0;
-  for (const WorkerIndex index : found->second.m_workers) {
-    const Worker& worker = scheduler.m_workers[index];
-    if (worker.m_registered && IsResponsive(worker, now) &&
-        !worker.m_record.m_draining) {
-      cores += static_cast<double>(worker.m_record.m_capacity.m_cpu.Count());
-    }
-  }
-  double work = 0;
-  for (const Job* job : found->second.m_jobs) {
-    if (job->m_long_running) {
-      for (const auto& occurrence : job->m_occurrences) {
-        for (std::size_t s = 0; s < occurrence->m_steps.size(); ++s) {
-          cores -= static_cast<double>(
-              RoomOf(job->m_spec->m_steps[s]).m_cpu.Count() *
-              static_cast<std::int64_t>(occurrence->m_steps[s].m_tasks.size()));
-        }
-      }
-    } else {
-      work += WorkLeft(now, *job, RatioOf(scheduler, job->m_spec->m_queue));
-    }
-  }
-  cores /= 1000;
-  if (cores <= 0) {
+  const PoolUse use = UseOf(scheduler, now, found->second);
+  if (use.m_cores <= 0) {
     return admission;
   }
   const double ratio = RatioOf(scheduler, spec.m_queue);
@@ -140,7 +92,7 @@
     admission.m_expected_chain = std::max(admission.m_expected_chain, ends[s]);
   }
   admission.m_expected_wait =
-      Duration(static_cast<std::int64_t>(work / cores * 1e6));
+      Duration(static_cast<std::int64_t>(use.m_work_left / use.m_cores * 1e6));
   const Duration objective =
       Scaled(admission.m_expected_chain, spec.m_policy.m_stretch) +
       spec.m_policy.m_target;
--- /dev/null
+++ b/filbertspar/scheduler/src/load.cc
@@ -0,0 +1,86 @@
+#include "filbertspar/scheduler/src/load.h"
+
+#include <algorithm>
+
+#include "filbertspar/scheduler/src/admit.h"
+#include "filbertspar/scheduler/src/workers.h"
+
+namespace filbertspar::scheduler {
+namespace {
+
+double CoresOf(const Demand& demand) {
+  return static_cast<double>(demand.m_cpu.Count()) / 1000;
+}
+
+bool IsReady(const Job& job, const Occurrence& occurrence, std::size_t step) {
+  const auto& after = job.m_spec->m_steps[step].m_after;
+  return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
+    const Step& before = occurrence.m_steps[earlier];
+    return before.m_done == before.m_tasks.size();
+  });
+}
+
+void AddStep(PoolUse& use, TimePoint now, const Job& job,
+             const Occurrence& occurrence, std::size_t number, double ratio) {
+  const StepSpec& spec = job.m_spec->m_steps[number];
+  const Step& step = occurrence.m_steps[number];
+  const double cores = CoresOf(spec.m_demand);
+  const double each = ToSeconds(spec.m_estimate) * ratio;
+  const double waiting = static_cast<double>(step.m_waiting);
+  use.m_backlog += waiting * cores * each;
+  use.m_work_left += waiting * cores * each;
+  if (step.m_waiting > 0 && IsReady(job, occurrence, number)) {
+    use.m_ready += waiting * cores;
+  }
+  if (step.m_waiting + step.m_done == step.m_tasks.size()) {
+    return;
+  }
+  for (const Task& task : step.m_tasks) {
+    if (task.m_worker != kNoWorker) {
+      use.m_running += cores;
+      use.m_work_left +=
+          cores * std::max(0.0, each - ToSeconds(now - task.m_since));
+    }
+  }
+}
+
+}  // namespace
+
+PoolUse UseOf(const Scheduler& scheduler, TimePoint now, const Pool& pool) {
+  PoolUse use;
+  for (const WorkerIndex index : pool.m_workers) {
+    const Worker& worker = scheduler.m_workers[index];
+    if (worker.m_registered && IsResponsive(worker, now) &&
+        !worker.m_record.m_draining && !worker.m_cordoned) {
+      use.m_cores += CoresOf(worker.m_record.m_capacity);
+    }
+  }
+  for (const Job* job : pool.m_jobs) {
+    const double ratio = RatioOf(scheduler, job->m_spec->m_queue);
+    for (const auto& occurrence : job->m_occurrences) {
+      for (std::size_t s = 0; s < occurrence->m_steps.size(); ++s) {
+        const StepSpec& spec = job->m_spec->m_steps[s];
+        if (spec.m_long_running) {
+          use.m_cores -= CoresOf(RoomOf(spec)) * spec.m_count;
+        } else {
+          AddStep(use, now, *job, *occurrence, s, ratio);
+        }
+      }
+    }
+  }
+  use.m_cores = std::max(0.0, use.m_cores);
+  return use;
+}
+
+double WorkOf(const Scheduler& scheduler, const JobSpec& spec) {
+  double work = 0;
+  for (const StepSpec& step : spec.m_steps) {
+    if (!step.m_long_running) {
+      work +=
+          ToSeconds(step.m_estimate) * CoresOf(step.m_demand) * step.m_count;
+    }
+  }
+  return work * RatioOf(scheduler, spec.m_queue);
+}
+
+}  // namespace filbertspar::scheduler
--- /dev/null
+++ b/filbertspar/scheduler/src/load.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "filbertspar/scheduler/src/state.h"
+
+namespace filbertspar::scheduler {
+
+/// \brief Load of a pool by tasks that end; in cores and core-seconds.
+struct PoolUse {
+  /// Of workers that take tasks, less what long-running tasks hold or need.
+  double m_cores = 0;
+  double m_running = 0;
+  /// Of tasks that could start now.
+  double m_ready = 0;
+  /// Work of tasks that have not started.
+  double m_backlog = 0;
+  /// Work of tasks that have not ended.
+  double m_work_left = 0;
+};
+
+PoolUse UseOf(const Scheduler& scheduler, TimePoint now, const Pool& pool);
+
+/// \brief Core-seconds of all tasks of a job, by the queue's learned ratio.
+double WorkOf(const Scheduler& scheduler, const JobSpec& spec);
+
+}  // namespace filbertspar::scheduler
--- a/filbertspar/scheduler/src/placement.cc
+++ b/filbertspar/scheduler/src/placement.cc
@@ -12,7 +12,10 @@
 /// Penalties of a choice, in units of a whole worker in use.
 constexpr double kFailedThere = 8;
 constexpr double kSameStepOnWorker = 4;
-constexpr double kSameStepInRack = 2;
+constexpr double kSameStepInRack = 0.5;
+/// A worker without long-running tasks can be moved to another pool.
+constexpr double kFirstLongRunning = 1.5;
+constexpr double kFarFromData = 2;
 constexpr double kUpkeepDue = 3;
 constexpr double kDisturbed = 2;
 
@@ -62,6 +65,10 @@
                           const Worker& worker, const TaskRef& ref) {
   double penalty = worker.m_upkeep_due ? kUpkeepDue : 0;
   penalty += kSameStepOnWorker * CountOfStep(worker, ref);
+  const bool has_long_running = std::any_of(
+      worker.m_tasks.begin(), worker.m_tasks.end(),
+      [](const TaskRef& other) { return other.Spec().m_long_running; });
+  penalty += has_long_running ? 0 : kFirstLongRunning;
   for (const WorkerIndex index : pool.m_workers) {
     const Worker& other = scheduler.m_workers[index];
     if (&other != &worker && other.m_record.m_rack == worker.m_record.m_rack) {
@@ -131,7 +138,7 @@
     penalty += ref.GetTask().m_failed_on == room.m_worker ? kFailedThere : 0;
     penalty += worker.m_failure_streak;
     if (!spec.m_data_rack.Empty() && !near_data) {
-      penalty += kSameStepInRack;
+      penalty += kFarFromData;
     }
     if (spec.m_long_running) {
       penalty += LongRunningPenalty(scheduler, pool, worker, ref);
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -209,6 +209,8 @@
   std::vector<WorkerIndex> m_workers;
   /// Jobs that are not final.
   std::vector<Job*> m_jobs;
+  /// Core-seconds of all jobs that were handed in, also of those refused.
+  double m_arrived_work = 0;
 };
 
 struct Approvals {
