--- a/filbertspar/capacity/src/moves.cc
+++ b/filbertspar/capacity/src/moves.cc
@@ -6,26 +6,30 @@
 namespace filbertspar::capacity {
 namespace {
 
-/// Arrivals are compared over this time, to see the rate and its change.
-constexpr Duration kRateWindow = Seconds(1);
+/// Arrivals are averaged over this time; single large jobs count for little.
+constexpr Duration kRateWindow = Seconds(2);
+/// A rise of the rate within half of it counts once this many jobs came.
+constexpr std::uint64_t kJobsOfRise = 6;
 /// Demand of this long is kept in mind before VMs are given away.
-constexpr Duration kDemandMemory = Seconds(3);
+constexpr Duration kDemandMemory = Milliseconds(1500);
 /// Room kept above the demand, because tasks do not fill a worker evenly.
 constexpr double kHeadroom = 1.15;
 /// Room kept above the highest demand of late before a VM is given away.
-constexpr double kKeepFactor = 1.3;
-/// A backlog that the pool clears within this time needs no move.
-constexpr double kClearSeconds = 0.4;
+constexpr double kKeepFactor = 1.25;
+/// Share of its slack that waiting work may wait before VMs are called in.
+constexpr double kSlackShare = 0.5;
+constexpr double kLeastSlackSeconds = 0.4;
 /// A VM is parked only after it was idle for this long; a move costs about as
 /// much as a VM for this time.
-constexpr Duration kIdleTime = Milliseconds(1200);
+constexpr Duration kIdleTime = Milliseconds(1000);
+/// A list that was asked for this long after a move shows it.
+constexpr Duration kListLag = Seconds(1);
 /// A move that has not shown by then is forgotten.
 constexpr Duration kPendingTime = Seconds(4);
 
-double ValueBefore(const std::deque<std::pair<TimePoint, double>>& samples,
-                   TimePoint when) {
-  double value = samples.empty() ? 0 : samples.front().second;
-  for (const auto& [time, sample] : samples) {
+State::Track::Arrivals Before(const State::Track& track, TimePoint when) {
+  State::Track::Arrivals value = track.m_arrived.front().second;
+  for (const auto& [time, sample] : track.m_arrived) {
     if (time > when) {
       break;
     }
@@ -43,19 +47,26 @@
 
 Need NeedOf(State::Track& track, const Policy& policy, TimePoint now,
             const PoolLoad& load) {
-  track.m_arrived.emplace_back(now, load.m_arrived);
-  while (track.m_arrived.front().first < now - kRateWindow * 3) {
+  track.m_arrived.emplace_back(
+      now, State::Track::Arrivals{load.m_arrived, load.m_jobs});
+  while (track.m_arrived.front().first < now - kRateWindow * 2) {
     track.m_arrived.pop_front();
   }
   const double window = ToSeconds(kRateWindow);
-  const double one_ago = ValueBefore(track.m_arrived, now - kRateWindow);
-  const double two_ago = ValueBefore(track.m_arrived, now - kRateWindow * 2);
-  const double rate = (load.m_arrived - one_ago) / window;
-  const double rise = std::max(0.0, rate - (one_ago - two_ago) / window);
+  const State::Track::Arrivals begin = Before(track, now - kRateWindow);
+  const State::Track::Arrivals half = Before(track, now - kRateWindow / 2);
+  const double rate = (load.m_arrived - begin.m_work) / window;
   Need need;
-  need.m_now = std::max(load.m_running + load.m_waiting, rate);
-  need.m_soon = rate + rise * ToSeconds(policy.m_move_time) / window;
-  track.m_demand.emplace_back(now, std::max(need.m_now, need.m_soon));
+  need.m_now = load.m_running + load.m_waiting;
+  need.m_soon = rate;
+  if (load.m_jobs - half.m_jobs >= kJobsOfRise) {
+    const double newer = (load.m_arrived - half.m_work) * 2 / window;
+    const double older = (half.m_work - begin.m_work) * 2 / window;
+    const double rise = std::max(0.0, newer - older) * 2 / window;
+    need.m_soon =
+        std::max(rate, newer + rise * ToSeconds(policy.m_move_time) / 2);
+  }
+  track.m_demand.emplace_back(now, std::max(load.m_running, need.m_soon));
   while (track.m_demand.front().first < now - kDemandMemory) {
     track.m_demand.pop_front();
   }
@@ -70,15 +81,25 @@
   Need m_need;
   double m_incoming = 0;
 
-  double Have() const { return m_load->m_cores + m_incoming; }
+  double Have() const { return std::max(1.0, m_load->m_cores + m_incoming); }
+
+  /// Cores that would serve what waits and what comes in time.
   double Missing() const {
-    const double want = std::max(m_need.m_now, m_need.m_soon) * kHeadroom;
-    const bool clears =
-        m_load->m_backlog <= kClearSeconds * std::max(1.0, Have()) &&
-        m_need.m_soon <= Have();
-    return clears ? 0 : std::max(0.0, want - Have());
+    const double coming = m_need.m_soon * kHeadroom - Have();
+    const double slack =
+        std::max(kLeastSlackSeconds, kSlackShare * ToSeconds(m_load->m_slack));
+    double waiting = 0;
+    if (m_load->m_ready_work > slack * Have()) {
+      waiting = std::min(m_load->m_ready_work / slack,
+                         m_need.m_now * kHeadroom - Have());
+    }
+    return std::max({0.0, coming, waiting});
+  }
+  double Spare() const {
+    return m_load->m_ready_work > kLeastSlackSeconds * Have()
+               ? 0
+               : Have() - m_need.m_lately * kKeepFactor;
   }
-  double Spare() const { return Have() - m_need.m_lately * kKeepFactor; }
 };
 
 void RefreshIdle(State& state, TimePoint now, const std::vector<VmView>& vms) {
@@ -92,7 +113,7 @@
   state.m_idle_since = std::move(idle);
   for (auto it = state.m_pending.begin(); it != state.m_pending.end();) {
     const bool arrived =
-        now - it->second.m_since > kRateWindow &&
+        now - it->second.m_since > kListLag &&
         std::any_of(vms.begin(), vms.end(), [&it](const VmView& vm) {
           return vm.m_name == it->first && vm.m_pool == it->second.m_to &&
                  vm.m_movable;
--- a/filbertspar/capacity/src/moves.h
+++ b/filbertspar/capacity/src/moves.h
@@ -22,10 +22,13 @@
   double m_running = 0;
   /// Wanted by tasks that could start now.
   double m_waiting = 0;
-  /// Work of all tasks that have not started.
-  double m_backlog = 0;
-  /// Work of all jobs that ever came, also of those refused.
+  /// Work of the tasks that could start now.
+  double m_ready_work = 0;
+  /// Time that the waiting work can wait without harm, on average.
+  Duration m_slack{0};
+  /// Work and number of all jobs that ever came, also of those refused.
   double m_arrived = 0;
+  std::uint64_t m_jobs = 0;
 };
 
 /// \brief One VM as far as moves go.
@@ -53,7 +56,11 @@
 /// \brief What the planner remembers.
 struct State {
   struct Track {
-    std::deque<std::pair<TimePoint, double>> m_arrived;
+    struct Arrivals {
+      double m_work = 0;
+      std::uint64_t m_jobs = 0;
+    };
+    std::deque<std::pair<TimePoint, Arrivals>> m_arrived;
     std::deque<std::pair<TimePoint, double>> m_demand;
   };
   struct Pending {
--- a/filbertspar/node/src/duty.cc
+++ b/filbertspar/node/src/duty.cc
@@ -92,7 +92,7 @@
       VmKeeper::Parts{parts.m_context, parts.m_options, parts.m_client,
                       parts.m_store, parts.m_configuration, parts.m_metrics,
                       parts.m_log, m_scheduler, *m_journal},
-      VmKeeper::Hooks{[this] { return MayOrder(); }, [this] { Changed(); }});
+      VmKeeper::Hooks{[this] { return IsConfirmed(); }, [this] { Changed(); }});
 }
 
 void Duty::Start() {
@@ -133,6 +133,10 @@
 
 bool Duty::OthersAreCutOff(TimePoint now) {
   const Duration unconfirmed = now - m_journal->ConfirmedAt();
+  if (m_parts.m_links.Peers().empty()) {
+    // Others may exist that this VM cannot reach.
+    return false;
+  }
   for (const auto& [vm, peer] : m_parts.m_links.Peers()) {
     const bool heard = peer.m_connected && now - peer.m_pinged_at < kPingBound;
     if (!heard || peer.m_store_age + kPingBound < unconfirmed) {
@@ -485,8 +489,9 @@
     } else {
       const scheduler::Admission admission =
           scheduler::Admit(m_scheduler, now, *spec);
-      m_scheduler.m_pools[spec->m_policy.m_pool].m_arrived_work +=
-          scheduler::WorkOf(m_scheduler, *spec);
+      scheduler::Pool& pool = m_scheduler.m_pools[spec->m_policy.m_pool];
+      pool.m_arrived_work += scheduler::WorkOf(m_scheduler, *spec);
+      ++pool.m_arrived_jobs;
       reply.m_code = admission.m_code;
       reply.m_retry_after = admission.m_retry_after;
       m_parts.m_log.Info(
--- a/filbertspar/node/src/vm_keeper.cc
+++ b/filbertspar/node/src/vm_keeper.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 #include "boost/asio/co_spawn.hpp"
 #include "boost/asio/detached.hpp"
 #include "filbertspar/node/src/clock.h"
@@ -28,6 +29,8 @@
 /// A worker whose VM was ordered to move gets no task for this long; by then
 /// it is gone and the list shows it.
 constexpr Duration kMovedFor = Seconds(4);
+/// Loads of the pools are logged this often, beside the moves they explain.
+constexpr Duration kLoadLogPeriod = Seconds(1);
 constexpr Duration kStatusTimeout = Seconds(1);
 
 }  // namespace
@@ -48,7 +51,7 @@
 }
 
 bool VmKeeper::MayOrderVms() const {
-  return BootNow() >= m_orders_from && m_hooks.m_may_order();
+  return BootNow() >= m_orders_from && m_hooks.m_is_confirmed();
 }
 
 asio::awaitable<void> VmKeeper::Run() {
@@ -72,9 +75,11 @@
       co_return;
     }
     if (!m_state.m_vms.empty()) {
-      ApplyPlan(
+      const upkeep::Plan plan =
           upkeep::MakePlan(m_state, BootNow(),
-                           [this](const VmRecord& vm) { return FactsOf(vm); }));
+                           [this](const VmRecord& vm) { return FactsOf(vm); });
+      PlanMoves(plan);
+      ApplyPlan(plan);
     }
     co_await ShowStatus();
     co_await Pause(kRoundPeriod);
@@ -213,8 +218,10 @@
       load.m_cores = use.m_cores;
       load.m_running = use.m_running;
       load.m_waiting = use.m_ready;
-      load.m_backlog = use.m_backlog;
+      load.m_ready_work = use.m_ready_work;
+      load.m_slack = use.m_slack;
       load.m_arrived = pool->second.m_arrived_work;
+      load.m_jobs = pool->second.m_arrived_jobs;
     }
     loads.push_back(load);
   }
@@ -262,14 +269,18 @@
     return;
   }
   const std::vector<capacity::VmView> views = VmViews(plan);
+  const std::vector<capacity::PoolLoad> loads = PoolLoads();
+  LogLoads(loads, views);
   for (capacity::Move& move :
-       capacity::PlanMoves(m_moves, m_policy, now, PoolLoads(), views)) {
+       capacity::PlanMoves(m_moves, m_policy, now, loads, views)) {
     const VmRecord& vm = m_state.m_vms[move.m_vm];
     const auto worker = m_parts.m_scheduler.m_worker_index.find(vm.m_worker);
     if (worker != m_parts.m_scheduler.m_worker_index.end()) {
       m_parts.m_scheduler.m_workers[worker->second].m_cordoned = true;
     }
-    m_moved_workers[vm.m_worker] = now;
+    if (!vm.m_worker.Empty()) {
+      m_moved_workers[vm.m_worker] = now;
+    }
     const std::string kind =
         vm.m_labels.empty() ? "" : vm.m_labels.front().Value();
     asio::co_spawn(m_parts.m_context, OrderMove(std::move(move), kind),
@@ -277,6 +288,29 @@
   }
 }
 
+void VmKeeper::LogLoads(const std::vector<capacity::PoolLoad>& loads,
+                        const std::vector<capacity::VmView>& views) {
+  if (BootNow() < m_loads_logged_at + kLoadLogPeriod) {
+    return;
+  }
+  m_loads_logged_at = BootNow();
+  for (const capacity::PoolLoad& load : loads) {
+    std::size_t vms = 0;
+    std::size_t movable = 0;
+    for (const capacity::VmView& view : views) {
+      vms += view.m_pool == load.m_name;
+      movable += view.m_pool == load.m_name && view.m_movable;
+    }
+    m_parts.m_log.Info(
+        "vm", "pool_load",
+        absl::StrFormat("pool=%s vms=%d movable=%d cores=%.0f running=%.0f "
+                        "ready=%.0f ready_work=%.0f slack_ms=%d jobs=%d",
+                        load.m_name.Value(), vms, movable, load.m_cores,
+                        load.m_running, load.m_waiting, load.m_ready_work,
+                        ToMilliseconds(load.m_slack), load.m_jobs));
+  }
+}
+
 asio::awaitable<void> VmKeeper::OrderMove(capacity::Move move,
                                           std::string kind) {
   const auto self = shared_from_this();
@@ -332,7 +366,7 @@
 asio::awaitable<void> VmKeeper::ShowStatus() {
   for (auto& [number, wave] : m_state.m_waves) {
     const bool complete = upkeep::IsComplete(m_state, wave, BootNow());
-    if (wave.m_is_shown_completed || !m_hooks.m_may_order() ||
+    if (wave.m_is_shown_completed || !m_hooks.m_is_confirmed() ||
         (!complete && wave.m_is_shown_running)) {
       continue;
     }
--- a/filbertspar/node/src/vm_keeper.h
+++ b/filbertspar/node/src/vm_keeper.h
@@ -30,7 +30,9 @@
     Journal& m_journal;
   };
   struct Hooks {
-    std::function<bool()> m_may_order;
+    /// Whether the store confirmed the ownership lately. Orders to VMs are
+    /// not fenced everywhere, so an owner in doubt gives none.
+    std::function<bool()> m_is_confirmed;
     std::function<void()> m_changed;
   };
 
@@ -46,6 +48,8 @@
   asio::awaitable<void> OrderMove(capacity::Move move, std::string kind);
   asio::awaitable<void> ShowStatus();
   void PlanMoves(const upkeep::Plan& plan);
+  void LogLoads(const std::vector<capacity::PoolLoad>& loads,
+                const std::vector<capacity::VmView>& views);
   std::vector<capacity::PoolLoad> PoolLoads() const;
   std::vector<capacity::VmView> VmViews(const upkeep::Plan& plan) const;
   upkeep::VmFacts FactsOf(const VmRecord& vm) const;
@@ -62,6 +66,7 @@
   std::map<WorkerName, TimePoint> m_moved_workers;
   /// Earlier holders' orders have had their effect by then.
   TimePoint m_orders_from;
+  TimePoint m_loads_logged_at = TimePoint::min();
   bool m_running = true;
 };
 
--- a/filbertspar/scheduler/src/load.cc
+++ b/filbertspar/scheduler/src/load.cc
@@ -31,6 +31,7 @@
   use.m_work_left += waiting * cores * each;
   if (step.m_waiting > 0 && IsReady(job, occurrence, number)) {
     use.m_ready += waiting * cores;
+    use.m_ready_work += waiting * cores * each;
   }
   if (step.m_waiting + step.m_done == step.m_tasks.size()) {
     return;
@@ -55,8 +56,10 @@
       use.m_cores += CoresOf(worker.m_record.m_capacity);
     }
   }
+  double slack_by_work = 0;
   for (const Job* job : pool.m_jobs) {
     const double ratio = RatioOf(scheduler, job->m_spec->m_queue);
+    const double backlog_before = use.m_backlog;
     for (const auto& occurrence : job->m_occurrences) {
       for (std::size_t s = 0; s < occurrence->m_steps.size(); ++s) {
         const StepSpec& spec = job->m_spec->m_steps[s];
@@ -67,8 +70,18 @@
         }
       }
     }
+    const double backlog = use.m_backlog - backlog_before;
+    if (backlog > 0) {
+      const Duration slack = ObjectiveOf(scheduler, *job) - now -
+                             RemainingChain(scheduler, now, *job);
+      slack_by_work += backlog * std::max(0.0, ToSeconds(slack));
+    }
   }
   use.m_cores = std::max(0.0, use.m_cores);
+  if (use.m_backlog > 0) {
+    use.m_slack = Duration(
+        static_cast<std::int64_t>(slack_by_work / use.m_backlog * 1e6));
+  }
   return use;
 }
 
--- a/filbertspar/scheduler/src/load.h
+++ b/filbertspar/scheduler/src/load.h
@@ -11,10 +11,14 @@
   double m_running = 0;
   /// Of tasks that could start now.
   double m_ready = 0;
+  double m_ready_work = 0;
   /// Work of tasks that have not started.
   double m_backlog = 0;
   /// Work of tasks that have not ended.
   double m_work_left = 0;
+  /// Time that waiting work can wait and still meet its objective, on average
+  /// by work.
+  Duration m_slack{0};
 };
 
 PoolUse UseOf(const Scheduler& scheduler, TimePoint now, const Pool& pool);
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -211,6 +211,7 @@
   std::vector<Job*> m_jobs;
   /// Core-seconds of all jobs that were handed in, also of those refused.
   double m_arrived_work = 0;
+  std::uint64_t m_arrived_jobs = 0;
 };
 
 struct Approvals {
