--- a/filbertspar/capacity/src/moves.cc
+++ b/filbertspar/capacity/src/moves.cc
@@ -116,7 +116,7 @@
         now - it->second.m_since > kListLag &&
         std::any_of(vms.begin(), vms.end(), [&it](const VmView& vm) {
           return vm.m_name == it->first && vm.m_pool == it->second.m_to &&
-                 vm.m_movable;
+                 (vm.m_serves || vm.m_movable);
         });
     it = arrived || now - it->second.m_since > kPendingTime
              ? state.m_pending.erase(it)
--- a/filbertspar/capacity/src/moves.h
+++ b/filbertspar/capacity/src/moves.h
@@ -38,6 +38,8 @@
   /// VMs of one kind can serve the same pools.
   std::string m_kind;
   double m_cores = 0;
+  /// Its worker answers.
+  bool m_serves = false;
   /// Up, empty, and not claimed by its upkeep.
   bool m_movable = false;
 };
--- a/filbertspar/node/src/vm_keeper.cc
+++ b/filbertspar/node/src/vm_keeper.cc
@@ -26,6 +26,8 @@
 constexpr Duration kOrderTimeout = Milliseconds(800);
 /// On top of the time in which two holders may not take turns.
 constexpr Duration kTurnMargin = Milliseconds(400);
+/// A list shows what was so this long before it was asked for.
+constexpr Duration kListLag = Seconds(1);
 /// A worker whose VM was ordered to move gets no task for this long; by then
 /// it is gone and the list shows it.
 constexpr Duration kMovedFor = Seconds(4);
@@ -38,6 +40,7 @@
 VmKeeper::VmKeeper(const Parts& parts, Hooks hooks)
     : m_parts(parts),
       m_hooks(std::move(hooks)),
+      m_began_at(BootNow()),
       m_policy{parts.m_options.m_move_time + kJoinTime},
       m_orders_from(BootNow() + parts.m_options.m_holder_ttl + kTurnMargin) {}
 
@@ -69,7 +72,9 @@
     if (BootNow() >= next_list) {
       const bool read = co_await ReadList();
       next_list =
-          BootNow() + (busy || moving || !read ? kBusyListPeriod : kListPeriod);
+          BootNow() + (busy || moving || !read || !m_parts.m_scheduler.m_settled
+                           ? kBusyListPeriod
+                           : kListPeriod);
     }
     if (!m_running) {
       co_return;
@@ -136,8 +141,11 @@
     return;
   }
   std::set<WorkerName> roster;
+  // Once a list shows all VMs as of the take-over, a registered worker that
+  // is not on it has ended with its VM's move or upkeep.
+  const bool list_is_current = m_state.m_listed_at > m_began_at + kListLag;
   for (const auto& worker : scheduler.m_workers) {
-    if (worker.m_registered) {
+    if (worker.m_registered && !list_is_current) {
       roster.insert(worker.m_record.m_name);
     }
   }
@@ -251,6 +259,9 @@
          scheduler.m_workers[worker->second].m_tasks.empty() &&
          scheduler::IsUsable(scheduler, scheduler.m_workers[worker->second],
                              BootNow()));
+    view.m_serves =
+        worker != scheduler.m_worker_index.end() &&
+        scheduler::IsResponsive(scheduler.m_workers[worker->second], BootNow());
     view.m_movable = vm.m_state == VmState::kUp && is_empty &&
                      !in_upkeep.contains(name) &&
                      !m_moved_workers.contains(vm.m_worker);
--- a/filbertspar/node/src/vm_keeper.h
+++ b/filbertspar/node/src/vm_keeper.h
@@ -59,6 +59,7 @@
 
   Parts m_parts;
   Hooks m_hooks;
+  TimePoint m_began_at;
   upkeep::State m_state;
   capacity::State m_moves;
   capacity::Policy m_policy;
--- a/filbertspar/ownership/src/claim.cc
+++ b/filbertspar/ownership/src/claim.cc
@@ -10,6 +10,8 @@
 /// A VM on which nothing listens has no owner; the wait lets its last write
 /// become visible.
 constexpr Duration kRefusedAfter = Milliseconds(150);
+/// An owner that says itself that its writes are not confirmed.
+constexpr Duration kUnconfirmedAfter = Milliseconds(700);
 constexpr Duration kReadWhenGood = Seconds(3);
 constexpr Duration kReadWhenInDoubt = Milliseconds(250);
 constexpr Duration kLongestDelay = Milliseconds(300);
@@ -37,6 +39,10 @@
       unchanged >= kRefusedAfter + self.m_delay) {
     return true;
   }
+  if (view.m_link == LinkHealth::kUnconfirmed &&
+      unchanged >= kUnconfirmedAfter + self.m_delay) {
+    return true;
+  }
   return unchanged >= kStaleAfter + self.m_delay;
 }
 
