Pack tasks that end; count long-running tasks without a place

Cause: batch tasks were spread over all VMs of a pool, so none was free to move when the surge passed on, and a pool gave away VMs that its long-running tasks needed for memory. Ruled out: the moves' own time.

--- a/filbertspar/capacity/src/moves.cc
+++ b/filbertspar/capacity/src/moves.cc
@@ -19,6 +19,9 @@
 /// Share of its slack that waiting work may wait before VMs are called in.
 constexpr double kSlackShare = 0.5;
 constexpr double kLeastSlackSeconds = 0.4;
+/// Asked for long-running tasks without a place: more than half a VM, so that
+/// one comes at a time.
+constexpr double kCoresForUnplaced = 1e3;
 /// A VM is parked only after it was idle for this long; a move costs about as
 /// much as a VM for this time.
 constexpr Duration kIdleTime = Milliseconds(1000);
@@ -63,8 +66,7 @@
     const double newer = (load.m_arrived - half.m_work) * 2 / window;
     const double older = (half.m_work - begin.m_work) * 2 / window;
     const double rise = std::max(0.0, newer - older) * 2 / window;
-    need.m_soon =
-        std::max(rate, newer + rise * ToSeconds(policy.m_move_time) / 2);
+    need.m_soon = std::max(rate, newer + rise * ToSeconds(policy.m_move_time));
   }
   track.m_demand.emplace_back(now, std::max(load.m_running, need.m_soon));
   while (track.m_demand.front().first < now - kDemandMemory) {
@@ -93,10 +95,13 @@
       waiting = std::min(m_load->m_ready_work / slack,
                          m_need.m_now * kHeadroom - Have());
     }
-    return std::max({0.0, coming, waiting});
+    const double unplaced =
+        m_load->m_unplaced > 0 && m_incoming <= 0 ? kCoresForUnplaced : 0;
+    return std::max({0.0, coming, waiting, unplaced});
   }
   double Spare() const {
-    return m_load->m_ready_work > kLeastSlackSeconds * Have()
+    return m_load->m_ready_work > kLeastSlackSeconds * Have() ||
+                   m_load->m_unplaced > 0
                ? 0
                : Have() - m_need.m_lately * kKeepFactor;
   }
--- a/filbertspar/capacity/src/moves.h
+++ b/filbertspar/capacity/src/moves.h
@@ -26,6 +26,8 @@
   double m_ready_work = 0;
   /// Time that the waiting work can wait without harm, on average.
   Duration m_slack{0};
+  /// Long-running tasks without a place.
+  std::size_t m_unplaced = 0;
   /// Work and number of all jobs that ever came, also of those refused.
   double m_arrived = 0;
   std::uint64_t m_jobs = 0;
--- a/filbertspar/node/src/vm_keeper.cc
+++ b/filbertspar/node/src/vm_keeper.cc
@@ -228,6 +228,7 @@
       load.m_waiting = use.m_ready;
       load.m_ready_work = use.m_ready_work;
       load.m_slack = use.m_slack;
+      load.m_unplaced = use.m_unplaced;
       load.m_arrived = pool->second.m_arrived_work;
       load.m_jobs = pool->second.m_arrived_jobs;
     }
--- a/filbertspar/scheduler/src/load.cc
+++ b/filbertspar/scheduler/src/load.cc
@@ -12,6 +12,23 @@
   return static_cast<double>(demand.m_cpu.Count()) / 1000;
 }
 
+/// Cores per megabyte of the pool's workers; 0 when it has none.
+double CoresPerMegabyte(const Scheduler& scheduler, const Pool& pool) {
+  for (const WorkerIndex index : pool.m_workers) {
+    const Demand& capacity = scheduler.m_workers[index].m_record.m_capacity;
+    if (capacity.m_memory.Count() > 0) {
+      return CoresOf(capacity) / static_cast<double>(capacity.m_memory.Count());
+    }
+  }
+  return 0;
+}
+
+double WeightOf(const Demand& demand, double cores_per_megabyte) {
+  return std::max(
+      CoresOf(demand),
+      cores_per_megabyte * static_cast<double>(demand.m_memory.Count()));
+}
+
 bool IsReady(const Job& job, const Occurrence& occurrence, std::size_t step) {
   const auto& after = job.m_spec->m_steps[step].m_after;
   return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
@@ -21,10 +38,11 @@
 }
 
 void AddStep(PoolUse& use, TimePoint now, const Job& job,
-             const Occurrence& occurrence, std::size_t number, double ratio) {
+             const Occurrence& occurrence, std::size_t number, double ratio,
+             double cores_per_megabyte) {
   const StepSpec& spec = job.m_spec->m_steps[number];
   const Step& step = occurrence.m_steps[number];
-  const double cores = CoresOf(spec.m_demand);
+  const double cores = WeightOf(RoomOf(spec), cores_per_megabyte);
   const double each = ToSeconds(spec.m_estimate) * ratio;
   const double waiting = static_cast<double>(step.m_waiting);
   use.m_backlog += waiting * cores * each;
@@ -56,6 +74,7 @@
       use.m_cores += CoresOf(worker.m_record.m_capacity);
     }
   }
+  const double cores_per_megabyte = CoresPerMegabyte(scheduler, pool);
   double slack_by_work = 0;
   for (const Job* job : pool.m_jobs) {
     const double ratio = RatioOf(scheduler, job->m_spec->m_queue);
@@ -64,9 +83,11 @@
       for (std::size_t s = 0; s < occurrence->m_steps.size(); ++s) {
         const StepSpec& spec = job->m_spec->m_steps[s];
         if (spec.m_long_running) {
-          use.m_cores -= CoresOf(RoomOf(spec)) * spec.m_count;
+          use.m_cores -=
+              WeightOf(RoomOf(spec), cores_per_megabyte) * spec.m_count;
+          use.m_unplaced += occurrence->m_steps[s].m_waiting;
         } else {
-          AddStep(use, now, *job, *occurrence, s, ratio);
+          AddStep(use, now, *job, *occurrence, s, ratio, cores_per_megabyte);
         }
       }
     }
--- a/filbertspar/scheduler/src/load.h
+++ b/filbertspar/scheduler/src/load.h
@@ -4,7 +4,9 @@
 
 namespace filbertspar::scheduler {
 
-/// \brief Load of a pool by tasks that end; in cores and core-seconds.
+/// \brief Load of a pool by tasks that end; in cores and core-seconds. A task
+/// that takes a larger part of a worker's memory than of its processors counts
+/// as the cores of that part.
 struct PoolUse {
   /// Of workers that take tasks, less what long-running tasks hold or need.
   double m_cores = 0;
@@ -19,6 +21,8 @@
   /// Time that waiting work can wait and still meet its objective, on average
   /// by work.
   Duration m_slack{0};
+  /// Long-running tasks that wait for a place.
+  std::size_t m_unplaced = 0;
 };
 
 PoolUse UseOf(const Scheduler& scheduler, TimePoint now, const Pool& pool);
--- a/filbertspar/scheduler/src/placement.cc
+++ b/filbertspar/scheduler/src/placement.cc
@@ -9,7 +9,8 @@
 namespace filbertspar::scheduler {
 namespace {
 
-/// Penalties of a choice, in units of a whole worker in use.
+/// Penalties of a choice, in units of a whole worker in use. Tasks that end
+/// fill one worker after the other, so that others are free to be moved.
 constexpr double kFailedThere = 8;
 constexpr double kSameStepOnWorker = 4;
 constexpr double kSameStepInRack = 0.5;
@@ -134,7 +135,8 @@
         !MayRun(scheduler, now, worker, ref)) {
       continue;
     }
-    double penalty = UsedShare(worker, room.m_free);
+    double penalty = spec.m_long_running ? UsedShare(worker, room.m_free)
+                                         : 1 - UsedShare(worker, room.m_free);
     penalty += ref.GetTask().m_failed_on == room.m_worker ? kFailedThere : 0;
     penalty += worker.m_failure_streak;
     if (!spec.m_data_rack.Empty() && !near_data) {
