Stop guarded tasks only after those on leaving workers; bound the forecast

Ruled out: take-over, upkeep. Change: two passes, and a stop on a leaving worker waits for a guarded stop under way.

--- a/filbertspar/capacity/src/moves.cc
+++ b/filbertspar/capacity/src/moves.cc
@@ -13,9 +13,12 @@
 /// Demand of this long is kept in mind before VMs are given away.
 constexpr Duration kDemandMemory = Milliseconds(1500);
 /// Room kept above the demand, because tasks do not fill a worker evenly.
-constexpr double kHeadroom = 1.15;
+constexpr double kHeadroom = 1.1;
 /// Room kept above the highest demand of late before a VM is given away.
-constexpr double kKeepFactor = 1.25;
+constexpr double kKeepFactor = 1.15;
+/// Largest rise that is foreseen, as a share of the newest rate: surges level
+/// off, and a few large jobs look like one.
+constexpr double kLargestRise = 0.35;
 /// Share of its slack that waiting work may wait before VMs are called in.
 constexpr double kSlackShare = 0.5;
 constexpr double kLeastSlackSeconds = 0.4;
@@ -66,7 +69,9 @@
     const double newer = (load.m_arrived - half.m_work) * 2 / window;
     const double older = (half.m_work - begin.m_work) * 2 / window;
     const double rise = std::max(0.0, newer - older) * 2 / window;
-    need.m_soon = std::max(rate, newer + rise * ToSeconds(policy.m_move_time));
+    need.m_soon =
+        std::max(rate, newer + std::min(rise * ToSeconds(policy.m_move_time),
+                                        newer * kLargestRise));
   }
   track.m_demand.emplace_back(now, std::max(load.m_running, need.m_soon));
   while (track.m_demand.front().first < now - kDemandMemory) {
--- a/filbertspar/node/src/configuration.cc
+++ b/filbertspar/node/src/configuration.cc
@@ -121,7 +121,8 @@
              absl::StrCat("wave=", wave->m_number, " vms=", wave->m_vms.size(),
                           " ceiling=", wave->m_ceiling,
                           " duration_ms=", ToMilliseconds(wave->m_duration)));
-  m_waves[wave->m_number] = *std::move(wave);
+  const std::uint64_t number = wave->m_number;
+  m_waves[number] = *std::move(wave);
 }
 
 }  // namespace filbertspar
--- a/filbertspar/node/src/link_server.cc
+++ b/filbertspar/node/src/link_server.cc
@@ -164,7 +164,7 @@
   JobReply reply = co_await m_handler(std::move(call));
   reply.m_number = number;
   if (!link->m_closed && link->m_session->CanSend()) {
-    Send(link, link->m_session->Wrap(std::move(reply)));
+    Send(link, link->m_session->Wrap(reply));
   }
 }
 
--- a/filbertspar/node/src/vm_keeper.cc
+++ b/filbertspar/node/src/vm_keeper.cc
@@ -35,6 +35,11 @@
 constexpr Duration kLoadLogPeriod = Seconds(1);
 constexpr Duration kStatusTimeout = Seconds(1);
 
+/// Nobody gave orders to VMs before.
+bool IsFirstHolder(const scheduler::Scheduler& scheduler) {
+  return scheduler.m_options.m_fencing == FencingNumber(1);
+}
+
 }  // namespace
 
 VmKeeper::VmKeeper(const Parts& parts, Hooks hooks)
@@ -42,7 +47,10 @@
       m_hooks(std::move(hooks)),
       m_began_at(BootNow()),
       m_policy{parts.m_options.m_move_time + kJoinTime},
-      m_orders_from(BootNow() + parts.m_options.m_holder_ttl + kTurnMargin) {}
+      m_orders_from(IsFirstHolder(parts.m_scheduler)
+                        ? BootNow()
+                        : BootNow() + parts.m_options.m_holder_ttl +
+                              kTurnMargin) {}
 
 void VmKeeper::Start() {
   if (!m_parts.m_options.m_fleet) {
--- a/filbertspar/scheduler/src/evacuate.cc
+++ b/filbertspar/scheduler/src/evacuate.cc
@@ -32,6 +32,45 @@
          worker.m_drains_until;
 }
 
+/// Whether a stop of another task of the step is on its way. Orders to two
+/// workers may arrive in either order, and the later one must find the other
+/// task's absence allowed.
+bool IsStopUnderWay(const TaskRef& ref) {
+  const std::vector<Task>& tasks = ref.GetStep().m_tasks;
+  return std::any_of(tasks.begin(), tasks.end(), [](const Task& task) {
+    return task.m_phase == TaskPhase::kStopping &&
+           task.m_answered_at == TimePoint::max();
+  });
+}
+
+bool HasPlace(Scheduler& scheduler, TimePoint now, const TaskRef& ref) {
+  const Pool& pool = scheduler.m_pools[ref.m_job->m_spec->m_policy.m_pool];
+  return ChooseWorker(scheduler, now, RoomsOf(scheduler, now, pool), ref) !=
+         kNoWorker;
+}
+
+void EvacuateTask(Scheduler& scheduler, TimePoint now, const TaskRef& ref) {
+  if (ref.GetTask().m_phase != TaskPhase::kRunning ||
+      IsFinal(ref.m_job->m_state)) {
+    return;
+  }
+  const Worker& worker = scheduler.m_workers[ref.GetTask().m_worker];
+  if (!ref.Spec().m_long_running) {
+    if (BatchShouldMove(scheduler, now, worker, ref)) {
+      StopTask(scheduler, now, ref, "worker_leaves");
+    }
+    return;
+  }
+  const bool guarded = !worker.m_record.m_draining;
+  const bool allowed =
+      guarded ? now >= scheduler.m_options.m_takes_away_from && MayTakeAway(ref)
+              : ref.Spec().m_max_unavailable == 0 || !IsStopUnderWay(ref) ||
+                    now + kStopMargin > worker.m_drains_until;
+  if (allowed && HasPlace(scheduler, now, ref)) {
+    StopTask(scheduler, now, ref, guarded ? "worker_emptied" : "worker_leaves");
+  }
+}
+
 }  // namespace
 
 bool MayTakeAway(const TaskRef& ref) {
@@ -49,34 +88,19 @@
 }
 
 void Evacuate(Scheduler& scheduler, TimePoint now) {
-  for (std::size_t i = 0; i < scheduler.m_workers.size(); ++i) {
-    const Worker& worker = scheduler.m_workers[i];
-    if ((!worker.m_record.m_draining && !worker.m_cordoned) ||
-        worker.m_tasks.empty() || !IsResponsive(worker, now)) {
-      continue;
-    }
-    const std::vector<TaskRef> tasks = worker.m_tasks;
-    for (const TaskRef& ref : tasks) {
-      if (ref.GetTask().m_phase != TaskPhase::kRunning ||
-          IsFinal(ref.m_job->m_state)) {
-        continue;
-      }
-      if (!ref.Spec().m_long_running) {
-        if (BatchShouldMove(scheduler, now, worker, ref)) {
-          StopTask(scheduler, now, ref, "worker_leaves");
-        }
+  // What a leaving worker takes away counts before anything else is taken.
+  for (const bool leaving : {true, false}) {
+    for (std::size_t i = 0; i < scheduler.m_workers.size(); ++i) {
+      const Worker& worker = scheduler.m_workers[i];
+      const bool concerned =
+          leaving ? worker.m_record.m_draining
+                  : worker.m_cordoned && !worker.m_record.m_draining;
+      if (!concerned || worker.m_tasks.empty() || !IsResponsive(worker, now)) {
         continue;
       }
-      const Pool& pool = scheduler.m_pools[ref.m_job->m_spec->m_policy.m_pool];
-      const bool has_place =
-          ChooseWorker(scheduler, now, RoomsOf(scheduler, now, pool), ref) !=
-          kNoWorker;
-      const bool guarded = !worker.m_record.m_draining;
-      if (has_place &&
-          (!guarded || (now >= scheduler.m_options.m_takes_away_from &&
-                        MayTakeAway(ref)))) {
-        StopTask(scheduler, now, ref,
-                 guarded ? "worker_emptied" : "worker_leaves");
+      const std::vector<TaskRef> tasks = worker.m_tasks;
+      for (const TaskRef& ref : tasks) {
+        EvacuateTask(scheduler, now, ref);
       }
     }
   }
--- a/filbertspar/scheduler/src/placement.cc
+++ b/filbertspar/scheduler/src/placement.cc
@@ -182,7 +182,7 @@
     return places.size() == count ? places : std::vector<WorkerIndex>();
   };
   if (!spec.m_data_rack.Empty()) {
-    const auto near = fill(&spec.m_data_rack);
+    auto near = fill(&spec.m_data_rack);
     if (!near.empty() || WaitsForData(scheduler, now, first)) {
       return near;
     }
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -284,8 +284,8 @@
   worker.m_is_silent = false;
   if (!worker.m_looked) {
     // What runs there may hold a lease of an earlier owner.
-    worker.m_lease_until = std::max(worker.m_lease_until,
-                                    scheduler.m_options.m_inherited_until);
+    worker.m_lease_until =
+        std::max(worker.m_lease_until, scheduler.m_options.m_inherited_until);
   }
   worker.m_looked = true;
   if (worker.m_unwanted.size() > look.m_running.size() + 64) {
