--- a/filbertspar/scheduler/src/admit.cc
+++ b/filbertspar/scheduler/src/admit.cc
@@ -91,18 +91,22 @@
     ends[s] = begin + Scaled(spec.m_steps[s].m_estimate, ratio);
     admission.m_expected_chain = std::max(admission.m_expected_chain, ends[s]);
   }
-  admission.m_expected_wait =
-      Duration(static_cast<std::int64_t>(use.m_work_left / use.m_cores * 1e6));
+  // Late work waits for work that can still be on time.
+  const auto wait_behind = [&use](double work) {
+    return Duration(static_cast<std::int64_t>(work / use.m_cores * 1e6));
+  };
+  admission.m_expected_wait = wait_behind(use.m_work_on_time);
   const Duration objective =
       Scaled(admission.m_expected_chain, spec.m_policy.m_stretch) +
       spec.m_policy.m_target;
-  const Duration useful = Scaled(objective, kUselessAfter);
-  const Duration needed =
+  const Duration on_time =
       admission.m_expected_wait + admission.m_expected_chain;
-  if (needed > useful) {
+  const Duration late =
+      wait_behind(use.m_work_left) + admission.m_expected_chain;
+  if (on_time > objective && late > Scaled(objective, kUselessAfter)) {
     admission.m_code = Code::kDeadlineTooShort;
     admission.m_retry_after =
-        std::clamp(needed - useful, kShortestReturn, kLongestReturn);
+        std::clamp(on_time - objective, kShortestReturn, kLongestReturn);
   }
   return admission;
 }
--- a/filbertspar/scheduler/src/load.cc
+++ b/filbertspar/scheduler/src/load.cc
@@ -79,6 +79,7 @@
   for (const Job* job : pool.m_jobs) {
     const double ratio = RatioOf(scheduler, job->m_spec->m_queue);
     const double backlog_before = use.m_backlog;
+    const double work_before = use.m_work_left;
     for (const auto& occurrence : job->m_occurrences) {
       for (std::size_t s = 0; s < occurrence->m_steps.size(); ++s) {
         const StepSpec& spec = job->m_spec->m_steps[s];
@@ -92,10 +93,12 @@
       }
     }
     const double backlog = use.m_backlog - backlog_before;
-    if (backlog > 0) {
+    const double work = use.m_work_left - work_before;
+    if (work > 0) {
       const Duration slack = ObjectiveOf(scheduler, *job) - now -
                              RemainingChain(scheduler, now, *job);
       slack_by_work += backlog * std::max(0.0, ToSeconds(slack));
+      use.m_work_on_time += slack >= Duration(0) ? work : 0;
     }
   }
   use.m_cores = std::max(0.0, use.m_cores);
--- a/filbertspar/scheduler/src/load.h
+++ b/filbertspar/scheduler/src/load.h
@@ -18,6 +18,8 @@
   double m_backlog = 0;
   /// Work of tasks that have not ended.
   double m_work_left = 0;
+  /// The part of it that belongs to jobs that can still meet their objective.
+  double m_work_on_time = 0;
   /// Time that waiting work can wait and still meet its objective, on average
   /// by work.
   Duration m_slack{0};
