Announce orders to VMs in the store; take over sooner

Cause: after each take-over no VM could be moved for 3.4 s, since an earlier holder might have ordered about it; a surge within that time met a small pool. Ruled out: recovery reads (30 ms).

--- a/filbertspar/node/src/duty.cc
+++ b/filbertspar/node/src/duty.cc
@@ -19,7 +19,7 @@
 constexpr int kLeaseReports = 2;
 /// An owner whose writes are not confirmed for this long orders nothing more,
 /// unless nobody else reaches the store either.
-constexpr Duration kOrderBound = Seconds(2);
+constexpr Duration kOrderBound = Milliseconds(1600);
 /// Clock error and late delivery on top of the last lease of an earlier owner.
 constexpr Duration kInheritMargin = Milliseconds(500);
 /// On top of the time of a stop: until the workers were looked at first, which
@@ -62,8 +62,8 @@
   options.m_fencing = won.m_record.m_epoch;
   options.m_lease = LeaseOf(parts.m_options);
   options.m_state_kept = parts.m_options.m_state_kept;
-  options.m_inherited_until =
-      BootNow() + kOrderBound + options.m_lease * 21 / 20 + kInheritMargin;
+  options.m_inherited_until = won.m_quiet_since + kOrderBound +
+                              options.m_lease * 21 / 20 + kInheritMargin;
   options.m_takes_away_from =
       BootNow() + parts.m_options.m_stop_time + kEarlierStops;
   m_scheduler.m_unix_offset = UnixNow() - BootNow().time_since_epoch();
--- a/filbertspar/node/src/journal.cc
+++ b/filbertspar/node/src/journal.cc
@@ -12,12 +12,14 @@
 
 /// The owner's row is written at least this often, so that others see that
 /// the owner lives.
-constexpr Duration kRenewPeriod = Milliseconds(500);
+constexpr Duration kRenewPeriod = Milliseconds(400);
 /// Least time between the begins of two writes; batches what comes meanwhile.
 constexpr Duration kWriteGap = Milliseconds(15);
 constexpr Duration kFirstTimeout = Milliseconds(400);
 constexpr Duration kLongestTimeout = Milliseconds(1600);
 constexpr Duration kRefusedPause = Milliseconds(60);
+/// Longest wait for a row that an order depends on.
+constexpr Duration kPutTime = Seconds(1);
 constexpr Duration kStuckAfter = Milliseconds(700);
 /// The owner's row takes two entries of a change.
 constexpr std::size_t kMaxEntries = adapter::kMaxChangeEntries - 4;
@@ -41,6 +43,7 @@
       m_version(won.m_version),
       m_hooks(std::move(hooks)),
       m_wake(context),
+      m_put_stored(context),
       m_confirmed_at(BootNow()) {}
 
 bool Journal::HasWork() const {
@@ -94,6 +97,7 @@
     m_puts.erase(m_puts.begin());
     ++entries;
   }
+  batch.m_puts = m_puts.empty() ? m_last_put : 0;
   m_record.m_released =
       m_releasing && m_waiting.empty() && m_scheduler.m_unstored.empty();
   change.m_values.push_back({OwnerRowKey(), EncodeOwner(m_record)});
@@ -137,6 +141,8 @@
     }
     if (stored) {
       scheduler::Stored(m_scheduler, batch.m_progress);
+      m_stored_put = std::max(m_stored_put, batch.m_puts);
+      m_put_stored.Notify();
       m_hooks.m_stored();
     }
     if (m_record.m_released) {
@@ -145,7 +151,7 @@
     }
   }
   FailAll(Code::kNotLeaseHolder);
-  m_wake.Notify();
+  m_put_stored.Notify();
 }
 
 asio::awaitable<Journal::Outcome> Journal::Write(const TableChange& change) {
@@ -252,9 +258,21 @@
 
 void Journal::Put(const TableKey& key, std::string value) {
   m_puts[key] = std::move(value);
+  ++m_last_put;
   m_wake.Notify();
 }
 
+asio::awaitable<bool> Journal::PutAndWait(const TableKey& key,
+                                          std::string value) {
+  Put(key, std::move(value));
+  const std::uint64_t number = m_last_put;
+  const TimePoint deadline = BootNow() + kPutTime;
+  while (m_running && m_stored_put < number && BootNow() < deadline) {
+    co_await m_put_stored.WaitFor(deadline - BootNow());
+  }
+  co_return m_stored_put >= number;
+}
+
 asio::awaitable<void> Journal::Release() {
   /// Longest time for the last writes of an owner that stops.
   constexpr Duration kReleaseTime = Seconds(2);
--- a/filbertspar/node/src/journal.h
+++ b/filbertspar/node/src/journal.h
@@ -47,6 +47,9 @@
   /// \brief Stores a row with the next write; a later value replaces it.
   void Put(const TableKey& key, std::string value);
 
+  /// \brief Stores a row; true once it is stored, false when that is not sure.
+  asio::awaitable<bool> PutAndWait(const TableKey& key, std::string value);
+
   /// \brief There may be something to write.
   void Kick() { m_wake.Notify(); }
 
@@ -73,6 +76,8 @@
     TableChange m_change;
     std::vector<std::shared_ptr<Accepting>> m_jobs;
     std::vector<scheduler::JobWrite> m_progress;
+    /// Number of the last put that the batch holds.
+    std::uint64_t m_puts = 0;
   };
   enum class Outcome : std::uint8_t { kStored, kRejected, kDeposed };
 
@@ -95,6 +100,9 @@
   absl::flat_hash_map<JobId, std::shared_ptr<Accepting>> m_accepting;
   std::deque<JobId> m_removals;
   std::map<TableKey, std::string> m_puts;
+  std::uint64_t m_last_put = 0;
+  std::uint64_t m_stored_put = 0;
+  Signal m_put_stored;
   TimePoint m_confirmed_at;
   TimePoint m_write_began = TimePoint::min();
   bool m_is_writing = false;
--- a/filbertspar/node/src/link_client.cc
+++ b/filbertspar/node/src/link_client.cc
@@ -19,9 +19,9 @@
 using Socket = asio::basic_stream_socket<tcp, asio::io_context::executor_type>;
 
 constexpr std::size_t kReadBytes = 16 << 10;
-constexpr Duration kPingPeriod = Milliseconds(300);
+constexpr Duration kPingPeriod = Milliseconds(250);
 /// Silence after which the link is given up and opened again.
-constexpr Duration kSilence = Milliseconds(900);
+constexpr Duration kSilence = Milliseconds(750);
 constexpr Duration kConnectTimeout = Milliseconds(500);
 constexpr Duration kRetryPause = Milliseconds(100);
 
--- a/filbertspar/node/src/owner_watch.cc
+++ b/filbertspar/node/src/owner_watch.cc
@@ -121,6 +121,7 @@
       FencingNumber(m_view.m_record ? m_view.m_record->m_epoch.Value() + 1 : 1);
   claim.m_write = 0;
   claim.m_released = false;
+  const TimePoint quiet_since = m_view.m_version_since;
   TableChange change;
   change.m_conditions.push_back({OwnerRowKey(), m_view.m_version});
   change.m_values.push_back({OwnerRowKey(), EncodeOwner(claim)});
@@ -138,7 +139,7 @@
                absl::StrCat("epoch=", claim.m_epoch.Value(),
                             " version=", answer.m_version.Value()));
     m_changed.Notify();
-    m_won({claim, answer.m_version});
+    m_won({claim, answer.m_version, quiet_since});
     co_return;
   }
   // A claim without an answer may take effect later; the row then names this
@@ -152,7 +153,7 @@
       !m_view.m_record->m_released) {
     m_is_owner = true;
     m_changed.Notify();
-    m_won({*m_view.m_record, m_view.m_version});
+    m_won({*m_view.m_record, m_view.m_version, quiet_since});
   }
 }
 
--- a/filbertspar/node/src/owner_watch.h
+++ b/filbertspar/node/src/owner_watch.h
@@ -29,6 +29,8 @@
   struct Won {
     OwnerRecord m_record;
     RowVersion m_version;
+    /// The holder before wrote nothing after this time.
+    TimePoint m_quiet_since{};
   };
 
   OwnerWatch(asio::io_context& context, StoreClient& store, EventLog& log,
--- a/filbertspar/node/src/store_client.cc
+++ b/filbertspar/node/src/store_client.cc
@@ -61,9 +61,18 @@
                      std::string(StoreResultName(answer.m_result))));
   RecordLatency(m_metrics, metric::kStoreSeconds, kind, BootNow() - sent);
   NoteResult(answer.m_result, sent);
+  if (answer.m_now_ms > ClockMs()) {
+    m_clock_ms = answer.m_now_ms;
+    m_clock_at = BootNow();
+  }
   co_return answer;
 }
 
+std::int64_t StoreClient::ClockMs() const {
+  return m_clock_ms == 0 ? 0
+                         : m_clock_ms + ToMilliseconds(BootNow() - m_clock_at);
+}
+
 asio::awaitable<TableAnswer> StoreClient::Change(const TableChange& change,
                                                  Duration timeout) {
   co_return co_await Call("change", adapter::ChangeCall(change), timeout);
--- a/filbertspar/node/src/store_client.h
+++ b/filbertspar/node/src/store_client.h
@@ -34,6 +34,9 @@
   TimePoint ReachedAt() const { return m_reached_at; }
   /// \brief When the store came back after it was away; min() if it never was.
   TimePoint RegainedAt() const { return m_regained_at; }
+  /// \brief Least reading of the store's steady clock now, in milliseconds; 0
+  /// before the first answer.
+  std::int64_t ClockMs() const;
   bool IsLost() const { return m_failures >= kLostAfter; }
 
   void SetEndpoint(const Endpoint& endpoint) { m_endpoint = endpoint; }
@@ -53,6 +56,8 @@
   TimePoint m_reached_at = TimePoint::min();
   TimePoint m_regained_at = TimePoint::min();
   int m_failures = 0;
+  std::int64_t m_clock_ms = 0;
+  TimePoint m_clock_at{};
 };
 
 }  // namespace filbertspar
--- a/filbertspar/node/src/vm_keeper.cc
+++ b/filbertspar/node/src/vm_keeper.cc
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr const char* kWaveTable = "filbertspar_waves";
+constexpr const char* kOrderTable = "filbertspar_vm_orders";
+constexpr const char* kOrderKey = "lately";
 constexpr Duration kRoundPeriod = Milliseconds(250);
 constexpr Duration kListPeriod = Seconds(2);
 constexpr Duration kBusyListPeriod = Milliseconds(500);
@@ -35,22 +37,13 @@
 constexpr Duration kLoadLogPeriod = Seconds(1);
 constexpr Duration kStatusTimeout = Seconds(1);
 
-/// Nobody gave orders to VMs before.
-bool IsFirstHolder(const scheduler::Scheduler& scheduler) {
-  return scheduler.m_options.m_fencing == FencingNumber(1);
-}
-
 }  // namespace
 
 VmKeeper::VmKeeper(const Parts& parts, Hooks hooks)
     : m_parts(parts),
       m_hooks(std::move(hooks)),
       m_began_at(BootNow()),
-      m_policy{parts.m_options.m_move_time + kJoinTime},
-      m_orders_from(IsFirstHolder(parts.m_scheduler)
-                        ? BootNow()
-                        : BootNow() + parts.m_options.m_holder_ttl +
-                              kTurnMargin) {}
+      m_policy{parts.m_options.m_move_time + kJoinTime} {}
 
 void VmKeeper::Start() {
   if (!m_parts.m_options.m_fleet) {
@@ -61,13 +54,34 @@
   asio::co_spawn(m_parts.m_context, Run(), asio::detached);
 }
 
-bool VmKeeper::MayOrderVms() const {
-  return BootNow() >= m_orders_from && m_hooks.m_is_confirmed();
+bool VmKeeper::MayOrder(const VmName& vm) const {
+  const auto found = m_left_alone.find(vm);
+  return m_running && m_hooks.m_is_confirmed() &&
+         (found == m_left_alone.end() || BootNow() >= found->second);
+}
+
+asio::awaitable<bool> VmKeeper::Announce(VmName vm) {
+  if (!MayOrder(vm)) {
+    co_return false;
+  }
+  const std::int64_t now_ms = m_parts.m_store.ClockMs();
+  const std::int64_t kept_ms =
+      ToMilliseconds(m_parts.m_options.m_holder_ttl + kTurnMargin);
+  std::erase_if(m_ordered_ms, [now_ms, kept_ms](const auto& entry) {
+    return now_ms - entry.second > kept_ms;
+  });
+  m_ordered_ms[vm] = now_ms;
+  // Named, since g++ 12 destroys such temporaries of a co_await twice.
+  const TableKey key{kOrderTable, job_table::kPart, kOrderKey};
+  std::string value = upkeep::EncodeOrders(m_ordered_ms);
+  const bool stored =
+      co_await m_parts.m_journal.PutAndWait(key, std::move(value));
+  co_return stored&& MayOrder(vm);
 }
 
 asio::awaitable<void> VmKeeper::Run() {
   const auto self = shared_from_this();
-  while (m_running && !co_await ReadDone()) {
+  while (m_running && !(co_await ReadOrders() && co_await ReadDone())) {
     co_await Pause(kRoundPeriod);
   }
   TimePoint next_list{};
@@ -99,6 +113,28 @@
   }
 }
 
+asio::awaitable<bool> VmKeeper::ReadOrders() {
+  const TableAnswer rows =
+      co_await m_parts.m_store.ReadAll(kOrderTable, job_table::kPart);
+  if (rows.m_result != StoreResult::kDone || !m_running) {
+    co_return false;
+  }
+  const Duration kept = m_parts.m_options.m_holder_ttl + kTurnMargin;
+  for (const TableRow& row : rows.m_rows) {
+    const auto orders = upkeep::DecodeOrders(row.m_value);
+    if (!orders.ok()) {
+      m_parts.m_log.Warn("vm", "orders_unreadable",
+                         absl::StrCat("key=", row.m_key.m_key));
+      continue;
+    }
+    for (const auto& [vm, ordered_ms] : *orders) {
+      const Duration age = Milliseconds(m_parts.m_store.ClockMs() - ordered_ms);
+      m_left_alone[vm] = BootNow() + std::min(kept, kept - age);
+    }
+  }
+  co_return true;
+}
+
 asio::awaitable<bool> VmKeeper::ReadDone() {
   const TableAnswer rows =
       co_await m_parts.m_store.ReadAll(kWaveTable, job_table::kPart);
@@ -273,7 +309,7 @@
         scheduler::IsResponsive(scheduler.m_workers[worker->second], BootNow());
     view.m_movable = vm.m_state == VmState::kUp && is_empty &&
                      !in_upkeep.contains(name) &&
-                     !m_moved_workers.contains(vm.m_worker);
+                     !m_moved_workers.contains(vm.m_worker) && MayOrder(name);
     views.push_back(view);
   }
   return views;
@@ -284,7 +320,8 @@
   std::erase_if(m_moved_workers, [now](const auto& entry) {
     return now - entry.second > kMovedFor;
   });
-  if (!MayOrderVms() || m_parts.m_scheduler.m_deployment == nullptr ||
+  if (!m_hooks.m_is_confirmed() ||
+      m_parts.m_scheduler.m_deployment == nullptr ||
       !m_parts.m_scheduler.m_settled) {
     return;
   }
@@ -338,10 +375,12 @@
   const WorkerName worker = m_state.m_vms[move.m_vm].m_worker;
   const adapter::VmDuty duty{m_parts.m_options.m_vm.Value(),
                              m_parts.m_scheduler.m_options.m_fencing};
-  const VmOrderResult result =
-      adapter::DecodeVmOrder(co_await m_parts.m_client.Call(
-          *m_parts.m_options.m_fleet,
-          adapter::MoveCall(move.m_vm, move.m_to, duty), kOrderTimeout));
+  VmOrderResult result = VmOrderResult::kTryLater;
+  if (co_await Announce(move.m_vm)) {
+    result = adapter::DecodeVmOrder(co_await m_parts.m_client.Call(
+        *m_parts.m_options.m_fleet,
+        adapter::MoveCall(move.m_vm, move.m_to, duty), kOrderTimeout));
+  }
   Count(m_parts.m_metrics, metric::kVmOrders,
         absl::StrCat("move_", static_cast<int>(result)));
   m_parts.m_log.Info(
@@ -360,7 +399,7 @@
 asio::awaitable<void> VmKeeper::OrderUpkeep(upkeep::Plan::Order order) {
   const auto self = shared_from_this();
   VmOrderResult result = VmOrderResult::kTryLater;
-  if (MayOrderVms()) {
+  if (co_await Announce(order.m_vm)) {
     const adapter::VmDuty duty{m_parts.m_options.m_vm.Value(),
                                m_parts.m_scheduler.m_options.m_fencing};
     result = adapter::DecodeVmOrder(co_await m_parts.m_client.Call(
--- a/filbertspar/node/src/vm_keeper.h
+++ b/filbertspar/node/src/vm_keeper.h
@@ -42,6 +42,7 @@
 
  private:
   asio::awaitable<void> Run();
+  asio::awaitable<bool> ReadOrders();
   asio::awaitable<bool> ReadDone();
   asio::awaitable<bool> ReadList();
   asio::awaitable<void> OrderUpkeep(upkeep::Plan::Order order);
@@ -55,7 +56,10 @@
   upkeep::VmFacts FactsOf(const VmRecord& vm) const;
   void TakeRoster();
   void ApplyPlan(const upkeep::Plan& plan);
-  bool MayOrderVms() const;
+  /// \brief Stores that the VM is ordered about, so that a successor leaves it
+  /// alone for a while; false when it may not be ordered now.
+  asio::awaitable<bool> Announce(VmName vm);
+  bool MayOrder(const VmName& vm) const;
 
   Parts m_parts;
   Hooks m_hooks;
@@ -65,8 +69,11 @@
   capacity::Policy m_policy;
   /// Workers of VMs that were ordered to move, and since when.
   std::map<WorkerName, TimePoint> m_moved_workers;
-  /// Earlier holders' orders have had their effect by then.
-  TimePoint m_orders_from;
+  /// When each VM was last ordered about, by the store's clock.
+  std::map<VmName, std::int64_t> m_ordered_ms;
+  /// VMs that an earlier holder ordered about lately, and until when they are
+  /// left alone.
+  std::map<VmName, TimePoint> m_left_alone;
   TimePoint m_loads_logged_at = TimePoint::min();
   bool m_running = true;
 };
--- a/filbertspar/upkeep/src/state.cc
+++ b/filbertspar/upkeep/src/state.cc
@@ -26,4 +26,29 @@
   return std::vector<VmName>(names.begin(), names.end());
 }
 
+std::string EncodeOrders(const std::map<VmName, std::int64_t>& orders) {
+  JsonObject object;
+  for (const auto& [vm, ordered_ms] : orders) {
+    object[vm.Value()] = ordered_ms;
+  }
+  return ToText(object);
+}
+
+absl::StatusOr<std::map<VmName, std::int64_t>> DecodeOrders(
+    std::string_view text) {
+  absl::StatusOr<JsonObject> object = ParseJsonObject(text);
+  if (!object.ok()) {
+    return object.status();
+  }
+  std::map<VmName, std::int64_t> orders;
+  for (const auto& field : *object) {
+    if (!field.value().is_int64()) {
+      return Error(Code::kBadField, "orders: expected whole numbers");
+    }
+    orders[VmName(std::string(field.key().data(), field.key().size()))] =
+        field.value().as_int64();
+  }
+  return orders;
+}
+
 }  // namespace filbertspar::upkeep
--- a/filbertspar/upkeep/src/state.h
+++ b/filbertspar/upkeep/src/state.h
@@ -64,4 +64,10 @@
 std::string EncodeDone(const Wave& wave);
 absl::StatusOr<std::vector<VmName>> DecodeDone(std::string_view text);
 
+/// \brief Text of when each VM was last ordered about, in milliseconds of the
+/// store's clock.
+std::string EncodeOrders(const std::map<VmName, std::int64_t>& orders);
+absl::StatusOr<std::map<VmName, std::int64_t>> DecodeOrders(
+    std::string_view text);
+
 }  // namespace filbertspar::upkeep
