--- a/filbertspar/node/src/vm_keeper.cc
+++ b/filbertspar/node/src/vm_keeper.cc
@@ -206,10 +206,12 @@
   const scheduler::Scheduler& scheduler = m_parts.m_scheduler;
   const auto found = scheduler.m_worker_index.find(vm.m_worker);
   if (found == scheduler.m_worker_index.end()) {
+    facts.m_is_empty = scheduler.m_settled;
     return facts;
   }
   const scheduler::Worker& worker = scheduler.m_workers[found->second];
-  facts.m_tasks = worker.m_tasks.size();
+  facts.m_is_empty =
+      worker.m_tasks.empty() && (worker.m_looked || scheduler.m_settled);
   facts.m_long_running = static_cast<std::size_t>(
       std::count_if(worker.m_tasks.begin(), worker.m_tasks.end(),
                     [](const auto& ref) { return ref.Spec().m_long_running; }));
@@ -218,7 +220,6 @@
                            ? 0
                            : static_cast<double>(worker.m_used.m_cpu.Count()) /
                                  static_cast<double>(capacity);
-  facts.m_is_usable = scheduler::IsUsable(scheduler, worker, BootNow());
   return facts;
 }
 
--- a/filbertspar/upkeep/src/plan.cc
+++ b/filbertspar/upkeep/src/plan.cc
@@ -172,7 +172,7 @@
       if (item.m_phase == Phase::kEmptying) {
         ++emptying;
         plan.m_emptied.push_back(name);
-        if (known.m_tasks == 0 && record->second.m_state == VmState::kUp &&
+        if (known.m_is_empty && record->second.m_state == VmState::kUp &&
             down < wave.m_asked.m_ceiling) {
           item.m_phase = Phase::kOrdered;
           item.m_since = now;
--- a/filbertspar/upkeep/src/state.h
+++ b/filbertspar/upkeep/src/state.h
@@ -44,11 +44,11 @@
 
 /// \brief What the planner knows of one VM besides its record.
 struct VmFacts {
-  /// Tasks that hold room on its worker.
-  std::size_t m_tasks = 0;
+  /// Nothing runs on it, for certain: its worker was looked at, or leases that
+  /// might have been given have run out.
+  bool m_is_empty = false;
   std::size_t m_long_running = 0;
   double m_used_share = 0;
-  bool m_is_usable = false;
 };
 
 struct State {
--- /dev/null
+++ b/tests/capacity_moves_test.cc
@@ -0,0 +1,148 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "filbertspar/capacity/capacity.h"
+
+namespace filbertspar::capacity {
+namespace {
+
+constexpr double kVmCores = 16;
+
+/// Pools of VMs whose load is set by the test; moves take effect at once.
+struct Fleet {
+  State m_state;
+  Policy m_policy;
+  TimePoint m_now{Seconds(100)};
+  std::vector<VmView> m_vms;
+  std::map<PoolName, PoolLoad> m_loads;
+
+  void AddPool(const std::string& name, int vms, bool standby = false) {
+    PoolLoad load;
+    load.m_name = PoolName(name);
+    load.m_standby = standby;
+    m_loads[load.m_name] = load;
+    for (int i = 0; i < vms; ++i) {
+      VmView vm;
+      vm.m_name = VmName(name + std::to_string(i));
+      vm.m_pool = load.m_name;
+      vm.m_kind = "a";
+      vm.m_cores = kVmCores;
+      vm.m_serves = true;
+      vm.m_movable = true;
+      m_vms.push_back(vm);
+    }
+  }
+
+  std::size_t Size(const std::string& pool) const {
+    return static_cast<std::size_t>(std::count_if(
+        m_vms.begin(), m_vms.end(),
+        [&](const VmView& vm) { return vm.m_pool == PoolName(pool); }));
+  }
+
+  std::size_t Run(Duration duration) {
+    std::size_t moved = 0;
+    for (const TimePoint end = m_now + duration; m_now < end;
+         m_now += Milliseconds(250)) {
+      std::vector<PoolLoad> loads;
+      for (auto& [name, load] : m_loads) {
+        load.m_cores = load.m_standby
+                           ? 0
+                           : kVmCores * static_cast<double>(Size(name.Value()));
+        loads.push_back(load);
+      }
+      for (const Move& move :
+           PlanMoves(m_state, m_policy, m_now, loads, m_vms)) {
+        ++moved;
+        MoveAnswered(m_state, m_now, move, "a", VmOrderResult::kAccepted);
+        for (VmView& vm : m_vms) {
+          if (vm.m_name == move.m_vm) {
+            vm.m_pool = move.m_to;
+          }
+        }
+      }
+    }
+    return moved;
+  }
+};
+
+// Guards against VMs that stay on, and are paid for, while nothing needs them.
+TEST_CASE("idle VMs are parked and a pool keeps some") {
+  Fleet fleet;
+  fleet.AddPool("p", 9);
+  fleet.AddPool("standby", 0, true);
+  fleet.Run(Seconds(6));
+  CHECK(fleet.Size("p") >= 1);
+  CHECK(fleet.Size("p") <= 3);
+}
+
+// Guards against a surge that is served by its own pool alone while VMs of
+// other pools idle. The load is five times what the pool holds.
+TEST_CASE("VMs come to a pool in surge and leave it after") {
+  Fleet fleet;
+  fleet.AddPool("p", 4);
+  fleet.AddPool("q", 12);
+  fleet.AddPool("standby", 8, true);
+  PoolLoad& surge = fleet.m_loads[PoolName("p")];
+  surge.m_running = 64;
+  surge.m_waiting = 256;
+  surge.m_ready_work = 256;
+  surge.m_slack = Seconds(1);
+  fleet.Run(Seconds(2));
+  CHECK(fleet.Size("p") >= 18);
+  surge.m_running = surge.m_waiting = surge.m_ready_work = 0;
+  fleet.Run(Seconds(8));
+  CHECK(fleet.Size("p") <= 3);
+}
+
+// Guards against moves to and fro for waiting work that its pool ends in time.
+TEST_CASE("work that can wait moves nothing") {
+  Fleet fleet;
+  fleet.AddPool("p", 4);
+  fleet.AddPool("q", 4);
+  PoolLoad& load = fleet.m_loads[PoolName("p")];
+  load.m_running = 60;
+  load.m_waiting = 40;
+  load.m_ready_work = 40;
+  load.m_slack = Seconds(4);
+  CHECK(fleet.Run(Seconds(3)) == 0);
+}
+
+// Guards against a pool that gives away the VMs its long-running tasks need.
+TEST_CASE("a pool with long-running tasks without a place gets VMs") {
+  Fleet fleet;
+  fleet.AddPool("p", 1);
+  fleet.AddPool("standby", 4, true);
+  fleet.m_loads[PoolName("p")].m_unplaced = 2;
+  fleet.m_vms[0].m_movable = false;
+  fleet.Run(Seconds(3));
+  CHECK(fleet.Size("p") >= 2);
+}
+
+// Guards against asking again and again for a move that the pool refuses.
+TEST_CASE("a kind of VM that a pool refuses is not sent again") {
+  Fleet fleet;
+  fleet.AddPool("p", 1);
+  fleet.AddPool("q", 4);
+  PoolLoad& load = fleet.m_loads[PoolName("p")];
+  load.m_waiting = load.m_ready_work = 100;
+  std::vector<PoolLoad> loads;
+  for (auto& [name, each] : fleet.m_loads) {
+    each.m_cores = kVmCores;
+    loads.push_back(each);
+  }
+  loads[1].m_cores = 4 * kVmCores;
+  const auto first =
+      PlanMoves(fleet.m_state, fleet.m_policy, fleet.m_now, loads, fleet.m_vms);
+  REQUIRE_FALSE(first.empty());
+  for (const Move& move : first) {
+    MoveAnswered(fleet.m_state, fleet.m_now, move, "a",
+                 VmOrderResult::kMalformed);
+  }
+  fleet.m_now += Seconds(1);
+  CHECK(
+      PlanMoves(fleet.m_state, fleet.m_policy, fleet.m_now, loads, fleet.m_vms)
+          .empty());
+}
+
+}  // namespace
+}  // namespace filbertspar::capacity
