--- a/filbertspar/platform/src/bucket.h
+++ b/filbertspar/base/src/bucket.h
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "filbertspar/base/base.h"
+#include "filbertspar/base/src/time.h"
 
 namespace filbertspar {
 
--- a/filbertspar/node/src/duty.cc
+++ b/filbertspar/node/src/duty.cc
@@ -81,9 +81,9 @@
     m_parts.m_log.Warn("owner", "deposed", m_log_epoch);
     m_deposed();
   };
-  m_journal =
-      std::make_shared<Journal>(parts.m_context, parts.m_store, parts.m_log,
-                                m_scheduler, std::move(won), std::move(hooks));
+  m_journal = std::make_shared<Journal>(
+      parts.m_context, parts.m_store, parts.m_log, m_scheduler, std::move(won),
+      parts.m_options.m_part_changes_per_s, std::move(hooks));
   m_workers = std::make_shared<WorkerLinks>(
       parts.m_context, parts.m_client, parts.m_metrics, parts.m_log,
       m_scheduler,
--- a/filbertspar/node/src/front.cc
+++ b/filbertspar/node/src/front.cc
@@ -103,9 +103,7 @@
 }
 
 absl::StatusOr<std::string> Front::JobRow(const HttpRequest& request,
-                                          const Deployment& deployment,
                                           const Target& target) const {
-  static_cast<void>(deployment);
   absl::StatusOr<JobSpec> job = adapter::DecodeSubmit(request.body());
   if (!job.ok()) {
     return job.status();
@@ -115,7 +113,13 @@
   job->m_workspace = target.m_workspace;
   job->m_policy = target.m_queue->m_policy;
   job->m_received_ms = ToMilliseconds(UnixNow());
-  return EncodeJob(*job);
+  std::string row = EncodeJob(*job);
+  // The store keeps rows as base64.
+  if (row.size() * 4 / 3 + 4 > m_row_bytes) {
+    return Error(Code::kBodyTooLarge,
+                 "the job does not fit a row of the store");
+  }
+  return row;
 }
 
 asio::awaitable<HttpResponse> Front::HandleJob(const HttpRequest& request,
@@ -139,7 +143,7 @@
     if (request.body().size() > deployment.m_limits.m_body_bytes) {
       co_return Refuse(Code::kBodyTooLarge, "");
     }
-    absl::StatusOr<std::string> row = JobRow(request, deployment, target);
+    absl::StatusOr<std::string> row = JobRow(request, target);
     if (!row.ok()) {
       co_return StatusResponse(row.status());
     }
--- a/filbertspar/node/src/front.h
+++ b/filbertspar/node/src/front.h
@@ -12,11 +12,12 @@
 class Front {
  public:
   Front(Configuration& configuration, Router& router, MetricsBook& metrics,
-        EventLog& log)
+        EventLog& log, std::size_t row_bytes)
       : m_configuration(configuration),
         m_router(router),
         m_metrics(metrics),
-        m_log(log) {}
+        m_log(log),
+        m_row_bytes(row_bytes) {}
 
   asio::awaitable<HttpResponse> Handle(const HttpRequest& request);
 
@@ -31,7 +32,6 @@
                                           const Deployment& deployment,
                                           const Target& target);
   absl::StatusOr<std::string> JobRow(const HttpRequest& request,
-                                     const Deployment& deployment,
                                      const Target& target) const;
   HttpResponse Refuse(Code code, std::string_view message,
                       Duration retry_after = Duration(0));
@@ -40,6 +40,8 @@
   Router& m_router;
   MetricsBook& m_metrics;
   EventLog& m_log;
+  /// Largest value of a row in the store, as it is encoded there.
+  std::size_t m_row_bytes;
 };
 
 }  // namespace filbertspar
--- a/filbertspar/node/src/journal.cc
+++ b/filbertspar/node/src/journal.cc
@@ -13,8 +13,10 @@
 /// The owner's row is written at least this often, so that others see that
 /// the owner lives.
 constexpr Duration kRenewPeriod = Milliseconds(400);
-/// Least time between the begins of two writes; batches what comes meanwhile.
-constexpr Duration kWriteGap = Milliseconds(15);
+/// Share of a part's rate of changes that is used.
+constexpr double kPartShare = 0.35;
+/// Least time between the begins of two writes, whatever the rate.
+constexpr Duration kLeastGap = Milliseconds(10);
 constexpr Duration kFirstTimeout = Milliseconds(400);
 constexpr Duration kLongestTimeout = Milliseconds(1600);
 constexpr Duration kRefusedPause = Milliseconds(60);
@@ -34,7 +36,7 @@
 
 Journal::Journal(asio::io_context& context, StoreClient& store, EventLog& log,
                  scheduler::Scheduler& scheduler, OwnerWatch::Won won,
-                 Hooks hooks)
+                 std::int64_t changes_per_s, Hooks hooks)
     : m_context(context),
       m_store(store),
       m_log(log),
@@ -42,6 +44,10 @@
       m_record(std::move(won.m_record)),
       m_version(won.m_version),
       m_hooks(std::move(hooks)),
+      m_write_gap(std::max(
+          kLeastGap,
+          Duration(static_cast<std::int64_t>(
+              1e6 / kPartShare / static_cast<double>(changes_per_s))))),
       m_wake(context),
       m_put_stored(context),
       m_confirmed_at(BootNow()) {}
@@ -110,7 +116,7 @@
     while (m_running && !HasWork() && BootNow() < due) {
       co_await m_wake.WaitFor(due - BootNow());
     }
-    const TimePoint earliest = m_write_began + kWriteGap;
+    const TimePoint earliest = m_write_began + m_write_gap;
     if (m_running && BootNow() < earliest) {
       co_await Pause(earliest - BootNow());
     }
--- a/filbertspar/node/src/journal.h
+++ b/filbertspar/node/src/journal.h
@@ -31,7 +31,8 @@
   };
 
   Journal(asio::io_context& context, StoreClient& store, EventLog& log,
-          scheduler::Scheduler& scheduler, OwnerWatch::Won won, Hooks hooks);
+          scheduler::Scheduler& scheduler, OwnerWatch::Won won,
+          std::int64_t changes_per_s, Hooks hooks);
 
   /// \brief Writes until Stop or until another VM owns the jobs.
   asio::awaitable<void> Run();
@@ -95,6 +96,8 @@
   OwnerRecord m_record;
   RowVersion m_version;
   Hooks m_hooks;
+  /// Least time between the begins of two writes; batches what comes meanwhile.
+  Duration m_write_gap;
   Signal m_wake;
   std::deque<std::shared_ptr<Accepting>> m_waiting;
   absl::flat_hash_map<JobId, std::shared_ptr<Accepting>> m_accepting;
--- a/filbertspar/node/src/node.cc
+++ b/filbertspar/node/src/node.cc
@@ -86,7 +86,9 @@
         m_secret(RandomSecret()),
         m_log(context, EventLogLimits(), STDOUT_FILENO),
         m_client(context, ClientLimits()),
-        m_store(m_client, m_metrics, m_log, m_options.m_store),
+        m_store(
+            m_client, m_metrics, m_log, m_options.m_store,
+            {m_options.m_store_reads_per_s, m_options.m_store_writes_per_s}),
         m_configuration(context, m_store, m_log,
                         Duration(static_cast<std::int64_t>(
                             kFreshnessShare *
@@ -100,7 +102,8 @@
                       m_secret),
         m_link_client(context, m_log, HelloOf(m_options, m_incarnation)),
         m_router(m_watch, m_link_client, [this] { return m_duty; }),
-        m_front(m_configuration, m_router, m_metrics, m_log),
+        m_front(m_configuration, m_router, m_metrics, m_log,
+                static_cast<std::size_t>(m_options.m_row_bytes)),
         m_callers(context, ServerLimits(),
                   [this](const HttpRequest& request) {
                     return m_front.Handle(request);
--- a/filbertspar/node/src/options.cc
+++ b/filbertspar/node/src/options.cc
@@ -30,8 +30,10 @@
   settings.GetInt("node.memory_mb", 256, 1, 1 << 30);
   settings.GetBool("node.first_start", false);
   options.m_store = settings.GetEndpoint("store.address");
-  settings.GetDouble("store.writes_per_s", 600, 0, 1e9);
-  settings.GetDouble("store.reads_per_s", 2000, 0, 1e9);
+  options.m_store_writes_per_s =
+      settings.GetDouble("store.writes_per_s", 600, 0, 1e9);
+  options.m_store_reads_per_s =
+      settings.GetDouble("store.reads_per_s", 2000, 0, 1e9);
   settings.GetDouble("store.change_ms", 5, 0, 1e6);
   options.m_part_changes_per_s = static_cast<std::int64_t>(
       settings.GetDouble("store.part_changes_per_s", 200, 1, 1e6));
--- a/filbertspar/node/src/options.h
+++ b/filbertspar/node/src/options.h
@@ -19,7 +19,8 @@
   Endpoint m_metrics_listen;
   double m_cpu_share = 1;
   Endpoint m_store;
-  Duration m_change_time{0};
+  double m_store_reads_per_s = 0;
+  double m_store_writes_per_s = 0;
   std::int64_t m_part_changes_per_s = 0;
   std::int64_t m_row_bytes = 0;
   std::optional<Endpoint> m_fleet;
--- a/filbertspar/node/src/store_client.cc
+++ b/filbertspar/node/src/store_client.cc
@@ -1,8 +1,10 @@
 #include "filbertspar/node/src/store_client.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "filbertspar/node/src/async.h"
 #include "filbertspar/node/src/clock.h"
 #include "filbertspar/node/src/metric_names.h"
 #include "platform/platform.h"
@@ -13,15 +15,35 @@
 /// Beyond the wait of a feed: time for its answer to come.
 constexpr Duration kFeedSlack = Milliseconds(1200);
 constexpr Duration kReadTimeout = Milliseconds(1500);
+/// Parts of the shared rates that one VM may use. Only the owner writes much;
+/// two may do so around a take-over.
+constexpr double kReadPart = 0.2;
+constexpr double kWritePart = 0.5;
+
+/// A second's worth may be used at once.
+TokenBucket BucketOf(double per_second) {
+  const double rate = std::max(1.0, per_second);
+  return MakeBucket(rate, rate, BootNow());
+}
 
 }  // namespace
 
 StoreClient::StoreClient(HttpClient& client, MetricsBook& metrics,
-                         EventLog& log, Endpoint endpoint)
+                         EventLog& log, Endpoint endpoint,
+                         const StoreRates& rates)
     : m_client(client),
       m_metrics(metrics),
       m_log(log),
-      m_endpoint(std::move(endpoint)) {}
+      m_endpoint(std::move(endpoint)),
+      m_reads(BucketOf(rates.m_reads_per_s * kReadPart)),
+      m_writes(BucketOf(rates.m_writes_per_s * kWritePart)) {}
+
+asio::awaitable<void> StoreClient::TakeRate(TokenBucket& bucket) {
+  while (!TakeToken(bucket, BootNow())) {
+    const TimePoint now = BootNow();
+    co_await Pause(NextToken(bucket, now) - now);
+  }
+}
 
 void StoreClient::NoteResult(StoreResult result, TimePoint sent) {
   const bool answered = result == StoreResult::kDone ||
@@ -75,6 +97,7 @@
 
 asio::awaitable<TableAnswer> StoreClient::Change(const TableChange& change,
                                                  Duration timeout) {
+  co_await TakeRate(m_writes);
   co_return co_await Call("change", adapter::ChangeCall(change), timeout);
 }
 
@@ -82,6 +105,7 @@
                                                std::string_view part,
                                                std::string_view from_key,
                                                Duration timeout) {
+  co_await TakeRate(m_reads);
   co_return co_await Call("read", adapter::ReadCall(table, part, from_key),
                           timeout);
 }
@@ -89,6 +113,7 @@
 asio::awaitable<TableAnswer> StoreClient::Feed(std::string_view table,
                                                RowVersion after,
                                                Duration wait) {
+  co_await TakeRate(m_reads);
   co_return co_await Call("feed", adapter::FeedCall(table, after, wait),
                           wait + kFeedSlack);
 }
--- a/filbertspar/node/src/store_client.h
+++ b/filbertspar/node/src/store_client.h
@@ -11,11 +11,18 @@
 
 namespace filbertspar {
 
-/// \brief The process' only way to the metadata store.
+/// \brief Rates that all VMs together may use.
+struct StoreRates {
+  double m_reads_per_s = 0;
+  double m_writes_per_s = 0;
+};
+
+/// \brief The process' only way to the metadata store. Calls beyond the VM's
+/// part of the shared rates wait.
 class StoreClient {
  public:
   StoreClient(HttpClient& client, MetricsBook& metrics, EventLog& log,
-              Endpoint endpoint);
+              Endpoint endpoint, const StoreRates& rates);
 
   asio::awaitable<TableAnswer> Change(const TableChange& change,
                                       Duration timeout);
@@ -47,12 +54,15 @@
 
   asio::awaitable<TableAnswer> Call(std::string_view kind, HttpRequest request,
                                     Duration timeout);
+  asio::awaitable<void> TakeRate(TokenBucket& bucket);
   void NoteResult(StoreResult result, TimePoint sent);
 
   HttpClient& m_client;
   MetricsBook& m_metrics;
   EventLog& m_log;
   Endpoint m_endpoint;
+  TokenBucket m_reads;
+  TokenBucket m_writes;
   TimePoint m_reached_at = TimePoint::min();
   TimePoint m_regained_at = TimePoint::min();
   int m_failures = 0;
--- a/filbertspar/node/src/vm_keeper.cc
+++ b/filbertspar/node/src/vm_keeper.cc
@@ -26,6 +26,8 @@
 constexpr Duration kJoinTime = Milliseconds(300);
 constexpr Duration kListTimeout = Seconds(1);
 constexpr Duration kOrderTimeout = Milliseconds(800);
+/// Part of the shared rate of orders that the owner uses.
+constexpr double kOrderPart = 0.9;
 /// On top of the time in which two holders may not take turns.
 constexpr Duration kTurnMargin = Milliseconds(400);
 /// A list shows what was so this long before it was asked for.
@@ -43,7 +45,11 @@
     : m_parts(parts),
       m_hooks(std::move(hooks)),
       m_began_at(BootNow()),
-      m_policy{parts.m_options.m_move_time + kJoinTime} {}
+      m_policy{parts.m_options.m_move_time + kJoinTime},
+      m_order_rate(MakeBucket(
+          std::max(1.0, parts.m_options.m_fleet_orders_per_s * kOrderPart),
+          std::max(1.0, parts.m_options.m_fleet_orders_per_s * kOrderPart),
+          BootNow())) {}
 
 void VmKeeper::Start() {
   if (!m_parts.m_options.m_fleet) {
@@ -61,7 +67,7 @@
 }
 
 asio::awaitable<bool> VmKeeper::Announce(VmName vm) {
-  if (!MayOrder(vm)) {
+  if (!MayOrder(vm) || !TakeToken(m_order_rate, BootNow())) {
     co_return false;
   }
   const std::int64_t now_ms = m_parts.m_store.ClockMs();
--- a/filbertspar/node/src/vm_keeper.h
+++ b/filbertspar/node/src/vm_keeper.h
@@ -67,6 +67,8 @@
   upkeep::State m_state;
   capacity::State m_moves;
   capacity::Policy m_policy;
+  /// Part of the shared rate of orders to VMs.
+  TokenBucket m_order_rate;
   /// Workers of VMs that were ordered to move, and since when.
   std::map<WorkerName, TimePoint> m_moved_workers;
   /// When each VM was last ordered about, by the store's clock.
--- a/filbertspar/platform/platform.h
+++ b/filbertspar/platform/platform.h
@@ -7,7 +7,6 @@
 
 #include "filbertspar/platform/src/batch.h"    // IWYU pragma: export
 #include "filbertspar/platform/src/breaker.h"  // IWYU pragma: export
-#include "filbertspar/platform/src/bucket.h"   // IWYU pragma: export
 #include "filbertspar/platform/src/client.h"   // IWYU pragma: export
 #include "filbertspar/platform/src/codec.h"    // IWYU pragma: export
 #include "filbertspar/platform/src/rows.h"     // IWYU pragma: export
--- a/filbertspar/platform/src/client.h
+++ b/filbertspar/platform/src/client.h
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include "filbertspar/platform/src/breaker.h"
-#include "filbertspar/platform/src/bucket.h"
 #include "filbertspar/platform/src/codec.h"
 #include "filbertspar/platform/src/rows.h"
 
