--- a/filbertspar/node/src/duty.cc
+++ b/filbertspar/node/src/duty.cc
@@ -511,6 +511,9 @@
   }
   const TimePoint began = BootNow();
   reply.m_code = co_await m_journal->Accept(*std::move(spec), call.m_wait);
+  if (reply.m_code == Code::kJournalStoreDown) {
+    reply.m_retry_after = kStoreReturn;
+  }
   m_parts.m_log.Info(
       "call", "submit_done",
       absl::StrCat(JobField(id), " code=", static_cast<int>(reply.m_code),
--- a/filbertspar/node/src/journal.cc
+++ b/filbertspar/node/src/journal.cc
@@ -17,12 +17,15 @@
 constexpr double kPartShare = 0.35;
 /// Least time between the begins of two writes, whatever the rate.
 constexpr Duration kLeastGap = Milliseconds(10);
-constexpr Duration kFirstTimeout = Milliseconds(400);
+/// Longer than a write of a store that is 60 times slower than usual.
+constexpr Duration kFirstTimeout = Milliseconds(700);
 constexpr Duration kLongestTimeout = Milliseconds(1600);
 constexpr Duration kRefusedPause = Milliseconds(60);
 /// Longest wait for a row that an order depends on.
 constexpr Duration kPutTime = Seconds(1);
-constexpr Duration kStuckAfter = Milliseconds(700);
+constexpr Duration kStuckAfter = Milliseconds(1500);
+/// A job that no write has taken up by then is refused, which is still true.
+constexpr Duration kQueueTime = Milliseconds(1200);
 /// The owner's row takes two entries of a change.
 constexpr std::size_t kMaxEntries = adapter::kMaxChangeEntries - 4;
 /// Rows grow by a third in the body of a call.
@@ -236,9 +239,18 @@
     m_waiting.push_back(job);
     m_wake.Notify();
   }
-  const TimePoint deadline = BootNow() + wait;
+  const TimePoint began = BootNow();
+  const TimePoint deadline = began + wait;
+  const TimePoint taken_up_by = began + std::min(wait, kQueueTime);
   while (!job->m_is_over && BootNow() < deadline) {
-    co_await job->m_done.WaitFor(deadline - BootNow());
+    const bool queued = BootNow() < taken_up_by;
+    co_await job->m_done.WaitFor((queued ? taken_up_by : deadline) - BootNow());
+    const auto waiting = std::find(m_waiting.begin(), m_waiting.end(), job);
+    if (!job->m_is_over && waiting != m_waiting.end() &&
+        BootNow() >= taken_up_by) {
+      m_waiting.erase(waiting);
+      Finish(job, Code::kJournalStoreDown);
+    }
   }
   co_return job->m_code;
 }
--- a/filbertspar/node/src/owner_watch.cc
+++ b/filbertspar/node/src/owner_watch.cc
@@ -79,6 +79,7 @@
     m_view.m_version_since = BootNow();
   }
   m_view.m_confirmed_at = sent;
+  m_view.m_read_time = BootNow() - sent;
   m_view.m_read = true;
   m_view.m_record = record;
   if (same_holder || !record) {
--- a/filbertspar/ownership/src/claim.cc
+++ b/filbertspar/ownership/src/claim.cc
@@ -12,6 +12,8 @@
 constexpr Duration kRefusedAfter = Milliseconds(150);
 /// An owner that says itself that its writes are not confirmed.
 constexpr Duration kUnconfirmedAfter = Milliseconds(700);
+/// A write takes about as long as this many reads.
+constexpr int kReadsPerWrite = 3;
 constexpr Duration kReadWhenGood = Seconds(3);
 constexpr Duration kReadWhenInDoubt = Milliseconds(250);
 constexpr Duration kLongestDelay = Milliseconds(300);
@@ -34,7 +36,9 @@
   if (view.m_link == LinkHealth::kGood) {
     return false;
   }
-  const Duration unchanged = view.m_confirmed_at - view.m_version_since;
+  // A store that answers slowly also takes longer for the owner's writes.
+  const Duration unchanged = view.m_confirmed_at - view.m_version_since -
+                             view.m_read_time * kReadsPerWrite;
   if (view.m_link == LinkHealth::kRefused &&
       unchanged >= kRefusedAfter + self.m_delay) {
     return true;
--- a/filbertspar/ownership/src/claim.h
+++ b/filbertspar/ownership/src/claim.h
@@ -28,6 +28,8 @@
   TimePoint m_version_since{};
   /// When the last read that showed this version was sent.
   TimePoint m_confirmed_at{};
+  /// Time that the last read took.
+  Duration m_read_time{0};
   LinkHealth m_link = LinkHealth::kSilent;
   TimePoint m_link_since{};
 };
