--- a/filbertspar/node/src/vm_keeper.cc
+++ b/filbertspar/node/src/vm_keeper.cc
@@ -328,8 +328,7 @@
     return now - entry.second > kMovedFor;
   });
   if (!m_hooks.m_is_confirmed() ||
-      m_parts.m_scheduler.m_deployment == nullptr ||
-      !m_parts.m_scheduler.m_settled) {
+      m_parts.m_scheduler.m_deployment == nullptr) {
     return;
   }
   const std::vector<capacity::VmView> views = VmViews(plan);
--- /dev/null
+++ b/tests/node_event_log_test.cc
@@ -0,0 +1,73 @@
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+
+#include "filbertspar/node/src/event_log.h"
+
+namespace filbertspar {
+namespace {
+
+std::string ReadAll(int descriptor) {
+  std::string text;
+  std::array<char, 4096> buffer{};
+  ssize_t bytes = 0;
+  while ((bytes = read(descriptor, buffer.data(), buffer.size())) > 0) {
+    text.append(buffer.data(), static_cast<std::size_t>(bytes));
+  }
+  return text;
+}
+
+// Guards against a process that stands still because nobody reads its log,
+// and against lines that vanish without a word.
+TEST_CASE("a reader that stalls costs lines, not time") {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  REQUIRE(fcntl(ends[0], F_SETFL, O_NONBLOCK) == 0);
+  asio::io_context context;
+  EventLogLimits limits;
+  limits.m_buffered_bytes = 64 << 10;
+  limits.m_lines_per_s = 1e6;
+  limits.m_burst_lines = 1e6;
+  {
+    EventLog log(context, limits, ends[1]);
+    for (int i = 0; i < 20000; ++i) {
+      log.Info("test", "line", "number=" + std::to_string(i));
+    }
+    log.Flush();
+    CHECK(log.Dropped() > 0);
+    const std::string first = ReadAll(ends[0]);
+    CHECK(first.find("test: event=line number=0\n") != std::string::npos);
+    log.Flush();
+    ReadAll(ends[0]);
+    log.Flush();
+    log.Info("test", "after");
+    log.Flush();
+    const std::string later = ReadAll(ends[0]);
+    CHECK(later.find("log: event=lines_dropped count=") != std::string::npos);
+    CHECK(later.find("event=after") != std::string::npos);
+  }
+  close(ends[0]);
+  close(ends[1]);
+}
+
+// Guards against a log that grows with the load.
+TEST_CASE("lines beyond the rate are dropped and counted") {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  asio::io_context context;
+  EventLogLimits limits;
+  limits.m_lines_per_s = 1;
+  limits.m_burst_lines = 10;
+  EventLog log(context, limits, ends[1]);
+  for (int i = 0; i < 100; ++i) {
+    log.Info("test", "line");
+  }
+  CHECK(log.Dropped() >= 85);
+  close(ends[0]);
+  close(ends[1]);
+}
+
+}  // namespace
+}  // namespace filbertspar
--- a/tests/wire_fuzz_test.cc
+++ b/tests/wire_fuzz_test.cc
@@ -43,6 +43,10 @@
                "body"}},
       {1, 8, ForwardReply{RequestId(6), Code::kTaskFailed, "body"}},
       {1, 9, GrantHint{node, TeamName("t"), 3, 1}},
+      {1, 10, JobCall{1, JobVerb::kSubmit, "q", "w", "j", "body", Seconds(1)}},
+      {1, 11, JobReply{1, Code::kOk, 2, 3, Seconds(1)}},
+      {1, 12, LinkPing{4, Seconds(1)}},
+      {1, 13, LinkPong{4, true}},
   };
 }
 
