Admission counts VMs that are on their way

Cause: at the begin of a surge callers were refused with waits of 5 s although the VMs that would serve them had been ordered. Ruled out: run time estimates.

--- a/filbertspar/capacity/src/moves.cc
+++ b/filbertspar/capacity/src/moves.cc
@@ -215,6 +215,14 @@
   return moves;
 }
 
+double IncomingCores(const State& state, const PoolName& pool) {
+  double cores = 0;
+  for (const auto& [vm, pending] : state.m_pending) {
+    cores += pending.m_to == pool ? pending.m_cores : 0;
+  }
+  return cores;
+}
+
 void MoveAnswered(State& state, TimePoint now, const Move& move,
                   const std::string& kind, VmOrderResult result) {
   switch (result) {
--- a/filbertspar/capacity/src/moves.h
+++ b/filbertspar/capacity/src/moves.h
@@ -88,6 +88,9 @@
                             const std::vector<PoolLoad>& pools,
                             const std::vector<VmView>& vms);
 
+/// \brief Cores of VMs that are on their way to a pool.
+double IncomingCores(const State& state, const PoolName& pool);
+
 /// \brief Answer to the order of a move.
 void MoveAnswered(State& state, TimePoint now, const Move& move,
                   const std::string& kind, VmOrderResult result);
--- a/filbertspar/node/src/vm_keeper.cc
+++ b/filbertspar/node/src/vm_keeper.cc
@@ -349,6 +349,13 @@
     asio::co_spawn(m_parts.m_context, OrderMove(std::move(move), kind),
                    asio::detached);
   }
+  TellIncoming();
+}
+
+void VmKeeper::TellIncoming() {
+  for (auto& [name, pool] : m_parts.m_scheduler.m_pools) {
+    pool.m_incoming_cores = capacity::IncomingCores(m_moves, name);
+  }
 }
 
 void VmKeeper::LogLoads(const std::vector<capacity::PoolLoad>& loads,
--- a/filbertspar/node/src/vm_keeper.h
+++ b/filbertspar/node/src/vm_keeper.h
@@ -49,6 +49,8 @@
   asio::awaitable<void> OrderMove(capacity::Move move, std::string kind);
   asio::awaitable<void> ShowStatus();
   void PlanMoves(const upkeep::Plan& plan);
+  /// \brief Lets the admission count VMs that are on their way.
+  void TellIncoming();
   void LogLoads(const std::vector<capacity::PoolLoad>& loads,
                 const std::vector<capacity::VmView>& views);
   std::vector<capacity::PoolLoad> PoolLoads() const;
--- a/filbertspar/scheduler/src/admit.cc
+++ b/filbertspar/scheduler/src/admit.cc
@@ -78,7 +78,8 @@
     return admission;
   }
   const PoolUse use = UseOf(scheduler, now, found->second);
-  if (use.m_cores <= 0) {
+  const double cores = use.m_cores + found->second.m_incoming_cores;
+  if (cores <= 0) {
     return admission;
   }
   const double ratio = RatioOf(scheduler, spec.m_queue);
@@ -92,8 +93,8 @@
     admission.m_expected_chain = std::max(admission.m_expected_chain, ends[s]);
   }
   // Late work waits for work that can still be on time.
-  const auto wait_behind = [&use](double work) {
-    return Duration(static_cast<std::int64_t>(work / use.m_cores * 1e6));
+  const auto wait_behind = [cores](double work) {
+    return Duration(static_cast<std::int64_t>(work / cores * 1e6));
   };
   admission.m_expected_wait = wait_behind(use.m_work_on_time);
   const Duration objective =
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -209,6 +209,8 @@
   std::vector<WorkerIndex> m_workers;
   /// Jobs that are not final.
   std::vector<Job*> m_jobs;
+  /// Cores of VMs that were ordered to join and have not yet.
+  double m_incoming_cores = 0;
   /// Core-seconds of all jobs that were handed in, also of those refused.
   double m_arrived_work = 0;
   std::uint64_t m_arrived_jobs = 0;
