--- a/filbertspar/node/src/duty.cc
+++ b/filbertspar/node/src/duty.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "boost/asio/co_spawn.hpp"
 #include "boost/asio/detached.hpp"
@@ -376,7 +377,23 @@
   }
 }
 
+void Duty::CountNote(const scheduler::Effects::Note& note) {
+  constexpr std::string_view kJobPrefix = "job_";
+  constexpr std::string_view kAgePrefix = "after_ms=";
+  if (!std::string_view(note.m_event).starts_with(kJobPrefix)) {
+    return;
+  }
+  const std::string state = note.m_event.substr(kJobPrefix.size());
+  Count(m_parts.m_metrics, metric::kJobs, state);
+  std::int64_t age_ms = 0;
+  if (absl::SimpleAtoi(note.m_detail.substr(kAgePrefix.size()), &age_ms)) {
+    RecordLatency(m_parts.m_metrics, metric::kJobSeconds, state,
+                  Milliseconds(age_ms));
+  }
+}
+
 void Duty::LogNote(const scheduler::Effects::Note& note) {
+  CountNote(note);
   if (note.m_event == "task_end") {
     const std::size_t begin = note.m_detail.find('=') + 1;
     Count(m_parts.m_metrics, metric::kEnds,
--- a/filbertspar/node/src/duty.h
+++ b/filbertspar/node/src/duty.h
@@ -65,6 +65,7 @@
   void Apply();
   void AskAdvice();
   asio::awaitable<void> Advise(scheduler::AdviceNeed need);
+  void CountNote(const scheduler::Effects::Note& note);
   void LogNote(const scheduler::Effects::Note& note);
   bool MayOrder();
   bool OthersAreCutOff(TimePoint now);
