--- a/filbertspar/node/src/owner_watch.cc
+++ b/filbertspar/node/src/owner_watch.cc
@@ -62,8 +62,7 @@
       co_await Claim();
     }
     if (!m_is_owner) {
-      co_await m_wake.WaitFor(
-          std::max(Milliseconds(20), NextOwnerRead(m_view, BootNow())));
+      co_await m_wake.WaitFor(NextOwnerRead(m_view, m_self, BootNow()));
     }
   }
 }
--- a/filbertspar/ownership/src/claim.cc
+++ b/filbertspar/ownership/src/claim.cc
@@ -15,50 +15,63 @@
 /// A write takes about as long as this many reads.
 constexpr int kReadsPerWrite = 3;
 constexpr Duration kReadWhenGood = Seconds(3);
+/// Claims of VMs of unequal strength are told apart by reads this close.
+constexpr Duration kShortestRead = Milliseconds(20);
 constexpr Duration kReadWhenInDoubt = Milliseconds(250);
 constexpr Duration kLongestDelay = Milliseconds(300);
 constexpr Duration kDelaySpread = Milliseconds(120);
 
-}  // namespace
-
-bool ShouldClaim(const OwnerView& view, const Candidate& self, TimePoint now) {
-  if (!view.m_read) {
-    return false;
+/// How long the row must stay unchanged before another VM claims it.
+Duration PatienceWith(const OwnerView& view) {
+  switch (view.m_link) {
+    case LinkHealth::kRefused:
+      return kRefusedAfter;
+    case LinkHealth::kUnconfirmed:
+      return kUnconfirmedAfter;
+    case LinkHealth::kSilent:
+    case LinkHealth::kGood:
+      break;
   }
-  const Duration known_for = now - view.m_version_since;
+  return kStaleAfter;
+}
+
+/// Time until the claim is due if nothing changes; not above 0 when it is.
+Duration TimeToClaim(const OwnerView& view, const Candidate& self,
+                     TimePoint now) {
   if (!view.m_record || view.m_record->m_released) {
-    return known_for >= self.m_delay;
+    return self.m_delay - (now - view.m_version_since);
   }
   if (view.m_record->m_vm == self.m_vm) {
     // Left by an earlier process of this VM.
-    return view.m_record->m_incarnation != self.m_incarnation;
+    return view.m_record->m_incarnation == self.m_incarnation ? kReadWhenGood
+                                                              : Duration(0);
   }
   if (view.m_link == LinkHealth::kGood) {
-    return false;
+    return kReadWhenGood;
   }
   // A store that answers slowly also takes longer for the owner's writes.
   const Duration unchanged = view.m_confirmed_at - view.m_version_since -
                              view.m_read_time * kReadsPerWrite;
-  if (view.m_link == LinkHealth::kRefused &&
-      unchanged >= kRefusedAfter + self.m_delay) {
-    return true;
-  }
-  if (view.m_link == LinkHealth::kUnconfirmed &&
-      unchanged >= kUnconfirmedAfter + self.m_delay) {
-    return true;
-  }
-  return unchanged >= kStaleAfter + self.m_delay;
+  return PatienceWith(view) + self.m_delay - unchanged;
 }
 
-Duration NextOwnerRead(const OwnerView& view, TimePoint now) {
-  static_cast<void>(now);
+}  // namespace
+
+bool ShouldClaim(const OwnerView& view, const Candidate& self, TimePoint now) {
+  return view.m_read && TimeToClaim(view, self, now) <= Duration(0);
+}
+
+Duration NextOwnerRead(const OwnerView& view, const Candidate& self,
+                       TimePoint now) {
   if (!view.m_read) {
-    return Duration(0);
+    return kShortestRead;
   }
-  if (!view.m_record || view.m_record->m_released) {
-    return Milliseconds(50);
+  if (view.m_record && !view.m_record->m_released &&
+      view.m_link == LinkHealth::kGood) {
+    return kReadWhenGood;
   }
-  return view.m_link == LinkHealth::kGood ? kReadWhenGood : kReadWhenInDoubt;
+  return std::clamp(TimeToClaim(view, self, now), kShortestRead,
+                    kReadWhenInDoubt);
 }
 
 Duration ClaimDelay(double cpu_share, double random) {
--- a/filbertspar/ownership/src/claim.h
+++ b/filbertspar/ownership/src/claim.h
@@ -48,7 +48,8 @@
 bool ShouldClaim(const OwnerView& view, const Candidate& self, TimePoint now);
 
 /// \brief Time until the owner's row should be read again.
-Duration NextOwnerRead(const OwnerView& view, TimePoint now);
+Duration NextOwnerRead(const OwnerView& view, const Candidate& self,
+                       TimePoint now);
 
 /// \brief Delay of a candidate with this share of a core and a random number
 /// in [0, 1): stronger VMs come first, equal ones do not collide.
--- a/tests/ownership_claim_test.cc
+++ b/tests/ownership_claim_test.cc
@@ -68,6 +68,17 @@
   CHECK(ClaimDelay(0.25, 0.1) < ClaimDelay(0.25, 0.9));
 }
 
+// Guards against a weak VM that claims first because the strong one reads the
+// row too seldom.
+TEST_CASE("the next read comes when the claim is due") {
+  const OwnerView view = ViewOf(Milliseconds(1250), LinkHealth::kSilent);
+  CHECK(NextOwnerRead(view, kSelf, kNow) == Milliseconds(50));
+  const Candidate weak{VmName("weak"), 6, Milliseconds(300)};
+  CHECK(NextOwnerRead(view, weak, kNow) == Milliseconds(250));
+  CHECK(NextOwnerRead(ViewOf(Seconds(9), LinkHealth::kGood), kSelf, kNow) >=
+        Seconds(1));
+}
+
 // Guards against a row that a successor cannot read.
 TEST_CASE("the owner's row is read as written") {
   OwnerRecord record;
