--- a/filbertspar/http/http.h
+++ b/filbertspar/http/http.h
@@ -5,5 +5,6 @@
 /// and number of connections.
 
 #include "filbertspar/http/src/client.h"   // IWYU pragma: export
+#include "filbertspar/http/src/listen.h"   // IWYU pragma: export
 #include "filbertspar/http/src/message.h"  // IWYU pragma: export
 #include "filbertspar/http/src/server.h"   // IWYU pragma: export
--- a/filbertspar/http/src/server.cc
+++ b/filbertspar/http/src/server.cc
@@ -18,6 +18,7 @@
 #include "boost/beast/http/parser.hpp"
 #include "boost/beast/http/read.hpp"
 #include "boost/beast/http/write.hpp"
+#include "filbertspar/http/src/listen.h"
 
 namespace filbertspar {
 namespace {
@@ -68,7 +69,7 @@
                               bool keep_alive);
 
   asio::io_context& m_context;
-  asio::basic_socket_acceptor<tcp, asio::io_context::executor_type> m_acceptor;
+  TcpAcceptor m_acceptor;
   asio::steady_timer m_sweep_timer;
   HttpServerLimits m_limits;
   HttpHandler m_handler;
@@ -235,28 +236,7 @@
 HttpServer::~HttpServer() { Close(); }
 
 absl::Status HttpServer::Listen(const Endpoint& endpoint) {
-  boost::system::error_code error;
-  const asio::ip::address address =
-      asio::ip::make_address(endpoint.m_address, error);
-  const tcp::endpoint local(address, endpoint.m_port);
-  auto& acceptor = m_state->m_acceptor;
-  if (!error) {
-    acceptor.open(local.protocol(), error);
-  }
-  if (!error) {
-    acceptor.set_option(asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor.bind(local, error);
-  }
-  if (!error) {
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return Error(Code::kListenFailed,
-                 absl::StrCat("cannot listen on ", endpoint.Text(), ": ",
-                              error.message()));
-  }
+  FS_RETURN_IF_ERROR(OpenAcceptor(m_state->m_acceptor, endpoint));
   asio::co_spawn(m_state->m_context, m_state->Accept(), asio::detached);
   asio::co_spawn(m_state->m_context, m_state->Sweep(), asio::detached);
   return absl::OkStatus();
--- /dev/null
+++ b/filbertspar/node/src/duty_calls.cc
@@ -0,0 +1,136 @@
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "filbertspar/node/src/clock.h"
+#include "filbertspar/node/src/duty.h"
+#include "filbertspar/node/src/metric_names.h"
+
+namespace filbertspar {
+namespace {
+
+/// A caller is told to come back after this time when the store is away.
+constexpr Duration kStoreReturn = Seconds(2);
+/// Between looks at a cancelled job whose state is being stored.
+constexpr Duration kStoredPoll = Milliseconds(5);
+
+std::string JobField(const JobId& id) {
+  return absl::StrCat("job=", id.Value());
+}
+
+}  // namespace
+
+asio::awaitable<JobReply> Duty::Execute(JobCall call) {
+  const auto self = shared_from_this();
+  JobReply reply;
+  const TimePoint deadline = BootNow() + call.m_wait;
+  while (m_running && !m_is_ready && BootNow() < deadline) {
+    co_await m_ready_signal.WaitFor(deadline - BootNow());
+  }
+  if (!m_running || !m_is_ready) {
+    reply.m_code = m_running ? Code::kNoOwner : Code::kNotLeaseHolder;
+    co_return reply;
+  }
+  call.m_wait = std::max(Duration(0), deadline - BootNow());
+  switch (call.m_verb) {
+    case JobVerb::kSubmit:
+      co_return co_await Submit(call);
+    case JobVerb::kCancel:
+      co_return co_await Cancel(call);
+    case JobVerb::kState:
+      co_return StateReply(call);
+    case JobVerb::kQueueLength:
+      reply.m_count =
+          scheduler::JobsNotBegun(m_scheduler, QueueName(call.m_queue));
+      co_return reply;
+  }
+  co_return reply;
+}
+
+JobReply Duty::StateReply(const JobCall& call) const {
+  JobReply reply;
+  const std::optional<JobState> state =
+      scheduler::StateOf(m_scheduler, JobId(call.m_job));
+  if (state) {
+    reply.m_state = static_cast<std::uint8_t>(*state);
+  } else {
+    // A VM that was cut off cannot know of jobs that came meanwhile.
+    reply.m_code = IsConfirmed() ? Code::kRequestUnknown : Code::kNoOwner;
+  }
+  return reply;
+}
+
+asio::awaitable<JobReply> Duty::Submit(const JobCall& call) {
+  JobReply reply;
+  const JobId id(call.m_job);
+  if (scheduler::StateOf(m_scheduler, id)) {
+    m_parts.m_log.Info("call", "submit_repeated", JobField(id));
+    co_return reply;
+  }
+  absl::StatusOr<JobSpec> spec = DecodeJob(call.m_body);
+  if (!spec.ok()) {
+    reply.m_code = CodeOf(spec.status());
+    co_return reply;
+  }
+  if (!m_journal->IsAccepting(id)) {
+    const TimePoint now = BootNow();
+    if (m_journal->IsStuck(now)) {
+      reply.m_code = Code::kJournalStoreDown;
+      reply.m_retry_after = kStoreReturn;
+    } else {
+      const scheduler::Admission admission =
+          scheduler::Admit(m_scheduler, now, *spec);
+      scheduler::Pool& pool = m_scheduler.m_pools[spec->m_policy.m_pool];
+      pool.m_arrived_work += scheduler::WorkOf(m_scheduler, *spec);
+      ++pool.m_arrived_jobs;
+      reply.m_code = admission.m_code;
+      reply.m_retry_after = admission.m_retry_after;
+      m_parts.m_log.Info(
+          "call",
+          admission.m_code == Code::kOk ? "submit_admitted" : "submit_refused",
+          absl::StrCat(
+              JobField(id), " queue=", call.m_queue,
+              " workspace=", call.m_workspace,
+              " wait_ms=", ToMilliseconds(admission.m_expected_wait),
+              " chain_ms=", ToMilliseconds(admission.m_expected_chain),
+              " retry_after_ms=", ToMilliseconds(admission.m_retry_after)));
+    }
+    if (reply.m_code != Code::kOk) {
+      Count(m_parts.m_metrics, metric::kJobs, "refused");
+      co_return reply;
+    }
+  }
+  const TimePoint began = BootNow();
+  reply.m_code = co_await m_journal->Accept(*std::move(spec), call.m_wait);
+  if (reply.m_code == Code::kJournalStoreDown) {
+    reply.m_retry_after = kStoreReturn;
+  }
+  m_parts.m_log.Info(
+      "call", "submit_done",
+      absl::StrCat(JobField(id), " code=", static_cast<int>(reply.m_code),
+                   " store_ms=", ToMilliseconds(BootNow() - began)));
+  co_return reply;
+}
+
+asio::awaitable<JobReply> Duty::Cancel(const JobCall& call) {
+  JobReply reply;
+  const JobId id(call.m_job);
+  if (!scheduler::StateOf(m_scheduler, id)) {
+    reply.m_code = IsConfirmed() ? Code::kRequestUnknown : Code::kNoOwner;
+    co_return reply;
+  }
+  scheduler::CancelJob(m_scheduler, BootNow(), id);
+  Changed();
+  const TimePoint deadline = BootNow() + call.m_wait;
+  while (m_running && BootNow() < deadline) {
+    const std::optional<JobState> state = scheduler::StateOf(m_scheduler, id);
+    if (!state || IsFinal(*state)) {
+      co_return reply;
+    }
+    co_await Pause(kStoredPoll);
+  }
+  reply.m_code = m_running ? Code::kOutcomeUnknown : Code::kNotLeaseHolder;
+  co_return reply;
+}
+
+}  // namespace filbertspar
--- a/filbertspar/node/src/link_client.cc
+++ b/filbertspar/node/src/link_client.cc
@@ -2,7 +2,6 @@
 
 #include <deque>
 #include <map>
-#include <random>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -11,6 +10,7 @@
 #include "boost/asio/ip/tcp.hpp"
 #include "boost/asio/write.hpp"
 #include "filbertspar/node/src/clock.h"
+#include "filbertspar/node/src/random.h"
 
 namespace filbertspar {
 namespace {
@@ -25,11 +25,6 @@
 constexpr Duration kConnectTimeout = Milliseconds(500);
 constexpr Duration kRetryPause = Milliseconds(100);
 
-std::uint64_t RandomNonce() {
-  std::random_device device;
-  return ((static_cast<std::uint64_t>(device()) << 32) | device()) | 1U;
-}
-
 }  // namespace
 
 struct LinkClient::State : std::enable_shared_from_this<LinkClient::State> {
--- a/filbertspar/node/src/link_server.cc
+++ b/filbertspar/node/src/link_server.cc
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <deque>
-#include <random>
 #include <set>
 #include <utility>
 
@@ -11,7 +10,9 @@
 #include "boost/asio/detached.hpp"
 #include "boost/asio/ip/tcp.hpp"
 #include "boost/asio/write.hpp"
+#include "filbertspar/http/http.h"
 #include "filbertspar/node/src/clock.h"
+#include "filbertspar/node/src/random.h"
 
 namespace filbertspar {
 namespace {
@@ -24,11 +25,6 @@
 /// Bytes that a peer which does not read may keep waiting.
 constexpr std::size_t kMaxQueuedBytes = 8 << 20;
 
-std::uint64_t RandomNonce() {
-  std::random_device device;
-  return ((static_cast<std::uint64_t>(device()) << 32) | device()) | 1U;
-}
-
 }  // namespace
 
 struct LinkServer::State : std::enable_shared_from_this<LinkServer::State> {
@@ -63,7 +59,7 @@
 
   asio::io_context& m_context;
   EventLog& m_log;
-  asio::basic_socket_acceptor<tcp, asio::io_context::executor_type> m_acceptor;
+  TcpAcceptor m_acceptor;
   Hello m_self;
   std::shared_ptr<const Secrets> m_secrets;
   Handler m_handler;
@@ -235,27 +231,7 @@
 LinkServer::~LinkServer() { Disable(); }
 
 absl::Status LinkServer::Listen(const Endpoint& endpoint) {
-  boost::system::error_code error;
-  const tcp::endpoint local(asio::ip::make_address(endpoint.m_address, error),
-                            endpoint.m_port);
-  auto& acceptor = m_state->m_acceptor;
-  if (!error) {
-    acceptor.open(local.protocol(), error);
-  }
-  if (!error) {
-    acceptor.set_option(asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor.bind(local, error);
-  }
-  if (!error) {
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return Error(Code::kListenFailed,
-                 absl::StrCat("cannot listen on ", endpoint.Text(), ": ",
-                              error.message()));
-  }
+  FS_RETURN_IF_ERROR(OpenAcceptor(m_state->m_acceptor, endpoint));
   asio::co_spawn(m_state->m_context, m_state->Accept(), asio::detached);
   return absl::OkStatus();
 }
--- a/filbertspar/node/src/node.cc
+++ b/filbertspar/node/src/node.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <random>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -13,6 +12,7 @@
 #include "filbertspar/node/src/clock.h"
 #include "filbertspar/node/src/front.h"
 #include "filbertspar/node/src/metric_names.h"
+#include "filbertspar/node/src/random.h"
 
 namespace filbertspar {
 namespace {
@@ -31,11 +31,6 @@
 constexpr std::size_t kBodyBytes = 1 << 20;
 constexpr std::size_t kHeaderBytes = 16 << 10;
 
-std::uint64_t RandomNumber() {
-  std::random_device device;
-  return (static_cast<std::uint64_t>(device()) << 32) | device();
-}
-
 std::string RandomSecret() {
   std::string secret;
   for (int i = 0; i < 4; ++i) {
@@ -82,7 +77,7 @@
   Parts(asio::io_context& context, NodeOptions options)
       : m_context(context),
         m_options(std::move(options)),
-        m_incarnation(RandomNumber() | 1U),
+        m_incarnation(RandomNonce()),
         m_secret(RandomSecret()),
         m_log(context, EventLogLimits(), STDOUT_FILENO),
         m_client(context, ClientLimits()),
