--- a/filbertspar/scheduler/src/dispatch.cc
+++ b/filbertspar/scheduler/src/dispatch.cc
@@ -30,9 +30,6 @@
 struct Candidate {
   Urgency m_urgency = Urgency::kLate;
   std::uint32_t m_priority = 0;
-  /// Work that was begun is ended before other work is begun, so that an
-  /// overload makes few jobs late.
-  bool m_is_fresh = false;
   TimePoint m_objective{};
   Job* m_job = nullptr;
   Occurrence* m_occurrence = nullptr;
@@ -75,7 +72,6 @@
       candidate.m_priority = job->m_spec->m_policy.m_priority;
       candidate.m_objective =
           ObjectiveOfOccurrence(scheduler, *job, *occurrence);
-      candidate.m_is_fresh = !job->m_begun;
       candidate.m_job = job;
       candidate.m_occurrence = occurrence.get();
       if (job->m_long_running) {
