--- a/filbertspar/job/src/rows.cc
+++ b/filbertspar/job/src/rows.cc
@@ -1,5 +1,6 @@
 #include "filbertspar/job/src/rows.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -36,8 +37,11 @@
       static_cast<std::uint64_t>(ToMilliseconds(step.m_tail_target)));
 }
 
+/// Larger counts become this one, which the check of the job refuses.
+constexpr std::uint64_t kLargestMs = 1ULL << 52;
+
 Duration FromMs(std::uint64_t count) {
-  return Milliseconds(static_cast<std::int64_t>(count));
+  return Milliseconds(static_cast<std::int64_t>(std::min(count, kLargestMs)));
 }
 
 StepSpec ReadStep(const fbs::StepRow& row) {
