Answer unknown when a term ends while a job's write is under way

Ruled out: jobs refused while queued (no write holds them), refusals by the next owner (it reads all rows first). Change: such a call counts as one that may have had its effect, so it ends with 502.

--- a/filbertspar/node/src/router.cc
+++ b/filbertspar/node/src/router.cc
@@ -27,6 +27,9 @@
     call.m_wait = deadline - BootNow();
     if (const std::shared_ptr<Duty> duty = m_duty()) {
       reply = co_await duty->Execute(call);
+      // A write under way when the term ended may still have had its effect.
+      may_have_effect =
+          may_have_effect || reply.m_code == Code::kNotLeaseHolder;
     } else if (m_link.IsReady()) {
       const LinkClient::Result result = co_await m_link.Call(call, call.m_wait);
       may_have_effect = may_have_effect || result.m_sent;
