Leave the ownership to strong VMs

Its orders came seconds late. Change: the owner's row states the strength of the strongest VM that could own the jobs, as pings tell it; a weaker VM claims 0.8 s later, equal ones need no head start for weakness. A weak owner hands the term over once a VM 1.5 times as strong is linked. Strength is the share times the speed of the processor. Tests: ownership, 'a VM weaker than the last owner leaves the others time', 'equal VMs claim soon and keep the term'.

--- a/filbertspar/base/src/units.h
+++ b/filbertspar/base/src/units.h
@@ -37,6 +37,8 @@
 
 using Megabytes = Quantity<struct MegabytesTag>;
 using Slots = Quantity<struct SlotsTag>;
+/// \brief Thousandths of a core.
+using Millicores = Quantity<struct MillicoresTag>;
 using Accelerators = Quantity<struct AcceleratorsTag>;
 using Cores = Quantity<struct CoresTag>;
 
--- a/filbertspar/job/src/demand.h
+++ b/filbertspar/job/src/demand.h
@@ -4,9 +4,6 @@
 
 namespace filbertspar {
 
-/// \brief Thousandths of a core.
-using Millicores = Quantity<struct MillicoresTag>;
-
 /// \brief What a task occupies, what a worker has, or what a workspace may
 /// have running.
 struct Demand {
--- a/filbertspar/node/src/duty.cc
+++ b/filbertspar/node/src/duty.cc
@@ -51,10 +51,9 @@
 
 }  // namespace
 
-Duty::Duty(const DutyParts& parts, OwnerWatch::Won won,
-           std::function<void()> deposed)
+Duty::Duty(const DutyParts& parts, OwnerWatch::Won won, Hooks duty_hooks)
     : m_parts(parts),
-      m_deposed(std::move(deposed)),
+      m_hooks(std::move(duty_hooks)),
       m_ready_signal(parts.m_context),
       m_dispatch_timer(parts.m_context) {
   scheduler::Options& options = m_scheduler.m_options;
@@ -78,8 +77,9 @@
   hooks.m_stored = [this] { m_workers->EndsStored(); };
   hooks.m_deposed = [this] {
     m_parts.m_log.Warn("owner", "deposed", m_log_epoch);
-    m_deposed();
+    m_hooks.m_deposed();
   };
+  hooks.m_strongest = [this] { return Strongest(); };
   m_journal = std::make_shared<Journal>(
       parts.m_context, parts.m_store, parts.m_log, m_scheduler, std::move(won),
       parts.m_options.m_part_changes_per_s, std::move(hooks));
@@ -145,6 +145,34 @@
   return true;
 }
 
+Millicores Duty::Strongest() const {
+  const TimePoint now = BootNow();
+  Millicores strongest = m_parts.m_options.m_strength;
+  for (const auto& [vm, peer] : m_parts.m_links.Peers()) {
+    const bool could_own = peer.m_connected && peer.m_willing &&
+                           now - peer.m_pinged_at < kPingBound &&
+                           peer.m_store_age < kPingBound;
+    if (could_own) {
+      strongest = std::max(strongest, peer.m_strength);
+    }
+  }
+  return strongest;
+}
+
+void Duty::HandOverToStronger() {
+  const Millicores strongest = Strongest();
+  if (m_hands_over || !m_scheduler.m_settled || !IsConfirmed() ||
+      !ShouldHandOver(m_parts.m_options.m_strength, strongest)) {
+    return;
+  }
+  m_hands_over = true;
+  m_parts.m_log.Info("owner", "hand_over",
+                     absl::StrCat(m_log_epoch, " strength=",
+                                  m_parts.m_options.m_strength.Count(),
+                                  " strongest=", strongest.Count()));
+  m_hooks.m_hand_over();
+}
+
 bool Duty::MayOrder() {
   if (!m_running) {
     return false;
@@ -331,6 +359,7 @@
     for (const VmName& vm : gone) {
       m_parts.m_links.ForgetPeer(vm);
     }
+    HandOverToStronger();
   }
 }
 
--- a/filbertspar/node/src/duty.h
+++ b/filbertspar/node/src/duty.h
@@ -30,8 +30,14 @@
 /// orders workers, stores what must last, answers calls on jobs.
 class Duty : public std::enable_shared_from_this<Duty> {
  public:
-  Duty(const DutyParts& parts, OwnerWatch::Won won,
-       std::function<void()> deposed);
+  struct Hooks {
+    /// Another VM owns the jobs.
+    std::function<void()> m_deposed;
+    /// The term is better given up to another VM.
+    std::function<void()> m_hand_over;
+  };
+
+  Duty(const DutyParts& parts, OwnerWatch::Won won, Hooks hooks);
 
   void Start();
   /// \brief Ends the term at once.
@@ -69,9 +75,12 @@
   void LogNote(const scheduler::Effects::Note& note);
   bool MayOrder();
   bool OthersAreCutOff(TimePoint now);
+  /// \brief Processor of the strongest VM that could own the jobs.
+  Millicores Strongest() const;
+  void HandOverToStronger();
 
   DutyParts m_parts;
-  std::function<void()> m_deposed;
+  Hooks m_hooks;
   scheduler::Scheduler m_scheduler;
   std::shared_ptr<Journal> m_journal;
   std::shared_ptr<WorkerLinks> m_workers;
@@ -83,6 +92,7 @@
   bool m_dispatch_due = false;
   bool m_is_ready = false;
   bool m_running = true;
+  bool m_hands_over = false;
   std::string m_log_epoch;
 };
 
--- a/filbertspar/node/src/journal.cc
+++ b/filbertspar/node/src/journal.cc
@@ -109,6 +109,7 @@
   batch.m_puts = m_puts.empty() ? m_last_put : 0;
   m_record.m_released =
       m_releasing && m_waiting.empty() && m_scheduler.m_unstored.empty();
+  m_record.m_strength = m_hooks.m_strongest();
   change.m_values.push_back({OwnerRowKey(), EncodeOwner(m_record)});
   return batch;
 }
--- a/filbertspar/node/src/journal.h
+++ b/filbertspar/node/src/journal.h
@@ -28,6 +28,8 @@
     std::function<void()> m_stored;
     /// Another VM owns the jobs.
     std::function<void()> m_deposed;
+    /// Processor of the strongest VM that could own the jobs.
+    std::function<Millicores()> m_strongest;
   };
 
   Journal(asio::io_context& context, StoreClient& store, EventLog& log,
--- a/filbertspar/node/src/link_client.cc
+++ b/filbertspar/node/src/link_client.cc
@@ -65,7 +65,7 @@
   EventLog& m_log;
   Hello m_self;
   std::function<void(LinkHealth)> m_changed;
-  std::function<Duration()> m_store_age;
+  std::function<LinkPing()> m_describe;
   std::optional<OwnerRecord> m_owner;
   std::uint64_t m_generation = 0;
   LinkPtr m_link;
@@ -183,8 +183,9 @@
       co_return;
     }
     if (link->m_session->CanSend()) {
-      Send(link, link->m_session->Wrap(LinkPing{
-                     ++number, m_store_age ? m_store_age() : Duration(0)}));
+      LinkPing ping = m_describe ? m_describe() : LinkPing();
+      ping.m_number = ++number;
+      Send(link, link->m_session->Wrap(ping));
     }
     co_await Pause(kPingPeriod);
   }
@@ -248,8 +249,8 @@
   m_state->m_changed = std::move(changed);
 }
 
-void LinkClient::SetStoreAge(std::function<Duration()> store_age) {
-  m_state->m_store_age = std::move(store_age);
+void LinkClient::DescribeSelf(std::function<LinkPing()> describe) {
+  m_state->m_describe = std::move(describe);
 }
 
 void LinkClient::SetOwner(const std::optional<OwnerRecord>& owner) {
--- a/filbertspar/node/src/link_client.h
+++ b/filbertspar/node/src/link_client.h
@@ -23,8 +23,8 @@
 
   /// \brief Called whenever the link's health changes.
   void OnHealth(std::function<void(LinkHealth)> changed);
-  /// \brief Age of this VM's contact with the store, told to the owner.
-  void SetStoreAge(std::function<Duration()> store_age);
+  /// \brief Gives what the owner is told of this VM with each ping.
+  void DescribeSelf(std::function<LinkPing()> describe);
 
   /// \brief Links to this owner, or to none.
   void SetOwner(const std::optional<OwnerRecord>& owner);
--- a/filbertspar/node/src/link_server.cc
+++ b/filbertspar/node/src/link_server.cc
@@ -140,6 +140,8 @@
     LinkPeer& peer = m_peers[link->m_peer];
     peer.m_pinged_at = BootNow();
     peer.m_store_age = ping->m_store_age;
+    peer.m_strength = ping->m_strength;
+    peer.m_willing = ping->m_willing;
     Send(link, link->m_session->Wrap(
                    LinkPong{ping->m_number, m_confirmed && m_confirmed()}));
     return true;
--- a/filbertspar/node/src/link_server.h
+++ b/filbertspar/node/src/link_server.h
@@ -18,6 +18,8 @@
   TimePoint m_pinged_at = TimePoint::min();
   /// The VM's time since it reached the store, as of the ping.
   Duration m_store_age{0};
+  Millicores m_strength;
+  bool m_willing = false;
   /// When its link was lost.
   TimePoint m_lost_at = TimePoint::min();
 };
--- a/filbertspar/node/src/node.cc
+++ b/filbertspar/node/src/node.cc
@@ -68,6 +68,7 @@
   record.m_incarnation = incarnation;
   record.m_link = options.m_link_listen;
   record.m_link_secret = secret;
+  record.m_strength = options.m_strength;
   return record;
 }
 
@@ -89,9 +90,8 @@
                             kFreshnessShare *
                             static_cast<double>(m_options.m_revoke.count())))),
         m_watch(context, m_store, m_log,
-                {m_options.m_vm, m_incarnation,
-                 ClaimDelay(m_options.m_cpu_share,
-                            static_cast<double>(RandomNumber() % 1000) / 1000)},
+                {m_options.m_vm, m_incarnation, m_options.m_strength,
+                 static_cast<double>(RandomNumber() % 1000) / 1000},
                 RecordOf(m_options, m_incarnation, m_secret)),
         m_link_server(context, m_log, HelloOf(m_options, m_incarnation),
                       m_secret),
@@ -113,7 +113,7 @@
   asio::awaitable<HttpResponse> Metrics(const HttpRequest& request);
   void Won(OwnerWatch::Won won);
   void Deposed();
-  void FollowOwner();
+  asio::awaitable<void> HandOver();
   asio::awaitable<void> LinkLoop();
   asio::awaitable<void> StopGracefully();
 
@@ -180,7 +180,11 @@
 void Node::Parts::Won(OwnerWatch::Won won) {
   const DutyParts parts{m_context,       m_options,     m_store,   m_client,
                         m_configuration, m_link_server, m_metrics, m_log};
-  m_duty = std::make_shared<Duty>(parts, std::move(won), [this] { Deposed(); });
+  m_duty = std::make_shared<Duty>(
+      parts, std::move(won),
+      Duty::Hooks{
+          [this] { Deposed(); },
+          [this] { asio::co_spawn(m_context, HandOver(), asio::detached); }});
   m_link_client.SetOwner(std::nullopt);
   m_link_server.SetHandler(
       [duty = m_duty](JobCall call) { return duty->Execute(std::move(call)); },
@@ -197,6 +201,15 @@
   m_watch.Resigned();
 }
 
+asio::awaitable<void> Node::Parts::HandOver() {
+  if (const std::shared_ptr<Duty> duty = m_duty) {
+    co_await duty->Release();
+    if (m_duty == duty) {
+      Deposed();
+    }
+  }
+}
+
 asio::awaitable<void> Node::Parts::LinkLoop() {
   /// The owner is looked up again at least this often.
   constexpr Duration kPeriod = Seconds(1);
@@ -217,10 +230,7 @@
       Duration(static_cast<std::int64_t>(
           kGraceShare * static_cast<double>(m_options.m_grace.count())));
   m_watch.SetWilling(false);
-  if (const std::shared_ptr<Duty> duty = m_duty) {
-    co_await duty->Release();
-    Deposed();
-  }
+  co_await HandOver();
   const TimePoint unready = std::min(began + kUnreadyTime, latest);
   while (BootNow() < unready) {
     co_await Pause(kStopPoll);
@@ -259,9 +269,14 @@
   });
   parts.m_link_client.OnHealth(
       [&parts](LinkHealth health) { parts.m_watch.LinkChanged(health); });
-  parts.m_link_client.SetStoreAge([&parts] {
+  parts.m_link_client.DescribeSelf([&parts] {
     const TimePoint reached = parts.m_store.ReachedAt();
-    return reached == TimePoint::min() ? Seconds(3600) : BootNow() - reached;
+    LinkPing ping;
+    ping.m_store_age =
+        reached == TimePoint::min() ? Seconds(3600) : BootNow() - reached;
+    ping.m_strength = parts.m_options.m_strength;
+    ping.m_willing = parts.m_watch.IsWilling();
+    return ping;
   });
   parts.m_watch.Start(
       [&parts](OwnerWatch::Won won) { parts.Won(std::move(won)); });
--- a/filbertspar/node/src/options.cc
+++ b/filbertspar/node/src/options.cc
@@ -26,7 +26,9 @@
   options.m_link_listen = {options.m_address, port("node.link_port", 7000)};
   options.m_metrics_listen = {options.m_address,
                               port("node.metrics_port", 9464)};
-  options.m_cpu_share = settings.GetDouble("node.cpu_share", 1, 0.001, 1024);
+  const double cores = settings.GetDouble("node.cpu_share", 1, 0.001, 1024) *
+                       settings.GetDouble("node.cpu_speed", 1, 0.001, 1024);
+  options.m_strength = Millicores(static_cast<std::int64_t>(cores * 1000));
   settings.GetInt("node.memory_mb", 256, 1, 1 << 30);
   settings.GetBool("node.first_start", false);
   options.m_store = settings.GetEndpoint("store.address");
--- a/filbertspar/node/src/options.h
+++ b/filbertspar/node/src/options.h
@@ -17,7 +17,8 @@
   Endpoint m_ready_listen;
   Endpoint m_link_listen;
   Endpoint m_metrics_listen;
-  double m_cpu_share = 1;
+  /// Processor of this VM.
+  Millicores m_strength;
   Endpoint m_store;
   double m_store_reads_per_s = 0;
   double m_store_writes_per_s = 0;
--- a/filbertspar/node/src/owner_watch.h
+++ b/filbertspar/node/src/owner_watch.h
@@ -44,6 +44,7 @@
   void Resigned();
   /// \brief Whether this process may claim; a stopping one may not.
   void SetWilling(bool willing) { m_willing = willing; }
+  bool IsWilling() const { return m_willing; }
 
   void LinkChanged(LinkHealth health);
 
--- a/filbertspar/ownership/src/claim.cc
+++ b/filbertspar/ownership/src/claim.cc
@@ -18,8 +18,15 @@
 /// Claims of VMs of unequal strength are told apart by reads this close.
 constexpr Duration kShortestRead = Milliseconds(20);
 constexpr Duration kReadWhenInDoubt = Milliseconds(250);
-constexpr Duration kLongestDelay = Milliseconds(300);
 constexpr Duration kDelaySpread = Milliseconds(120);
+/// Head start of stronger VMs when none of them is known to be at work.
+constexpr Duration kDelayOfWeakness = Milliseconds(300);
+/// Head start of VMs as strong as the strongest that the last owner knew. A
+/// weak owner serves worse for the rest of its term than no owner does for
+/// this long.
+constexpr Duration kDelayOfWeaker = Milliseconds(800);
+/// A VM counts as stronger than another from this ratio on.
+constexpr double kStrongerRatio = 1.5;
 
 /// How long the row must stay unchanged before another VM claims it.
 Duration PatienceWith(const OwnerView& view) {
@@ -39,7 +46,7 @@
 Duration TimeToClaim(const OwnerView& view, const Candidate& self,
                      TimePoint now) {
   if (!view.m_record || view.m_record->m_released) {
-    return self.m_delay - (now - view.m_version_since);
+    return ClaimDelay(view, self) - (now - view.m_version_since);
   }
   if (view.m_record->m_vm == self.m_vm) {
     // Left by an earlier process of this VM.
@@ -52,7 +59,7 @@
   // A store that answers slowly also takes longer for the owner's writes.
   const Duration unchanged = view.m_confirmed_at - view.m_version_since -
                              view.m_read_time * kReadsPerWrite;
-  return PatienceWith(view) + self.m_delay - unchanged;
+  return PatienceWith(view) + ClaimDelay(view, self) - unchanged;
 }
 
 }  // namespace
@@ -74,11 +81,25 @@
                     kReadWhenInDoubt);
 }
 
-Duration ClaimDelay(double cpu_share, double random) {
-  const double weakness = std::clamp(1.0 - cpu_share, 0.0, 1.0);
-  const double micros = weakness * static_cast<double>(kLongestDelay.count()) +
-                        random * static_cast<double>(kDelaySpread.count());
-  return Duration(static_cast<std::int64_t>(micros));
+Duration ClaimDelay(const OwnerView& view, const Candidate& self) {
+  const Duration spread(static_cast<std::int64_t>(
+      self.m_random * static_cast<double>(kDelaySpread.count())));
+  const Millicores known =
+      view.m_record ? view.m_record->m_strength : Millicores(0);
+  if (known > Millicores(0)) {
+    return spread + (ShouldHandOver(self.m_strength, known) ? kDelayOfWeaker
+                                                            : Duration(0));
+  }
+  const double weakness = std::clamp(
+      1.0 - static_cast<double>(self.m_strength.Count()) / 1000, 0.0, 1.0);
+  return spread +
+         Duration(static_cast<std::int64_t>(
+             weakness * static_cast<double>(kDelayOfWeakness.count())));
+}
+
+bool ShouldHandOver(Millicores self, Millicores other) {
+  return static_cast<double>(other.Count()) >=
+         kStrongerRatio * static_cast<double>(self.Count());
 }
 
 }  // namespace filbertspar
--- a/filbertspar/ownership/src/claim.h
+++ b/filbertspar/ownership/src/claim.h
@@ -38,8 +38,9 @@
 struct Candidate {
   VmName m_vm;
   std::uint64_t m_incarnation = 0;
-  /// Head start of other candidates; shorter on stronger VMs.
-  Duration m_delay{0};
+  Millicores m_strength;
+  /// In [0, 1); keeps equal VMs from claiming at the same time.
+  double m_random = 0;
 };
 
 /// \brief Whether to claim ownership now. Any claim is safe, since the owner's
@@ -51,8 +52,13 @@
 Duration NextOwnerRead(const OwnerView& view, const Candidate& self,
                        TimePoint now);
 
-/// \brief Delay of a candidate with this share of a core and a random number
-/// in [0, 1): stronger VMs come first, equal ones do not collide.
-Duration ClaimDelay(double cpu_share, double random);
+/// \brief Head start that a candidate leaves to others: stronger VMs claim
+/// first, equal ones do not collide.
+Duration ClaimDelay(const OwnerView& view, const Candidate& self);
+
+/// \brief Whether an owner should give up its term to a VM of `other`
+/// strength. Answers the load that a weak VM cannot carry after the strong ones
+/// were away for a moment.
+bool ShouldHandOver(Millicores self, Millicores other);
 
 }  // namespace filbertspar
--- a/filbertspar/ownership/src/record.cc
+++ b/filbertspar/ownership/src/record.cc
@@ -12,6 +12,7 @@
                  {"epoch", record.m_epoch.Value()},
                  {"secret", record.m_link_secret},
                  {"write", record.m_write},
+                 {"strength", record.m_strength.Count()},
                  {"released", record.m_released}});
 }
 
@@ -32,6 +33,8 @@
   reader.Read("epoch", epoch, IntRange{1});
   reader.Read("secret", record.m_link_secret);
   reader.Read("write", write, IntRange{0});
+  // Rows of earlier releases do not state it.
+  reader.ReadOptional("strength", record.m_strength);
   reader.Read("released", record.m_released);
   FS_RETURN_IF_ERROR(reader.Finish());
   const auto endpoint = ParseEndpoint(link);
--- a/filbertspar/ownership/src/record.h
+++ b/filbertspar/ownership/src/record.h
@@ -24,6 +24,9 @@
   std::string m_link_secret;
   /// Number of the owner's last write, by which a lost answer is settled.
   std::uint64_t m_write = 0;
+  /// Processor of the strongest VM that the holder knows to be at work, its
+  /// own included.
+  Millicores m_strength;
   /// Given up by its holder.
   bool m_released = false;
 
--- a/filbertspar/wire/src/messages.h
+++ b/filbertspar/wire/src/messages.h
@@ -198,6 +198,10 @@
   std::uint64_t m_number = 0;
   /// Time since the sender last reached the store.
   Duration m_store_age{0};
+  /// Processor of the sender's VM.
+  Millicores m_strength;
+  /// Whether the sender may become the owner.
+  bool m_willing = false;
 
   friend bool operator==(const LinkPing&, const LinkPing&) = default;
 };
--- a/filbertspar/wire/src/peer_generated.h
+++ b/filbertspar/wire/src/peer_generated.h
@@ -1765,7 +1765,9 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NUMBER = 4,
-    VT_STORE_AGE_MS = 6
+    VT_STORE_AGE_MS = 6,
+    VT_STRENGTH = 8,
+    VT_WILLING = 10
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1773,10 +1775,18 @@
   uint32_t store_age_ms() const {
     return GetField<uint32_t>(VT_STORE_AGE_MS, 0);
   }
+  int64_t strength() const {
+    return GetField<int64_t>(VT_STRENGTH, 0);
+  }
+  bool willing() const {
+    return GetField<uint8_t>(VT_WILLING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            VerifyField<uint32_t>(verifier, VT_STORE_AGE_MS, 4) &&
+           VerifyField<int64_t>(verifier, VT_STRENGTH, 8) &&
+           VerifyField<uint8_t>(verifier, VT_WILLING, 1) &&
            verifier.EndTable();
   }
 };
@@ -1791,6 +1801,12 @@
   void add_store_age_ms(uint32_t store_age_ms) {
     fbb_.AddElement<uint32_t>(LinkPing::VT_STORE_AGE_MS, store_age_ms, 0);
   }
+  void add_strength(int64_t strength) {
+    fbb_.AddElement<int64_t>(LinkPing::VT_STRENGTH, strength, 0);
+  }
+  void add_willing(bool willing) {
+    fbb_.AddElement<uint8_t>(LinkPing::VT_WILLING, static_cast<uint8_t>(willing), 0);
+  }
   explicit LinkPingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1805,10 +1821,14 @@
 inline flatbuffers::Offset<LinkPing> CreateLinkPing(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t number = 0,
-    uint32_t store_age_ms = 0) {
+    uint32_t store_age_ms = 0,
+    int64_t strength = 0,
+    bool willing = false) {
   LinkPingBuilder builder_(_fbb);
+  builder_.add_strength(strength);
   builder_.add_number(number);
   builder_.add_store_age_ms(store_age_ms);
+  builder_.add_willing(willing);
   return builder_.Finish();
 }
 
--- a/tests/ownership_claim_test.cc
+++ b/tests/ownership_claim_test.cc
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr TimePoint kNow{Seconds(100)};
-const Candidate kSelf{VmName("me"), 5, Milliseconds(100)};
+const Candidate kSelf{VmName("me"), 5, Millicores(250), 0.5};
 
 OwnerView ViewOf(Duration unchanged, LinkHealth link) {
   OwnerView view;
@@ -64,16 +64,50 @@
 // Guards against a weak VM that wins over a strong one, and equal ones that
 // always collide.
 TEST_CASE("stronger VMs claim first") {
-  CHECK(ClaimDelay(0.5, 0.5) < ClaimDelay(0.12, 0.5));
-  CHECK(ClaimDelay(0.25, 0.1) < ClaimDelay(0.25, 0.9));
+  const OwnerView unknown;
+  const auto delay = [&unknown](std::int64_t strength, double random) {
+    return ClaimDelay(unknown, {VmName("a"), 1, Millicores(strength), random});
+  };
+  CHECK(delay(500, 0.5) < delay(120, 0.5));
+  CHECK(delay(250, 0.1) < delay(250, 0.9));
+}
+
+// Guards against a weak VM that takes over, and is overloaded, while strong
+// ones are about to claim: the slowest of these must come before the fastest
+// weak one, also when they noticed the loss half a second later.
+TEST_CASE("a VM weaker than the last owner leaves the others time") {
+  OwnerView view = ViewOf(Milliseconds(1400), LinkHealth::kSilent);
+  view.m_record->m_strength = Millicores(500);
+  const Candidate strong{VmName("s"), 1, Millicores(500), 0.99};
+  const Candidate weak{VmName("w"), 2, Millicores(120), 0};
+  CHECK(ClaimDelay(view, strong) + Milliseconds(500) < ClaimDelay(view, weak));
+  CHECK(ShouldClaim(view, strong, kNow));
+  CHECK_FALSE(ShouldClaim(view, weak, kNow));
+  view.m_version_since = kNow - Milliseconds(2100);
+  CHECK(ShouldClaim(view, weak, kNow));
+}
+
+// Guards against a long wait where all VMs are equal, and against a term that
+// goes back and forth between VMs of about the same strength.
+TEST_CASE("equal VMs claim soon and keep the term") {
+  OwnerView view = ViewOf(Milliseconds(1400), LinkHealth::kSilent);
+  view.m_record->m_strength = Millicores(250);
+  CHECK(ShouldClaim(view, kSelf, kNow));
+  CHECK_FALSE(ShouldHandOver(Millicores(250), Millicores(250)));
+  CHECK_FALSE(ShouldHandOver(Millicores(250), Millicores(300)));
+  CHECK(ShouldHandOver(Millicores(120), Millicores(500)));
+  CHECK_FALSE(ShouldHandOver(Millicores(500), Millicores(120)));
 }
 
 // Guards against a weak VM that claims first because the strong one reads the
 // row too seldom.
 TEST_CASE("the next read comes when the claim is due") {
-  const OwnerView view = ViewOf(Milliseconds(1250), LinkHealth::kSilent);
-  CHECK(NextOwnerRead(view, kSelf, kNow) == Milliseconds(50));
-  const Candidate weak{VmName("weak"), 6, Milliseconds(300)};
+  OwnerView view = ViewOf(Milliseconds(1250), LinkHealth::kSilent);
+  view.m_record->m_strength = Millicores(250);
+  CHECK(NextOwnerRead(view, {VmName("me"), 5, Millicores(250), 0.75}, kNow) ==
+        Milliseconds(40));
+  view.m_record->m_strength = Millicores(0);
+  const Candidate weak{VmName("weak"), 6, Millicores(100), 0.99};
   CHECK(NextOwnerRead(view, weak, kNow) == Milliseconds(250));
   CHECK(NextOwnerRead(ViewOf(Seconds(9), LinkHealth::kGood), kSelf, kNow) >=
         Seconds(1));
@@ -88,6 +122,7 @@
   record.m_epoch = FencingNumber(12);
   record.m_link_secret = "secret";
   record.m_write = 99;
+  record.m_strength = Millicores(500);
   record.m_released = true;
   const auto read = DecodeOwner(EncodeOwner(record));
   REQUIRE(read.ok());
--- a/tests/wire_messages.h
+++ b/tests/wire_messages.h
@@ -125,7 +125,8 @@
     }
     case 12:
       return LinkPing{AnyNumber(),
-                      Milliseconds(*rc::gen::arbitrary<std::uint32_t>())};
+                      Milliseconds(*rc::gen::arbitrary<std::uint32_t>()),
+                      Millicores(AnyInt()), AnyBool()};
     default:
       return LinkPong{AnyNumber(), AnyBool()};
   }
