Put work beyond a workspace's share behind the work of others

Cause: order of service and admission did not look at shares. Change: a token bucket a workspace, filled at its share of jobs a second; jobs beyond it are served after the others and are the first that admission refuses; VMs are called in for work within shares only. The configured weight is decoded as m_share_per_s, which is what it holds.

--- a/filbertspar/node/src/duty_calls.cc
+++ b/filbertspar/node/src/duty_calls.cc
@@ -81,16 +81,20 @@
       const scheduler::Admission admission =
           scheduler::Admit(m_scheduler, now, *spec);
       scheduler::Pool& pool = m_scheduler.m_pools[spec->m_policy.m_pool];
-      pool.m_arrived_work += scheduler::WorkOf(m_scheduler, *spec);
-      ++pool.m_arrived_jobs;
+      // VMs are called in for work within shares; what is beyond uses the room
+      // that is there.
+      if (!admission.m_is_over_share) {
+        pool.m_arrived_work += scheduler::WorkOf(m_scheduler, *spec);
+        ++pool.m_arrived_jobs;
+      }
       reply.m_code = admission.m_code;
       reply.m_retry_after = admission.m_retry_after;
       m_parts.m_log.Info(
           "call",
           admission.m_code == Code::kOk ? "submit_admitted" : "submit_refused",
           absl::StrCat(
-              JobField(id), " queue=", call.m_queue,
-              " workspace=", call.m_workspace,
+              JobField(id), " queue=", call.m_queue, " workspace=",
+              call.m_workspace, " over_share=", admission.m_is_over_share,
               " wait_ms=", ToMilliseconds(admission.m_expected_wait),
               " chain_ms=", ToMilliseconds(admission.m_expected_chain),
               " retry_after_ms=", ToMilliseconds(admission.m_retry_after)));
--- a/filbertspar/node/src/vm_keeper.cc
+++ b/filbertspar/node/src/vm_keeper.cc
@@ -276,7 +276,7 @@
           scheduler::UseOf(scheduler, BootNow(), pool->second);
       load.m_cores = use.m_cores;
       load.m_running = use.m_running;
-      load.m_waiting = use.m_ready;
+      load.m_waiting = use.m_ready_within_share;
       load.m_ready_work = use.m_ready_work;
       load.m_slack = use.m_slack;
       load.m_unplaced = use.m_unplaced;
--- a/filbertspar/routing/src/deployment.h
+++ b/filbertspar/routing/src/deployment.h
@@ -36,8 +36,8 @@
 struct WorkspaceConfig {
   WorkspaceName m_name;
   std::vector<std::string> m_keys;
-  /// Its share when the fleet is full.
-  double m_weight = 1;
+  /// Jobs a second that are its share when the fleet is full.
+  double m_share_per_s = 1;
   /// What it may have running on all workers; 0 means no limit.
   Demand m_ceiling;
 };
--- a/filbertspar/scheduler/scheduler.h
+++ b/filbertspar/scheduler/scheduler.h
@@ -4,9 +4,10 @@
 /// \brief Which task runs on which worker, and when: plain state that events
 /// change and that gives orders as effects. No clock, socket or thread.
 
-#include "filbertspar/scheduler/src/admit.h"     // IWYU pragma: export
-#include "filbertspar/scheduler/src/dispatch.h"  // IWYU pragma: export
-#include "filbertspar/scheduler/src/jobs.h"      // IWYU pragma: export
-#include "filbertspar/scheduler/src/load.h"      // IWYU pragma: export
-#include "filbertspar/scheduler/src/state.h"     // IWYU pragma: export
-#include "filbertspar/scheduler/src/workers.h"   // IWYU pragma: export
+#include "filbertspar/scheduler/src/admit.h"       // IWYU pragma: export
+#include "filbertspar/scheduler/src/dispatch.h"    // IWYU pragma: export
+#include "filbertspar/scheduler/src/fair_share.h"  // IWYU pragma: export
+#include "filbertspar/scheduler/src/jobs.h"        // IWYU pragma: export
+#include "filbertspar/scheduler/src/load.h"        // IWYU pragma: export
+#include "filbertspar/scheduler/src/state.h"       // IWYU pragma: export
+#include "filbertspar/scheduler/src/workers.h"     // IWYU pragma: export
--- a/filbertspar/scheduler/src/admit.cc
+++ b/filbertspar/scheduler/src/admit.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "filbertspar/scheduler/src/fair_share.h"
 #include "filbertspar/scheduler/src/load.h"
 #include "filbertspar/scheduler/src/workers.h"
 
@@ -92,18 +93,22 @@
     ends[s] = begin + Scaled(spec.m_steps[s].m_estimate, ratio);
     admission.m_expected_chain = std::max(admission.m_expected_chain, ends[s]);
   }
+  const bool over_share = IsOverShare(scheduler, now, spec.m_workspace);
   // Late work waits for work that can still be on time.
   const auto wait_behind = [cores](double work) {
     return Duration(static_cast<std::int64_t>(work / cores * 1e6));
   };
-  admission.m_expected_wait = wait_behind(use.m_work_on_time);
+  admission.m_is_over_share = over_share;
+  admission.m_expected_wait = wait_behind(
+      over_share ? use.m_ahead_over_share : use.m_ahead_within_share);
   const Duration objective =
       Scaled(admission.m_expected_chain, spec.m_policy.m_stretch) +
       spec.m_policy.m_target;
   const Duration on_time =
       admission.m_expected_wait + admission.m_expected_chain;
   const Duration late =
-      wait_behind(use.m_work_left) + admission.m_expected_chain;
+      wait_behind(over_share ? use.m_work_left : use.m_left_within_share) +
+      admission.m_expected_chain;
   if (on_time > objective && late > Scaled(objective, kUselessAfter)) {
     admission.m_code = Code::kDeadlineTooShort;
     admission.m_retry_after =
--- a/filbertspar/scheduler/src/admit.h
+++ b/filbertspar/scheduler/src/admit.h
@@ -9,6 +9,8 @@
 struct Admission {
   Code m_code = Code::kOk;
   Duration m_retry_after{0};
+  /// Whether the job is beyond its workspace's share.
+  bool m_is_over_share = false;
   /// Estimates that decided, for the log.
   Duration m_expected_wait{0};
   Duration m_expected_chain{0};
--- a/filbertspar/scheduler/src/dispatch.cc
+++ b/filbertspar/scheduler/src/dispatch.cc
@@ -19,14 +19,24 @@
 constexpr std::uint64_t kRunsPerOwner = 1000;
 
 /// A long-running task first: it is of use as long as it runs. Then work that
-/// can still meet its objective, then what is late already.
+/// can still meet its objective, then what is late already, then the same of
+/// what workspaces sent beyond their shares.
 enum class Urgency : std::uint8_t {
   kServing,
   kFilling,
   kOnTime,
   kLate,
+  kOverShareOnTime,
+  kOverShareLate,
 };
 
+Urgency UrgencyOf(bool over_share, bool on_time) {
+  if (over_share) {
+    return on_time ? Urgency::kOverShareOnTime : Urgency::kOverShareLate;
+  }
+  return on_time ? Urgency::kOnTime : Urgency::kLate;
+}
+
 struct Candidate {
   Urgency m_urgency = Urgency::kLate;
   std::uint32_t m_priority = 0;
@@ -81,7 +91,7 @@
       } else {
         const bool on_time =
             now + RemainingChain(scheduler, now, *job) <= candidate.m_objective;
-        candidate.m_urgency = on_time ? Urgency::kOnTime : Urgency::kLate;
+        candidate.m_urgency = UrgencyOf(job->m_over_share, on_time);
       }
       candidates.push_back(candidate);
     }
--- /dev/null
+++ b/filbertspar/scheduler/src/fair_share.cc
@@ -0,0 +1,60 @@
+#include "filbertspar/scheduler/src/fair_share.h"
+
+#include <algorithm>
+
+namespace filbertspar::scheduler {
+namespace {
+
+/// Share that may be handed in at once, as the time in which it accrues.
+constexpr double kBurstSeconds = 1;
+
+/// Jobs a second; nothing for work of no known workspace, which has no share.
+std::optional<double> ShareOf(const Scheduler& scheduler,
+                              const WorkspaceName& workspace) {
+  if (workspace.Empty() || scheduler.m_deployment == nullptr) {
+    return std::nullopt;
+  }
+  const WorkspaceConfig* config =
+      FindWorkspace(*scheduler.m_deployment, workspace);
+  if (config == nullptr) {
+    return std::nullopt;
+  }
+  return config->m_share_per_s;
+}
+
+double BurstOf(double share) { return std::max(1.0, share * kBurstSeconds); }
+
+double LeftAt(const ShareUse& use, TimePoint now, double share) {
+  return std::min(BurstOf(share),
+                  use.m_left + share * ToSeconds(now - use.m_at));
+}
+
+}  // namespace
+
+bool IsOverShare(const Scheduler& scheduler, TimePoint now,
+                 const WorkspaceName& workspace) {
+  const std::optional<double> share = ShareOf(scheduler, workspace);
+  const auto found = scheduler.m_share_use.find(workspace);
+  return share && found != scheduler.m_share_use.end() &&
+         LeftAt(found->second, now, *share) < 1;
+}
+
+bool TakeShare(Scheduler& scheduler, TimePoint now,
+               const WorkspaceName& workspace) {
+  const std::optional<double> share = ShareOf(scheduler, workspace);
+  if (!share) {
+    return true;
+  }
+  const auto [found, is_new] =
+      scheduler.m_share_use.try_emplace(workspace, ShareUse{});
+  ShareUse& use = found->second;
+  use.m_left = is_new ? BurstOf(*share) : LeftAt(use, now, *share);
+  use.m_at = now;
+  if (use.m_left < 1) {
+    return false;
+  }
+  use.m_left -= 1;
+  return true;
+}
+
+}  // namespace filbertspar::scheduler
--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "absl/strings/str_cat.h"
+#include "filbertspar/scheduler/src/fair_share.h"
 #include "filbertspar/scheduler/src/workers.h"
 
 namespace filbertspar::scheduler {
@@ -229,7 +230,10 @@
   if (scheduler.m_jobs.contains(spec.m_id)) {
     return;
   }
-  Activate(scheduler, now, Insert(scheduler, now, std::move(spec)));
+  Job& job = Insert(scheduler, now, std::move(spec));
+  job.m_over_share = !job.m_long_running && job.m_spec->m_times == 0 &&
+                     !TakeShare(scheduler, now, job.m_spec->m_workspace);
+  Activate(scheduler, now, job);
 }
 
 void RestoreJob(Scheduler& scheduler, TimePoint now, JobSpec spec,
--- a/filbertspar/scheduler/src/load.cc
+++ b/filbertspar/scheduler/src/load.cc
@@ -80,6 +80,7 @@
     const double ratio = RatioOf(scheduler, job->m_spec->m_queue);
     const double backlog_before = use.m_backlog;
     const double work_before = use.m_work_left;
+    const double ready_before = use.m_ready;
     for (const auto& occurrence : job->m_occurrences) {
       for (std::size_t s = 0; s < occurrence->m_steps.size(); ++s) {
         const StepSpec& spec = job->m_spec->m_steps[s];
@@ -98,7 +99,19 @@
       const Duration slack = ObjectiveOf(scheduler, *job) - now -
                              RemainingChain(scheduler, now, *job);
       slack_by_work += backlog * std::max(0.0, ToSeconds(slack));
-      use.m_work_on_time += slack >= Duration(0) ? work : 0;
+      const bool on_time = slack >= Duration(0);
+      // What runs is not stopped, whoever sent it.
+      const double running = work - backlog;
+      if (job->m_over_share) {
+        use.m_ahead_within_share += running;
+        use.m_left_within_share += running;
+        use.m_ahead_over_share += on_time ? work : running;
+      } else {
+        use.m_ahead_within_share += on_time ? work : 0;
+        use.m_left_within_share += work;
+        use.m_ahead_over_share += work;
+        use.m_ready_within_share += use.m_ready - ready_before;
+      }
     }
   }
   use.m_cores = std::max(0.0, use.m_cores);
--- a/filbertspar/scheduler/src/load.h
+++ b/filbertspar/scheduler/src/load.h
@@ -18,8 +18,14 @@
   double m_backlog = 0;
   /// Work of tasks that have not ended.
   double m_work_left = 0;
-  /// The part of it that belongs to jobs that can still meet their objective.
-  double m_work_on_time = 0;
+  /// Work that goes before that of a new job which can meet its objective and
+  /// is within, or beyond, its workspace's share.
+  double m_ahead_within_share = 0;
+  double m_ahead_over_share = 0;
+  /// The part of m_work_left that waits for no work beyond shares.
+  double m_left_within_share = 0;
+  /// The part of m_ready that is within shares.
+  double m_ready_within_share = 0;
   /// Time that waiting work can wait and still meet its objective, on average
   /// by work.
   Duration m_slack{0};
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -91,6 +91,8 @@
   /// Number of the first change that no write has taken up; 0 when none is.
   std::uint64_t m_unstored = 0;
   bool m_long_running = false;
+  /// Came when its workspace had handed in its share already.
+  bool m_over_share = false;
   /// Sum of the estimates along its longest chain of steps.
   Duration m_chain{0};
 };
@@ -211,11 +213,19 @@
   std::vector<Job*> m_jobs;
   /// Cores of VMs that were ordered to join and have not yet.
   double m_incoming_cores = 0;
-  /// Core-seconds of all jobs that were handed in, also of those refused.
+  /// Core-seconds of all jobs within shares that were handed in, also of those
+  /// refused.
   double m_arrived_work = 0;
   std::uint64_t m_arrived_jobs = 0;
 };
 
+/// \brief What a workspace may still hand in of its share.
+struct ShareUse {
+  /// Jobs, as of m_at.
+  double m_left = 0;
+  TimePoint m_at{};
+};
+
 struct Approvals {
   /// Ticket by worker; an approval ends with the time.
   absl::flat_hash_map<WorkerName, std::string> m_tickets;
@@ -237,6 +247,7 @@
   /// Room that each workspace's tasks hold on all workers.
   absl::flat_hash_map<WorkspaceName, Demand> m_held;
   absl::flat_hash_map<QueueName, QueueHistory> m_history;
+  absl::flat_hash_map<WorkspaceName, ShareUse> m_share_use;
   /// Per step of an advised queue: job, occurrence, step.
   std::map<TaskId, Approvals> m_approvals;
   /// Jobs with changes that no write has taken up, by number of the first one.
