List each start in the store before it is ordered

One unreachable worker held back all work, because any waiting task might run there. Ruled out: the reading of jobs (0.04 s) and the list of VMs. Change: the progress row names the worker of each ordered run; a start goes out once the store lists it. A successor starts what is not listed at once and holds back a listed task only until its worker was looked at, is gone, or the leases are over. The owner's row says whether the list is complete; it is not while writes are slow, or when an owner without the store for 3 s ordered starts that it could not list. Listed runs count against ceilings. Found on the way: the age that pings told of the last contact with the store was counted from when a call was sent, up to 2 s before its answer, so an owner cut off alone counted its peers as cut off too and ordered on for up to 2 s beyond its bound. The age now counts from the answer, and peers must be without one for 1.3 s.

--- a/filbertspar/job/src/progress.h
+++ b/filbertspar/job/src/progress.h
@@ -30,6 +30,8 @@
   /// Runs whose failure was counted; a repeated report of one is not.
   std::vector<std::uint64_t> m_failed_runs;
   std::string m_checkpoint;
+  /// Worker that its last run was ordered on; empty when none may run.
+  std::string m_worker;
 
   friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
 };
--- a/filbertspar/job/src/rows.cc
+++ b/filbertspar/job/src/rows.cc
@@ -92,6 +92,7 @@
                                    task->failed_runs()->end());
       }
       known.m_checkpoint = Text(task->checkpoint());
+      known.m_worker = Text(task->worker());
       step.m_tasks.push_back(std::move(known));
     }
   }
@@ -104,8 +105,10 @@
   for (const TaskProgress& task : step.m_tasks) {
     const auto checkpoint = builder.CreateString(task.m_checkpoint);
     const auto failed_runs = builder.CreateVector(task.m_failed_runs);
-    tasks.push_back(fbs::CreateTaskProgressRow(builder, task.m_index,
-                                               failed_runs, checkpoint));
+    // Few workers run the many tasks of a job.
+    const auto worker = builder.CreateSharedString(task.m_worker);
+    tasks.push_back(fbs::CreateTaskProgressRow(
+        builder, task.m_index, failed_runs, checkpoint, worker));
   }
   const auto done = builder.CreateVector(
       reinterpret_cast<const std::uint8_t*>(step.m_done.data()),
--- a/filbertspar/job/src/rows_generated.h
+++ b/filbertspar/job/src/rows_generated.h
@@ -543,7 +543,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_INDEX = 4,
     VT_FAILED_RUNS = 6,
-    VT_CHECKPOINT = 8
+    VT_CHECKPOINT = 8,
+    VT_WORKER = 10
   };
   uint32_t index() const {
     return GetField<uint32_t>(VT_INDEX, 0);
@@ -554,6 +555,9 @@
   const flatbuffers::String *checkpoint() const {
     return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
   }
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
@@ -561,6 +565,8 @@
            verifier.VerifyVector(failed_runs()) &&
            VerifyOffset(verifier, VT_CHECKPOINT) &&
            verifier.VerifyString(checkpoint()) &&
+           VerifyOffset(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
            verifier.EndTable();
   }
 };
@@ -578,6 +584,9 @@
   void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
     fbb_.AddOffset(TaskProgressRow::VT_CHECKPOINT, checkpoint);
   }
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(TaskProgressRow::VT_WORKER, worker);
+  }
   explicit TaskProgressRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -593,8 +602,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t index = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> failed_runs = 0,
-    flatbuffers::Offset<flatbuffers::String> checkpoint = 0) {
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
+    flatbuffers::Offset<flatbuffers::String> worker = 0) {
   TaskProgressRowBuilder builder_(_fbb);
+  builder_.add_worker(worker);
   builder_.add_checkpoint(checkpoint);
   builder_.add_failed_runs(failed_runs);
   builder_.add_index(index);
@@ -610,14 +621,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t index = 0,
     const std::vector<uint64_t> *failed_runs = nullptr,
-    const char *checkpoint = nullptr) {
+    const char *checkpoint = nullptr,
+    const char *worker = nullptr) {
   auto failed_runs__ = failed_runs ? _fbb.CreateVector<uint64_t>(*failed_runs) : 0;
   auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   return filbertspar::fbs::CreateTaskProgressRow(
       _fbb,
       index,
       failed_runs__,
-      checkpoint__);
+      checkpoint__,
+      worker__);
 }
 
 struct StepProgressRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/filbertspar/node/src/duty.cc
+++ b/filbertspar/node/src/duty.cc
@@ -40,6 +40,14 @@
 /// ownership belongs to a VM that is gone.
 constexpr Duration kPeerGoneAfter = Seconds(10);
 constexpr Duration kPingBound = Seconds(1);
+/// Without the store for this long, an owner whose peers do not reach it either
+/// orders starts that the store does not list.
+constexpr Duration kUnlistedAfter = Seconds(3);
+/// A VM that reaches the store has an answer every second, when its feed of the
+/// configuration ends.
+constexpr Duration kAwayTime = Milliseconds(1300);
+/// Longer than the gaps in a contact that a successor counts as continuous.
+constexpr Duration kLongAwayTime = Seconds(2);
 
 Duration LeaseOf(const NodeOptions& options) {
   return std::min(options.m_max_lease, options.m_worker_report * kLeaseReports);
@@ -59,6 +67,7 @@
   scheduler::Options& options = m_scheduler.m_options;
   options.m_fencing = won.m_record.m_epoch;
   options.m_lease = LeaseOf(parts.m_options);
+  options.m_runs_are_listed = won.m_runs_are_listed;
   options.m_state_kept = parts.m_options.m_state_kept;
   options.m_inherited_until = won.m_quiet_since + kOrderBound +
                               options.m_lease * 21 / 20 + kInheritMargin;
@@ -74,7 +83,10 @@
     Count(m_parts.m_metrics, metric::kJobs, "accepted");
     Changed();
   };
-  hooks.m_stored = [this] { m_workers->EndsStored(); };
+  hooks.m_stored = [this] {
+    m_workers->EndsStored();
+    Apply();
+  };
   hooks.m_deposed = [this] {
     m_parts.m_log.Warn("owner", "deposed", m_log_epoch);
     m_hooks.m_deposed();
@@ -130,15 +142,14 @@
   return m_running && BootNow() - m_journal->ConfirmedAt() < kConfirmedBound;
 }
 
-bool Duty::OthersAreCutOff(TimePoint now) {
-  const Duration unconfirmed = now - m_journal->ConfirmedAt();
+bool Duty::OthersAreCutOff(TimePoint now, Duration away) const {
   if (m_parts.m_links.Peers().empty()) {
     // Others may exist that this VM cannot reach.
     return false;
   }
   for (const auto& [vm, peer] : m_parts.m_links.Peers()) {
     const bool heard = peer.m_connected && now - peer.m_pinged_at < kPingBound;
-    if (!heard || peer.m_store_age + kPingBound < unconfirmed) {
+    if (!heard || peer.m_store_age < away) {
       return false;
     }
   }
@@ -151,7 +162,7 @@
   for (const auto& [vm, peer] : m_parts.m_links.Peers()) {
     const bool could_own = peer.m_connected && peer.m_willing &&
                            now - peer.m_pinged_at < kPingBound &&
-                           peer.m_store_age < kPingBound;
+                           peer.m_store_age < kAwayTime;
     if (could_own) {
       strongest = std::max(strongest, peer.m_strength);
     }
@@ -161,7 +172,7 @@
 
 void Duty::HandOverToStronger() {
   const Millicores strongest = Strongest();
-  if (m_hands_over || !m_scheduler.m_settled || !IsConfirmed() ||
+  if (m_hands_over || !m_is_ready || !IsConfirmed() ||
       !ShouldHandOver(m_parts.m_options.m_strength, strongest)) {
     return;
   }
@@ -178,7 +189,8 @@
     return false;
   }
   const TimePoint now = BootNow();
-  return now - m_journal->ConfirmedAt() < kOrderBound || OthersAreCutOff(now);
+  return now - m_journal->ConfirmedAt() < kOrderBound ||
+         OthersAreCutOff(now, kAwayTime);
 }
 
 asio::awaitable<void> Duty::Recover() {
@@ -386,6 +398,13 @@
 
 void Duty::Dispatch() {
   if (MayOrder()) {
+    const TimePoint now = BootNow();
+    if (m_scheduler.m_lists_first &&
+        now - m_journal->ConfirmedAt() > kUnlistedAfter &&
+        OthersAreCutOff(now, kLongAwayTime)) {
+      m_parts.m_log.Warn("owner", "starts_not_listed", m_log_epoch);
+      scheduler::SetListsFirst(m_scheduler, now, false);
+    }
     scheduler::Dispatch(m_scheduler, BootNow());
     AskAdvice();
   }
--- a/filbertspar/node/src/duty.h
+++ b/filbertspar/node/src/duty.h
@@ -74,7 +74,8 @@
   void CountNote(const scheduler::Effects::Note& note);
   void LogNote(const scheduler::Effects::Note& note);
   bool MayOrder();
-  bool OthersAreCutOff(TimePoint now);
+  /// \brief Whether no other VM had an answer of the store for `away`.
+  bool OthersAreCutOff(TimePoint now, Duration away) const;
   /// \brief Processor of the strongest VM that could own the jobs.
   Millicores Strongest() const;
   void HandOverToStronger();
--- a/filbertspar/node/src/journal.cc
+++ b/filbertspar/node/src/journal.cc
@@ -20,6 +20,9 @@
 /// Longer than a write of a store that is 60 times slower than usual.
 constexpr Duration kFirstTimeout = Milliseconds(700);
 constexpr Duration kLongestTimeout = Milliseconds(1600);
+/// Starts do not wait for writes that take longer; a task's objective leaves
+/// it a few tenths of a second.
+constexpr Duration kSlowWrite = Milliseconds(150);
 constexpr Duration kRefusedPause = Milliseconds(60);
 /// Longest wait for a row that an order depends on.
 constexpr Duration kPutTime = Seconds(1);
@@ -53,7 +56,8 @@
               1e6 / kPartShare / static_cast<double>(changes_per_s))))),
       m_wake(context),
       m_put_stored(context),
-      m_confirmed_at(BootNow()) {}
+      m_confirmed_at(BootNow()),
+      m_began_listed(won.m_runs_are_listed) {}
 
 bool Journal::HasWork() const {
   return !m_waiting.empty() || !m_scheduler.m_unstored.empty() ||
@@ -110,6 +114,9 @@
   m_record.m_released =
       m_releasing && m_waiting.empty() && m_scheduler.m_unstored.empty();
   m_record.m_strength = m_hooks.m_strongest();
+  m_record.m_lists_starts = (m_began_listed || m_scheduler.m_settled) &&
+                            !m_is_slow &&
+                            scheduler::ListsAllStarts(m_scheduler);
   change.m_values.push_back({OwnerRowKey(), EncodeOwner(m_record)});
   return batch;
 }
@@ -150,7 +157,18 @@
       Finish(job, stored ? Code::kOk : Code::kInternal);
     }
     if (stored) {
-      scheduler::Stored(m_scheduler, batch.m_progress);
+      const TimePoint now = BootNow();
+      const bool slow = now - m_write_began > kSlowWrite;
+      if (slow != m_is_slow) {
+        m_is_slow = slow;
+        m_log.Info(
+            "journal", slow ? "writes_slow" : "writes_fast",
+            absl::StrCat("took_ms=", ToMilliseconds(now - m_write_began)));
+      }
+      // A successor must know first that starts are no longer listed.
+      const bool told = !m_record.m_lists_starts;
+      scheduler::Stored(m_scheduler, now, batch.m_progress);
+      scheduler::SetListsFirst(m_scheduler, now, !(m_is_slow && told));
       m_stored_put = std::max(m_stored_put, batch.m_puts);
       m_put_stored.Notify();
       m_hooks.m_stored();
--- a/filbertspar/node/src/journal.h
+++ b/filbertspar/node/src/journal.h
@@ -111,6 +111,10 @@
   TimePoint m_confirmed_at;
   TimePoint m_write_began = TimePoint::min();
   bool m_is_writing = false;
+  /// Whether the last write took longer than starts should wait.
+  bool m_is_slow = false;
+  /// Whether the stored progress listed all runs when the term began.
+  bool m_began_listed = false;
   bool m_running = true;
   bool m_releasing = false;
   bool m_released = false;
--- a/filbertspar/node/src/owner_watch.cc
+++ b/filbertspar/node/src/owner_watch.cc
@@ -122,6 +122,8 @@
   claim.m_write = 0;
   claim.m_released = false;
   const TimePoint quiet_since = m_view.m_version_since;
+  const bool listed = MayRelyOnList(m_view, m_store.ReachedSince(), BootNow());
+  claim.m_lists_starts = listed;
   TableChange change;
   change.m_conditions.push_back({OwnerRowKey(), m_view.m_version});
   change.m_values.push_back({OwnerRowKey(), EncodeOwner(claim)});
@@ -130,6 +132,9 @@
       absl::StrCat(
           "epoch=", claim.m_epoch.Value(),
           " holder=", m_view.m_record ? m_view.m_record->m_vm.Value() : "-",
+          " listed=", listed, " owner_lists=",
+          m_view.m_record ? m_view.m_record->m_lists_starts : true,
+          " reached_ms=", ToMilliseconds(BootNow() - m_store.ReachedSince()),
           " link=", static_cast<int>(m_view.m_link), " unchanged_ms=",
           ToMilliseconds(m_view.m_confirmed_at - m_view.m_version_since)));
   const TableAnswer answer = co_await m_store.Change(change, kClaimTimeout);
@@ -139,7 +144,7 @@
                absl::StrCat("epoch=", claim.m_epoch.Value(),
                             " version=", answer.m_version.Value()));
     m_changed.Notify();
-    m_won({claim, answer.m_version, quiet_since});
+    m_won({claim, answer.m_version, quiet_since, listed});
     co_return;
   }
   // A claim without an answer may take effect later; the row then names this
@@ -153,7 +158,7 @@
       !m_view.m_record->m_released) {
     m_is_owner = true;
     m_changed.Notify();
-    m_won({*m_view.m_record, m_view.m_version, quiet_since});
+    m_won({*m_view.m_record, m_view.m_version, quiet_since, false});
   }
 }
 
--- a/filbertspar/node/src/owner_watch.h
+++ b/filbertspar/node/src/owner_watch.h
@@ -31,6 +31,8 @@
     RowVersion m_version;
     /// The holder before wrote nothing after this time.
     TimePoint m_quiet_since{};
+    /// Whether the stored progress lists every run that may go on.
+    bool m_runs_are_listed = false;
   };
 
   OwnerWatch(asio::io_context& context, StoreClient& store, EventLog& log,
--- a/filbertspar/node/src/store_client.cc
+++ b/filbertspar/node/src/store_client.cc
@@ -14,6 +14,8 @@
 
 /// Beyond the wait of a feed: time for its answer to come.
 constexpr Duration kFeedSlack = Milliseconds(1200);
+/// Contacts further apart do not count as one continuous contact.
+constexpr Duration kContactGap = Milliseconds(1500);
 constexpr Duration kReadTimeout = Milliseconds(1500);
 /// Parts of the shared rates that one VM may use. Only the owner writes much;
 /// two may do so around a take-over.
@@ -65,7 +67,11 @@
                                      : ToMilliseconds(sent - m_reached_at)));
   }
   m_failures = 0;
-  m_reached_at = std::max(m_reached_at, sent);
+  const TimePoint now = BootNow();
+  if (now > m_reached_at + kContactGap) {
+    m_reached_since = now;
+  }
+  m_reached_at = now;
 }
 
 asio::awaitable<TableAnswer> StoreClient::Call(std::string_view kind,
--- a/filbertspar/node/src/store_client.h
+++ b/filbertspar/node/src/store_client.h
@@ -37,8 +37,10 @@
   /// which a feed misses nothing.
   asio::awaitable<TableAnswer> ReadAll(std::string table, std::string part);
 
-  /// \brief When the last answered call was sent; min() before the first.
+  /// \brief When the last answer came; min() before the first.
   TimePoint ReachedAt() const { return m_reached_at; }
+  /// \brief Since when the store was reached without a gap; max() if never.
+  TimePoint ReachedSince() const { return m_reached_since; }
   /// \brief When the store came back after it was away; min() if it never was.
   TimePoint RegainedAt() const { return m_regained_at; }
   /// \brief Least reading of the store's steady clock now, in milliseconds; 0
@@ -64,6 +66,7 @@
   TokenBucket m_reads;
   TokenBucket m_writes;
   TimePoint m_reached_at = TimePoint::min();
+  TimePoint m_reached_since = TimePoint::max();
   TimePoint m_regained_at = TimePoint::min();
   int m_failures = 0;
   std::int64_t m_clock_ms = 0;
--- a/filbertspar/ownership/src/claim.cc
+++ b/filbertspar/ownership/src/claim.cc
@@ -21,10 +21,10 @@
 constexpr Duration kDelaySpread = Milliseconds(120);
 /// Head start of stronger VMs when none of them is known to be at work.
 constexpr Duration kDelayOfWeakness = Milliseconds(300);
-/// Head start of VMs as strong as the strongest that the last owner knew. A
-/// weak owner serves worse for the rest of its term than no owner does for
-/// this long.
-constexpr Duration kDelayOfWeaker = Milliseconds(800);
+/// Head start of VMs as strong as the strongest that the last owner knew. VMs
+/// notice a loss up to 1.3 s apart, by when they last read the row and by the
+/// silence of their links; a strong one that noticed last still comes first.
+constexpr Duration kDelayOfWeaker = Seconds(2);
 /// A VM counts as stronger than another from this ratio on.
 constexpr double kStrongerRatio = 1.5;
 
@@ -62,8 +62,28 @@
   return PatienceWith(view) + ClaimDelay(view, self) - unchanged;
 }
 
+/// An owner orders starts that it cannot list only after it was without the
+/// store for 3 s, while every VM says that it does not reach the store either.
+/// A VM that reached the store for this long, and saw the owner write less than
+/// kListedBound ago, excludes that.
+constexpr Duration kReachedBound = Seconds(4);
+constexpr Duration kListedBound = Seconds(2);
+
 }  // namespace
 
+bool MayRelyOnList(const OwnerView& view, TimePoint reached_since,
+                   TimePoint now) {
+  if (!view.m_record) {
+    return true;
+  }
+  if (!view.m_record->m_lists_starts) {
+    return false;
+  }
+  return view.m_record->m_released ||
+         (now - view.m_version_since < kListedBound &&
+          now - reached_since > kReachedBound);
+}
+
 bool ShouldClaim(const OwnerView& view, const Candidate& self, TimePoint now) {
   return view.m_read && TimeToClaim(view, self, now) <= Duration(0);
 }
--- a/filbertspar/ownership/src/claim.h
+++ b/filbertspar/ownership/src/claim.h
@@ -48,6 +48,12 @@
 /// only keep a working owner in place.
 bool ShouldClaim(const OwnerView& view, const Candidate& self, TimePoint now);
 
+/// \brief Whether a claim now may rely on the list of runs that the last owner
+/// stored. `reached_since` is when this VM last had no contact with the store
+/// for a while.
+bool MayRelyOnList(const OwnerView& view, TimePoint reached_since,
+                   TimePoint now);
+
 /// \brief Time until the owner's row should be read again.
 Duration NextOwnerRead(const OwnerView& view, const Candidate& self,
                        TimePoint now);
--- a/filbertspar/ownership/src/record.cc
+++ b/filbertspar/ownership/src/record.cc
@@ -13,6 +13,7 @@
                  {"secret", record.m_link_secret},
                  {"write", record.m_write},
                  {"strength", record.m_strength.Count()},
+                 {"lists_starts", record.m_lists_starts},
                  {"released", record.m_released}});
 }
 
@@ -33,8 +34,9 @@
   reader.Read("epoch", epoch, IntRange{1});
   reader.Read("secret", record.m_link_secret);
   reader.Read("write", write, IntRange{0});
-  // Rows of earlier releases do not state it.
+  // Rows of earlier releases do not state these two.
   reader.ReadOptional("strength", record.m_strength);
+  reader.ReadOptional("lists_starts", record.m_lists_starts);
   reader.Read("released", record.m_released);
   FS_RETURN_IF_ERROR(reader.Finish());
   const auto endpoint = ParseEndpoint(link);
--- a/filbertspar/ownership/src/record.h
+++ b/filbertspar/ownership/src/record.h
@@ -27,6 +27,9 @@
   /// Processor of the strongest VM that the holder knows to be at work, its
   /// own included.
   Millicores m_strength;
+  /// Whether the stored progress lists every run that was ordered, by the
+  /// holder or before it.
+  bool m_lists_starts = false;
   /// Given up by its holder.
   bool m_released = false;
 
--- a/filbertspar/scheduler/scheduler.h
+++ b/filbertspar/scheduler/scheduler.h
@@ -9,5 +9,6 @@
 #include "filbertspar/scheduler/src/fair_share.h"  // IWYU pragma: export
 #include "filbertspar/scheduler/src/jobs.h"        // IWYU pragma: export
 #include "filbertspar/scheduler/src/load.h"        // IWYU pragma: export
+#include "filbertspar/scheduler/src/starts.h"      // IWYU pragma: export
 #include "filbertspar/scheduler/src/state.h"       // IWYU pragma: export
 #include "filbertspar/scheduler/src/workers.h"     // IWYU pragma: export
--- a/filbertspar/scheduler/src/dispatch.cc
+++ b/filbertspar/scheduler/src/dispatch.cc
@@ -9,6 +9,7 @@
 #include "filbertspar/scheduler/src/jobs.h"
 #include "filbertspar/scheduler/src/pace.h"
 #include "filbertspar/scheduler/src/placement.h"
+#include "filbertspar/scheduler/src/starts.h"
 #include "filbertspar/scheduler/src/workers.h"
 
 namespace filbertspar::scheduler {
@@ -47,8 +48,15 @@
   auto Key() const { return std::tuple(m_urgency, m_priority, m_objective); }
 };
 
+/// A listed run of an earlier owner holds back its own task only.
 bool MayStartTasks(const Scheduler& scheduler, const Job& job) {
-  return !job.m_inherited || scheduler.m_settled;
+  return !job.m_inherited || scheduler.m_settled ||
+         scheduler.m_options.m_runs_are_listed;
+}
+
+bool IsStartable(const Task& task, TimePoint now) {
+  return task.m_phase == TaskPhase::kWaiting && !task.m_may_run &&
+         now >= task.m_not_before;
 }
 
 TimePoint ObjectiveOfOccurrence(const Scheduler& scheduler, const Job& job,
@@ -90,7 +98,7 @@
                                   : Urgency::kServing;
       } else {
         const bool on_time =
-            now + RemainingChain(scheduler, now, *job) <= candidate.m_objective;
+            SlackOf(scheduler, now, *job, candidate.m_objective) >= Duration(0);
         candidate.m_urgency = UrgencyOf(job->m_over_share, on_time);
       }
       candidates.push_back(candidate);
@@ -138,35 +146,6 @@
          within(sum.m_accelerators, ceiling.m_accelerators);
 }
 
-void Start(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
-           WorkerIndex index, std::uint64_t run) {
-  Task& task = ref.GetTask();
-  const Worker& worker = scheduler.m_workers[index];
-  Hold(scheduler, ref, index);
-  --ref.GetStep().m_waiting;
-  task.m_phase = TaskPhase::kStarting;
-  task.m_run = run;
-  task.m_since = now;
-  task.m_answered_at = TimePoint::max();
-  task.m_pace = 100;
-  task.m_percent = 0;
-  task.m_load = -1;
-  task.m_start_deadline_ms = TakeStartDeadline(scheduler, now, index);
-  StartOrder order;
-  order.m_task = ref.Id();
-  order.m_run = RunNumber(run);
-  order.m_payload = ref.m_job->m_spec->m_payload;
-  order.m_deadline_ms = task.m_start_deadline_ms;
-  order.m_fencing = scheduler.m_options.m_fencing;
-  order.m_checkpoint =
-      ref.Spec().m_gang ? ref.GetStep().m_gang_checkpoint : task.m_checkpoint;
-  if (const std::string* ticket =
-          TicketFor(scheduler, now, ref.Id(), worker.m_record.m_name)) {
-    order.m_ticket = *ticket;
-  }
-  scheduler.m_effects.m_starts.push_back({index, std::move(order)});
-}
-
 std::uint64_t NextRun(const Scheduler& scheduler, const Task& task) {
   const std::uint64_t first =
       (scheduler.m_options.m_fencing.Value() - 1) * kRunsPerOwner + 1;
@@ -189,7 +168,7 @@
   Demand total;
   std::uint64_t run = 0;
   for (const Task& task : step.m_tasks) {
-    if (task.m_phase != TaskPhase::kWaiting || now < task.m_not_before) {
+    if (!IsStartable(task, now)) {
       return;
     }
     total += spec.m_demand;
@@ -202,7 +181,7 @@
       ChooseForGang(scheduler, now, rooms, first);
   for (std::uint32_t i = 0; i < places.size(); ++i) {
     const TaskRef ref{first.m_job, first.m_occurrence, first.m_step, i};
-    Start(scheduler, now, ref, places[i], run);
+    PlanStart(scheduler, now, ref, places[i], run);
     TakeRoom(rooms, places[i], RoomOf(spec));
   }
 }
@@ -219,7 +198,7 @@
   for (std::uint32_t i = 0; i < count; ++i) {
     const TaskRef ref{first.m_job, first.m_occurrence, first.m_step, i};
     const Task& task = ref.GetTask();
-    if (task.m_phase != TaskPhase::kWaiting || now < task.m_not_before) {
+    if (!IsStartable(task, now)) {
       continue;
     }
     if (!UnderCeiling(scheduler, ref.m_job->m_spec->m_workspace,
@@ -230,7 +209,7 @@
     if (worker == kNoWorker) {
       break;
     }
-    Start(scheduler, now, ref, worker, NextRun(scheduler, task));
+    PlanStart(scheduler, now, ref, worker, NextRun(scheduler, task));
     TakeRoom(rooms, worker, RoomOf(spec));
     ++started;
   }
--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "filbertspar/scheduler/src/fair_share.h"
+#include "filbertspar/scheduler/src/starts.h"
 #include "filbertspar/scheduler/src/workers.h"
 
 namespace filbertspar::scheduler {
@@ -154,6 +155,7 @@
   if (task.m_phase == TaskPhase::kWaiting) {
     --ref.GetStep().m_waiting;
   }
+  ForgetInheritedRun(scheduler, ref);
   Release(scheduler, ref);
   task.m_phase = TaskPhase::kDone;
   task.m_since = now;
@@ -258,6 +260,12 @@
         if (known.m_index < step.m_tasks.size()) {
           Task& task = step.m_tasks[known.m_index];
           task.m_failed_runs = known.m_failed_runs;
+          if (!known.m_worker.empty()) {
+            InheritRun(scheduler,
+                       {&job, &occurrence, static_cast<std::uint32_t>(s),
+                        known.m_index},
+                       WorkerName(known.m_worker));
+          }
           task.m_checkpoint = known.m_checkpoint;
           if (job.m_spec->m_steps[s].m_gang) {
             step.m_gang_checkpoint = known.m_checkpoint;
@@ -327,7 +335,7 @@
   return count;
 }
 
-JobProgress ProgressOf(const Job& job) {
+JobProgress ProgressOf(const Scheduler& scheduler, const Job& job) {
   JobProgress progress;
   progress.m_state = job.m_state;
   progress.m_ended_ms = job.m_ended_ms;
@@ -349,8 +357,15 @@
           listed.m_done[t / 8] = static_cast<char>(
               static_cast<unsigned char>(listed.m_done[t / 8]) |
               (1U << (t % 8)));
-        } else if (!task.m_failed_runs.empty() || !task.m_checkpoint.empty()) {
-          listed.m_tasks.push_back({t, task.m_failed_runs, task.m_checkpoint});
+          continue;
+        }
+        const TaskId id{job.m_spec->m_id, occurrence->m_number,
+                        static_cast<std::uint32_t>(stored.m_steps.size()), t};
+        std::string worker = WorkerOfRun(scheduler, id, task);
+        if (!worker.empty() || !task.m_failed_runs.empty() ||
+            !task.m_checkpoint.empty()) {
+          listed.m_tasks.push_back(
+              {t, task.m_failed_runs, task.m_checkpoint, std::move(worker)});
         }
       }
       stored.m_steps.push_back(std::move(listed));
@@ -370,13 +385,14 @@
     }
     scheduler.m_unstored.erase(first);
     job.m_unstored = 0;
-    writes.push_back(
-        {job.m_spec->m_id, job.m_state, EncodeProgress(ProgressOf(job))});
+    writes.push_back({job.m_spec->m_id, job.m_state,
+                      EncodeProgress(ProgressOf(scheduler, job))});
   }
   return writes;
 }
 
-void Stored(Scheduler& scheduler, const std::vector<JobWrite>& jobs) {
+void Stored(Scheduler& scheduler, TimePoint now,
+            const std::vector<JobWrite>& jobs) {
   scheduler.m_writing_change = 0;
   for (const JobWrite& write : jobs) {
     const auto found = scheduler.m_jobs.find(write.m_id);
@@ -385,6 +401,7 @@
     }
   }
   AcknowledgeStoredEnds(scheduler);
+  OrderListedStarts(scheduler, now);
 }
 
 void AdvanceOccurrences(Scheduler& scheduler, TimePoint now) {
--- a/filbertspar/scheduler/src/jobs.h
+++ b/filbertspar/scheduler/src/jobs.h
@@ -30,7 +30,7 @@
 std::int64_t JobsNotBegun(const Scheduler& scheduler, const QueueName& queue);
 
 /// \brief What has to be stored of a job.
-JobProgress ProgressOf(const Job& job);
+JobProgress ProgressOf(const Scheduler& scheduler, const Job& job);
 
 /// \brief Progress of one job as a write takes it up.
 struct JobWrite {
@@ -43,8 +43,9 @@
 /// One write is under way at a time.
 std::vector<JobWrite> TakeUnstored(Scheduler& scheduler, std::size_t limit);
 
-/// \brief The write took effect.
-void Stored(Scheduler& scheduler, const std::vector<JobWrite>& jobs);
+/// \brief The write took effect; starts that it lists are ordered.
+void Stored(Scheduler& scheduler, TimePoint now,
+            const std::vector<JobWrite>& jobs);
 
 /// \brief Creates occurrences that are due.
 void AdvanceOccurrences(Scheduler& scheduler, TimePoint now);
--- a/filbertspar/scheduler/src/load.cc
+++ b/filbertspar/scheduler/src/load.cc
@@ -96,8 +96,8 @@
     const double backlog = use.m_backlog - backlog_before;
     const double work = use.m_work_left - work_before;
     if (work > 0) {
-      const Duration slack = ObjectiveOf(scheduler, *job) - now -
-                             RemainingChain(scheduler, now, *job);
+      const Duration slack =
+          SlackOf(scheduler, now, *job, ObjectiveOf(scheduler, *job));
       slack_by_work += backlog * std::max(0.0, ToSeconds(slack));
       const bool on_time = slack >= Duration(0);
       // What runs is not stopped, whoever sent it.
--- /dev/null
+++ b/filbertspar/scheduler/src/starts.cc
@@ -0,0 +1,158 @@
+#include "filbertspar/scheduler/src/starts.h"
+
+#include <algorithm>
+#include <limits>
+#include <vector>
+
+#include "filbertspar/scheduler/src/placement.h"
+#include "filbertspar/scheduler/src/workers.h"
+
+namespace filbertspar::scheduler {
+namespace {
+
+void OrderStart(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
+                WorkerIndex index) {
+  Task& task = ref.GetTask();
+  task.m_since = now;
+  task.m_start_deadline_ms = TakeStartDeadline(scheduler, now, index);
+  StartOrder order;
+  order.m_task = ref.Id();
+  order.m_run = RunNumber(task.m_run);
+  order.m_payload = ref.m_job->m_spec->m_payload;
+  order.m_deadline_ms = task.m_start_deadline_ms;
+  order.m_fencing = scheduler.m_options.m_fencing;
+  order.m_checkpoint =
+      ref.Spec().m_gang ? ref.GetStep().m_gang_checkpoint : task.m_checkpoint;
+  const WorkerName& name = scheduler.m_workers[index].m_record.m_name;
+  if (const std::string* ticket = TicketFor(scheduler, now, ref.Id(), name)) {
+    order.m_ticket = *ticket;
+  }
+  scheduler.m_effects.m_starts.push_back({index, std::move(order)});
+}
+
+/// Orders a planned start unless its task was stopped or lost meanwhile.
+void OrderPlanned(Scheduler& scheduler, TimePoint now,
+                  const PlannedStart& planned) {
+  const TaskRef ref = FindTask(scheduler, planned.m_task);
+  if (ref && ref.GetTask().m_phase == TaskPhase::kStarting &&
+      ref.GetTask().m_run == planned.m_run &&
+      ref.GetTask().m_worker == planned.m_worker) {
+    OrderStart(scheduler, now, ref, planned.m_worker);
+  }
+}
+
+/// Whether a run on this worker is accounted for: it was looked at, or no VM
+/// and no registration names it.
+bool IsAccountedFor(const Scheduler& scheduler, const WorkerName& worker) {
+  const auto found = scheduler.m_worker_index.find(worker);
+  if (found != scheduler.m_worker_index.end() &&
+      scheduler.m_workers[found->second].m_looked) {
+    return true;
+  }
+  return scheduler.m_roster &&
+         std::find(scheduler.m_roster->begin(), scheduler.m_roster->end(),
+                   worker) == scheduler.m_roster->end();
+}
+
+}  // namespace
+
+void PlanStart(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
+               WorkerIndex worker, std::uint64_t run) {
+  Task& task = ref.GetTask();
+  Hold(scheduler, ref, worker);
+  --ref.GetStep().m_waiting;
+  task.m_phase = TaskPhase::kStarting;
+  task.m_run = run;
+  task.m_since = now;
+  task.m_answered_at = TimePoint::max();
+  task.m_pace = 100;
+  task.m_percent = 0;
+  task.m_load = -1;
+  // Not ordered yet, so no look can show that it never ran.
+  task.m_start_deadline_ms = std::numeric_limits<std::int64_t>::max();
+  const std::uint64_t change = MarkChanged(scheduler, *ref.m_job);
+  if (scheduler.m_lists_first) {
+    scheduler.m_planned_starts.push_back({ref.Id(), run, worker, change});
+  } else {
+    scheduler.m_last_unlisted = change;
+    OrderStart(scheduler, now, ref, worker);
+  }
+}
+
+void OrderListedStarts(Scheduler& scheduler, TimePoint now) {
+  const std::uint64_t stored = StoredUpTo(scheduler);
+  while (!scheduler.m_planned_starts.empty() &&
+         scheduler.m_planned_starts.front().m_change <= stored) {
+    const PlannedStart planned = scheduler.m_planned_starts.front();
+    scheduler.m_planned_starts.pop_front();
+    OrderPlanned(scheduler, now, planned);
+  }
+}
+
+void SetListsFirst(Scheduler& scheduler, TimePoint now, bool lists_first) {
+  scheduler.m_lists_first = lists_first;
+  if (lists_first || scheduler.m_planned_starts.empty()) {
+    return;
+  }
+  scheduler.m_last_unlisted = scheduler.m_planned_starts.back().m_change;
+  while (!scheduler.m_planned_starts.empty()) {
+    const PlannedStart planned = scheduler.m_planned_starts.front();
+    scheduler.m_planned_starts.pop_front();
+    OrderPlanned(scheduler, now, planned);
+  }
+}
+
+bool ListsAllStarts(const Scheduler& scheduler) {
+  return scheduler.m_unstored.empty() ||
+         scheduler.m_unstored.begin()->first > scheduler.m_last_unlisted;
+}
+
+std::string WorkerOfRun(const Scheduler& scheduler, const TaskId& id,
+                        const Task& task) {
+  if (task.m_worker != kNoWorker) {
+    return scheduler.m_workers[task.m_worker].m_record.m_name.Value();
+  }
+  if (task.m_may_run) {
+    const auto found = scheduler.m_inherited_runs.find(id);
+    if (found != scheduler.m_inherited_runs.end()) {
+      return found->second.Value();
+    }
+  }
+  return "";
+}
+
+void InheritRun(Scheduler& scheduler, const TaskRef& ref,
+                const WorkerName& worker) {
+  ref.GetTask().m_may_run = true;
+  scheduler.m_inherited_runs[ref.Id()] = worker;
+  scheduler.m_held[ref.m_job->m_spec->m_workspace] += ref.Spec().m_demand;
+}
+
+void ForgetInheritedRun(Scheduler& scheduler, const TaskRef& ref) {
+  Task& task = ref.GetTask();
+  if (!task.m_may_run) {
+    return;
+  }
+  task.m_may_run = false;
+  scheduler.m_inherited_runs.erase(ref.Id());
+  scheduler.m_held[ref.m_job->m_spec->m_workspace] -= ref.Spec().m_demand;
+}
+
+void SettleInheritedRuns(Scheduler& scheduler, TimePoint now) {
+  const bool all =
+      scheduler.m_settled || now > scheduler.m_options.m_inherited_until;
+  std::vector<TaskId> settled;
+  for (const auto& [id, worker] : scheduler.m_inherited_runs) {
+    if (all || IsAccountedFor(scheduler, worker)) {
+      settled.push_back(id);
+    }
+  }
+  for (const TaskId& id : settled) {
+    if (const TaskRef ref = FindTask(scheduler, id)) {
+      ForgetInheritedRun(scheduler, ref);
+    }
+    scheduler.m_inherited_runs.erase(id);
+  }
+}
+
+}  // namespace filbertspar::scheduler
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -54,6 +54,8 @@
   std::int64_t m_load = -1;
   /// Speed that the last pace order asked for.
   std::int64_t m_pace = 100;
+  /// An earlier owner listed a run that was not found yet.
+  bool m_may_run = false;
 };
 
 struct Step {
@@ -192,6 +194,9 @@
   Duration m_start_window = Seconds(2);
   /// Longest time for which a job's state is kept after its end.
   Duration m_state_kept = Seconds(120);
+  /// Whether the stored progress names the worker of every run that an earlier
+  /// owner ordered.
+  bool m_runs_are_listed = false;
   /// Until when runs ordered by an earlier owner may go on at workers that do
   /// not answer.
   TimePoint m_inherited_until = TimePoint::min();
@@ -207,6 +212,15 @@
   std::uint64_t m_samples = 0;
 };
 
+/// \brief A start that is ordered once the store lists it.
+struct PlannedStart {
+  TaskId m_task;
+  std::uint64_t m_run = 0;
+  WorkerIndex m_worker = kNoWorker;
+  /// Number of the change that lists it.
+  std::uint64_t m_change = 0;
+};
+
 struct Pool {
   std::vector<WorkerIndex> m_workers;
   /// Jobs that are not final.
@@ -261,6 +275,16 @@
   std::optional<std::vector<WorkerName>> m_roster;
   /// Whether all inherited runs are accounted for.
   bool m_settled = false;
+  /// Runs that an earlier owner listed and no look has shown, with their
+  /// workers.
+  std::map<TaskId, WorkerName> m_inherited_runs;
+  /// Starts that wait for the store, by age.
+  std::deque<PlannedStart> m_planned_starts;
+  /// Whether starts wait until the store lists them. While it is slow or away
+  /// they do not; a successor then waits for the workers instead.
+  bool m_lists_first = true;
+  /// Last change that lists a start which did not wait for it.
+  std::uint64_t m_last_unlisted = 0;
   Effects m_effects;
 };
 
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -5,6 +5,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 #include "filbertspar/scheduler/src/jobs.h"
+#include "filbertspar/scheduler/src/starts.h"
 
 namespace filbertspar::scheduler {
 namespace {
@@ -153,6 +154,7 @@
 void Adopt(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
            WorkerIndex index, const ListedRun& run) {
   Task& task = ref.GetTask();
+  ForgetInheritedRun(scheduler, ref);
   Hold(scheduler, ref, index);
   --ref.GetStep().m_waiting;
   task.m_phase = TaskPhase::kRunning;
@@ -383,6 +385,7 @@
   if (scheduler.m_settled) {
     return;
   }
+  SettleInheritedRuns(scheduler, now);
   const bool all_looked =
       scheduler.m_roster &&
       std::all_of(scheduler.m_roster->begin(), scheduler.m_roster->end(),
@@ -394,7 +397,10 @@
   if (all_looked || now > scheduler.m_options.m_inherited_until) {
     scheduler.m_settled = true;
     AddNote(scheduler, "settled", {}, kNoWorker,
-            all_looked ? "reason=all_workers_answered" : "reason=leases_over");
+            absl::StrCat(
+                "reason=", all_looked ? "all_workers_answered" : "leases_over",
+                " held_back=", scheduler.m_inherited_runs.size()));
+    SettleInheritedRuns(scheduler, now);
   }
 }
 
