Fault soak of the node on loopback

Real filbertspar-node processes, stand-ins of the store, the fleet and the workers by the published protocol, a proxy before the store of each node, and callers that keep their connections open. Faults by seed, overlapping: kill, kill of all, SIGTERM, pause, SIGHUP, cuts, delays and resets to the store, a store that is down, silent, slow or loses answers, forgotten history, workers cut off, late, failing or crashed, keys taken away, queues added, waves. Checked while it runs: one run a task, nothing accepted lost, refusals true, ceilings, attempts, revocation, configuration, one holder a VM, the wave's ceiling, graceful stop, recovery.

--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,75 @@
+"""Randomized fault soak: real nodes, stand-ins, a proxy before the store, and checks while it runs.
+
+python3 -m soak --seed N --seconds S [--runs K] [--plant NAME]
+Exit code 0 when no promise was broken, 1 otherwise.
+"""
+
+import argparse
+import asyncio
+import pathlib
+import random
+import resource
+import sys
+import tempfile
+import time
+
+from soak import faults, plants
+from soak.callers import Caller
+from soak.site import Site
+
+
+async def play(seed, seconds, slot, folder, plant, nodes, vms):
+    rng = random.Random(seed)
+    site = Site(seed, folder, slot, nodes, vms)
+    plants.before(plant, site)
+    await site.start()
+    await asyncio.sleep(2)
+    until = time.monotonic() + seconds
+    callers = [Caller(site, workspace, rng.random()).run(until, 4) for workspace in sorted(site.config.keys)]
+    injected, *_ = await asyncio.gather(faults.inject(site, rng, until, 1.5), plants.during(plant, site), *callers)
+    await asyncio.sleep(6)
+    await site.settle()
+    await site.stop()
+    return site, injected
+
+
+def report(seed, site, injected, folder):
+    accepted = sum(job.accepted_at is not None for job in site.jobs.by_id.values())
+    print(f"seed={seed} jobs={len(site.jobs.by_id)} accepted={accepted} faults={sum(injected.values())} "
+          f"checks={sum(site.promises.checks.values())} broken={len(site.promises.violations)}")
+    for at, promise, detail in site.promises.violations[:10]:
+        print(f"  BROKEN {promise}: {detail} (at {at - site._began:.1f} s, logs in {folder})")
+    sys.stdout.flush()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--runs", type=int, default=1, help="seeds one after the other")
+    parser.add_argument("--nodes", type=int, default=6)
+    parser.add_argument("--vms", type=int, default=12)
+    parser.add_argument("--slot", type=int, default=20, help="second number of the loopback addresses")
+    parser.add_argument("--plant", choices=plants.NAMES, help="break a promise on purpose")
+    arguments = parser.parse_args()
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, max(soft, 8192)), hard))
+    broken = 0
+    for seed in range(arguments.seed, arguments.seed + arguments.runs):
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        site, injected = asyncio.run(play(seed, arguments.seconds, arguments.slot, folder, arguments.plant,
+                                          arguments.nodes, arguments.vms))
+        report(seed, site, injected, folder)
+        if arguments.plant:
+            found = {promise for _, promise, _ in site.promises.violations}
+            broken += plants.BREAKS[arguments.plant] not in found
+        else:
+            broken += bool(site.promises.violations)
+    what = "missed" if arguments.plant else "broken"
+    print(f"{arguments.runs - broken} seeds kept, {broken} {what}" if not arguments.plant
+          else f"{arguments.plant}: {'missed' if broken else 'found'}")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,124 @@
+"""Callers: submit jobs, repeat unanswered ones, ask for states, cancel some."""
+
+import asyncio
+import random
+import time
+
+from soak.http1 import Connection
+
+CALL_S = 4.0
+ATTEMPTS = 6
+
+
+class Job:
+    def __init__(self, number, queue, workspace, rng):
+        self.id = f"{number:016x}"
+        self.queue, self.workspace = queue, workspace
+        self.width, self.steps = rng.randint(1, 6), rng.randint(1, 2)
+        self.seconds = rng.uniform(0.2, 1.5)
+        self.cpu = rng.choice([500, 1000, 2000])
+        self.lasts = rng.random() < 0.05
+        self.is_poison = not self.lasts and rng.random() < 0.05
+        self.attempts = queue.attempts
+        self.is_cancelled = False
+        self.accepted_at = None
+
+    def body(self):
+        steps = []
+        for number in range(1 if self.lasts else self.steps):
+            step = {"count": self.width, "cpu": self.cpu, "mem_mb": 256,
+                    "est_duration_ms": int(self.seconds * 1000)}
+            if number:
+                step["after"] = [number - 1]
+            if self.lasts:
+                step["long_running"] = True
+            steps.append(step)
+        return {"spec": "soak", "steps": steps}
+
+
+class Jobs:
+    """All jobs that callers ever sent."""
+
+    def __init__(self):
+        self.by_id = {}
+
+    def of_task(self, task):
+        return self.by_id[task.split(".")[0]]
+
+    def task(self, task):
+        """Seconds, demand, whether it lasts and whether it fails."""
+        job = self.of_task(task)
+        seconds = 1e9 if job.lasts else job.seconds
+        return seconds, {"cpu": job.cpu}, job.lasts, job.is_poison
+
+
+class Caller:
+    """One caller of a workspace; connections to nodes stay open between its calls."""
+
+    def __init__(self, site, workspace, seed):
+        self._site, self._workspace = site, workspace
+        self._rng = random.Random(seed)
+        self._idle = {}
+
+    def _node(self):
+        ready = [node for node in self._site.nodes if node.is_listening()]
+        return self._rng.choice(ready or self._site.nodes)
+
+    async def call(self, node, method, path, host, key, value=None):
+        """Status and answer, or 0 and how far the call came."""
+        free = self._idle.setdefault(node.name, [])
+        connection = free.pop() if free else Connection(node.ip, node.CALLER_PORT)
+        headers = {"Host": host, "Authorization": f"Bearer {key}", "Content-Type": "application/json",
+                   "X-Request-Deadline": str(int(CALL_S * 1000))}
+        began = time.monotonic()
+        try:
+            result = await asyncio.wait_for(connection.call(method, path, headers, value), CALL_S)
+            free.append(connection)
+            return result
+        except asyncio.TimeoutError:
+            connection.close()
+            return 0, "no answer"
+        except ConnectionError as error:
+            self._site.connection_broke(node, str(error), began)
+            return 0, str(error)
+
+    async def run(self, until, jobs_per_s):
+        while time.monotonic() < until:
+            await asyncio.sleep(self._rng.expovariate(jobs_per_s))
+            asyncio.ensure_future(self._one_job())
+
+    async def _one_job(self):
+        site = self._site
+        queue = self._rng.choice(site.config.queues)
+        key = self._rng.choice(site.config.keys[self._workspace])
+        job = Job(site.next_number(), queue, self._workspace, self._rng)
+        site.jobs.by_id[job.id] = job
+        site.promises.submitted(job.id, "sent")
+        for _ in range(ATTEMPTS):
+            status, _ = await self.call(self._node(), "POST", queue.prefix + job.id, queue.host, key, job.body())
+            if 200 <= status < 300:
+                site.promises.submitted(job.id, "accepted")
+                job.accepted_at = time.monotonic()
+                break
+            if status in (401, 404, 429, 503):
+                site.promises.submitted(job.id, "refused")
+                return
+            site.promises.submitted(job.id, "unknown")
+            await asyncio.sleep(0.3)
+        else:
+            return
+        if job.lasts or self._rng.random() < 0.1:
+            await asyncio.sleep(self._rng.uniform(0.5, 4))
+            await self.cancel(job, key)
+
+    async def cancel(self, job, key):
+        job.is_cancelled = True
+        for _ in range(3 * ATTEMPTS):
+            status, _ = await self.call(self._node(), "DELETE", job.queue.prefix + job.id, job.queue.host, key)
+            if 200 <= status < 300 or status == 410:
+                return
+            await asyncio.sleep(0.5)
+
+    async def state(self, job, key):
+        status, answer = await self.call(self._node(), "GET", job.queue.prefix + job.id, job.queue.host, key)
+        return answer["state"] if status == 200 else status
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,117 @@
+"""Faults that the soak injects from outside, in series that overlap."""
+
+import asyncio
+import signal
+import time
+
+
+async def kill(site, rng):
+    node = rng.choice(site.nodes)
+    node.kill()
+    await asyncio.sleep(rng.uniform(0.3, 2))
+    if not node.is_alive():
+        node.start()
+
+
+async def kill_all(site, rng):
+    for node in site.nodes:
+        node.kill()
+    await asyncio.sleep(rng.uniform(0.5, 1.5))
+    for node in site.nodes:
+        if not node.is_alive():
+            node.start()
+
+
+async def stop(site, rng):
+    node = rng.choice(site.nodes)
+    if not node.is_listening():
+        return
+    in_time = await node.stop()
+    site.promises.check(in_time or node.was_paused_lately(site), "graceful-stop", f"{node.name} did not end in time")
+    node.start()
+
+
+async def pause(site, rng):
+    node = rng.choice(site.nodes)
+    if not node.is_listening():
+        return
+    node.is_paused = True
+    node.signal(signal.SIGSTOP)
+    site.paused_at[node.name] = time.monotonic()
+    await asyncio.sleep(rng.uniform(0.5, 6))
+    node.signal(signal.SIGCONT)
+    node.is_paused = False
+    site.paused_at[node.name] = time.monotonic()
+
+
+async def reload(site, rng):
+    rng.choice(site.nodes).signal(signal.SIGHUP)
+
+
+async def cut_from_store(site, rng):
+    node = rng.choice(site.nodes)
+    node.store_path.set_mode(rng.choice(["silent", "reset", "one_way", "delay"]))
+    await asyncio.sleep(rng.uniform(1, 6))
+    node.store_path.set_mode("open")
+    node.store_path.drop()
+    node.calm_since = time.monotonic()
+
+
+async def harm_store(site, rng):
+    if site.store.fault is not None:
+        return
+    site.store.fault = rng.choice(["down", "silent", "slow", "lost"])
+    await asyncio.sleep(rng.uniform(1, 5))
+    site.store.fault = None
+    site.store_calm_since = time.monotonic()
+
+
+async def forget_history(site, rng):
+    site.store.forget_history()
+
+
+async def harm_worker(site, rng):
+    worker = rng.choice([vm.worker for vm in site.fleet.vms.values()])
+    fault = rng.choice(["cut", "lose_answers", "fail_all", "late"])
+    worker.faults.add(fault)
+    await asyncio.sleep(rng.uniform(1, 8))
+    worker.faults.discard(fault)
+
+
+async def crash_worker(site, rng):
+    vm = rng.choice([vm for vm in site.fleet.vms.values() if vm.state == "up"])
+    vm.state = "down"
+    vm.worker.end()
+    await asyncio.sleep(rng.uniform(0.5, 2))
+    vm.state = "up"
+    await site.new_worker(vm)
+
+
+async def revoke_key(site, rng):
+    await site.revoke(rng.choice(sorted(site.config.keys)))
+
+
+async def add_queue(site, rng):
+    await site.add_queue()
+
+
+async def wave(site, rng):
+    await site.ask_for_wave([vm.name for vm in site.fleet.vms.values() if rng.random() < 0.4])
+
+
+ALL = [kill, kill_all, stop, pause, reload, cut_from_store, harm_store, forget_history, harm_worker,
+       crash_worker, revoke_key, add_queue, wave]
+
+
+async def inject(site, rng, until, mean_gap_s):
+    """Starts faults at random times; each runs beside the others. Returns how often each came."""
+    counts = {}
+    under_way = []
+    while time.monotonic() < until:
+        await asyncio.sleep(rng.expovariate(1 / mean_gap_s))
+        fault = rng.choice(ALL)
+        counts[fault.__name__] = counts.get(fault.__name__, 0) + 1
+        site.note(f"fault {fault.__name__}")
+        under_way.append(asyncio.ensure_future(fault(site, rng)))
+    await asyncio.gather(*under_way)
+    return counts
--- /dev/null
+++ b/soak/plants.py
@@ -0,0 +1,57 @@
+"""Planted violations, each at the edge of the system, to show that its check finds it."""
+
+import asyncio
+
+BREAKS = {"copy": "one-run", "refusal": "true-refusal", "ceiling": "ceiling", "revoked": "revocation",
+          "route": "configuration", "attempts": "attempts", "lost": "kept", "holder": "one-holder",
+          "cut": "graceful-stop"}
+NAMES = sorted(BREAKS)
+
+
+def before(plant, site):
+    if plant == "ceiling":
+        site.config.stated_ceiling_factor = 10
+        site.promises.ceilings = {name: 1000 for name in site.config.ceiling_cpu}
+    elif plant == "attempts":
+        for queue in site.config.queues:
+            queue.attempts = 30
+    elif plant == "refusal":
+        submitted = site.promises.submitted
+        site.promises.submitted = lambda job, outcome: submitted(job, "refused" if outcome == "accepted" else outcome)
+
+
+async def during(plant, site):
+    if plant is None:
+        return
+    await asyncio.sleep(8)
+    if plant == "copy":
+        for vm in site.fleet.vms.values():
+            for run in list(vm.worker.running.values()):
+                site.promises.run_started(run.task, run.number + 1, "phantom")
+    elif plant == "revoked":
+        key = site.config.keys["team-1"][0]
+        await site._probe_revoked(key, 0)
+    elif plant == "route":
+        queue = type(site.config.queues[0])("unknown", "pool-a", 0)
+        for node in site.nodes:
+            node.calm_since = -1e9
+        site.store_calm_since, site.paused_at = -1e9, {}
+        await site._probe_queue(queue, 0)
+    elif plant == "attempts":
+        for job in site.jobs.by_id.values():
+            job.attempts = 1
+    elif plant == "lost":
+        places = [place for place in site.store.rows if place[0] == "filbertspar_jobs"]
+        site.store._write([(place, None) for place in places])
+        for node in site.nodes:
+            node.kill()
+        for node in site.nodes:
+            node.start()
+    elif plant == "holder":
+        vm = next(iter(site.fleet.vms))
+        site.promises.vm_ordered(vm, "one", 900)
+        site.promises.vm_ordered(vm, "two", 900)
+    elif plant == "cut":
+        site.nodes[0].is_stopping = True
+        site.connection_broke(site.nodes[0], "cut in the answer", 0)
+        site.nodes[0].is_stopping = False
--- /dev/null
+++ b/soak/promises.py
@@ -0,0 +1,69 @@
+"""What must always hold, checked while the soak runs from what callers, workers and the platform see."""
+
+import time
+from collections import defaultdict
+
+CEILING_SLACK = 1.1
+
+
+class Promises:
+    def __init__(self):
+        self.violations = []
+        self.checks = defaultdict(int)
+        self._running = defaultdict(dict)
+        self._done_noted = set()
+        self._failed_noted = defaultdict(set)
+        self._vm_orders = {}
+        self._submits = {}
+        self.jobs = None
+        self.ceilings = {}
+
+    def check(self, holds, promise, detail):
+        self.checks[promise] += 1
+        if not holds:
+            self.violations.append((time.monotonic(), promise, detail))
+
+    def run_started(self, task, number, worker):
+        job = self.jobs.of_task(task)
+        self._running[task][(worker, number)] = time.monotonic()
+        self.check(len(self._running[task]) == 1, "one-run",
+                   f"{task} runs as {sorted(self._running[task])}")
+        self.check(task not in self._done_noted, "one-run", f"{task} run {number} after its end was noted as done")
+        self.check(len(self._failed_noted[task]) < job.attempts or job.lasts, "attempts",
+                   f"{task} run {number} after {job.attempts} failed runs")
+        submit = self._submits.get(job.id)
+        self.check(submit is not None and submit != "refused", "true-refusal",
+                   f"{task} runs, its job was {submit or 'never sent'}")
+        held = sum(self.jobs.of_task(each).cpu * len(runs) for each, runs in self._running.items()
+                   if runs and self.jobs.of_task(each).workspace == job.workspace)
+        ceiling = self.ceilings[job.workspace]
+        self.check(held <= ceiling * CEILING_SLACK + job.cpu, "ceiling",
+                   f"{job.workspace} has {held} running, its ceiling is {ceiling}")
+
+    def run_ended(self, task, number, worker, how):
+        self._running[task].pop((worker, number), None)
+
+    def end_noted(self, task, number, how):
+        if how == "done":
+            self._done_noted.add(task)
+        elif how == "failed":
+            self._failed_noted[task].add(number)
+
+    def vm_ordered(self, vm, holder, fence):
+        last_holder, last_fence = self._vm_orders.get(vm, (holder, 0))
+        self.check(fence > last_fence or (fence == last_fence and holder == last_holder), "one-holder",
+                   f"{vm}: {holder} with {fence} after {last_holder} with {last_fence}")
+        self._vm_orders[vm] = (holder, max(fence, last_fence))
+
+    def submitted(self, job_id, outcome):
+        """Outcome of one attempt: sent, accepted, refused or unknown. Only if every attempt
+        was refused must the job never run."""
+        before = self._submits.get(job_id)
+        if outcome == "refused" and before not in (None, "sent", "refused"):
+            return
+        if outcome == "sent" and before is not None:
+            return
+        self._submits[job_id] = outcome
+
+    def copies(self):
+        return sum(len(runs) for runs in self._running.values())
--- /dev/null
+++ b/soak/workers.py
@@ -0,0 +1,182 @@
+"""Stand-in of a worker: runs tasks under a lease on its own clock, by the published protocol."""
+
+import asyncio
+import time
+
+from soak.http1 import Dropped, Server, Silent
+
+REPORT_S = 1.5
+STOP_S = 0.2
+LONGEST_LEASE_MS = 6000
+ENDS_LISTED = 500
+
+
+class Run:
+    def __init__(self, task, number, seconds, demand, lasts):
+        self.task, self.number, self.demand, self.lasts = task, number, demand, lasts
+        self.ends_at = time.monotonic() + seconds
+        self.how = "done"
+
+
+class Worker:
+    """One life of a VM. `faults` holds: cut, lose_answers, fail_all, late."""
+
+    def __init__(self, name, vm, address, rng, store, promises, jobs):
+        self.name, self.vm, self.address, self._rng = name, vm, address, rng
+        self._store, self._promises, self._jobs = store, promises, jobs
+        self.faults = set()
+        self.is_up = False
+        self._born = int(time.time() * 1000)
+        self._rate = rng.uniform(0.98, 1.0)
+        self._began = time.monotonic()
+        self._fence = 0
+        self._lease_ms = 0
+        self.running = {}
+        self._ended_runs = {}
+        self._ends = []
+        self._next_end = 1
+        self._sequence = 0
+        self._woken = asyncio.Event()
+        self._server = Server(self._handle)
+        self._tasks = []
+
+    def clock_ms(self):
+        return int((time.monotonic() - self._began) * 1000 * self._rate) + 1000
+
+    async def start(self):
+        await self._server.start(*self.address)
+        self.is_up = True
+        self._tasks = [asyncio.ensure_future(self._report()), asyncio.ensure_future(self._advance())]
+
+    def end(self):
+        """Ends the life and all that runs."""
+        if not self.is_up:
+            return
+        self.is_up = False
+        for run in list(self.running.values()):
+            self._promises.run_ended(run.task, run.number, self.name, "gone")
+        self.running.clear()
+        for task in self._tasks:
+            task.cancel()
+        asyncio.ensure_future(self._server.stop())
+        self._store.put("servers", self.name, None)
+
+    async def _report(self):
+        while True:
+            self._sequence += 1
+            if "cut" not in self.faults:
+                self._store.put("servers", self.name, self._shown())
+            await asyncio.sleep(REPORT_S)
+
+    def _shown(self):
+        host, port = self.address
+        return {"service": self.vm.pool, "address": f"{host}:{port}", "zone": self.vm.zone, "version": "1",
+                "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": self._sequence,
+                "capacity": self.vm.capacity, "labels": self.vm.labels, "born": self._born}
+
+    async def _advance(self):
+        while True:
+            await asyncio.sleep(0.02)
+            now = time.monotonic()
+            lapsed = self.clock_ms() > self._lease_ms
+            for run in list(self.running.values()):
+                if lapsed or now >= run.ends_at:
+                    self._finish(run, "lapsed" if lapsed else run.how)
+
+    def _finish(self, run, how):
+        del self.running[run.task]
+        self._ended_runs[run.task] = run.number
+        self._ends.append([self._next_end, run.task, run.number, how, ""])
+        self._next_end += 1
+        self._promises.run_ended(run.task, run.number, self.name, how)
+        self._woken.set()
+        self._woken = asyncio.Event()
+
+    async def _handle(self, method, path, headers, body):
+        if "cut" in self.faults:
+            raise Silent
+        if headers.get("x-expected-instance") != self.name:
+            return 421, {"clock_ms": self.clock_ms(), "born": self._born}
+        if "late" in self.faults and path != "/hold":
+            asyncio.get_running_loop().call_later(self._rng.uniform(1, 6), self._carry_out, path, body)
+            raise Dropped
+        if path == "/hold":
+            status, answer = await self._hold(body)
+        else:
+            status, answer = self._carry_out(path, body)
+        if "lose_answers" in self.faults and self._rng.random() < 0.4:
+            raise Dropped
+        return status, answer | {"clock_ms": self.clock_ms(), "born": self._born}
+
+    def _carry_out(self, path, body):
+        if not self.is_up:
+            return 421, {}
+        if body["fencing_token"] < self._fence:
+            return 409, {"reason": "fence"}
+        self._fence = body["fencing_token"]
+        if path == "/run-start":
+            return self._start(body)
+        run = self.running.get(body["task"])
+        if path == "/run-stop" and run is not None and run.number == body["run"]:
+            run.how, run.ends_at = "stopped", time.monotonic() + STOP_S
+        elif path == "/run-stop":
+            self._ended_runs[body["task"]] = max(self._ended_runs.get(body["task"], 0), body["run"])
+        return 200, {}
+
+    def _start(self, body):
+        task, number = body["task"], body["run"]
+        run = self.running.get(task)
+        if run is not None and run.number == number:
+            return 200, {}
+        late = body["deadline_ms"] < self.clock_ms()
+        if not late:
+            self._extend(body["deadline_ms"])
+        if run is not None or number <= self._ended_runs.get(task, 0):
+            return 409, {"reason": "old"}
+        if late:
+            return 409, {"reason": "late"}
+        seconds, demand, lasts, fails = self._jobs.task(task)
+        used = sum(each.demand["cpu"] for each in self.running.values())
+        if used + demand["cpu"] > self.vm.capacity["cpu"]:
+            return 409, {"reason": "room"}
+        run = Run(task, number, seconds, demand, lasts)
+        if fails or "fail_all" in self.faults:
+            run.how, run.ends_at = "failed", time.monotonic() + 0.1
+        self.running[task] = run
+        self._promises.run_started(task, number, self.name)
+        return 200, {}
+
+    def _extend(self, deadline_ms):
+        self._lease_ms = max(self._lease_ms, min(deadline_ms, self.clock_ms() + LONGEST_LEASE_MS))
+
+    async def _hold(self, body):
+        if body["fencing_token"] < self._fence:
+            return 409, {"reason": "fence"}
+        self._fence = body["fencing_token"]
+        if "deadline_ms" in body:
+            self._extend(body["deadline_ms"])
+        for end in self._ends:
+            if end[0] <= body["ack_cursor"]:
+                self._promises.end_noted(end[1], end[2], end[3])
+        self._ends = [end for end in self._ends if end[0] > body["ack_cursor"]]
+        if body.get("wait_ms") and not self._ends:
+            try:
+                await asyncio.wait_for(self._woken.wait(), body["wait_ms"] / 1000)
+            except asyncio.TimeoutError:
+                pass
+        running = [[run.task, run.number, "", 100, 0] for run in self.running.values()]
+        return 200, {"running": running, "finished": self._ends[:ENDS_LISTED]}
+
+
+class Vm:
+    def __init__(self, name, pool, zone, rack, cores):
+        self.name, self.pool, self.zone, self.state = name, pool, zone, "up"
+        self.labels = ["a", rack]
+        self.capacity = {"cpu": cores * 1000, "mem_mb": 32768, "gpu": 0}
+        self.worker = None
+        self.had_upkeep = False
+
+    def shown(self):
+        return {"machine": self.name, "pool": self.pool, "state": self.state, "zone": self.zone,
+                "labels": self.labels, "capacity": self.capacity,
+                "id": self.worker.name if self.state == "up" and self.worker else ""}
