Tell surges by the number of jobs; pause between tries of a write

Change: a job counts as a mean one of its pool; rates over a quarter, a half and a whole second count less one standard deviation. Two tries of a write are 0.2 s apart.

--- a/filbertspar/capacity/src/moves.cc
+++ b/filbertspar/capacity/src/moves.cc
@@ -9,7 +9,11 @@
 /// Arrivals are averaged over this time; single large jobs count for little.
 constexpr Duration kRateWindow = Seconds(2);
 /// A rise of the rate within half of it counts once this many jobs came.
-constexpr std::uint64_t kJobsOfRise = 6;
+constexpr double kJobsOfRise = 6;
+/// Shortest time over which arrivals are counted, and how many standard
+/// deviations of the count are left out over times shorter than kRateWindow.
+constexpr Duration kShortestWindow = Milliseconds(250);
+constexpr double kDoubt = 1;
 /// Demand of this long is kept in mind before VMs are given away.
 constexpr Duration kDemandMemory = Milliseconds(1500);
 /// Room kept above the demand, because tasks do not fill a worker evenly.
@@ -44,6 +48,43 @@
   return value;
 }
 
+/// Jobs a second that came in the last `window`.
+double JobRate(const State::Track& track, TimePoint now, Duration window,
+               std::uint64_t jobs) {
+  return static_cast<double>(jobs - Before(track, now - window).m_jobs) /
+         ToSeconds(window);
+}
+
+/// Cores that the jobs take which come when a move that is ordered now is over.
+/// The number of jobs tells a surge sooner and with less noise than their work,
+/// of which a few large ones make most: each counts as a mean one.
+double WorkRate(const State::Track& track, const Policy& policy, TimePoint now,
+                const PoolLoad& load) {
+  if (load.m_jobs == 0) {
+    return 0;
+  }
+  const double work_of_job = load.m_arrived / static_cast<double>(load.m_jobs);
+  double rate = JobRate(track, now, kRateWindow, load.m_jobs);
+  for (Duration window = kRateWindow / 2; window >= kShortestWindow;
+       window /= 2) {
+    const double seen = JobRate(track, now, window, load.m_jobs);
+    const double jobs = seen * ToSeconds(window);
+    if (jobs >= kJobsOfRise) {
+      rate = std::max(rate, seen * (1 - kDoubt / std::sqrt(jobs)));
+    }
+  }
+  const Duration half = kRateWindow / 2;
+  const double newer = JobRate(track, now, half, load.m_jobs);
+  const double older =
+      2 * JobRate(track, now, kRateWindow, load.m_jobs) - newer;
+  if (newer * ToSeconds(half) >= kJobsOfRise && newer > older) {
+    const double rise = (newer - older) / ToSeconds(half);
+    rate = std::max(rate, newer + std::min(rise * ToSeconds(policy.m_move_time),
+                                           newer * kLargestRise));
+  }
+  return rate * work_of_job;
+}
+
 /// Demand of a pool now and when a move that is ordered now is over.
 struct Need {
   double m_now = 0;
@@ -58,21 +99,9 @@
   while (track.m_arrived.front().first < now - kRateWindow * 2) {
     track.m_arrived.pop_front();
   }
-  const double window = ToSeconds(kRateWindow);
-  const State::Track::Arrivals begin = Before(track, now - kRateWindow);
-  const State::Track::Arrivals half = Before(track, now - kRateWindow / 2);
-  const double rate = (load.m_arrived - begin.m_work) / window;
   Need need;
   need.m_now = load.m_running + load.m_waiting;
-  need.m_soon = rate;
-  if (load.m_jobs - half.m_jobs >= kJobsOfRise) {
-    const double newer = (load.m_arrived - half.m_work) * 2 / window;
-    const double older = (half.m_work - begin.m_work) * 2 / window;
-    const double rise = std::max(0.0, newer - older) * 2 / window;
-    need.m_soon =
-        std::max(rate, newer + std::min(rise * ToSeconds(policy.m_move_time),
-                                        newer * kLargestRise));
-  }
+  need.m_soon = WorkRate(track, policy, now, load);
   track.m_demand.emplace_back(now, std::max(load.m_running, need.m_soon));
   while (track.m_demand.front().first < now - kDemandMemory) {
     track.m_demand.pop_front();
--- a/filbertspar/node/src/journal.cc
+++ b/filbertspar/node/src/journal.cc
@@ -23,6 +23,9 @@
 /// Starts do not wait for writes that take longer; a task's objective leaves
 /// it a few tenths of a second.
 constexpr Duration kSlowWrite = Milliseconds(150);
+/// Least time between two tries of a write without an answer; several still fit
+/// into the time in which an owner must be confirmed.
+constexpr Duration kLeastRetry = Milliseconds(200);
 constexpr Duration kRefusedPause = Milliseconds(60);
 /// Longest wait for a row that an order depends on.
 constexpr Duration kPutTime = Seconds(1);
@@ -209,6 +212,10 @@
                                 " entries=", change.Entries(),
                                 " timeout_ms=", ToMilliseconds(timeout)));
         timeout = std::min(timeout * 2, kLongestTimeout);
+        // A store that resets connections fails each try at once.
+        if (BootNow() < sent + kLeastRetry) {
+          co_await Pause(sent + kLeastRetry - BootNow());
+        }
         break;
     }
   }
--- a/filbertspar/ownership/src/claim.cc
+++ b/filbertspar/ownership/src/claim.cc
@@ -5,8 +5,8 @@
 namespace filbertspar {
 namespace {
 
-/// An owner renews its row every 0.4 s; a renewal is late, and its link has been
-/// silent for longer.
+/// An owner renews its row every 0.4 s; a renewal is late, and its link has
+/// been silent for longer.
 constexpr Duration kStaleAfter = Milliseconds(800);
 /// A VM on which nothing listens has no owner; the wait lets its last write
 /// become visible.
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -1,6 +1,9 @@
 """Planted violations, each at the edge of the system, to show that its check finds it."""
 
 import asyncio
+import time
+
+LONG_AGO_S = 10
 
 BREAKS = {"copy": "one-run", "refusal": "true-refusal", "ceiling": "ceiling", "revoked": "revocation",
           "route": "configuration", "attempts": "attempts", "lost": "kept", "holder": "one-holder",
@@ -27,7 +30,7 @@
     if plant == "copy":
         for vm in site.fleet.vms.values():
             for run in list(vm.worker.running.values()):
-                site.promises.run_started(run.task, run.number + 1, "phantom")
+                site.promises.run_started(run.task, run.number + 1, "phantom", vm.pool)
     elif plant == "revoked":
         key = site.config.keys["team-1"][0]
         await site._probe_revoked(key, 0)
@@ -36,10 +39,12 @@
         for node in site.nodes:
             node.calm_since = -1e9
         site.store_calm_since, site.paused_at = -1e9, {}
-        await site._probe_queue(queue, 0)
+        await site._probe_queue(queue, time.monotonic() - LONG_AGO_S)
     elif plant == "attempts":
-        for job in site.jobs.by_id.values():
-            job.attempts = 1
+        for _ in range(100):
+            for job in site.jobs.by_id.values():
+                job.attempts = 1
+            await asyncio.sleep(0.1)
     elif plant == "lost":
         places = [place for place in site.store.rows if place[0] == "filbertspar_jobs"]
         site.store._write([(place, None) for place in places])
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -23,7 +23,7 @@
         if not holds:
             self.violations.append((time.monotonic(), promise, detail))
 
-    def run_started(self, task, number, worker):
+    def run_started(self, task, number, worker, pool):
         job = self.jobs.of_task(task)
         self._running[task][(worker, number)] = time.monotonic()
         self.check(len(self._running[task]) == 1, "one-run",
@@ -34,6 +34,7 @@
         submit = self._submits.get(job.id)
         self.check(submit is not None and submit != "refused", "true-refusal",
                    f"{task} runs, its job was {submit or 'never sent'}")
+        self.check(pool == job.queue.pool, "placement", f"{task} runs in {pool}, its queue is of {job.queue.pool}")
         held = sum(self.jobs.of_task(each).cpu * len(runs) for each, runs in self._running.items()
                    if runs and self.jobs.of_task(each).workspace == job.workspace)
         ceiling = self.ceilings[job.workspace]
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -39,6 +39,8 @@
         self._woken = asyncio.Event()
         self._server = Server(self._handle)
         self._tasks = []
+        # A VM that moves joins its next pool as another worker.
+        self._pool = vm.pool
 
     def clock_ms(self):
         return int((time.monotonic() - self._began) * 1000 * self._rate) + 1000
@@ -70,7 +72,7 @@
 
     def _shown(self):
         host, port = self.address
-        return {"service": self.vm.pool, "address": f"{host}:{port}", "zone": self.vm.zone, "version": "1",
+        return {"service": self._pool, "address": f"{host}:{port}", "zone": self.vm.zone, "version": "1",
                 "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": self._sequence,
                 "capacity": self.vm.capacity, "labels": self.vm.labels, "born": self._born}
 
@@ -143,7 +145,7 @@
         if fails or "fail_all" in self.faults:
             run.how, run.ends_at = "failed", time.monotonic() + 0.1
         self.running[task] = run
-        self._promises.run_started(task, number, self.name)
+        self._promises.run_started(task, number, self.name, self._pool)
         return 200, {}
 
     def _extend(self, deadline_ms):
--- a/tests/capacity_moves_test.cc
+++ b/tests/capacity_moves_test.cc
@@ -94,6 +94,49 @@
   CHECK(fleet.Size("p") <= 3);
 }
 
+/// Plays arrivals at a steady rate of jobs whose work is given in turn; the
+/// pool runs what comes.
+std::size_t LargestPool(Fleet& fleet, int jobs_per_s,
+                        const std::vector<double>& works, Duration duration) {
+  PoolLoad& load = fleet.m_loads[PoolName("p")];
+  std::size_t largest = 0;
+  std::size_t next = 0;
+  for (const TimePoint end = fleet.m_now + duration; fleet.m_now < end;) {
+    for (int i = 0; i < jobs_per_s / 4; ++i) {
+      load.m_arrived += works[next++ % works.size()];
+      ++load.m_jobs;
+    }
+    fleet.Run(Milliseconds(250));
+    largest = std::max(largest, fleet.Size("p"));
+  }
+  return largest;
+}
+
+// Guards against VMs that are called in for a few large jobs among many small
+// ones. The mean work needs 20 VMs; one job in sixteen is thirty times as large
+// as the others.
+TEST_CASE("a few large jobs do not look like a surge") {
+  Fleet fleet;
+  fleet.AddPool("p", 1);
+  fleet.AddPool("standby", 60, true);
+  std::vector<double> works(16, 320.0 / 16 / 46 * 16);
+  works[0] *= 30;
+  const std::size_t needed = 20;
+  CHECK(LargestPool(fleet, 16, works, Seconds(10)) <= needed * 8 / 5);
+  CHECK(fleet.Size("p") >= needed * 9 / 10);
+}
+
+// Guards against a surge that is met a second late: within half a second of its
+// begin most of the VMs that it needs must have been ordered.
+TEST_CASE("a surge of many small jobs is seen within half a second") {
+  Fleet fleet;
+  fleet.AddPool("p", 1);
+  fleet.AddPool("standby", 60, true);
+  LargestPool(fleet, 4, {4.0}, Seconds(5));
+  const std::size_t needed = 120 * 4 / 16;
+  CHECK(LargestPool(fleet, 120, {4.0}, Milliseconds(500)) >= needed * 6 / 10);
+}
+
 // Guards against moves to and fro for waiting work that its pool ends in time.
 TEST_CASE("work that can wait moves nothing") {
   Fleet fleet;
