--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -65,9 +65,9 @@
             broken += plants.BREAKS[arguments.plant] not in found
         else:
             broken += bool(site.promises.violations)
-    what = "missed" if arguments.plant else "broken"
-    print(f"{arguments.runs - broken} seeds kept, {broken} {what}" if not arguments.plant
-          else f"{arguments.plant}: {'missed' if broken else 'found'}")
+    if arguments.plant:
+        print(f"{arguments.plant}: {'missed' if broken else 'found'}")
+    print(f"{arguments.runs - broken} passed, {broken} failed")
     return 1 if broken else 0
 
 
