Reset the connection of a call that is given up

The sender had given the call up after 0.8 s, but closing the connection still delivered the bytes that the cut held up. Ruled out: an owner that orders while it is not confirmed; b-1 was cut off from the store since second 33.5 and announces each order there first. Change: connections of the client are closed by a reset, which discards them. Test: http, 'a call that is given up does not arrive later' (end of stream before, reset after).

--- a/filbertspar/http/src/client.cc
+++ b/filbertspar/http/src/client.cc
@@ -107,7 +107,11 @@
   if (connect_error) {
     co_return nullptr;
   }
-  connection->m_stream.socket().set_option(tcp::no_delay(true), error);
+  auto& socket = connection->m_stream.socket();
+  socket.set_option(tcp::no_delay(true), error);
+  // A call that is given up must not arrive later: a reset also discards bytes
+  // that a cut in the network holds up, a close would still deliver them.
+  socket.set_option(asio::socket_base::linger(true, 0), error);
   co_return connection;
 }
 
