Share the writing of frames; split the owner's reading of workers

Both ends of a link wrote their queues with code of the same shape; it stands once in frame_queue. Names of the soak that other modules use are public. No change of behaviour; the unit tests are the check.

--- a/filbertspar/node/src/duty.cc
+++ b/filbertspar/node/src/duty.cc
@@ -34,10 +34,6 @@
 /// backlog is; the rest is for calls, looks and the store.
 constexpr int kDispatchRest = 2;
 constexpr Duration kLongestDispatchPause = Milliseconds(40);
-constexpr Duration kRetryPause = Milliseconds(150);
-constexpr Duration kWorkerFeedWait = Seconds(2);
-/// A registration that lapsed while the store was away is back within 2 s.
-constexpr Duration kUnlistAfter = Milliseconds(2200);
 constexpr Duration kAdviceTimeout = Seconds(2);
 constexpr std::size_t kForgetAtOnce = 20;
 /// A link that has been down for this long while the store confirmed the
@@ -254,101 +250,6 @@
   co_return true;
 }
 
-asio::awaitable<bool> Duty::ReadWorkers(RowVersion& version) {
-  const TableAnswer rows =
-      co_await m_parts.m_store.ReadAll(std::string(adapter::kWorkerTable), "");
-  if (rows.m_result != StoreResult::kDone || !m_running) {
-    co_return false;
-  }
-  version = rows.m_version;
-  std::map<std::string, bool> listed;
-  for (const TableRow& row : rows.m_rows) {
-    listed[row.m_key.m_key] = true;
-    TakeWorkerRow(row);
-  }
-  for (const auto& worker : m_scheduler.m_workers) {
-    const std::string& name = worker.m_record.m_name.Value();
-    if (worker.m_registered && !listed.contains(name)) {
-      UnlistAfter(name);
-    }
-  }
-  Changed();
-  co_return true;
-}
-
-asio::awaitable<void> Duty::FollowWorkers() {
-  RowVersion version;
-  bool read = false;
-  bool started = false;
-  while (m_running) {
-    if (!read) {
-      read = co_await ReadWorkers(version);
-      if (!read) {
-        co_await Pause(kRetryPause);
-        continue;
-      }
-    }
-    if (!started) {
-      started = true;
-      m_vms->Start();
-    }
-    const TableAnswer answer = co_await m_parts.m_store.Feed(
-        adapter::kWorkerTable, version, kWorkerFeedWait);
-    if (!m_running) {
-      co_return;
-    }
-    if (answer.m_result != StoreResult::kDone) {
-      read = false;
-      co_await Pause(kRetryPause);
-      continue;
-    }
-    version = std::max(version, answer.m_version);
-    for (const TableRow& row : answer.m_rows) {
-      TakeWorkerRow(row);
-    }
-    if (!answer.m_rows.empty()) {
-      Changed();
-    }
-  }
-}
-
-void Duty::TakeWorkerRow(const TableRow& row) {
-  const std::string& name = row.m_key.m_key;
-  if (row.m_deleted) {
-    UnlistAfter(name);
-    return;
-  }
-  const absl::StatusOr<WorkerRecord> record =
-      adapter::DecodeWorker(name, row.m_value);
-  if (!record.ok()) {
-    // Such a row names no worker to use; one that was known is kept until its
-    // lease shows that it is gone.
-    m_parts.m_log.Warn(
-        "worker", "registration_unreadable",
-        absl::StrCat("worker=", name, " version=", row.m_version.Value(),
-                     " reason=\"", record.status().message(), "\""));
-    UnlistAfter(name);
-    return;
-  }
-  m_unlisted.erase(name);
-  m_workers->Watch(scheduler::WorkerListed(m_scheduler, BootNow(), *record));
-}
-
-void Duty::UnlistAfter(const std::string& name) {
-  m_unlisted.try_emplace(name, BootNow());
-}
-
-void Duty::UnlistDue(TimePoint now) {
-  for (auto it = m_unlisted.begin(); it != m_unlisted.end();) {
-    if (now - it->second < kUnlistAfter) {
-      ++it;
-      continue;
-    }
-    scheduler::WorkerUnlisted(m_scheduler, now, WorkerName(it->first));
-    it = m_unlisted.erase(it);
-  }
-}
-
 asio::awaitable<void> Duty::Tick() {
   const auto self = shared_from_this();
   while (m_running) {
--- a/filbertspar/node/src/duty.h
+++ b/filbertspar/node/src/duty.h
@@ -55,6 +55,9 @@
   const scheduler::Scheduler& State() const { return m_scheduler; }
 
  private:
+  /// Between tries to read the store.
+  static constexpr Duration kRetryPause = Milliseconds(150);
+
   asio::awaitable<void> Recover();
   asio::awaitable<bool> ReadJobs();
   asio::awaitable<void> FollowWorkers();
--- a/filbertspar/node/src/link_client.cc
+++ b/filbertspar/node/src/link_client.cc
@@ -1,6 +1,5 @@
 #include "filbertspar/node/src/link_client.h"
 
-#include <deque>
 #include <map>
 #include <utility>
 
@@ -8,15 +7,14 @@
 #include "boost/asio/co_spawn.hpp"
 #include "boost/asio/detached.hpp"
 #include "boost/asio/ip/tcp.hpp"
-#include "boost/asio/write.hpp"
 #include "filbertspar/node/src/clock.h"
+#include "filbertspar/node/src/frame_queue.h"
 #include "filbertspar/node/src/random.h"
 
 namespace filbertspar {
 namespace {
 
 using tcp = asio::ip::tcp;
-using Socket = asio::basic_stream_socket<tcp, asio::io_context::executor_type>;
 
 constexpr std::size_t kReadBytes = 16 << 10;
 constexpr Duration kPingPeriod = Milliseconds(250);
@@ -31,12 +29,11 @@
   struct Link {
     Link(asio::io_context& context, std::shared_ptr<const Secrets> secrets)
         : m_socket(context), m_secrets(std::move(secrets)) {}
-    Socket m_socket;
+    LinkSocket m_socket;
     std::shared_ptr<const Secrets> m_secrets;
     std::unique_ptr<Session> m_session;
-    std::deque<std::string> m_queue;
+    FrameQueue m_queue;
     TimePoint m_heard_at{};
-    bool m_writing = false;
     bool m_closed = false;
     bool m_was_refused = false;
   };
@@ -198,9 +195,7 @@
                absl::StrCat("reason=\"", frame.status().message(), "\""));
     return false;
   }
-  link->m_queue.push_back(*std::move(frame));
-  if (!link->m_writing) {
-    link->m_writing = true;
+  if (PushFrame(link->m_queue, *std::move(frame))) {
     asio::co_spawn(m_context, WriteQueue(link), asio::detached);
   }
   return true;
@@ -208,20 +203,9 @@
 
 asio::awaitable<void> LinkClient::State::WriteQueue(LinkPtr link) {
   auto self = shared_from_this();
-  while (!link->m_queue.empty() && !link->m_closed) {
-    std::string bytes;
-    while (!link->m_queue.empty()) {
-      bytes += link->m_queue.front();
-      link->m_queue.pop_front();
-    }
-    auto [error, written] = co_await asio::async_write(
-        link->m_socket, asio::buffer(bytes), kAsTuple);
-    static_cast<void>(written);
-    if (error) {
-      Close(link);
-    }
+  if (!co_await WriteFrames(link->m_socket, link->m_queue, link->m_closed)) {
+    Close(link);
   }
-  link->m_writing = false;
 }
 
 void LinkClient::State::Close(const LinkPtr& link) {
--- a/filbertspar/node/src/link_server.cc
+++ b/filbertspar/node/src/link_server.cc
@@ -1,7 +1,6 @@
 #include "filbertspar/node/src/link_server.h"
 
 #include <array>
-#include <deque>
 #include <set>
 #include <utility>
 
@@ -9,16 +8,15 @@
 #include "boost/asio/co_spawn.hpp"
 #include "boost/asio/detached.hpp"
 #include "boost/asio/ip/tcp.hpp"
-#include "boost/asio/write.hpp"
 #include "filbertspar/http/http.h"
 #include "filbertspar/node/src/clock.h"
+#include "filbertspar/node/src/frame_queue.h"
 #include "filbertspar/node/src/random.h"
 
 namespace filbertspar {
 namespace {
 
 using tcp = asio::ip::tcp;
-using Socket = asio::basic_stream_socket<tcp, asio::io_context::executor_type>;
 
 constexpr std::size_t kReadBytes = 16 << 10;
 constexpr Duration kAcceptPause = Milliseconds(50);
@@ -29,13 +27,11 @@
 
 struct LinkServer::State : std::enable_shared_from_this<LinkServer::State> {
   struct Link {
-    explicit Link(Socket socket) : m_socket(std::move(socket)) {}
-    Socket m_socket;
+    explicit Link(LinkSocket socket) : m_socket(std::move(socket)) {}
+    LinkSocket m_socket;
     std::unique_ptr<Session> m_session;
     VmName m_peer;
-    std::deque<std::string> m_queue;
-    std::size_t m_queued_bytes = 0;
-    bool m_writing = false;
+    FrameQueue m_queue;
     bool m_closed = false;
   };
   using LinkPtr = std::shared_ptr<Link>;
@@ -168,38 +164,23 @@
 
 void LinkServer::State::Send(const LinkPtr& link, Envelope envelope) {
   absl::StatusOr<std::string> frame = EncodeFrame(envelope, *m_secrets);
-  if (!frame.ok() || link->m_queued_bytes > kMaxQueuedBytes) {
+  if (!frame.ok() || link->m_queue.m_bytes > kMaxQueuedBytes) {
     m_log.Warn("link", "frame_not_sent",
                absl::StrCat("peer=", link->m_peer.Value(),
-                            " queued_bytes=", link->m_queued_bytes));
+                            " queued_bytes=", link->m_queue.m_bytes));
     Close(link);
     return;
   }
-  link->m_queued_bytes += frame->size();
-  link->m_queue.push_back(*std::move(frame));
-  if (!link->m_writing) {
-    link->m_writing = true;
+  if (PushFrame(link->m_queue, *std::move(frame))) {
     asio::co_spawn(m_context, WriteQueue(link), asio::detached);
   }
 }
 
 asio::awaitable<void> LinkServer::State::WriteQueue(LinkPtr link) {
   auto self = shared_from_this();
-  while (!link->m_queue.empty() && !link->m_closed) {
-    std::string bytes;
-    while (!link->m_queue.empty()) {
-      bytes += link->m_queue.front();
-      link->m_queue.pop_front();
-    }
-    auto [error, written] = co_await asio::async_write(
-        link->m_socket, asio::buffer(bytes), kAsTuple);
-    link->m_queued_bytes -= bytes.size();
-    static_cast<void>(written);
-    if (error) {
-      Close(link);
-    }
+  if (!co_await WriteFrames(link->m_socket, link->m_queue, link->m_closed)) {
+    Close(link);
   }
-  link->m_writing = false;
 }
 
 void LinkServer::State::Close(const LinkPtr& link) {
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -38,7 +38,7 @@
     print(f"seed={seed} jobs={len(site.jobs.by_id)} accepted={accepted} faults={sum(injected.values())} "
           f"checks={sum(site.promises.checks.values())} broken={len(site.promises.violations)}")
     for at, promise, detail in site.promises.violations[:10]:
-        print(f"  BROKEN {promise}: {detail} (at {at - site._began:.1f} s, logs in {folder})")
+        print(f"  BROKEN {promise}: {detail} (at {at - site.began:.1f} s, logs in {folder})")
     sys.stdout.flush()
 
 
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -33,13 +33,13 @@
                 site.promises.run_started(run.task, run.number + 1, "phantom", vm.pool)
     elif plant == "revoked":
         key = site.config.keys["team-1"][0]
-        await site._probe_revoked(key, 0)
+        await site.probe_revoked(key, 0)
     elif plant == "route":
         queue = type(site.config.queues[0])("unknown", "pool-a", 0)
         for node in site.nodes:
             node.calm_since = -1e9
         site.store_calm_since, site.paused_at = -1e9, {}
-        await site._probe_queue(queue, time.monotonic() - LONG_AGO_S)
+        await site.probe_queue(queue, time.monotonic() - LONG_AGO_S)
     elif plant == "attempts":
         for _ in range(100):
             for job in site.jobs.by_id.values():
@@ -47,7 +47,7 @@
             await asyncio.sleep(0.1)
     elif plant == "lost":
         places = [place for place in site.store.rows if place[0] == "filbertspar_jobs"]
-        site.store._write([(place, None) for place in places])
+        site.store.write([(place, None) for place in places])
         for node in site.nodes:
             node.kill()
         for node in site.nodes:
--- a/soak/site.py
+++ b/soak/site.py
@@ -53,7 +53,7 @@
     def __init__(self, seed, folder, slot, nodes=6, vms=12):
         self._rng = random.Random(seed)
         self._folder, self._net = folder, f"127.{slot}"
-        self._began = time.monotonic()
+        self.began = time.monotonic()
         self.promises = Promises()
         self.jobs = Jobs()
         self.promises.jobs = self.jobs
@@ -78,7 +78,7 @@
                 time.monotonic() - site.paused_at.get(name, -1e9) < PAUSE_FORGOTTEN_S)
 
     def note(self, text):
-        self._log.write(f"{time.monotonic() - self._began:.3f} {text}\n")
+        self._log.write(f"{time.monotonic() - self.began:.3f} {text}\n")
         self._log.flush()
 
     def next_number(self):
@@ -116,9 +116,9 @@
         old = keys.pop(0)
         keys.append(f"key-{workspace}-{self.config.version}")
         acknowledged = await self._change_config()
-        asyncio.ensure_future(self._probe_revoked(old, acknowledged))
+        asyncio.ensure_future(self.probe_revoked(old, acknowledged))
 
-    async def _probe_revoked(self, key, acknowledged):
+    async def probe_revoked(self, key, acknowledged):
         await asyncio.sleep(max(0.0, acknowledged + REVOKE_S + 0.1 - time.monotonic()))
         caller = Caller(self, "probe", self._rng.random())
         queue = self.config.queues[0]
@@ -131,14 +131,14 @@
         queue = Queue(f"more{self.config.version}", "pool-a", 1)
         self.config.queues = self.config.queues + [queue]
         acknowledged = await self._change_config()
-        asyncio.ensure_future(self._probe_queue(queue, acknowledged))
+        asyncio.ensure_future(self.probe_queue(queue, acknowledged))
 
     def is_in_touch(self, node, since):
         calm = max(node.calm_since, self.store_calm_since, self.paused_at.get(node.name, 0))
         return (node.is_listening() and self.store.fault is None and node.store_path.mode == "open" and
                 calm + CONTACT_S < since)
 
-    async def _probe_queue(self, queue, acknowledged):
+    async def probe_queue(self, queue, acknowledged):
         await asyncio.sleep(max(0.0, acknowledged + CONFIG_APPLY_S + 0.1 - time.monotonic()))
         caller = Caller(self, "probe", self._rng.random())
         for node in self.nodes:
--- a/soak/store.py
+++ b/soak/store.py
@@ -63,10 +63,10 @@
                 return 412, {"rows": [self._shown(place) for place in places if place in self.rows]}
         changes = [(self._place(row), row["value"]) for row in body["set_keys"]]
         changes += [(self._place(row), None) for row in body["remove"]]
-        self._write(changes)
+        self.write(changes)
         return 200, {}
 
-    def _write(self, changes):
+    def write(self, changes):
         self.version += 1
         for place, value in changes:
             if value is None:
@@ -85,7 +85,7 @@
         if self.fault in ("down", "silent"):
             return False
         text = None if value is None else base64.b64encode(json.dumps(value).encode()).decode()
-        self._write([((table, part, key), text)])
+        self.write([((table, part, key), text)])
         return True
 
     def _shown(self, place):
--- a/tests/node_operations_page_test.cc
+++ b/tests/node_operations_page_test.cc
@@ -40,7 +40,8 @@
   std::string sources;
   for (const char* file :
        {"filbertspar/node/src/duty.cc", "filbertspar/node/src/duty_calls.cc",
-        "filbertspar/node/src/front.cc", "filbertspar/node/src/owner_watch.cc",
+        "filbertspar/node/src/duty_workers.cc", "filbertspar/node/src/front.cc",
+        "filbertspar/node/src/owner_watch.cc",
         "filbertspar/node/src/journal.cc", "filbertspar/node/src/event_log.cc",
         "filbertspar/node/src/vm_keeper.cc",
         "filbertspar/node/src/link_client.cc",
