Count runs of a final job until they have ended, also after a take-over

Change: the progress of a final job lists the runs that are being stopped, and its job row stays until there are none; the successor holds their room, stops what a look shows, and removes the rows after.

--- a/filbertspar/node/src/journal.cc
+++ b/filbertspar/node/src/journal.cc
@@ -96,7 +96,7 @@
     change.m_values.push_back(
         {JobKey(job_table::kProgress, write.m_id), write.m_progress});
     ++entries;
-    if (IsFinal(write.m_state)) {
+    if (IsFinal(write.m_state) && !write.m_has_runs) {
       change.m_removals.push_back(JobKey(job_table::kJobs, write.m_id));
       ++entries;
     }
--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -145,6 +145,10 @@
   }
   task.m_since = now;
   task.m_pace = 100;
+  if (IsFinal(ref.m_job->m_state) && ref.m_job->m_placed == 0) {
+    // The rows that listed its runs are no longer needed.
+    MarkChanged(scheduler, *ref.m_job);
+  }
 }
 
 void SetDone(Scheduler& scheduler, TimePoint now, const TaskRef& ref) {
@@ -335,75 +339,6 @@
   return count;
 }
 
-JobProgress ProgressOf(const Scheduler& scheduler, const Job& job) {
-  JobProgress progress;
-  progress.m_state = job.m_state;
-  progress.m_ended_ms = job.m_ended_ms;
-  progress.m_next_occurrence = job.m_next_occurrence;
-  if (IsFinal(job.m_state)) {
-    return progress;
-  }
-  for (const auto& occurrence : job.m_occurrences) {
-    OccurrenceProgress stored;
-    stored.m_number = occurrence->m_number;
-    for (const Step& step : occurrence->m_steps) {
-      StepProgress listed;
-      if (step.m_done > 0) {
-        listed.m_done.assign((step.m_tasks.size() + 7) / 8, '\0');
-      }
-      for (std::uint32_t t = 0; t < step.m_tasks.size(); ++t) {
-        const Task& task = step.m_tasks[t];
-        if (task.m_phase == TaskPhase::kDone) {
-          listed.m_done[t / 8] = static_cast<char>(
-              static_cast<unsigned char>(listed.m_done[t / 8]) |
-              (1U << (t % 8)));
-          continue;
-        }
-        const TaskId id{job.m_spec->m_id, occurrence->m_number,
-                        static_cast<std::uint32_t>(stored.m_steps.size()), t};
-        std::string worker = WorkerOfRun(scheduler, id, task);
-        if (!worker.empty() || !task.m_failed_runs.empty() ||
-            !task.m_checkpoint.empty()) {
-          listed.m_tasks.push_back(
-              {t, task.m_failed_runs, task.m_checkpoint, std::move(worker)});
-        }
-      }
-      stored.m_steps.push_back(std::move(listed));
-    }
-    progress.m_occurrences.push_back(std::move(stored));
-  }
-  return progress;
-}
-
-std::vector<JobWrite> TakeUnstored(Scheduler& scheduler, std::size_t limit) {
-  std::vector<JobWrite> writes;
-  while (!scheduler.m_unstored.empty() && writes.size() < limit) {
-    const auto first = scheduler.m_unstored.begin();
-    Job& job = *first->second;
-    if (writes.empty()) {
-      scheduler.m_writing_change = first->first;
-    }
-    scheduler.m_unstored.erase(first);
-    job.m_unstored = 0;
-    writes.push_back({job.m_spec->m_id, job.m_state,
-                      EncodeProgress(ProgressOf(scheduler, job))});
-  }
-  return writes;
-}
-
-void Stored(Scheduler& scheduler, TimePoint now,
-            const std::vector<JobWrite>& jobs) {
-  scheduler.m_writing_change = 0;
-  for (const JobWrite& write : jobs) {
-    const auto found = scheduler.m_jobs.find(write.m_id);
-    if (found != scheduler.m_jobs.end()) {
-      found->second->m_stored_state = write.m_state;
-    }
-  }
-  AcknowledgeStoredEnds(scheduler);
-  OrderListedStarts(scheduler, now);
-}
-
 void AdvanceOccurrences(Scheduler& scheduler, TimePoint now) {
   const std::int64_t unix_ms = UnixMs(scheduler, now);
   for (auto& [name, pool] : scheduler.m_pools) {
--- a/filbertspar/scheduler/src/jobs.h
+++ b/filbertspar/scheduler/src/jobs.h
@@ -36,6 +36,8 @@
 struct JobWrite {
   JobId m_id;
   JobState m_state = JobState::kQueued;
+  /// Whether runs of it may go on; the rows of a final job are needed as long.
+  bool m_has_runs = false;
   std::string m_progress;
 };
 
--- a/filbertspar/scheduler/src/starts.cc
+++ b/filbertspar/scheduler/src/starts.cc
@@ -150,6 +150,9 @@
   for (const TaskId& id : settled) {
     if (const TaskRef ref = FindTask(scheduler, id)) {
       ForgetInheritedRun(scheduler, ref);
+      if (IsFinal(ref.m_job->m_state)) {
+        MarkChanged(scheduler, *ref.m_job);
+      }
     }
     scheduler.m_inherited_runs.erase(id);
   }
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -173,12 +173,21 @@
 void ReadRun(Scheduler& scheduler, TimePoint now, WorkerIndex index,
              const ListedRun& run) {
   const TaskRef ref = FindTask(scheduler, run.m_task);
-  if (!ref || IsFinal(ref.m_job->m_state) ||
-      ref.GetTask().m_phase == TaskPhase::kDone) {
+  if (!ref || ref.GetTask().m_phase == TaskPhase::kDone) {
     StopUnwanted(scheduler, now, index, run);
     return;
   }
   Task& task = ref.GetTask();
+  if (IsFinal(ref.m_job->m_state)) {
+    if (task.m_phase == TaskPhase::kWaiting &&
+        run.m_run.Value() >= task.m_run) {
+      Adopt(scheduler, now, ref, index, run);
+      StopTask(scheduler, now, ref, "job_is_final");
+    } else {
+      StopUnwanted(scheduler, now, index, run);
+    }
+    return;
+  }
   if (task.m_phase == TaskPhase::kWaiting && run.m_run.Value() >= task.m_run) {
     Adopt(scheduler, now, ref, index, run);
   }
--- a/tests/scheduler_starts_test.cc
+++ b/tests/scheduler_starts_test.cc
@@ -156,5 +156,59 @@
   CHECK(other.m_running.size() <= 2);
 }
 
+// Guards against a workspace that exceeds its ceiling because its job was
+// cancelled just before the owner was lost, and still runs.
+TEST_CASE("runs of a cancelled job count until they have ended") {
+  World world;
+  world.Configure([](Deployment& deployment) {
+    WorkspaceConfig workspace;
+    workspace.m_name = WorkspaceName("team");
+    workspace.m_share_per_s = 100;
+    workspace.m_ceiling.m_cpu = Millicores(8000);
+    deployment.m_workspaces.push_back(workspace);
+  });
+  FakeWorker& cut = world.AddWorker("w1", "p", 8);
+  JobSpec first = World::MakeJob("first", "p", 6, Seconds(20));
+  first.m_workspace = WorkspaceName("team");
+  REQUIRE(world.Submit(first));
+  world.Run(Milliseconds(500));
+  REQUIRE(cut.m_running.size() == 6);
+  cut.m_is_cut = true;
+  CancelJob(*world.m_owner, world.m_now, JobId("first"));
+  world.Run(Milliseconds(100));
+  FakeWorker& other = world.AddWorker("w2", "p", 8);
+  JobSpec second = World::MakeJob("second", "p", 6, Seconds(2));
+  second.m_workspace = WorkspaceName("team");
+  REQUIRE(world.Submit(second));
+  world.TakeOver();
+  world.Run(Seconds(1));
+  CHECK(other.m_running.size() <= 2);
+  cut.m_is_cut = false;
+  world.Run(Seconds(1));
+  CHECK(cut.m_running.empty());
+  world.Run(Seconds(5));
+  CHECK(world.StateOfJob("first") == JobState::kCancelled);
+  CHECK(world.StateOfJob("second") == JobState::kCompleted);
+}
+
+// Guards against rows of a final job that are never removed, or removed while a
+// successor needs them.
+TEST_CASE("a final job's rows are needed while it has runs") {
+  World world;
+  world.AddWorker("w1", "p", 8);
+  REQUIRE(world.Submit(World::MakeJob("job", "p", 2, Seconds(20))));
+  world.Run(Milliseconds(500));
+  world.m_store_is_down = true;
+  CancelJob(*world.m_owner, world.m_now, JobId("job"));
+  auto writes = TakeUnstored(*world.m_owner, 10);
+  REQUIRE(writes.size() == 1);
+  CHECK(writes[0].m_has_runs);
+  Stored(*world.m_owner, world.m_now, writes);
+  world.Run(Seconds(1));
+  writes = TakeUnstored(*world.m_owner, 10);
+  REQUIRE(writes.size() == 1);
+  CHECK_FALSE(writes[0].m_has_runs);
+}
+
 }  // namespace
 }  // namespace filbertspar::scheduler
