--- a/filbertspar/fleetview/src/orders.cc
+++ b/filbertspar/fleetview/src/orders.cc
@@ -28,4 +28,10 @@
   return "";
 }
 
+OrderResult OrderResultFromNumber(std::uint8_t number) {
+  return number < static_cast<std::uint8_t>(OrderResult::kUnknown)
+             ? static_cast<OrderResult>(number)
+             : OrderResult::kUnknown;
+}
+
 }  // namespace filbertspar
--- a/filbertspar/fleetview/src/orders.h
+++ b/filbertspar/fleetview/src/orders.h
@@ -77,6 +77,9 @@
 /// operators' interface and can differ from the enumerators' names.
 std::string_view OrderResultName(OrderResult result);
 
+/// \brief Result with this number; kUnknown when there is none.
+OrderResult OrderResultFromNumber(std::uint8_t number);
+
 struct OrderResponse {
   OrderResult m_result = OrderResult::kUnknown;
   /// Milliseconds on the worker's clock; absent when not stated.
--- a/filbertspar/node/src/job_api.cc
+++ b/filbertspar/node/src/job_api.cc
@@ -114,6 +114,7 @@
   job->m_workspace = target.m_workspace;
   job->m_policy = target.m_queue->m_policy;
   job->m_received_ms = ToMilliseconds(UnixNow());
+  m_relay.Keep(job->m_id, job->m_payload);
   std::string row = EncodeJob(*job);
   // The store encodes row values as base64.
   if (row.size() * 4 / 3 + 4 > m_max_row_bytes) {
@@ -164,6 +165,7 @@
       co_return adapter::QueueLengthResponse(reply.m_count);
     case JobVerb::kSubmit:
     case JobVerb::kCancel:
+    case JobVerb::kOffer:
       break;
   }
   co_return JsonResponse(200, JsonObject());
--- a/filbertspar/node/src/job_api.h
+++ b/filbertspar/node/src/job_api.h
@@ -5,6 +5,7 @@
 #include "filbertspar/http/http.h"
 #include "filbertspar/node/src/configuration.h"
 #include "filbertspar/node/src/router.h"
+#include "filbertspar/node/src/start_relay.h"
 
 namespace filbertspar {
 
@@ -12,10 +13,11 @@
 /// routes the call to the owner of the jobs.
 class JobApi {
  public:
-  JobApi(Configuration& configuration, Router& router, MetricsBook& metrics,
-         EventLog& log, std::size_t row_bytes)
+  JobApi(Configuration& configuration, Router& router, StartRelay& relay,
+         MetricsBook& metrics, EventLog& log, std::size_t row_bytes)
       : m_configuration(configuration),
         m_router(router),
+        m_relay(relay),
         m_metrics(metrics),
         m_log(log),
         m_max_row_bytes(row_bytes) {}
@@ -39,6 +41,7 @@
 
   Configuration& m_configuration;
   Router& m_router;
+  StartRelay& m_relay;
   MetricsBook& m_metrics;
   EventLog& m_log;
   /// Largest value of a row in the store, in bytes after base64 encoding.
--- a/filbertspar/node/src/journal.cc
+++ b/filbertspar/node/src/journal.cc
@@ -40,17 +40,40 @@
 /// body.
 constexpr std::size_t kMaxBytes = adapter::kMaxTransactionBytes / 2;
 
+/// Share of the link that writes may use; rows of the same job that change
+/// meanwhile are written once.
+constexpr double kLinkShare = 0.3;
+/// Limits the delay of starts and of the owner's heartbeat.
+constexpr Duration kMaxLinkInterval = Milliseconds(250);
+
+/// Estimated bytes of a transaction's request body.
+std::size_t EncodedBytes(const StoreTransaction& change) {
+  /// Names of fields, table, partition and key of one entry.
+  constexpr std::size_t kEntryBytes = 120;
+  std::size_t bytes = change.EntryCount() * kEntryBytes;
+  for (const StoreTransaction::Write& write : change.m_writes) {
+    bytes += write.m_value.size() * 4 / 3;
+  }
+  return bytes;
+}
+
+/// A write takes at most about this long on the VM's link, a fraction of the
+/// time within which the owner's row must change.
+constexpr Duration kMaxWriteTimeOnLink = Milliseconds(150);
+
 StoreKey JobKey(const char* table, const JobId& id) {
   return {table, job_table::kPartition, id.Value()};
 }
 
 }  // namespace
 
-Journal::Journal(asio::io_context& context, StoreClient& store, EventLog& log,
+Journal::Journal(asio::io_context& context, StoreClient& store,
+                 const TrafficMeter& traffic, EventLog& log,
                  scheduler::Scheduler& scheduler, OwnerWatch::WonClaim won,
                  std::int64_t transactions_per_s, Hooks hooks)
     : m_context(context),
       m_store(store),
+      m_traffic(traffic),
       m_log(log),
       m_scheduler(scheduler),
       m_record(std::move(won.m_record)),
@@ -60,6 +83,9 @@
                                 Duration(static_cast<std::int64_t>(
                                     1e6 / kPartitionRateShare /
                                     static_cast<double>(transactions_per_s))))),
+      m_max_bytes(std::min(
+          kMaxBytes, static_cast<std::size_t>(traffic.Budget().m_bytes_per_s *
+                                              ToSeconds(kMaxWriteTimeOnLink)))),
       m_work_signal(context),
       m_put_stored_signal(context),
       m_confirmed_at(BootNow()),
@@ -81,7 +107,8 @@
   change.m_conditions.push_back({OwnerRowKey(), m_version});
   std::size_t bytes = 0;
   std::size_t entries = 0;
-  while (!m_unsent_jobs.empty() && entries < kMaxEntries && bytes < kMaxBytes) {
+  while (!m_unsent_jobs.empty() && entries < kMaxEntries &&
+         bytes < m_max_bytes) {
     const auto job = m_unsent_jobs.front();
     m_unsent_jobs.pop_front();
     std::string row = EncodeJob(job->m_spec);
@@ -91,9 +118,9 @@
         {JobKey(job_table::kJobs, job->m_spec.m_id), std::move(row)});
     batch.m_jobs.push_back(job);
   }
-  if (bytes < kMaxBytes && entries < kMaxEntries) {
-    batch.m_progress =
-        scheduler::TakePendingWrites(m_scheduler, (kMaxEntries - entries) / 2);
+  if (bytes < m_max_bytes && entries < kMaxEntries) {
+    batch.m_progress = scheduler::TakePendingWrites(
+        m_scheduler, (kMaxEntries - entries) / 2, m_max_bytes - bytes);
   }
   for (const scheduler::JobWrite& write : batch.m_progress) {
     change.m_writes.push_back(
@@ -133,7 +160,8 @@
     while (m_running && !HasWork() && BootNow() < due) {
       co_await m_work_signal.WaitFor(due - BootNow());
     }
-    const TimePoint earliest = m_write_began_at + m_write_interval;
+    const TimePoint earliest =
+        m_write_began_at + std::max(m_write_interval, m_link_interval);
     if (m_running && BootNow() < earliest) {
       co_await SleepFor(earliest - BootNow());
     }
@@ -142,6 +170,9 @@
     }
     Batch batch = NextBatch();
     m_write_began_at = BootNow();
+    m_link_interval = std::min(
+        kMaxLinkInterval, TimeOnLink(m_traffic.Budget(),
+                                     EncodedBytes(batch.m_change), kLinkShare));
     m_is_writing = true;
     const Outcome outcome = co_await Write(batch.m_change);
     m_is_writing = false;
--- a/filbertspar/node/src/journal.h
+++ b/filbertspar/node/src/journal.h
@@ -33,7 +33,8 @@
     std::function<Millicores()> m_highest_cpu_capacity;
   };
 
-  Journal(asio::io_context& context, StoreClient& store, EventLog& log,
+  Journal(asio::io_context& context, StoreClient& store,
+          const TrafficMeter& traffic, EventLog& log,
           scheduler::Scheduler& scheduler, OwnerWatch::WonClaim won,
           std::int64_t transactions_per_s, Hooks hooks);
 
@@ -101,6 +102,7 @@
 
   asio::io_context& m_context;
   StoreClient& m_store;
+  const TrafficMeter& m_traffic;
   EventLog& m_log;
   scheduler::Scheduler& m_scheduler;
   OwnerRecord m_record;
@@ -109,6 +111,10 @@
   /// Minimum time between the starts of two writes; rows that arrive in between
   /// are batched.
   Duration m_write_interval;
+  /// The same for the bytes of the last write on this VM's link.
+  Duration m_link_interval{0};
+  /// Bytes of rows after which a batch takes no further row.
+  std::size_t m_max_bytes;
   Signal m_work_signal;
   std::deque<std::shared_ptr<PendingJob>> m_unsent_jobs;
   absl::flat_hash_map<JobId, std::shared_ptr<PendingJob>> m_pending_jobs;
--- a/filbertspar/node/src/link_client.cc
+++ b/filbertspar/node/src/link_client.cc
@@ -47,12 +47,18 @@
     bool m_is_done = false;
   };
 
-  State(asio::io_context& context, EventLog& log, Hello self)
-      : m_context(context), m_log(log), m_self(std::move(self)) {}
+  State(asio::io_context& context, EventLog& log, TrafficMeter& traffic,
+        Hello self, StartHandler starts)
+      : m_context(context),
+        m_log(log),
+        m_traffic(traffic),
+        m_self(std::move(self)),
+        m_starts(std::move(starts)) {}
 
   asio::awaitable<void> MaintainLink(std::uint64_t generation);
   asio::awaitable<void> Run(LinkPtr link);
   asio::awaitable<void> Ping(LinkPtr link);
+  asio::awaitable<void> SendStart(LinkPtr link, RelayedStart start);
   asio::awaitable<void> WriteQueue(LinkPtr link);
   void HandleMessage(const LinkPtr& link, const Envelope& envelope);
   bool Send(const LinkPtr& link, Envelope envelope);
@@ -61,13 +67,16 @@
 
   asio::io_context& m_context;
   EventLog& m_log;
+  TrafficMeter& m_traffic;
   Hello m_self;
+  StartHandler m_starts;
   std::function<void(LinkHealth)> m_changed;
   std::function<LinkPing()> m_describe;
   std::optional<OwnerRecord> m_owner;
   std::uint64_t m_generation = 0;
   LinkPtr m_link;
   LinkHealth m_health = LinkHealth::kSilent;
+  bool m_should_offer = false;
   std::map<std::uint64_t, std::shared_ptr<PendingCall>> m_pending_calls;
   std::uint64_t m_next_call = 0;
 };
@@ -136,6 +145,7 @@
     if (read_error) {
       break;
     }
+    m_traffic.CountReceived("link", bytes);
     std::vector<Envelope> envelopes;
     const absl::Status status =
         decoder.Feed(std::string_view(buffer.data(), bytes), envelopes);
@@ -156,6 +166,7 @@
                                       const Envelope& envelope) {
   link->m_last_received_at = BootNow();
   if (const auto* pong = std::get_if<LinkPong>(&envelope.m_message)) {
+    m_should_offer = pong->m_ask_first;
     SetHealth(pong->m_confirmed ? LinkHealth::kGood
                                 : LinkHealth::kStoreUnreachable);
   } else if (const auto* reply = std::get_if<JobReply>(&envelope.m_message)) {
@@ -165,6 +176,9 @@
       found->second->m_is_done = true;
       found->second->m_done.Notify();
     }
+  } else if (const auto* start =
+                 std::get_if<RelayedStart>(&envelope.m_message)) {
+    asio::co_spawn(m_context, SendStart(link, *start), asio::detached);
   } else if (std::holds_alternative<Hello>(envelope.m_message)) {
     m_log.Info("link", "owner_linked",
                absl::StrCat("vm=", m_owner ? m_owner->m_vm.Value() : "-"));
@@ -172,6 +186,15 @@
   }
 }
 
+asio::awaitable<void> LinkClient::State::SendStart(LinkPtr link,
+                                                   RelayedStart start) {
+  auto self = shared_from_this();
+  const RelayedStartReply reply = co_await m_starts(std::move(start));
+  if (!link->m_closed && link->m_session->CanSend()) {
+    Send(link, link->m_session->Wrap(reply));
+  }
+}
+
 asio::awaitable<void> LinkClient::State::Ping(LinkPtr link) {
   auto self = shared_from_this();
   std::uint64_t number = 0;
@@ -200,6 +223,7 @@
                absl::StrCat("reason=\"", frame.status().message(), "\""));
     return false;
   }
+  m_traffic.CountSent("link", frame->size());
   if (PushFrame(link->m_queue, *std::move(frame))) {
     asio::co_spawn(m_context, WriteQueue(link), asio::detached);
   }
@@ -229,8 +253,10 @@
   }
 }
 
-LinkClient::LinkClient(asio::io_context& context, EventLog& log, Hello self)
-    : m_state(std::make_shared<State>(context, log, std::move(self))) {}
+LinkClient::LinkClient(asio::io_context& context, EventLog& log,
+                       TrafficMeter& traffic, Hello self, StartHandler starts)
+    : m_state(std::make_shared<State>(context, log, traffic, std::move(self),
+                                      std::move(starts))) {}
 
 LinkClient::~LinkClient() { SetOwner(std::nullopt); }
 
@@ -251,6 +277,7 @@
   ++m_state->m_generation;
   m_state->m_owner = owner;
   m_state->m_health = LinkHealth::kSilent;
+  m_state->m_should_offer = false;
   if (const auto link = m_state->m_link) {
     m_state->Close(link);
   }
@@ -266,6 +293,8 @@
          m_state->m_link->m_session->CanSend();
 }
 
+bool LinkClient::ShouldOfferJobs() const { return m_state->m_should_offer; }
+
 asio::awaitable<LinkClient::Result> LinkClient::Call(JobCall call,
                                                      Duration timeout) {
   const std::shared_ptr<State> state = m_state;
--- a/filbertspar/node/src/link_client.h
+++ b/filbertspar/node/src/link_client.h
@@ -7,6 +7,7 @@
 
 #include "filbertspar/node/src/async.h"
 #include "filbertspar/node/src/event_log.h"
+#include "filbertspar/node/src/traffic_meter.h"
 #include "filbertspar/ownership/ownership.h"
 #include "filbertspar/wire/wire.h"
 
@@ -16,7 +17,12 @@
 /// nothing is received within the silence timeout.
 class LinkClient {
  public:
-  LinkClient(asio::io_context& context, EventLog& log, Hello self);
+  /// Sends a start for the owner.
+  using StartHandler =
+      std::function<asio::awaitable<RelayedStartReply>(RelayedStart)>;
+
+  LinkClient(asio::io_context& context, EventLog& log, TrafficMeter& traffic,
+             Hello self, StartHandler starts);
   ~LinkClient();
   LinkClient(const LinkClient&) = delete;
   LinkClient& operator=(const LinkClient&) = delete;
@@ -30,6 +36,9 @@
   void SetOwner(const std::optional<OwnerRecord>& owner);
 
   bool IsReady() const;
+  /// \brief Whether the owner wants jobs to be offered before they are
+  /// submitted.
+  bool ShouldOfferJobs() const;
 
   /// \brief Result of a call forwarded to the owner.
   struct Result {
--- a/filbertspar/node/src/link_server.cc
+++ b/filbertspar/node/src/link_server.cc
@@ -22,6 +22,10 @@
 constexpr Duration kAcceptRetryDelay = Milliseconds(50);
 /// Bytes queued for a peer that does not read; beyond them its link is closed.
 constexpr std::size_t kMaxQueuedBytes = 8 << 20;
+/// VMs ping four times a second; one that is this late is paused or cut off.
+constexpr Duration kRelayPingAge = Milliseconds(600);
+/// Starts that one VM is asked to send at the same time.
+constexpr std::size_t kMaxRelaysPerVm = 64;
 
 }  // namespace
 
@@ -32,14 +36,24 @@
     std::unique_ptr<Session> m_session;
     VmName m_peer;
     FrameQueue m_queue;
+    std::size_t m_relays = 0;
     bool m_closed = false;
   };
   using LinkPtr = std::shared_ptr<Link>;
 
-  State(asio::io_context& context, EventLog& log, Hello self,
-        std::string secret)
+  struct PendingRelay {
+    explicit PendingRelay(asio::io_context& context) : m_done(context) {}
+    LinkPtr m_link;
+    Signal m_done;
+    std::optional<RelayedStartReply> m_reply;
+    bool m_is_done = false;
+  };
+
+  State(asio::io_context& context, EventLog& log, TrafficMeter& traffic,
+        Hello self, std::string secret)
       : m_context(context),
         m_log(log),
+        m_traffic(traffic),
         m_acceptor(context),
         m_self(std::move(self)),
         m_secrets(std::make_shared<const Secrets>(
@@ -53,11 +67,16 @@
   void Send(const LinkPtr& link, Envelope envelope);
   void Close(const LinkPtr& link);
 
+  LinkPtr LinkTo(const VmName& vm) const;
+
   asio::io_context& m_context;
   EventLog& m_log;
+  TrafficMeter& m_traffic;
   TcpAcceptor m_acceptor;
   Hello m_self;
   std::shared_ptr<const Secrets> m_secrets;
+  std::map<std::uint64_t, std::shared_ptr<PendingRelay>> m_pending_relays;
+  std::uint64_t m_last_relay = 0;
   Handler m_handler;
   std::function<bool()> m_confirmed;
   std::set<LinkPtr> m_links;
@@ -99,6 +118,7 @@
     if (error) {
       break;
     }
+    m_traffic.CountReceived("link", bytes);
     std::vector<Envelope> envelopes;
     const absl::Status status =
         decoder.Feed(std::string_view(buffer.data(), bytes), envelopes);
@@ -140,7 +160,17 @@
     peer.m_cpu_capacity = ping->m_cpu_capacity;
     peer.m_willing = ping->m_willing;
     Send(link, link->m_session->Wrap(
-                   LinkPong{ping->m_number, m_confirmed && m_confirmed()}));
+                   LinkPong{ping->m_number, m_confirmed && m_confirmed(),
+                            ShouldAskFirst(m_traffic.Received(), BootNow())}));
+    return true;
+  }
+  if (const auto* done = std::get_if<RelayedStartReply>(&envelope.m_message)) {
+    const auto found = m_pending_relays.find(done->m_number);
+    if (found != m_pending_relays.end() && found->second->m_link == link) {
+      found->second->m_reply = *done;
+      found->second->m_is_done = true;
+      found->second->m_done.Notify();
+    }
     return true;
   }
   if (const auto* call = std::get_if<JobCall>(&envelope.m_message)) {
@@ -156,7 +186,7 @@
   if (!m_handler) {
     co_return;
   }
-  JobReply reply = co_await m_handler(std::move(call));
+  JobReply reply = co_await m_handler(link->m_peer, std::move(call));
   reply.m_number = number;
   if (!link->m_closed && link->m_session->CanSend()) {
     Send(link, link->m_session->Wrap(reply));
@@ -172,11 +202,21 @@
     Close(link);
     return;
   }
+  m_traffic.CountSent("link", frame->size());
   if (PushFrame(link->m_queue, *std::move(frame))) {
     asio::co_spawn(m_context, WriteQueue(link), asio::detached);
   }
 }
 
+LinkServer::State::LinkPtr LinkServer::State::LinkTo(const VmName& vm) const {
+  for (const LinkPtr& link : m_links) {
+    if (link->m_peer == vm && !link->m_closed && link->m_session->CanSend()) {
+      return link;
+    }
+  }
+  return nullptr;
+}
+
 asio::awaitable<void> LinkServer::State::WriteQueue(LinkPtr link) {
   auto self = shared_from_this();
   if (!co_await WriteFrames(link->m_socket, link->m_queue, link->m_closed)) {
@@ -192,6 +232,12 @@
   boost::system::error_code ignored;
   link->m_socket.close(ignored);
   m_links.erase(link);
+  for (const auto& [number, pending] : m_pending_relays) {
+    if (pending->m_link == link) {
+      pending->m_is_done = true;
+      pending->m_done.Notify();
+    }
+  }
   if (link->m_peer.Empty()) {
     return;
   }
@@ -207,9 +253,9 @@
              absl::StrCat("peer=", link->m_peer.Value()));
 }
 
-LinkServer::LinkServer(asio::io_context& context, EventLog& log, Hello self,
-                       std::string secret)
-    : m_state(std::make_shared<State>(context, log, std::move(self),
+LinkServer::LinkServer(asio::io_context& context, EventLog& log,
+                       TrafficMeter& traffic, Hello self, std::string secret)
+    : m_state(std::make_shared<State>(context, log, traffic, std::move(self),
                                       std::move(secret))) {}
 
 LinkServer::~LinkServer() { Disable(); }
@@ -235,6 +281,53 @@
   m_state->m_peers.clear();
 }
 
+bool LinkServer::CanRelay(const VmName& vm) const {
+  const auto peer = m_state->m_peers.find(vm);
+  if (peer == m_state->m_peers.end() || !peer->second.m_connected ||
+      !peer->second.m_willing ||
+      BootNow() - peer->second.m_last_ping_at > kRelayPingAge) {
+    return false;
+  }
+  const State::LinkPtr link = m_state->LinkTo(vm);
+  return link != nullptr && link->m_relays < kMaxRelaysPerVm;
+}
+
+VmName LinkServer::LeastBusyRelay() const {
+  VmName least_busy;
+  std::size_t fewest = kMaxRelaysPerVm;
+  for (const State::LinkPtr& link : m_state->m_links) {
+    if (link->m_relays < fewest && CanRelay(link->m_peer)) {
+      fewest = link->m_relays;
+      least_busy = link->m_peer;
+    }
+  }
+  return least_busy;
+}
+
+asio::awaitable<std::optional<RelayedStartReply>> LinkServer::Relay(
+    VmName vm, RelayedStart start) {
+  const std::shared_ptr<State> state = m_state;
+  const State::LinkPtr link = state->LinkTo(vm);
+  if (link == nullptr) {
+    RelayedStartReply not_sent;
+    co_return not_sent;
+  }
+  const std::uint64_t number = ++state->m_last_relay;
+  start.m_number = number;
+  const Duration wait = start.m_wait;
+  auto pending = std::make_shared<State::PendingRelay>(state->m_context);
+  pending->m_link = link;
+  state->m_pending_relays[number] = pending;
+  ++link->m_relays;
+  state->Send(link, link->m_session->Wrap(std::move(start)));
+  if (!pending->m_is_done) {
+    co_await pending->m_done.WaitFor(wait);
+  }
+  --link->m_relays;
+  state->m_pending_relays.erase(number);
+  co_return pending->m_reply;
+}
+
 const std::map<VmName, LinkPeer>& LinkServer::Peers() const {
   return m_state->m_peers;
 }
--- a/filbertspar/node/src/link_server.h
+++ b/filbertspar/node/src/link_server.h
@@ -3,10 +3,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "filbertspar/node/src/async.h"
 #include "filbertspar/node/src/event_log.h"
+#include "filbertspar/node/src/traffic_meter.h"
 #include "filbertspar/settings/settings.h"
 #include "filbertspar/wire/wire.h"
 
@@ -27,10 +29,12 @@
 /// \brief Accepts links from other VMs and answers the calls they forward.
 class LinkServer {
  public:
-  using Handler = std::function<asio::awaitable<JobReply>(JobCall)>;
+  /// Answers a call that another VM forwarded.
+  using Handler =
+      std::function<asio::awaitable<JobReply>(const VmName& from, JobCall)>;
 
-  LinkServer(asio::io_context& context, EventLog& log, Hello self,
-             std::string secret);
+  LinkServer(asio::io_context& context, EventLog& log, TrafficMeter& traffic,
+             Hello self, std::string secret);
   ~LinkServer();
   LinkServer(const LinkServer&) = delete;
   LinkServer& operator=(const LinkServer&) = delete;
@@ -42,6 +46,16 @@
   /// \brief Closes all links and refuses new ones.
   void Disable();
 
+  /// \brief Whether a VM is linked, answers and can be asked to send starts.
+  bool CanRelay(const VmName& vm) const;
+  /// \brief The VM that can be asked and sends the fewest starts now; empty
+  /// when there is none.
+  VmName LeastBusyRelay() const;
+  /// \brief Asks a VM to send a start. Empty: no reply within the wait; the
+  /// start may have been sent.
+  asio::awaitable<std::optional<RelayedStartReply>> Relay(VmName vm,
+                                                          RelayedStart start);
+
   const std::map<VmName, LinkPeer>& Peers() const;
   void RemovePeer(const VmName& vm);
 
--- a/filbertspar/node/src/metric_names.h
+++ b/filbertspar/node/src/metric_names.h
@@ -31,6 +31,14 @@
 inline constexpr MetricFamily kStoreSeconds{
     "filbertspar_store_seconds", "Time to the answer of a store call, by kind.",
     "kind"};
+inline constexpr MetricFamily kSentBytes{
+    "filbertspar_sent_bytes_total",
+    "Bytes sent to workers, store and other VMs, by what they are for.",
+    "kind"};
+inline constexpr MetricFamily kReceivedBytes{
+    "filbertspar_received_bytes_total",
+    "Bytes received from workers, store and other VMs, by what they are for.",
+    "kind"};
 inline constexpr MetricFamily kVmOrders{"filbertspar_vm_orders_total",
                                         "Orders to VMs by kind and result.",
                                         "kind_result"};
@@ -50,9 +58,9 @@
                                           "Log lines that were not kept.", ""};
 
 inline constexpr std::array kAll = {
-    kCalls,        kCallSeconds,  kJobs,    kJobSeconds,
-    kOrders,       kOrderSeconds, kEnds,    kStoreCalls,
-    kStoreSeconds, kVmOrders,     kOwner,   kConfigVersion,
-    kConfigAge,    kActiveJobs,   kWorkers, kLogDropped};
+    kCalls,         kCallSeconds, kJobs,       kJobSeconds,    kOrders,
+    kOrderSeconds,  kEnds,        kStoreCalls, kStoreSeconds,  kSentBytes,
+    kReceivedBytes, kVmOrders,    kOwner,      kConfigVersion, kConfigAge,
+    kActiveJobs,    kWorkers,     kLogDropped};
 
 }  // namespace filbertspar::metric
--- a/filbertspar/node/src/node.cc
+++ b/filbertspar/node/src/node.cc
@@ -83,9 +83,11 @@
         m_secret(RandomSecret()),
         m_log(context, EventLogLimits(), STDOUT_FILENO),
         m_client(context, ClientLimits()),
+        m_traffic(m_metrics, m_options.m_link_mbps),
         m_store(
-            m_client, m_metrics, m_log, m_options.m_store,
+            m_client, m_metrics, m_traffic, m_log, m_options.m_store,
             {m_options.m_store_reads_per_s, m_options.m_store_writes_per_s}),
+        m_relay(m_client, m_traffic, m_log),
         m_configuration(
             context, m_store, m_log,
             Duration(static_cast<std::int64_t>(
@@ -95,11 +97,15 @@
                 {m_options.m_vm, m_incarnation, m_options.m_cpu_capacity,
                  static_cast<double>(RandomNumber() % 1000) / 1000},
                 RecordOf(m_options, m_incarnation, m_secret)),
-        m_link_server(context, m_log, HelloOf(m_options, m_incarnation),
-                      m_secret),
-        m_link_client(context, m_log, HelloOf(m_options, m_incarnation)),
+        m_link_server(context, m_log, m_traffic,
+                      HelloOf(m_options, m_incarnation), m_secret),
+        m_link_client(context, m_log, m_traffic,
+                      HelloOf(m_options, m_incarnation),
+                      [this](RelayedStart start) {
+                        return m_relay.Send(std::move(start));
+                      }),
         m_router(m_watch, m_link_client, [this] { return m_owner_term; }),
-        m_job_api(m_configuration, m_router, m_metrics, m_log,
+        m_job_api(m_configuration, m_router, m_relay, m_metrics, m_log,
                   static_cast<std::size_t>(m_options.m_max_row_bytes)),
         m_callers(context, ServerLimits(),
                   [this](const HttpRequest& request) {
@@ -126,7 +132,9 @@
   MetricsBook m_metrics;
   EventLog m_log;
   HttpClient m_client;
+  TrafficMeter m_traffic;
   StoreClient m_store;
+  StartRelay m_relay;
   Configuration m_configuration;
   OwnerWatch m_watch;
   LinkServer m_link_server;
@@ -180,9 +188,9 @@
 }
 
 void Node::Parts::HandleOwnershipGained(OwnerWatch::WonClaim won) {
-  const OwnerTermParts parts{
-      m_context,       m_options,     m_store,   m_client,
-      m_configuration, m_link_server, m_metrics, m_log};
+  const OwnerTermParts parts{m_context, m_options,       m_store,
+                             m_client,  m_configuration, m_link_server,
+                             m_traffic, m_metrics,       m_log};
   m_owner_term = std::make_shared<OwnerTerm>(
       parts, std::move(won),
       OwnerTerm::Hooks{
@@ -190,8 +198,8 @@
           [this] { asio::co_spawn(m_context, HandOver(), asio::detached); }});
   m_link_client.SetOwner(std::nullopt);
   m_link_server.SetHandler(
-      [owner_term = m_owner_term](JobCall call) {
-        return owner_term->Execute(std::move(call));
+      [owner_term = m_owner_term](const VmName& from, JobCall call) {
+        return owner_term->Execute(from, std::move(call));
       },
       [owner_term = m_owner_term] { return owner_term->IsConfirmed(); });
   m_owner_term->Start();
--- a/filbertspar/node/src/options.cc
+++ b/filbertspar/node/src/options.cc
@@ -29,6 +29,7 @@
   const double cores = settings.GetDouble("node.cpu_share", 1, 0.001, 1024) *
                        settings.GetDouble("node.cpu_speed", 1, 0.001, 1024);
   options.m_cpu_capacity = Millicores(static_cast<std::int64_t>(cores * 1000));
+  options.m_link_mbps = settings.GetDouble("node.link_mbps", 1000, 0.001, 1e6);
   settings.GetInt("node.memory_mb", 256, 1, 1 << 30);
   settings.GetBool("node.first_start", false);
   options.m_store = settings.GetEndpoint("store.address");
--- a/filbertspar/node/src/options.h
+++ b/filbertspar/node/src/options.h
@@ -19,6 +19,8 @@
   Endpoint m_metrics_listen;
   /// Processor capacity of this VM: its CPU share times its CPU speed.
   Millicores m_cpu_capacity;
+  /// Bandwidth of this VM's link in megabits per second.
+  double m_link_mbps = 0;
   Endpoint m_store;
   double m_store_reads_per_s = 0;
   double m_store_writes_per_s = 0;
--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -30,6 +30,7 @@
 constexpr Duration kPreviousOwnerStopTime = Seconds(1);
 constexpr Duration kMaxConfirmationAge = Seconds(1);
 constexpr Duration kTickPeriod = Milliseconds(100);
+constexpr Duration kTrafficLogPeriod = Seconds(5);
 /// Batches events that arrive close together into one dispatch.
 constexpr Duration kDispatchDelay = Milliseconds(2);
 /// Idle time after a dispatch, as a multiple of its duration. Limits dispatch
@@ -100,11 +101,12 @@
   };
   hooks.m_highest_cpu_capacity = [this] { return HighestCpuCapacity(); };
   m_journal = std::make_shared<Journal>(
-      parts.m_context, parts.m_store, parts.m_log, m_scheduler, std::move(won),
-      parts.m_options.m_partition_transactions_per_s, std::move(hooks));
+      parts.m_context, parts.m_store, parts.m_traffic, parts.m_log, m_scheduler,
+      std::move(won), parts.m_options.m_partition_transactions_per_s,
+      std::move(hooks));
   m_workers = std::make_shared<WorkerConnections>(
-      parts.m_context, parts.m_client, parts.m_metrics, parts.m_log,
-      m_scheduler,
+      parts.m_context, parts.m_client, parts.m_links, parts.m_traffic,
+      parts.m_metrics, parts.m_log, m_scheduler,
       WorkerConnections::Hooks{[this] { return CanSendOrders(); },
                                [this] { HandleStateChange(); }});
   m_vms = std::make_shared<VmManager>(
@@ -288,9 +290,20 @@
       m_parts.m_links.RemovePeer(vm);
     }
     HandOverToLargerVm();
+    LogTraffic(now);
   }
 }
 
+void OwnerTerm::LogTraffic(TimePoint now) {
+  if (now < m_traffic_logged_at + kTrafficLogPeriod) {
+    return;
+  }
+  m_traffic_logged_at = now;
+  m_parts.m_log.Info(
+      "owner", "traffic",
+      absl::StrCat(m_log_epoch, " ", m_parts.m_traffic.TakeSummary()));
+}
+
 void OwnerTerm::ConfigChanged() {
   m_scheduler.m_deployment = m_parts.m_configuration.Current();
   HandleStateChange();
--- a/filbertspar/node/src/owner_term.h
+++ b/filbertspar/node/src/owner_term.h
@@ -23,6 +23,7 @@
   HttpClient& m_client;
   Configuration& m_configuration;
   LinkServer& m_links;
+  TrafficMeter& m_traffic;
   MetricsBook& m_metrics;
   EventLog& m_log;
 };
@@ -49,11 +50,12 @@
   /// the term.
   asio::awaitable<void> Release();
 
-  /// \brief Executes a call within its wait. kNotLeaseHolder: the term has
+  /// \brief Executes a call, which the VM `from` forwarded or, when empty, this
+  /// VM received, within its wait. kNotLeaseHolder: the term has
   /// ended. kNoOwner: the stored jobs are not read yet, or the job is unknown
   /// and the store has not confirmed the ownership lately. kRequestUnknown: no
   /// such job.
-  asio::awaitable<JobReply> Execute(JobCall call);
+  asio::awaitable<JobReply> Execute(VmName from, JobCall call);
 
   void ConfigChanged();
 
@@ -70,7 +72,12 @@
   asio::awaitable<void> FollowWorkers();
   asio::awaitable<bool> ReadWorkers(RowVersion& version);
   asio::awaitable<void> Tick();
-  asio::awaitable<JobReply> Submit(const JobCall& call);
+  asio::awaitable<JobReply> Submit(const VmName& from, const JobCall& call);
+  /// \brief Whether to take the job in now. With `counts_if_admitted` an
+  /// admitted job counts as arrived; a refused one always does.
+  JobReply Admit(const JobCall& call, const JobSpec& spec,
+                 bool counts_if_admitted);
+  JobReply AnswerOffer(const JobCall& call);
   asio::awaitable<JobReply> Cancel(const JobCall& call);
   JobReply StateReply(const JobCall& call) const;
   void ApplyWorkerRow(const StoreRow& row);
@@ -91,6 +98,7 @@
   /// \brief Highest processor capacity among the VMs that could own the jobs.
   Millicores HighestCpuCapacity() const;
   void HandOverToLargerVm();
+  void LogTraffic(TimePoint now);
 
   OwnerTermParts m_parts;
   Hooks m_hooks;
@@ -109,6 +117,7 @@
   bool m_jobs_loaded = false;
   bool m_running = true;
   bool m_handing_over = false;
+  TimePoint m_traffic_logged_at = TimePoint::min();
   std::string m_log_epoch;
 };
 
--- a/filbertspar/node/src/owner_term_calls.cc
+++ b/filbertspar/node/src/owner_term_calls.cc
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-asio::awaitable<JobReply> OwnerTerm::Execute(JobCall call) {
+asio::awaitable<JobReply> OwnerTerm::Execute(VmName from, JobCall call) {
   const auto self = shared_from_this();
   JobReply reply;
   const TimePoint deadline = BootNow() + call.m_wait;
@@ -34,7 +34,9 @@
   call.m_wait = std::max(Duration(0), deadline - BootNow());
   switch (call.m_verb) {
     case JobVerb::kSubmit:
-      co_return co_await Submit(call);
+      co_return co_await Submit(from, call);
+    case JobVerb::kOffer:
+      co_return AnswerOffer(call);
     case JobVerb::kCancel:
       co_return co_await Cancel(call);
     case JobVerb::kState:
@@ -61,7 +63,72 @@
   return reply;
 }
 
-asio::awaitable<JobReply> OwnerTerm::Submit(const JobCall& call) {
+JobReply OwnerTerm::Admit(const JobCall& call, const JobSpec& spec,
+                          bool counts_if_admitted) {
+  JobReply reply;
+  const TimePoint now = BootNow();
+  if (m_journal->IsStalled(now)) {
+    reply.m_code = Code::kJournalStoreDown;
+    reply.m_retry_after = kStoreRetryAfter;
+    Count(m_parts.m_metrics, metric::kJobs, "refused");
+    return reply;
+  }
+  const PoolName& pool_name = spec.m_policy.m_pool;
+  const scheduler::Admission admission = scheduler::Admit(
+      m_scheduler, now, spec,
+      scheduler::CachedWorkload(m_workload_cache, m_scheduler, now, pool_name));
+  reply.m_code = admission.m_code;
+  reply.m_retry_after = admission.m_retry_after;
+  const bool is_admitted = admission.m_code == Code::kOk;
+  if (is_admitted && !counts_if_admitted) {
+    return reply;
+  }
+  const double work = scheduler::EstimatedWork(m_scheduler, spec);
+  if (is_admitted) {
+    scheduler::CountAdmitted(m_workload_cache, pool_name, work,
+                             admission.m_is_over_share);
+  }
+  // Only work within shares counts as demand for more VMs; work beyond shares
+  // uses existing capacity.
+  if (!admission.m_is_over_share) {
+    scheduler::Pool& pool = m_scheduler.m_pools[pool_name];
+    pool.m_arrived_work += work;
+    ++pool.m_arrived_jobs;
+  }
+  m_parts.m_log.Info(
+      "call", is_admitted ? "submit_admitted" : "submit_refused",
+      absl::StrCat(
+          JobField(spec.m_id), " queue=", call.m_queue, " workspace=",
+          call.m_workspace, " over_share=", admission.m_is_over_share,
+          " wait_ms=", ToMilliseconds(admission.m_expected_wait),
+          " chain_ms=", ToMilliseconds(admission.m_expected_critical_path),
+          " retry_after_ms=", ToMilliseconds(admission.m_retry_after)));
+  if (!is_admitted) {
+    Count(m_parts.m_metrics, metric::kJobs, "refused");
+  }
+  return reply;
+}
+
+JobReply OwnerTerm::AnswerOffer(const JobCall& call) {
+  JobReply reply;
+  const JobId id(call.m_job);
+  if (scheduler::ReportedState(m_scheduler, id)) {
+    reply.m_count = 1;
+    return reply;
+  }
+  const absl::StatusOr<JobSpec> spec = DecodeJob(call.m_body);
+  if (!spec.ok()) {
+    reply.m_code = CodeOf(spec.status());
+    return reply;
+  }
+  if (m_journal->IsStoring(id)) {
+    return reply;
+  }
+  return Admit(call, *spec, /*counts_if_admitted=*/false);
+}
+
+asio::awaitable<JobReply> OwnerTerm::Submit(const VmName& from,
+                                            const JobCall& call) {
   JobReply reply;
   const JobId id(call.m_job);
   if (scheduler::ReportedState(m_scheduler, id)) {
@@ -74,42 +141,8 @@
     co_return reply;
   }
   if (!m_journal->IsStoring(id)) {
-    const TimePoint now = BootNow();
-    if (m_journal->IsStalled(now)) {
-      reply.m_code = Code::kJournalStoreDown;
-      reply.m_retry_after = kStoreRetryAfter;
-    } else {
-      const PoolName& pool_name = spec->m_policy.m_pool;
-      const scheduler::Admission admission =
-          scheduler::Admit(m_scheduler, now, *spec,
-                           scheduler::CachedWorkload(
-                               m_workload_cache, m_scheduler, now, pool_name));
-      const double work = scheduler::EstimatedWork(m_scheduler, *spec);
-      if (admission.m_code == Code::kOk) {
-        scheduler::CountAdmitted(m_workload_cache, pool_name, work,
-                                 admission.m_is_over_share);
-      }
-      scheduler::Pool& pool = m_scheduler.m_pools[pool_name];
-      // Only work within shares counts as demand for more VMs; work beyond
-      // shares uses existing capacity.
-      if (!admission.m_is_over_share) {
-        pool.m_arrived_work += work;
-        ++pool.m_arrived_jobs;
-      }
-      reply.m_code = admission.m_code;
-      reply.m_retry_after = admission.m_retry_after;
-      m_parts.m_log.Info(
-          "call",
-          admission.m_code == Code::kOk ? "submit_admitted" : "submit_refused",
-          absl::StrCat(
-              JobField(id), " queue=", call.m_queue, " workspace=",
-              call.m_workspace, " over_share=", admission.m_is_over_share,
-              " wait_ms=", ToMilliseconds(admission.m_expected_wait),
-              " chain_ms=", ToMilliseconds(admission.m_expected_critical_path),
-              " retry_after_ms=", ToMilliseconds(admission.m_retry_after)));
-    }
+    reply = Admit(call, *spec, /*counts_if_admitted=*/true);
     if (reply.m_code != Code::kOk) {
-      Count(m_parts.m_metrics, metric::kJobs, "refused");
       co_return reply;
     }
   }
@@ -118,6 +151,9 @@
   if (reply.m_code == Code::kJournalStoreDown) {
     reply.m_retry_after = kStoreRetryAfter;
   }
+  if (reply.m_code == Code::kOk) {
+    scheduler::SetPayloadHolder(m_scheduler, id, from);
+  }
   m_parts.m_log.Info(
       "call", "submit_done",
       absl::StrCat(JobField(id), " code=", static_cast<int>(reply.m_code),
--- a/filbertspar/node/src/owner_watch.cc
+++ b/filbertspar/node/src/owner_watch.cc
@@ -70,6 +70,11 @@
 
 void OwnerWatch::UpdateView(const std::optional<OwnerRecord>& record,
                             RowVersion version, TimePoint sent) {
+  const bool is_same_term =
+      record && m_view.m_record && record->m_epoch == m_view.m_record->m_epoch;
+  if (!is_same_term) {
+    m_view.m_owner_first_seen = BootNow();
+  }
   const bool same_holder =
       record && m_view.m_record && record->m_vm == m_view.m_record->m_vm &&
       record->m_incarnation == m_view.m_record->m_incarnation &&
--- a/filbertspar/node/src/router.cc
+++ b/filbertspar/node/src/router.cc
@@ -15,22 +15,50 @@
 /// Part of the caller's timeout reserved for returning the reply.
 constexpr Duration kReplyMargin = Milliseconds(60);
 
+/// The call that asks whether the owner would admit a submitted job.
+JobCall OfferOf(const JobCall& submission) {
+  JobCall offer = submission;
+  offer.m_verb = JobVerb::kOffer;
+  absl::StatusOr<JobSpec> spec = DecodeJob(submission.m_body);
+  if (spec.ok()) {
+    spec->m_payload.clear();
+    offer.m_body = EncodeJob(*spec);
+  }
+  return offer;
+}
+
 }  // namespace
 
 asio::awaitable<JobReply> Router::Execute(JobCall call) {
   const TimePoint began = BootNow();
   const TimePoint deadline = began + call.m_wait - kReplyMargin;
   bool may_have_effect = false;
+  bool is_admitted = false;
   while (BootNow() < deadline) {
     JobReply reply;
     reply.m_code = Code::kNotLeaseHolder;
     call.m_wait = deadline - BootNow();
     if (const std::shared_ptr<OwnerTerm> owner_term = m_owner_term()) {
-      reply = co_await owner_term->Execute(call);
+      reply = co_await owner_term->Execute(VmName(), call);
       // A write in progress when this VM lost ownership may still have taken
       // effect.
       may_have_effect =
           may_have_effect || reply.m_code == Code::kNotLeaseHolder;
+    } else if (m_link.IsReady() && call.m_verb == JobVerb::kSubmit &&
+               m_link.ShouldOfferJobs() && !is_admitted) {
+      // An offer has no effect, so that its reply may be lost.
+      const LinkClient::Result offered =
+          co_await m_link.Call(OfferOf(call), call.m_wait);
+      if (offered.m_reply && offered.m_reply->m_code == Code::kOk) {
+        is_admitted = true;
+        if (offered.m_reply->m_count > 0) {
+          co_return *offered.m_reply;
+        }
+        continue;
+      }
+      if (offered.m_reply) {
+        reply = *offered.m_reply;
+      }
     } else if (m_link.IsReady()) {
       const LinkClient::Result result = co_await m_link.Call(call, call.m_wait);
       may_have_effect = may_have_effect || result.m_sent;
--- /dev/null
+++ b/filbertspar/node/src/start_relay.cc
@@ -0,0 +1,106 @@
+#include "filbertspar/node/src/start_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "filbertspar/node/src/clock.h"
+#include "platform/platform.h"
+
+namespace filbertspar {
+namespace {
+
+/// Holds the payloads of some minutes of jobs; small beside the memory of the
+/// smallest VMs.
+constexpr std::size_t kMaxPayloadCacheBytes = 4 << 20;
+constexpr Duration kCallTimeout = Milliseconds(350);
+
+StartOrder OrderOf(const RelayedStart& start, const std::string& payload) {
+  StartOrder order;
+  order.m_task = {JobId(start.m_job), start.m_occurrence, start.m_step,
+                  start.m_task};
+  order.m_run = RunNumber(start.m_run);
+  order.m_payload = payload;
+  order.m_deadline_ms = start.m_deadline_ms;
+  order.m_fencing = start.m_fencing;
+  order.m_checkpoint = start.m_checkpoint;
+  order.m_ticket = start.m_ticket;
+  return order;
+}
+
+}  // namespace
+
+RelayedStart MakeRelayedStart(const StartOrder& order, const WorkerName& worker,
+                              const Endpoint& endpoint) {
+  RelayedStart start;
+  start.m_worker = worker.Value();
+  start.m_endpoint = endpoint;
+  start.m_job = order.m_task.m_job.Value();
+  start.m_occurrence = order.m_task.m_occurrence;
+  start.m_step = order.m_task.m_step;
+  start.m_task = order.m_task.m_index;
+  start.m_run = order.m_run.Value();
+  start.m_deadline_ms = order.m_deadline_ms;
+  start.m_fencing = order.m_fencing;
+  start.m_checkpoint = order.m_checkpoint;
+  start.m_ticket = order.m_ticket;
+  start.m_digest = PayloadDigest(order.m_payload);
+  return start;
+}
+
+StartRelay::StartRelay(HttpClient& client, TrafficMeter& traffic, EventLog& log)
+    : m_client(client), m_traffic(traffic), m_log(log) {
+  m_payloads.m_max_bytes = kMaxPayloadCacheBytes;
+}
+
+asio::awaitable<RelayedStartReply> StartRelay::Send(RelayedStart start) {
+  const TimePoint deadline = BootNow() + start.m_wait;
+  RelayedStartReply reply;
+  reply.m_number = start.m_number;
+  if (!start.m_payload.empty()) {
+    Keep(JobId(start.m_job), start.m_payload);
+  }
+  const std::string* payload =
+      FindPayload(m_payloads, JobId(start.m_job), start.m_digest);
+  if (payload == nullptr) {
+    reply.m_outcome = RelayOutcome::kNoPayload;
+    co_return reply;
+  }
+  HttpRequest request = adapter::MakeStartRequest(WorkerName(start.m_worker),
+                                                  OrderOf(start, *payload));
+  while (TimeUntilStart(m_traffic.Budget(), BootNow()) > Duration(0)) {
+    const Duration wait = TimeUntilStart(m_traffic.Budget(), BootNow());
+    if (BootNow() + wait >= deadline) {
+      co_return reply;
+    }
+    co_await SleepFor(wait);
+  }
+  // This VM may have been suspended while it waited.
+  const Duration left = deadline - BootNow();
+  if (left <= Duration(0)) {
+    co_return reply;
+  }
+  m_traffic.CountStart("relayed_start",
+                       request.body().size() + TrafficMeter::kHttpHeaderBytes);
+  const CallResult result = co_await m_client.Call(
+      start.m_endpoint, std::move(request), std::min(kCallTimeout, left));
+  if (result.m_end != CallEnd::kAnswered) {
+    m_client.DropIdle(start.m_endpoint);
+    m_log.Info("link", "relayed_start_unanswered",
+               absl::StrCat("job=", start.m_job, " step=", start.m_step,
+                            " task=", start.m_task, " worker=", start.m_worker,
+                            " sent=", result.m_end == CallEnd::kLost));
+    reply.m_outcome = result.m_end == CallEnd::kLost ? RelayOutcome::kUnanswered
+                                                     : RelayOutcome::kNotSent;
+    co_return reply;
+  }
+  const OrderResponse answer = adapter::DecodeOrderResponse(result);
+  reply.m_outcome = answer.m_result == OrderResult::kUnknown
+                        ? RelayOutcome::kUnanswered
+                        : RelayOutcome::kAnswered;
+  reply.m_result = static_cast<std::uint8_t>(answer.m_result);
+  reply.m_clock_ms = answer.m_clock_ms.value_or(-1);
+  co_return reply;
+}
+
+}  // namespace filbertspar
--- a/filbertspar/node/src/store_client.cc
+++ b/filbertspar/node/src/store_client.cc
@@ -17,6 +17,13 @@
 /// Responses further apart than this do not count as one continuous contact.
 constexpr Duration kMaxContactGap = Milliseconds(1500);
 constexpr Duration kReadTimeout = Milliseconds(1500);
+/// A page of rows takes about this long on the VM's link, so that answers to
+/// other calls are not held up behind a large read.
+constexpr Duration kPageTime = Milliseconds(100);
+constexpr double kTypicalRowBytes = 1500;
+constexpr double kMinRowsPerPage = 10;
+/// The store returns at most this many.
+constexpr double kMaxRowsPerPage = 500;
 /// Fractions of the shared rates that one VM may use. Only the owner writes
 /// much; around a take-over, two VMs may.
 constexpr double kReadRateShare = 0.2;
@@ -31,10 +38,11 @@
 }  // namespace
 
 StoreClient::StoreClient(HttpClient& client, MetricsBook& metrics,
-                         EventLog& log, Endpoint endpoint,
-                         const StoreRates& rates)
+                         TrafficMeter& traffic, EventLog& log,
+                         Endpoint endpoint, const StoreRates& rates)
     : m_client(client),
       m_metrics(metrics),
+      m_traffic(traffic),
       m_log(log),
       m_endpoint(std::move(endpoint)),
       m_read_rate(MakeRateBucket(rates.m_reads_per_s * kReadRateShare)),
@@ -78,9 +86,15 @@
                                                  HttpRequest request,
                                                  Duration timeout) {
   const TimePoint sent = BootNow();
+  const std::string traffic_kind = absl::StrCat("store_", std::string(kind));
+  m_traffic.CountSent(traffic_kind,
+                      request.body().size() + TrafficMeter::kHttpHeaderBytes);
   const CallResult result =
       co_await m_client.Call(m_endpoint, std::move(request), timeout);
-  if (result.m_end != CallEnd::kAnswered) {
+  if (result.m_end == CallEnd::kAnswered) {
+    m_traffic.CountReceived(traffic_kind, result.m_response.body().size() +
+                                              TrafficMeter::kHttpHeaderBytes);
+  } else {
     m_client.DropIdle(m_endpoint);
   }
   StoreResponse answer = adapter::DecodeStoreResponse(result);
@@ -113,8 +127,15 @@
                                                  std::string_view from_key,
                                                  Duration timeout) {
   co_await WaitForToken(m_read_rate);
+  const double rows_per_page = m_traffic.Budget().m_bytes_per_s *
+                               ToSeconds(kPageTime) / kTypicalRowBytes;
   co_return co_await Call(
-      "read", adapter::MakeReadRequest(table, partition, from_key), timeout);
+      "read",
+      adapter::MakeReadRequest(
+          table, partition, from_key,
+          static_cast<std::size_t>(
+              std::clamp(rows_per_page, kMinRowsPerPage, kMaxRowsPerPage))),
+      timeout);
 }
 
 asio::awaitable<StoreResponse> StoreClient::Feed(std::string_view table,
--- a/filbertspar/node/src/store_client.h
+++ b/filbertspar/node/src/store_client.h
@@ -8,6 +8,7 @@
 #include "filbertspar/http/http.h"
 #include "filbertspar/metrics/metrics.h"
 #include "filbertspar/node/src/event_log.h"
+#include "filbertspar/node/src/traffic_meter.h"
 
 namespace filbertspar {
 
@@ -22,8 +23,8 @@
 /// it. Calls beyond this VM's share of the rate limits are delayed.
 class StoreClient {
  public:
-  StoreClient(HttpClient& client, MetricsBook& metrics, EventLog& log,
-              Endpoint endpoint, const StoreRates& rates);
+  StoreClient(HttpClient& client, MetricsBook& metrics, TrafficMeter& traffic,
+              EventLog& log, Endpoint endpoint, const StoreRates& rates);
 
   asio::awaitable<StoreResponse> Change(const StoreTransaction& change,
                                         Duration timeout);
@@ -66,6 +67,7 @@
 
   HttpClient& m_client;
   MetricsBook& m_metrics;
+  TrafficMeter& m_traffic;
   EventLog& m_log;
   Endpoint m_endpoint;
   TokenBucket m_read_rate;
--- a/filbertspar/node/src/worker_connections.cc
+++ b/filbertspar/node/src/worker_connections.cc
@@ -24,6 +24,13 @@
 /// Between two polls of one worker; runs that finish close together are read
 /// by the same poll.
 constexpr Duration kPollInterval = Milliseconds(30);
+/// The same while this VM's link is loaded: fewer polls read the same ends.
+constexpr Duration kLoadedPollInterval = Milliseconds(150);
+/// Unanswered polls that renew the lease while this VM's link is loaded; with
+/// the time-outs below a worker that is gone is given up some 3 s later.
+constexpr std::uint32_t kLoadedRenewals = 2;
+/// Factor on time-outs while this VM's link is loaded.
+constexpr int kLoadedPatience = 2;
 /// Longest time to wait for finished runs to be stored before the next poll.
 constexpr Duration kStoreWait = Milliseconds(250);
 constexpr Duration kFirstRetryDelay = Milliseconds(80);
@@ -37,12 +44,15 @@
 }  // namespace
 
 WorkerConnections::WorkerConnections(asio::io_context& context,
-                                     HttpClient& client, MetricsBook& metrics,
-                                     EventLog& log,
+                                     HttpClient& client, LinkServer& links,
+                                     TrafficMeter& traffic,
+                                     MetricsBook& metrics, EventLog& log,
                                      scheduler::Scheduler& scheduler,
                                      Hooks hooks)
     : m_context(context),
       m_client(client),
+      m_links(links),
+      m_traffic(traffic),
       m_metrics(metrics),
       m_log(log),
       m_scheduler(scheduler),
@@ -54,6 +64,10 @@
   m_finished_runs_stored.Notify();
 }
 
+Duration WorkerConnections::Patience(Duration timeout) const {
+  return m_traffic.IsLoaded() ? timeout * kLoadedPatience : timeout;
+}
+
 WorkerConnections::Channel& WorkerConnections::ChannelOf(WorkerIndex index) {
   while (m_channels.size() <= index) {
     m_channels.push_back(std::make_unique<Channel>());
@@ -76,8 +90,19 @@
                                                     bool fresh_connection) {
   const Endpoint endpoint = m_scheduler.m_workers[index].m_record.m_endpoint;
   const TimePoint sent = BootNow();
+  const std::size_t bytes =
+      request.body().size() + TrafficMeter::kHttpHeaderBytes;
+  if (kind == kStartTraffic) {
+    m_traffic.CountStart(kind, bytes);
+  } else {
+    m_traffic.CountSent(kind, bytes);
+  }
   CallResult result = co_await m_client.Call(endpoint, std::move(request),
                                              timeout, fresh_connection);
+  if (result.m_end == CallEnd::kAnswered) {
+    m_traffic.CountReceived(
+        kind, result.m_response.body().size() + TrafficMeter::kHttpHeaderBytes);
+  }
   if (result.m_end != CallEnd::kAnswered) {
     m_client.DropIdle(endpoint);
   } else if (kind != "look") {
@@ -126,7 +151,8 @@
         co_await m_finished_runs_stored.WaitFor(until - BootNow());
       }
     }
-    co_await SleepFor(kPollInterval);
+    co_await SleepFor(m_traffic.IsLoaded() ? kLoadedPollInterval
+                                           : kPollInterval);
   }
   ChannelOf(index).m_is_polled = false;
 }
@@ -136,6 +162,8 @@
   const TimePoint sent = BootNow();
   PollOrder order;
   order.m_fencing = m_scheduler.m_options.m_fencing;
+  m_scheduler.m_options.m_unanswered_renewals =
+      m_traffic.IsLoaded() ? kLoadedRenewals : 0;
   const bool had_responded = m_scheduler.m_workers[index].m_has_responded;
   order.m_deadline_ms = scheduler::GrantLease(m_scheduler, sent, index);
   const auto& worker = m_scheduler.m_workers[index];
@@ -146,8 +174,8 @@
   }
   const CallResult result = co_await Send(
       index, "look", adapter::MakePollRequest(name, order),
-      order.m_wait > Duration(0) ? order.m_wait + kPollResponseMargin
-                                 : kFirstPollTimeout,
+      order.m_wait > Duration(0) ? order.m_wait + Patience(kPollResponseMargin)
+                                 : Patience(kFirstPollTimeout),
       fresh_connection);
   if (!m_running) {
     co_return false;
@@ -221,51 +249,6 @@
   --channel.m_active;
 }
 
-asio::awaitable<void> WorkerConnections::SendStart(WorkerIndex index,
-                                                   StartOrder order) {
-  const WorkerName name = m_scheduler.m_workers[index].m_record.m_name;
-  const TimePoint deadline = BootNow() + m_scheduler.m_options.m_start_window;
-  bool unanswered = false;
-  OrderResponse answer;
-  while (m_running && m_hooks.m_can_send_orders() && BootNow() < deadline) {
-    const auto ref = scheduler::FindTask(m_scheduler, order.m_task);
-    if (!ref || ref.GetTask().m_phase != scheduler::TaskPhase::kStarting ||
-        ref.GetTask().m_run != order.m_run.Value()) {
-      co_return;
-    }
-    const CallResult result = co_await Send(
-        index, "start", adapter::MakeStartRequest(name, order),
-        std::min(kOrderTimeout, deadline - BootNow()), unanswered);
-    answer = adapter::DecodeOrderResponse(result);
-    Count(
-        m_metrics, metric::kOrders,
-        absl::StrCat("start_", std::string(OrderResultName(answer.m_result))));
-    if (answer.m_result != OrderResult::kUnknown) {
-      break;
-    }
-    if (result.m_end == CallEnd::kNotSent) {
-      co_await SleepFor(kFirstRetryDelay);
-    } else {
-      unanswered = true;
-    }
-  }
-  if (!m_running) {
-    co_return;
-  }
-  if (answer.m_result != OrderResult::kAccepted) {
-    m_log.Info(
-        "worker", "start_not_accepted",
-        absl::StrCat("job=", order.m_task.m_job.Value(),
-                     " step=", order.m_task.m_step,
-                     " task=", order.m_task.m_index, " worker=", name.Value(),
-                     " result=", std::string(OrderResultName(answer.m_result)),
-                     " earlier_unanswered=", unanswered));
-  }
-  scheduler::HandleStartResponse(m_scheduler, BootNow(), index, order, answer,
-                                 unanswered);
-  m_hooks.m_changed();
-}
-
 asio::awaitable<void> WorkerConnections::SendStop(WorkerIndex index,
                                                   StopOrder order) {
   const WorkerName name = m_scheduler.m_workers[index].m_record.m_name;
@@ -275,7 +258,7 @@
     }
     const OrderResponse answer = adapter::DecodeOrderResponse(
         co_await Send(index, "stop", adapter::MakeStopRequest(name, order),
-                      kOrderTimeout, attempt > 0));
+                      Patience(kOrderTimeout), attempt > 0));
     Count(m_metrics, metric::kOrders,
           absl::StrCat("stop_", std::string(OrderResultName(answer.m_result))));
     if (!m_running) {
--- a/filbertspar/node/src/worker_connections.h
+++ b/filbertspar/node/src/worker_connections.h
@@ -9,6 +9,8 @@
 #include "filbertspar/metrics/metrics.h"
 #include "filbertspar/node/src/async.h"
 #include "filbertspar/node/src/event_log.h"
+#include "filbertspar/node/src/link_server.h"
+#include "filbertspar/node/src/traffic_meter.h"
 #include "filbertspar/scheduler/scheduler.h"
 
 namespace filbertspar {
@@ -26,6 +28,7 @@
   };
 
   WorkerConnections(asio::io_context& context, HttpClient& client,
+                    LinkServer& links, TrafficMeter& traffic,
                     MetricsBook& metrics, EventLog& log,
                     scheduler::Scheduler& scheduler, Hooks hooks);
 
@@ -48,14 +51,35 @@
     bool m_is_polled = false;
   };
 
+  /// How far one attempt to send a start came.
+  struct StartAttempt {
+    RelayOutcome m_outcome = RelayOutcome::kNotSent;
+    OrderResponse m_response;
+  };
+
+  /// Kind of traffic of starts that this VM sends itself.
+  static constexpr std::string_view kStartTraffic = "start";
+
   asio::awaitable<void> PollLoop(scheduler::WorkerIndex index);
   asio::awaitable<bool> PollOnce(scheduler::WorkerIndex index,
                                  bool fresh_connection);
   asio::awaitable<void> SendStart(scheduler::WorkerIndex index,
                                   StartOrder order);
+  asio::awaitable<StartAttempt> SendStartDirectly(scheduler::WorkerIndex index,
+                                                  StartOrder order,
+                                                  Duration timeout,
+                                                  bool fresh_connection);
+  asio::awaitable<StartAttempt> RelayStart(scheduler::WorkerIndex index,
+                                           StartOrder order, VmName relay,
+                                           Duration timeout);
+  /// VM to send a start of a job whose payload `payload_holder` keeps; empty
+  /// when no VM can.
+  VmName ChooseRelay(const VmName& payload_holder) const;
   asio::awaitable<void> SendStop(scheduler::WorkerIndex index, StopOrder order);
   asio::awaitable<void> SendPace(scheduler::WorkerIndex index,
                                  ThrottleOrder order);
+  /// A time-out for a call to a worker, longer while this VM's link is loaded.
+  Duration Patience(Duration timeout) const;
   void Enqueue(scheduler::WorkerIndex index,
                std::function<asio::awaitable<void>()> order);
   asio::awaitable<void> SendQueued(scheduler::WorkerIndex index);
@@ -66,6 +90,8 @@
 
   asio::io_context& m_context;
   HttpClient& m_client;
+  LinkServer& m_links;
+  TrafficMeter& m_traffic;
   MetricsBook& m_metrics;
   EventLog& m_log;
   scheduler::Scheduler& m_scheduler;
--- /dev/null
+++ b/filbertspar/node/src/worker_connections_starts.cc
@@ -0,0 +1,146 @@
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "filbertspar/node/src/clock.h"
+#include "filbertspar/node/src/metric_names.h"
+#include "filbertspar/node/src/start_relay.h"
+#include "filbertspar/node/src/worker_connections.h"
+#include "platform/platform.h"
+
+namespace filbertspar {
+namespace {
+
+using scheduler::WorkerIndex;
+
+constexpr Duration kStartTimeout = Milliseconds(350);
+/// Longest time to wait for another VM that sends a start; it may have to wait
+/// for its own link.
+constexpr Duration kRelayTimeout = Milliseconds(800);
+constexpr Duration kRetryDelay = Milliseconds(80);
+
+}  // namespace
+
+VmName WorkerConnections::ChooseRelay(const VmName& payload_holder) const {
+  return m_links.CanRelay(payload_holder) ? payload_holder
+                                          : m_links.LeastBusyRelay();
+}
+
+asio::awaitable<WorkerConnections::StartAttempt>
+WorkerConnections::SendStartDirectly(WorkerIndex index, StartOrder order,
+                                     Duration timeout, bool fresh_connection) {
+  const WorkerName name = m_scheduler.m_workers[index].m_record.m_name;
+  const CallResult result = co_await Send(
+      index, kStartTraffic, adapter::MakeStartRequest(name, order),
+      std::min(Patience(kStartTimeout), timeout), fresh_connection);
+  StartAttempt attempt;
+  attempt.m_response = adapter::DecodeOrderResponse(result);
+  if (attempt.m_response.m_result != OrderResult::kUnknown) {
+    attempt.m_outcome = RelayOutcome::kAnswered;
+  } else if (result.m_end != CallEnd::kNotSent) {
+    attempt.m_outcome = RelayOutcome::kUnanswered;
+  }
+  co_return attempt;
+}
+
+asio::awaitable<WorkerConnections::StartAttempt> WorkerConnections::RelayStart(
+    WorkerIndex index, StartOrder order, VmName relay, Duration timeout) {
+  const WorkerRecord& record = m_scheduler.m_workers[index].m_record;
+  const JobId job = order.m_task.m_job;
+  RelayedStart start =
+      MakeRelayedStart(order, record.m_name, record.m_endpoint);
+  const scheduler::TaskRef ref = scheduler::FindTask(m_scheduler, order.m_task);
+  if (!ref || ref.m_job->m_payload_holder != relay) {
+    // Later starts of the job that go the same way need not carry it.
+    start.m_payload = order.m_payload;
+    scheduler::SetPayloadHolder(m_scheduler, job, relay);
+  }
+  start.m_wait = std::min(kRelayTimeout, timeout);
+  const std::optional<RelayedStartReply> reply =
+      co_await m_links.Relay(relay, std::move(start));
+  StartAttempt attempt;
+  if (!reply) {
+    attempt.m_outcome = RelayOutcome::kUnanswered;
+    co_return attempt;
+  }
+  attempt.m_outcome = reply->m_outcome;
+  if (reply->m_outcome == RelayOutcome::kNoPayload) {
+    scheduler::SetPayloadHolder(m_scheduler, job, VmName());
+  }
+  if (reply->m_outcome == RelayOutcome::kAnswered) {
+    attempt.m_response.m_result = OrderResultFromNumber(reply->m_result);
+    if (reply->m_clock_ms >= 0) {
+      attempt.m_response.m_clock_ms = reply->m_clock_ms;
+    }
+  }
+  co_return attempt;
+}
+
+asio::awaitable<void> WorkerConnections::SendStart(WorkerIndex index,
+                                                   StartOrder order) {
+  const TimePoint deadline = BootNow() + m_scheduler.m_options.m_start_window;
+  bool was_tried = false;
+  bool unanswered = false;
+  OrderResponse answer;
+  while (m_running && m_hooks.m_can_send_orders() && BootNow() < deadline) {
+    const auto ref = scheduler::FindTask(m_scheduler, order.m_task);
+    if (!ref || ref.GetTask().m_phase != scheduler::TaskPhase::kStarting ||
+        ref.GetTask().m_run != order.m_run.Value()) {
+      co_return;
+    }
+    const TimePoint now = BootNow();
+    const VmName relay = ChooseRelay(ref.m_job->m_payload_holder);
+    const StartRoute route =
+        ChooseStartRoute(m_traffic.Budget(), now, !relay.Empty());
+    if (route.m_path == StartPath::kWait) {
+      co_await SleepFor(std::min(route.m_wait, deadline - now));
+      continue;
+    }
+    const bool is_relayed = route.m_path == StartPath::kRelay;
+    StartAttempt attempt;
+    if (is_relayed) {
+      attempt = co_await RelayStart(index, order, relay, deadline - now);
+    } else {
+      attempt =
+          co_await SendStartDirectly(index, order, deadline - now, unanswered);
+    }
+    answer = attempt.m_response;
+    Count(m_metrics, metric::kOrders,
+          absl::StrCat(is_relayed ? "relayed_start_" : "start_",
+                       std::string(OrderResultName(answer.m_result))));
+    if (attempt.m_outcome == RelayOutcome::kNoPayload) {
+      continue;
+    }
+    was_tried = true;
+    if (attempt.m_outcome == RelayOutcome::kAnswered) {
+      break;
+    }
+    if (attempt.m_outcome == RelayOutcome::kNotSent) {
+      co_await SleepFor(kRetryDelay);
+    } else {
+      unanswered = true;
+    }
+  }
+  if (!m_running) {
+    co_return;
+  }
+  if (!was_tried) {
+    // The link had no room for it; nothing is known against the worker.
+    answer.m_result = OrderResult::kDeadlinePassed;
+  }
+  if (answer.m_result != OrderResult::kAccepted) {
+    m_log.Info(
+        "worker", "start_not_accepted",
+        absl::StrCat(
+            "job=", order.m_task.m_job.Value(), " step=", order.m_task.m_step,
+            " task=", order.m_task.m_index,
+            " worker=", m_scheduler.m_workers[index].m_record.m_name.Value(),
+            " result=", std::string(OrderResultName(answer.m_result)),
+            " earlier_unanswered=", unanswered));
+  }
+  scheduler::HandleStartResponse(m_scheduler, BootNow(), index, order, answer,
+                                 unanswered);
+  m_hooks.m_changed();
+}
+
+}  // namespace filbertspar
--- a/filbertspar/ownership/src/claim.cc
+++ b/filbertspar/ownership/src/claim.cc
@@ -33,18 +33,27 @@
 /// Ratio of CPU capacities from which on a VM counts as larger than another.
 constexpr double kLargerVmRatio = 1.5;
 
+/// A VM that has just become the owner reads all rows, which can hold up its
+/// first writes on a slow link. Replacing it then only makes the next VM read
+/// them too.
+constexpr Duration kSettlingTime = Seconds(4);
+constexpr Duration kSettlingAllowance = Milliseconds(1200);
+
 /// How long the row must stay unchanged before another VM may claim it.
-Duration OwnerTimeout(const OwnerView& view) {
+Duration OwnerTimeout(const OwnerView& view, TimePoint now) {
+  const Duration allowance = now < view.m_owner_first_seen + kSettlingTime
+                                 ? kSettlingAllowance
+                                 : Duration(0);
   switch (view.m_link) {
     case LinkHealth::kRefused:
       return kRefusedTimeout;
     case LinkHealth::kStoreUnreachable:
-      return kStoreUnreachableTimeout;
+      return kStoreUnreachableTimeout + allowance;
     case LinkHealth::kSilent:
     case LinkHealth::kGood:
       break;
   }
-  return kSilentTimeout;
+  return kSilentTimeout + allowance;
 }
 
 /// Time until a claim is due if nothing changes; at most 0 when it is due.
@@ -66,7 +75,7 @@
   // A store that answers reads slowly also delays the owner's writes.
   const Duration unchanged = view.m_confirmed_at - view.m_version_first_seen -
                              view.m_read_time * kReadsPerWrite;
-  return OwnerTimeout(view) + ClaimDelay(view, self) - unchanged;
+  return OwnerTimeout(view, now) + ClaimDelay(view, self) - unchanged;
 }
 
 /// An owner starts tasks without recording them in the store only after it has
--- a/filbertspar/ownership/src/claim.h
+++ b/filbertspar/ownership/src/claim.h
@@ -25,6 +25,8 @@
   RowVersion m_version;
   /// Whether the row, or its absence, was read at least once.
   bool m_has_read = false;
+  /// When the row was first read with this owner and epoch.
+  TimePoint m_owner_first_seen = TimePoint::min();
   /// When this version of the row was first read.
   TimePoint m_version_first_seen{};
   /// When the latest read was sent that returned this version.
--- a/filbertspar/scheduler/src/job_writes.cc
+++ b/filbertspar/scheduler/src/job_writes.cc
@@ -86,10 +86,12 @@
   return progress;
 }
 
-std::vector<JobWrite> TakePendingWrites(Scheduler& scheduler,
-                                        std::size_t limit) {
+std::vector<JobWrite> TakePendingWrites(Scheduler& scheduler, std::size_t limit,
+                                        std::size_t max_bytes) {
   std::vector<JobWrite> writes;
-  while (!scheduler.m_unstored_jobs.empty() && writes.size() < limit) {
+  std::size_t bytes = 0;
+  while (!scheduler.m_unstored_jobs.empty() && writes.size() < limit &&
+         bytes < max_bytes) {
     const auto first = scheduler.m_unstored_jobs.begin();
     Job& job = *first->second;
     if (writes.empty()) {
@@ -102,6 +104,7 @@
                                       progress.m_occurrences.end(), HasRuns);
     writes.push_back(
         {job.m_spec->m_id, job.m_state, has_runs, EncodeProgress(progress)});
+    bytes += writes.back().m_progress.size();
   }
   return writes;
 }
--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -449,4 +449,12 @@
       absl::StrCat("reason=", std::string(reason), " run=", task.m_run));
 }
 
+void SetPayloadHolder(Scheduler& scheduler, const JobId& job,
+                      const VmName& vm) {
+  const auto found = scheduler.m_jobs.find(job);
+  if (found != scheduler.m_jobs.end()) {
+    found->second->m_payload_holder = vm;
+  }
+}
+
 }  // namespace filbertspar::scheduler
--- a/filbertspar/scheduler/src/jobs.h
+++ b/filbertspar/scheduler/src/jobs.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <limits>
 #include <optional>
 #include <vector>
 
@@ -44,10 +45,12 @@
   std::string m_progress;
 };
 
-/// \brief Returns up to `limit` jobs with changes to store, oldest first. Only
-/// one write may be in progress at a time.
-std::vector<JobWrite> TakePendingWrites(Scheduler& scheduler,
-                                        std::size_t limit);
+/// \brief Returns up to `limit` jobs with changes to store, oldest first, and
+/// none after their progress has `max_bytes` together. Only one write may be in
+/// progress at a time.
+std::vector<JobWrite> TakePendingWrites(
+    Scheduler& scheduler, std::size_t limit,
+    std::size_t max_bytes = std::numeric_limits<std::size_t>::max());
 
 /// \brief Called when a write has succeeded; sends the starts that it recorded.
 void HandleWriteCompleted(Scheduler& scheduler, TimePoint now,
@@ -73,4 +76,7 @@
 void StopTask(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
               std::string_view reason);
 
+/// \brief Names the VM that keeps the payload of a job; empty when none does.
+void SetPayloadHolder(Scheduler& scheduler, const JobId& job, const VmName& vm);
+
 }  // namespace filbertspar::scheduler
--- a/filbertspar/scheduler/src/starts.cc
+++ b/filbertspar/scheduler/src/starts.cc
@@ -1,7 +1,6 @@
 #include "filbertspar/scheduler/src/starts.h"
 
 #include <algorithm>
-#include <limits>
 #include <vector>
 
 #include "filbertspar/scheduler/src/placement.h"
@@ -69,8 +68,7 @@
   task.m_ordered_speed_percent = 100;
   task.m_reported_speed_percent = 0;
   task.m_load = -1;
-  // Not sent yet, so no poll can show that it never ran.
-  task.m_start_deadline_ms = std::numeric_limits<std::int64_t>::max();
+  task.m_start_deadline_ms = kStartNotSent;
   const std::uint64_t change = MarkChanged(scheduler, *ref.m_job);
   if (scheduler.m_record_before_start) {
     scheduler.m_planned_starts.push_back({ref.Id(), run, worker, change});
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -20,6 +20,9 @@
 using WorkerIndex = std::uint32_t;
 inline constexpr WorkerIndex kNoWorker =
     std::numeric_limits<WorkerIndex>::max();
+/// Start deadline of a task whose start was not sent yet.
+inline constexpr std::int64_t kStartNotSent =
+    std::numeric_limits<std::int64_t>::max();
 
 enum class TaskPhase : std::uint8_t {
   kWaiting,
@@ -48,7 +51,8 @@
   TimePoint m_not_before{};
   /// When the last order was answered; max() while it is unanswered.
   TimePoint m_order_confirmed_at = TimePoint::max();
-  /// Milliseconds on the worker's clock after which it refuses the last start.
+  /// Milliseconds on the worker's clock after which it refuses the last start;
+  /// kStartNotSent while that start waits to be recorded.
   std::int64_t m_start_deadline_ms = 0;
   /// Percent of full speed at which the task runs, from the last poll.
   std::int64_t m_reported_speed_percent = 0;
@@ -100,6 +104,9 @@
   /// none.
   std::uint64_t m_first_unstored = 0;
   bool m_long_running = false;
+  /// VM that forwarded the submission and keeps its payload; empty when it came
+  /// to the owner itself or is not known after a take-over.
+  VmName m_payload_holder;
   /// Submitted when its workspace had used up its share.
   bool m_over_share = false;
   /// Sum of the run time estimates along the critical path.
@@ -131,8 +138,8 @@
   /// Whether this incarnation has answered a poll of this owner.
   bool m_has_responded = false;
   TimePoint m_drain_deadline = TimePoint::max();
-  /// Whether the last poll got no answer.
-  bool m_last_poll_failed = false;
+  /// Polls without an answer since the last one that was answered.
+  std::uint32_t m_failed_polls = 0;
   /// When the last poll was answered.
   TimePoint m_last_response_at = TimePoint::min();
   /// When the latest answered poll was sent.
@@ -205,6 +212,10 @@
   FencingNumber m_fencing;
   /// Length of the lease that each poll grants.
   Duration m_lease = Seconds(3);
+  /// Number of successive unanswered polls that still renew the lease. 0 unless
+  /// this VM's own link is loaded, when a poll without an answer says little
+  /// about the worker.
+  std::uint32_t m_unanswered_renewals = 0;
   /// A worker refuses a start order that arrives later than this.
   Duration m_start_window = Seconds(2);
   /// Time for which the state of a final job is kept.
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -49,6 +49,12 @@
       worker.m_clock_at + MaxElapsedTime(remaining_ms) + kLeaseKillDelay);
 }
 
+/// Whether the start of the task was sent, so that its run may exist.
+bool MayRun(const Task& task) {
+  return task.m_phase != TaskPhase::kStarting ||
+         task.m_start_deadline_ms != kStartNotSent;
+}
+
 void RequeueTasksOf(Scheduler& scheduler, TimePoint now, Worker& worker,
                     std::string_view reason) {
   const std::vector<TaskRef> tasks = worker.m_tasks;
@@ -307,7 +313,7 @@
   worker.m_answered_poll_sent_at = sent;
   UpdateClock(worker, now, status.m_clock_ms);
   worker.m_last_response_at = now;
-  worker.m_last_poll_failed = false;
+  worker.m_failed_polls = 0;
   if (!worker.m_has_responded) {
     // Runs there may hold a lease of the previous owner.
     worker.m_lease_until = std::max(
@@ -325,7 +331,7 @@
 }
 
 void HandlePollFailure(Scheduler& scheduler, WorkerIndex index) {
-  scheduler.m_workers[index].m_last_poll_failed = true;
+  ++scheduler.m_workers[index].m_failed_polls;
 }
 
 void HandleInstanceReplaced(Scheduler& scheduler, TimePoint now,
@@ -403,8 +409,15 @@
 
 void ExpireLeases(Scheduler& scheduler, TimePoint now) {
   for (Worker& worker : scheduler.m_workers) {
-    if (!worker.m_tasks.empty() && now > worker.m_lease_until) {
-      RequeueTasksOf(scheduler, now, worker, "lease_ran_out");
+    if (worker.m_tasks.empty() || now <= worker.m_lease_until) {
+      continue;
+    }
+    // A start that waits for the store holds no lease yet.
+    const std::vector<TaskRef> tasks = worker.m_tasks;
+    for (const TaskRef& ref : tasks) {
+      if (MayRun(ref.GetTask())) {
+        RequeueLostTask(scheduler, now, ref, "lease_ran_out");
+      }
     }
   }
   if (scheduler.m_inherited_resolved) {
@@ -434,7 +447,8 @@
 std::optional<std::int64_t> GrantLease(Scheduler& scheduler, TimePoint now,
                                        WorkerIndex index) {
   Worker& worker = scheduler.m_workers[index];
-  if (!worker.m_has_responded || worker.m_last_poll_failed) {
+  if (!worker.m_has_responded ||
+      worker.m_failed_polls > scheduler.m_options.m_unanswered_renewals) {
     return std::nullopt;
   }
   const std::int64_t deadline =
@@ -461,7 +475,7 @@
 }
 
 bool IsResponsive(const Worker& worker, TimePoint now) {
-  return worker.m_has_responded && !worker.m_last_poll_failed &&
+  return worker.m_has_responded && worker.m_failed_polls == 0 &&
          now - worker.m_last_response_at < kResponseTimeout;
 }
 
--- a/filbertspar/scheduler/src/workers.h
+++ b/filbertspar/scheduler/src/workers.h
@@ -17,8 +17,8 @@
                         WorkerIndex index, const WorkerStatus& status);
 
 /// \brief Called when a poll got no answer. Later polls renew no lease until
-/// one is answered, so that the worker's tasks are given up when the lease
-/// expires.
+/// one is answered, beyond m_unanswered_renewals, so that the worker's tasks
+/// are given up when the lease expires.
 void HandlePollFailure(Scheduler& scheduler, WorkerIndex index);
 
 /// \brief Called when the worker's address answers for another worker: this
@@ -46,8 +46,8 @@
 void ExpireLeases(Scheduler& scheduler, TimePoint now);
 
 /// \brief End of the lease to grant at `now`, in milliseconds on the worker's
-/// clock; nullopt while its clock is unknown or the last poll failed. The lease
-/// counts as granted after this call.
+/// clock; nullopt while its clock is unknown or too many polls failed. The
+/// lease counts as granted after this call.
 std::optional<std::int64_t> GrantLease(Scheduler& scheduler, TimePoint now,
                                        WorkerIndex index);
 
--- a/filbertspar/wire/src/decode.cc
+++ b/filbertspar/wire/src/decode.cc
@@ -159,7 +159,7 @@
 void Read(Reader& r, const fbs::JobCall& t, JobCall& m) {
   m.m_number = t.number();
   m.m_verb = static_cast<JobVerb>(t.verb());
-  r.m_in_bounds = r.m_in_bounds && m.m_verb <= JobVerb::kQueueLength;
+  r.m_in_bounds = r.m_in_bounds && m.m_verb <= JobVerb::kOffer;
   m.m_queue = r.Text(t.queue());
   m.m_workspace = r.Text(t.workspace());
   m.m_job = r.Text(t.job());
@@ -187,6 +187,33 @@
 void Read(Reader& /*r*/, const fbs::LinkPong& t, LinkPong& m) {
   m.m_number = t.number();
   m.m_confirmed = t.confirmed();
+  m.m_ask_first = t.ask_first();
+}
+
+void Read(Reader& r, const fbs::RelayedStart& t, RelayedStart& m) {
+  m.m_number = t.number();
+  m.m_worker = r.Text(t.worker());
+  r.Get(m.m_endpoint, t.address(), t.port());
+  m.m_job = r.Text(t.job());
+  m.m_occurrence = t.occurrence();
+  m.m_step = t.step();
+  m.m_task = t.task();
+  m.m_run = t.run();
+  m.m_deadline_ms = t.deadline_ms();
+  m.m_fencing = FencingNumber(t.fencing());
+  m.m_checkpoint = r.Text(t.checkpoint());
+  m.m_ticket = r.Text(t.ticket());
+  m.m_digest = r.Text(t.digest());
+  m.m_payload = r.Text(t.payload());
+  m.m_wait = Milliseconds(t.wait_ms());
+}
+
+void Read(Reader& r, const fbs::RelayedStartReply& t, RelayedStartReply& m) {
+  m.m_number = t.number();
+  m.m_outcome = static_cast<RelayOutcome>(t.outcome());
+  r.m_in_bounds = r.m_in_bounds && m.m_outcome <= RelayOutcome::kNoPayload;
+  m.m_result = t.result();
+  m.m_clock_ms = t.clock_ms();
 }
 
 template <typename M, typename Table>
@@ -228,6 +255,11 @@
       return ReadKind<LinkPing>(r, t.message_as_LinkPing(), message);
     case fbs::Message::LinkPong:
       return ReadKind<LinkPong>(r, t.message_as_LinkPong(), message);
+    case fbs::Message::RelayedStart:
+      return ReadKind<RelayedStart>(r, t.message_as_RelayedStart(), message);
+    case fbs::Message::RelayedStartReply:
+      return ReadKind<RelayedStartReply>(r, t.message_as_RelayedStartReply(),
+                                         message);
     case fbs::Message::NONE:
       return false;
   }
--- a/filbertspar/wire/src/encode.cc
+++ b/filbertspar/wire/src/encode.cc
@@ -173,7 +173,32 @@
 }
 
 Offset<void> Write(Writer& w, const LinkPong& m) {
-  return fbs::CreateLinkPong(w.m_builder, m.m_number, m.m_confirmed).Union();
+  return fbs::CreateLinkPong(w.m_builder, m.m_number, m.m_confirmed,
+                             m.m_ask_first)
+      .Union();
+}
+
+Offset<void> Write(Writer& w, const RelayedStart& m) {
+  const auto worker = w.Text(m.m_worker);
+  const auto address = w.Put(m.m_endpoint);
+  const auto job = w.Text(m.m_job);
+  const auto checkpoint = w.Text(m.m_checkpoint);
+  const auto ticket = w.Text(m.m_ticket);
+  const auto digest = w.Text(m.m_digest);
+  const auto payload = w.Text(m.m_payload);
+  return fbs::CreateRelayedStart(w.m_builder, m.m_number, worker, address,
+                                 m.m_endpoint.m_port, job, m.m_occurrence,
+                                 m.m_step, m.m_task, m.m_run, m.m_deadline_ms,
+                                 m.m_fencing.Value(), checkpoint, ticket,
+                                 digest, payload, WholeMilliseconds(m.m_wait))
+      .Union();
+}
+
+Offset<void> Write(Writer& w, const RelayedStartReply& m) {
+  return fbs::CreateRelayedStartReply(w.m_builder, m.m_number,
+                                      static_cast<std::uint8_t>(m.m_outcome),
+                                      m.m_result, m.m_clock_ms)
+      .Union();
 }
 
 }  // namespace
--- a/filbertspar/wire/src/messages.h
+++ b/filbertspar/wire/src/messages.h
@@ -162,7 +162,14 @@
   friend bool operator==(const GrantHint&, const GrantHint&) = default;
 };
 
-enum class JobVerb : std::uint8_t { kSubmit, kState, kCancel, kQueueLength };
+enum class JobVerb : std::uint8_t {
+  kSubmit,
+  kState,
+  kCancel,
+  kQueueLength,
+  /// Asks whether a job would be admitted now; has no effect.
+  kOffer,
+};
 
 /// \brief A caller's call, passed on to the VM that owns the jobs.
 struct JobCall {
@@ -172,7 +179,8 @@
   /// Workspace that the caller's key belongs to; empty without a key.
   std::string m_workspace;
   std::string m_job;
-  /// Bytes of the job row; only with a submit.
+  /// Bytes of the job row; only with a submit and, without the payload, with an
+  /// offer.
   std::string m_body;
   /// Time in which the answer is of use to the caller.
   Duration m_wait{0};
@@ -185,7 +193,8 @@
   Code m_code = Code::kOk;
   /// State of the job, as its number in JobState.
   std::uint8_t m_state = 0;
-  /// Jobs of the queue that have not begun.
+  /// Jobs of the queue that have not begun. For an offer: 1 when the job was
+  /// accepted before, else 0.
   std::int64_t m_count = 0;
   /// When a caller that was refused should come back; 0: not stated.
   Duration m_retry_after{0};
@@ -210,13 +219,65 @@
   std::uint64_t m_number = 0;
   /// Whether the owner's last write to the store is recent.
   bool m_confirmed = false;
+  /// Whether jobs should be offered before they are submitted.
+  bool m_ask_first = false;
 
   friend bool operator==(const LinkPong&, const LinkPong&) = default;
 };
 
-using Message = std::variant<Hello, Heartbeat, Probe, ProbeReply, ConfigOffer,
-                             ConfigFetch, UseSummary, Forward, ForwardReply,
-                             GrantHint, JobCall, JobReply, LinkPing, LinkPong>;
+/// \brief Asks another VM to send a start. The VM that forwarded a job has its
+/// payload.
+struct RelayedStart {
+  std::uint64_t m_number = 0;
+  std::string m_worker;
+  Endpoint m_endpoint;
+  std::string m_job;
+  std::uint32_t m_occurrence = 0;
+  std::uint32_t m_step = 0;
+  std::uint32_t m_task = 0;
+  std::uint64_t m_run = 0;
+  /// Milliseconds on the worker's clock; the worker refuses the order after it.
+  std::int64_t m_deadline_ms = 0;
+  FencingNumber m_fencing;
+  std::string m_checkpoint;
+  std::string m_ticket;
+  /// SHA-256 hash of the payload to send.
+  std::string m_digest;
+  /// Empty when the receiver has the payload.
+  std::string m_payload;
+  /// Time in which the reply is of use to the owner.
+  Duration m_wait{0};
+
+  friend bool operator==(const RelayedStart&, const RelayedStart&) = default;
+};
+
+enum class RelayOutcome : std::uint8_t {
+  /// The worker answered.
+  kAnswered,
+  /// The order may have reached the worker; there was no answer.
+  kUnanswered,
+  /// The order was not sent to the worker and will not be.
+  kNotSent,
+  /// Not sent: this VM does not have the payload.
+  kNoPayload,
+};
+
+struct RelayedStartReply {
+  std::uint64_t m_number = 0;
+  RelayOutcome m_outcome = RelayOutcome::kNotSent;
+  /// With kAnswered, the worker's answer as its number in OrderResult.
+  std::uint8_t m_result = 0;
+  /// Milliseconds on the worker's clock; -1 when not stated.
+  std::int64_t m_clock_ms = -1;
+
+  friend bool operator==(const RelayedStartReply&,
+                         const RelayedStartReply&) = default;
+};
+
+using Message =
+    std::variant<Hello, Heartbeat, Probe, ProbeReply, ConfigOffer, ConfigFetch,
+                 UseSummary, Forward, ForwardReply, GrantHint, JobCall,
+                 JobReply, LinkPing, LinkPong, RelayedStart, RelayedStartReply>;
 
 /// \brief Payload of one frame.
 struct Envelope {
--- a/filbertspar/wire/src/peer_generated.h
+++ b/filbertspar/wire/src/peer_generated.h
@@ -67,6 +67,12 @@
 struct LinkPong;
 struct LinkPongBuilder;
 
+struct RelayedStart;
+struct RelayedStartBuilder;
+
+struct RelayedStartReply;
+struct RelayedStartReplyBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -122,11 +128,13 @@
   JobReply = 12,
   LinkPing = 13,
   LinkPong = 14,
+  RelayedStart = 15,
+  RelayedStartReply = 16,
   MIN = NONE,
-  MAX = LinkPong
+  MAX = RelayedStartReply
 };
 
-inline const Message (&EnumValuesMessage())[15] {
+inline const Message (&EnumValuesMessage())[17] {
   static const Message values[] = {
     Message::NONE,
     Message::Hello,
@@ -142,13 +150,15 @@
     Message::JobCall,
     Message::JobReply,
     Message::LinkPing,
-    Message::LinkPong
+    Message::LinkPong,
+    Message::RelayedStart,
+    Message::RelayedStartReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[16] = {
+  static const char * const names[18] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -164,13 +174,15 @@
     "JobReply",
     "LinkPing",
     "LinkPong",
+    "RelayedStart",
+    "RelayedStartReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::LinkPong)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::RelayedStartReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -235,6 +247,14 @@
   static const Message enum_value = Message::LinkPong;
 };
 
+template<> struct MessageTraits<filbertspar::fbs::RelayedStart> {
+  static const Message enum_value = Message::RelayedStart;
+};
+
+template<> struct MessageTraits<filbertspar::fbs::RelayedStartReply> {
+  static const Message enum_value = Message::RelayedStartReply;
+};
+
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
@@ -1842,7 +1862,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NUMBER = 4,
-    VT_CONFIRMED = 6
+    VT_CONFIRMED = 6,
+    VT_ASK_FIRST = 8
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1850,10 +1871,14 @@
   bool confirmed() const {
     return GetField<uint8_t>(VT_CONFIRMED, 0) != 0;
   }
+  bool ask_first() const {
+    return GetField<uint8_t>(VT_ASK_FIRST, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            VerifyField<uint8_t>(verifier, VT_CONFIRMED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ASK_FIRST, 1) &&
            verifier.EndTable();
   }
 };
@@ -1868,6 +1893,9 @@
   void add_confirmed(bool confirmed) {
     fbb_.AddElement<uint8_t>(LinkPong::VT_CONFIRMED, static_cast<uint8_t>(confirmed), 0);
   }
+  void add_ask_first(bool ask_first) {
+    fbb_.AddElement<uint8_t>(LinkPong::VT_ASK_FIRST, static_cast<uint8_t>(ask_first), 0);
+  }
   explicit LinkPongBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1882,9 +1910,11 @@
 inline flatbuffers::Offset<LinkPong> CreateLinkPong(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t number = 0,
-    bool confirmed = false) {
+    bool confirmed = false,
+    bool ask_first = false) {
   LinkPongBuilder builder_(_fbb);
   builder_.add_number(number);
+  builder_.add_ask_first(ask_first);
   builder_.add_confirmed(confirmed);
   return builder_.Finish();
 }
@@ -1894,6 +1924,332 @@
   static auto constexpr Create = CreateLinkPong;
 };
 
+struct RelayedStart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RelayedStartBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_WORKER = 6,
+    VT_ADDRESS = 8,
+    VT_PORT = 10,
+    VT_JOB = 12,
+    VT_OCCURRENCE = 14,
+    VT_STEP = 16,
+    VT_TASK = 18,
+    VT_RUN = 20,
+    VT_DEADLINE_MS = 22,
+    VT_FENCING = 24,
+    VT_CHECKPOINT = 26,
+    VT_TICKET = 28,
+    VT_DIGEST = 30,
+    VT_PAYLOAD = 32,
+    VT_WAIT_MS = 34
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint16_t port() const {
+    return GetField<uint16_t>(VT_PORT, 0);
+  }
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  uint32_t occurrence() const {
+    return GetField<uint32_t>(VT_OCCURRENCE, 0);
+  }
+  uint32_t step() const {
+    return GetField<uint32_t>(VT_STEP, 0);
+  }
+  uint32_t task() const {
+    return GetField<uint32_t>(VT_TASK, 0);
+  }
+  uint64_t run() const {
+    return GetField<uint64_t>(VT_RUN, 0);
+  }
+  int64_t deadline_ms() const {
+    return GetField<int64_t>(VT_DEADLINE_MS, 0);
+  }
+  uint64_t fencing() const {
+    return GetField<uint64_t>(VT_FENCING, 0);
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  const flatbuffers::String *ticket() const {
+    return GetPointer<const flatbuffers::String *>(VT_TICKET);
+  }
+  const flatbuffers::String *digest() const {
+    return GetPointer<const flatbuffers::String *>(VT_DIGEST);
+  }
+  const flatbuffers::String *payload() const {
+    return GetPointer<const flatbuffers::String *>(VT_PAYLOAD);
+  }
+  uint32_t wait_ms() const {
+    return GetField<uint32_t>(VT_WAIT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<uint32_t>(verifier, VT_OCCURRENCE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_STEP, 4) &&
+           VerifyField<uint32_t>(verifier, VT_TASK, 4) &&
+           VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
+           VerifyField<int64_t>(verifier, VT_DEADLINE_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_FENCING, 8) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           VerifyOffset(verifier, VT_TICKET) &&
+           verifier.VerifyString(ticket()) &&
+           VerifyOffset(verifier, VT_DIGEST) &&
+           verifier.VerifyString(digest()) &&
+           VerifyOffset(verifier, VT_PAYLOAD) &&
+           verifier.VerifyString(payload()) &&
+           VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct RelayedStartBuilder {
+  typedef RelayedStart Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(RelayedStart::VT_NUMBER, number, 0);
+  }
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(RelayedStart::VT_WORKER, worker);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(RelayedStart::VT_ADDRESS, address);
+  }
+  void add_port(uint16_t port) {
+    fbb_.AddElement<uint16_t>(RelayedStart::VT_PORT, port, 0);
+  }
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(RelayedStart::VT_JOB, job);
+  }
+  void add_occurrence(uint32_t occurrence) {
+    fbb_.AddElement<uint32_t>(RelayedStart::VT_OCCURRENCE, occurrence, 0);
+  }
+  void add_step(uint32_t step) {
+    fbb_.AddElement<uint32_t>(RelayedStart::VT_STEP, step, 0);
+  }
+  void add_task(uint32_t task) {
+    fbb_.AddElement<uint32_t>(RelayedStart::VT_TASK, task, 0);
+  }
+  void add_run(uint64_t run) {
+    fbb_.AddElement<uint64_t>(RelayedStart::VT_RUN, run, 0);
+  }
+  void add_deadline_ms(int64_t deadline_ms) {
+    fbb_.AddElement<int64_t>(RelayedStart::VT_DEADLINE_MS, deadline_ms, 0);
+  }
+  void add_fencing(uint64_t fencing) {
+    fbb_.AddElement<uint64_t>(RelayedStart::VT_FENCING, fencing, 0);
+  }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(RelayedStart::VT_CHECKPOINT, checkpoint);
+  }
+  void add_ticket(flatbuffers::Offset<flatbuffers::String> ticket) {
+    fbb_.AddOffset(RelayedStart::VT_TICKET, ticket);
+  }
+  void add_digest(flatbuffers::Offset<flatbuffers::String> digest) {
+    fbb_.AddOffset(RelayedStart::VT_DIGEST, digest);
+  }
+  void add_payload(flatbuffers::Offset<flatbuffers::String> payload) {
+    fbb_.AddOffset(RelayedStart::VT_PAYLOAD, payload);
+  }
+  void add_wait_ms(uint32_t wait_ms) {
+    fbb_.AddElement<uint32_t>(RelayedStart::VT_WAIT_MS, wait_ms, 0);
+  }
+  explicit RelayedStartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RelayedStart> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RelayedStart>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RelayedStart> CreateRelayedStart(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint16_t port = 0,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    uint32_t occurrence = 0,
+    uint32_t step = 0,
+    uint32_t task = 0,
+    uint64_t run = 0,
+    int64_t deadline_ms = 0,
+    uint64_t fencing = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
+    flatbuffers::Offset<flatbuffers::String> ticket = 0,
+    flatbuffers::Offset<flatbuffers::String> digest = 0,
+    flatbuffers::Offset<flatbuffers::String> payload = 0,
+    uint32_t wait_ms = 0) {
+  RelayedStartBuilder builder_(_fbb);
+  builder_.add_fencing(fencing);
+  builder_.add_deadline_ms(deadline_ms);
+  builder_.add_run(run);
+  builder_.add_number(number);
+  builder_.add_wait_ms(wait_ms);
+  builder_.add_payload(payload);
+  builder_.add_digest(digest);
+  builder_.add_ticket(ticket);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_task(task);
+  builder_.add_step(step);
+  builder_.add_occurrence(occurrence);
+  builder_.add_job(job);
+  builder_.add_address(address);
+  builder_.add_worker(worker);
+  builder_.add_port(port);
+  return builder_.Finish();
+}
+
+struct RelayedStart::Traits {
+  using type = RelayedStart;
+  static auto constexpr Create = CreateRelayedStart;
+};
+
+inline flatbuffers::Offset<RelayedStart> CreateRelayedStartDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const char *worker = nullptr,
+    const char *address = nullptr,
+    uint16_t port = 0,
+    const char *job = nullptr,
+    uint32_t occurrence = 0,
+    uint32_t step = 0,
+    uint32_t task = 0,
+    uint64_t run = 0,
+    int64_t deadline_ms = 0,
+    uint64_t fencing = 0,
+    const char *checkpoint = nullptr,
+    const char *ticket = nullptr,
+    const char *digest = nullptr,
+    const char *payload = nullptr,
+    uint32_t wait_ms = 0) {
+  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  auto ticket__ = ticket ? _fbb.CreateString(ticket) : 0;
+  auto digest__ = digest ? _fbb.CreateString(digest) : 0;
+  auto payload__ = payload ? _fbb.CreateString(payload) : 0;
+  return filbertspar::fbs::CreateRelayedStart(
+      _fbb,
+      number,
+      worker__,
+      address__,
+      port,
+      job__,
+      occurrence,
+      step,
+      task,
+      run,
+      deadline_ms,
+      fencing,
+      checkpoint__,
+      ticket__,
+      digest__,
+      payload__,
+      wait_ms);
+}
+
+struct RelayedStartReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RelayedStartReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_OUTCOME = 6,
+    VT_RESULT = 8,
+    VT_CLOCK_MS = 10
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint8_t outcome() const {
+    return GetField<uint8_t>(VT_OUTCOME, 0);
+  }
+  uint8_t result() const {
+    return GetField<uint8_t>(VT_RESULT, 0);
+  }
+  int64_t clock_ms() const {
+    return GetField<int64_t>(VT_CLOCK_MS, -1LL);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RESULT, 1) &&
+           VerifyField<int64_t>(verifier, VT_CLOCK_MS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct RelayedStartReplyBuilder {
+  typedef RelayedStartReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(RelayedStartReply::VT_NUMBER, number, 0);
+  }
+  void add_outcome(uint8_t outcome) {
+    fbb_.AddElement<uint8_t>(RelayedStartReply::VT_OUTCOME, outcome, 0);
+  }
+  void add_result(uint8_t result) {
+    fbb_.AddElement<uint8_t>(RelayedStartReply::VT_RESULT, result, 0);
+  }
+  void add_clock_ms(int64_t clock_ms) {
+    fbb_.AddElement<int64_t>(RelayedStartReply::VT_CLOCK_MS, clock_ms, -1LL);
+  }
+  explicit RelayedStartReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RelayedStartReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RelayedStartReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RelayedStartReply> CreateRelayedStartReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint8_t outcome = 0,
+    uint8_t result = 0,
+    int64_t clock_ms = -1LL) {
+  RelayedStartReplyBuilder builder_(_fbb);
+  builder_.add_clock_ms(clock_ms);
+  builder_.add_number(number);
+  builder_.add_result(result);
+  builder_.add_outcome(outcome);
+  return builder_.Finish();
+}
+
+struct RelayedStartReply::Traits {
+  using type = RelayedStartReply;
+  static auto constexpr Create = CreateRelayedStartReply;
+};
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   struct Traits;
@@ -1958,6 +2314,12 @@
   const filbertspar::fbs::LinkPong *message_as_LinkPong() const {
     return message_type() == filbertspar::fbs::Message::LinkPong ? static_cast<const filbertspar::fbs::LinkPong *>(message()) : nullptr;
   }
+  const filbertspar::fbs::RelayedStart *message_as_RelayedStart() const {
+    return message_type() == filbertspar::fbs::Message::RelayedStart ? static_cast<const filbertspar::fbs::RelayedStart *>(message()) : nullptr;
+  }
+  const filbertspar::fbs::RelayedStartReply *message_as_RelayedStartReply() const {
+    return message_type() == filbertspar::fbs::Message::RelayedStartReply ? static_cast<const filbertspar::fbs::RelayedStartReply *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SESSION, 8) &&
@@ -2025,6 +2387,14 @@
   return message_as_LinkPong();
 }
 
+template<> inline const filbertspar::fbs::RelayedStart *Envelope::message_as<filbertspar::fbs::RelayedStart>() const {
+  return message_as_RelayedStart();
+}
+
+template<> inline const filbertspar::fbs::RelayedStartReply *Envelope::message_as<filbertspar::fbs::RelayedStartReply>() const {
+  return message_as_RelayedStartReply();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2132,6 +2502,14 @@
       auto ptr = reinterpret_cast<const filbertspar::fbs::LinkPong *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::RelayedStart: {
+      auto ptr = reinterpret_cast<const filbertspar::fbs::RelayedStart *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::RelayedStartReply: {
+      auto ptr = reinterpret_cast<const filbertspar::fbs::RelayedStartReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/tests/node_operations_page_test.cc
+++ b/tests/node_operations_page_test.cc
@@ -49,6 +49,8 @@
         "filbertspar/node/src/link_client.cc",
         "filbertspar/node/src/store_client.cc",
         "filbertspar/node/src/worker_connections.cc",
+        "filbertspar/node/src/worker_connections_starts.cc",
+        "filbertspar/node/src/start_relay.cc",
         "filbertspar/node/src/configuration.cc", "filbertspar/node/src/node.cc",
         "filbertspar/scheduler/src/jobs.cc",
         "filbertspar/scheduler/src/workers.cc",
--- a/tests/ownership_claim_test.cc
+++ b/tests/ownership_claim_test.cc
@@ -40,6 +40,22 @@
                     kNow));
 }
 
+// Guards against owners that replace each other while each still reads the
+// stored jobs over a slow link, so that none ever schedules.
+TEST_CASE("a VM that has just become the owner gets more time") {
+  OwnerView view = ViewOf(Milliseconds(1500), LinkHealth::kSilent);
+  view.m_owner_first_seen = kNow - Seconds(2);
+  CHECK_FALSE(ShouldClaim(view, kSelf, kNow));
+  view.m_owner_first_seen = kNow - Seconds(10);
+  CHECK(ShouldClaim(view, kSelf, kNow));
+  view = ViewOf(Milliseconds(2500), LinkHealth::kSilent);
+  view.m_owner_first_seen = kNow - Seconds(3);
+  CHECK(ShouldClaim(view, kSelf, kNow));
+  view = ViewOf(Milliseconds(300), LinkHealth::kRefused);
+  view.m_owner_first_seen = kNow - Seconds(2);
+  CHECK(ShouldClaim(view, kSelf, kNow));
+}
+
 // Guards against a change of owner because the store is slow for all VMs.
 TEST_CASE("a slow store delays the claim") {
   OwnerView view = ViewOf(Milliseconds(1500), LinkHealth::kSilent);
--- a/tests/platform/adapter_codec_test.cc
+++ b/tests/platform/adapter_codec_test.cc
@@ -175,6 +175,8 @@
                        "set_keys":[{"table":"t","part":"p","key":"k",
                          "value":"aGk="}],
                        "remove":[{"table":"u","part":"p","key":"old"}]})"));
+  CHECK(MakeReadRequest("t", "0", "a", 20).target() ==
+        "/rows-get?table=t&part=0&from=a&limit=20");
   CHECK(MakeReadRequest("t", "0", "a\x01").target() ==
         "/rows-get?table=t&part=0&from=a%01");
 }
--- a/tests/scheduler_starts_test.cc
+++ b/tests/scheduler_starts_test.cc
@@ -50,6 +50,29 @@
   CHECK(worker.m_running.size() == 2);
 }
 
+// A worker that was just added has answered once and holds no lease yet. A task
+// planned on it must not be given up as lost, which would record another start
+// of it and delay it by another write.
+TEST_CASE("a start that waits for the store needs no lease of its worker") {
+  Simulation simulation;
+  simulation.AddWorker("w1", "p", 8);
+  Scheduler& owner = *simulation.m_owner;
+  const TimePoint now = simulation.m_now;
+  WorkerStatus status;
+  status.m_clock_ms = 1000;
+  status.m_incarnation = 1;
+  HandlePollResponse(owner, now, now, 0, status);
+  AddJob(owner, now, Simulation::MakeJob("job", "p", 2, Seconds(2)));
+  Dispatch(owner, now);
+  ExpireLeases(owner, now + Milliseconds(100));
+  Dispatch(owner, now + Milliseconds(100));
+  for (std::uint32_t i = 0; i < 2; ++i) {
+    const Task& task = FindTask(owner, {JobId("job"), 0, 0, i}).GetTask();
+    CHECK(task.m_phase == TaskPhase::kStarting);
+    CHECK(task.m_run == 1);
+  }
+}
+
 // Work must not stop for as long as the store is down, and the recorded starts
 // must not be reported as complete while they are not.
 TEST_CASE("starts sent without a record are reported as unrecorded") {
--- a/tests/scheduler_worker_test.cc
+++ b/tests/scheduler_worker_test.cc
@@ -239,5 +239,29 @@
   CHECK(worker.m_running[best_effort_task].m_speed_percent == 100);
 }
 
+// A VM whose own link is loaded hears late from workers that are well. Their
+// running tasks must neither be given up nor started elsewhere.
+TEST_CASE("an owner with a loaded link keeps renewing leases for a while") {
+  Simulation simulation;
+  FakeWorker& silent = simulation.AddWorker("w1", "p", 8);
+  REQUIRE(simulation.Submit(Simulation::MakeJob("job", "p", 4, Seconds(8))));
+  simulation.RunFor(Milliseconds(500));
+  REQUIRE(silent.m_running.size() == 4);
+  Scheduler& owner = *simulation.m_owner;
+  const TimePoint before = owner.m_workers[0].m_lease_until;
+  const TimePoint later = simulation.m_now + Seconds(1);
+  HandlePollFailure(owner, 0);
+  CHECK_FALSE(GrantLease(owner, later, 0).has_value());
+  CHECK(owner.m_workers[0].m_lease_until == before);
+  owner.m_options.m_unanswered_renewals = 2;
+  CHECK(GrantLease(owner, later, 0).has_value());
+  CHECK(owner.m_workers[0].m_lease_until > before);
+  HandlePollFailure(owner, 0);
+  CHECK(GrantLease(owner, later, 0).has_value());
+  // A worker that is gone is given up in the end.
+  HandlePollFailure(owner, 0);
+  CHECK_FALSE(GrantLease(owner, later, 0).has_value());
+}
+
 }  // namespace
 }  // namespace filbertspar::scheduler
--- a/tests/wire_messages.h
+++ b/tests/wire_messages.h
@@ -68,7 +68,7 @@
 
 /// One message of the kind at `index` of the variant.
 inline Message AnyMessage(std::size_t index) {
-  static_assert(std::variant_size_v<Message> == 14);
+  static_assert(std::variant_size_v<Message> == 16);
   switch (index) {
     case 0:
       return Hello{AnyName<NodeName>(), AnyName<VmName>(),
@@ -110,7 +110,7 @@
                        AnyInt()};
     case 10:
       return JobCall{AnyNumber(),
-                     static_cast<JobVerb>(*rc::gen::inRange(0, 4)),
+                     static_cast<JobVerb>(*rc::gen::inRange(0, 5)),
                      *Bytes(40),
                      *Bytes(40),
                      *Bytes(40),
@@ -127,8 +127,31 @@
       return LinkPing{AnyNumber(),
                       Milliseconds(*rc::gen::arbitrary<std::uint32_t>()),
                       Millicores(AnyInt()), AnyBool()};
+    case 13:
+      return LinkPong{AnyNumber(), AnyBool(), AnyBool()};
+    case 14: {
+      RelayedStart start;
+      start.m_number = AnyNumber();
+      start.m_worker = *Bytes(40);
+      start.m_endpoint = {*Bytes(40), *rc::gen::arbitrary<std::uint16_t>()};
+      start.m_job = *Bytes(40);
+      start.m_occurrence = *rc::gen::arbitrary<std::uint32_t>();
+      start.m_step = *rc::gen::arbitrary<std::uint32_t>();
+      start.m_task = *rc::gen::arbitrary<std::uint32_t>();
+      start.m_run = AnyNumber();
+      start.m_deadline_ms = AnyInt();
+      start.m_fencing = FencingNumber(AnyNumber());
+      start.m_checkpoint = *Bytes(40);
+      start.m_ticket = *Bytes(40);
+      start.m_digest = *Bytes(40);
+      start.m_payload = *Bytes(400);
+      start.m_wait = Milliseconds(*rc::gen::arbitrary<std::uint32_t>());
+      return start;
+    }
     default:
-      return LinkPong{AnyNumber(), AnyBool()};
+      return RelayedStartReply{
+          AnyNumber(), static_cast<RelayOutcome>(*rc::gen::inRange(0, 4)),
+          *rc::gen::arbitrary<std::uint8_t>(), AnyInt()};
   }
 }
 
