Let a large configuration arrive on a slow link

Ruled out: the store (it answered), the decoder (2 VMs had it in force).

Change: the time-outs of reads and feeds allow for 400 kB on the VM's own link: 2.2 s at 2 Mbit/s, 0.2 s at 20, 4 ms at 1000.

--- a/filbertspar/node/src/store_client.cc
+++ b/filbertspar/node/src/store_client.cc
@@ -17,6 +17,9 @@
 /// Responses further apart than this do not count as one continuous contact.
 constexpr Duration kMaxContactGap = Milliseconds(1500);
 constexpr Duration kReadTimeout = Milliseconds(1500);
+/// A configuration with many routes is one row of this size. A time-out that
+/// its transfer exceeds would repeat it for ever.
+constexpr std::size_t kLargeAnswerBytes = 400 << 10;
 /// A page of rows takes about this long on the VM's link, so that answers to
 /// other calls are not held up behind a large read.
 constexpr Duration kPageTime = Milliseconds(100);
@@ -48,6 +51,10 @@
       m_read_rate(MakeRateBucket(rates.m_reads_per_s * kReadRateShare)),
       m_write_rate(MakeRateBucket(rates.m_writes_per_s * kWriteRateShare)) {}
 
+Duration StoreClient::TransferAllowance() const {
+  return TimeOnLink(m_traffic.Budget(), kLargeAnswerBytes, 1);
+}
+
 asio::awaitable<void> StoreClient::WaitForToken(TokenBucket& bucket) {
   while (!TakeToken(bucket, BootNow())) {
     const TimePoint now = BootNow();
@@ -144,7 +151,7 @@
   co_await WaitForToken(m_read_rate);
   co_return co_await Call("feed",
                           adapter::MakeChangeFeedRequest(table, after, wait),
-                          wait + kFeedTimeoutMargin);
+                          wait + kFeedTimeoutMargin + TransferAllowance());
 }
 
 asio::awaitable<StoreResponse> StoreClient::ReadAll(std::string table,
@@ -152,7 +159,8 @@
   StoreResponse all;
   std::string from;
   while (true) {
-    StoreResponse page = co_await Read(table, partition, from, kReadTimeout);
+    StoreResponse page = co_await Read(table, partition, from,
+                                       kReadTimeout + TransferAllowance());
     if (page.m_result != StoreResult::kDone) {
       co_return page;
     }
--- a/filbertspar/node/src/store_client.h
+++ b/filbertspar/node/src/store_client.h
@@ -62,6 +62,8 @@
 
   asio::awaitable<StoreResponse> Call(std::string_view kind,
                                       HttpRequest request, Duration timeout);
+  /// Time that a large answer needs on this VM's link.
+  Duration TransferAllowance() const;
   asio::awaitable<void> WaitForToken(TokenBucket& bucket);
   void UpdateReachability(StoreResult result, TimePoint sent);
 
