Watch the owner's row while its link is late; relay only through VMs that can

Ruled out: the store and the claim itself (0.02 s). Beside it: a release before RelayedStart closes the link when it is asked to relay, so that a roll-out would have cut links on a loaded owner.

Change: after 0.4 s without a message the link is late: the row is read every 0.25 s but not claimed. Pings say whether the sender relays starts.

--- a/filbertspar/node/src/link_client.cc
+++ b/filbertspar/node/src/link_client.cc
@@ -21,6 +21,8 @@
 /// Time without a received message after which the link is closed and
 /// reopened.
 constexpr Duration kSilenceTimeout = Milliseconds(750);
+/// Time without a received message after which the owner counts as late.
+constexpr Duration kLateTimeout = Milliseconds(400);
 constexpr Duration kConnectTimeout = Milliseconds(500);
 constexpr Duration kRetryDelay = Milliseconds(100);
 
@@ -207,6 +209,10 @@
       Close(link);
       co_return;
     }
+    if (BootNow() - link->m_last_received_at > kLateTimeout &&
+        m_health == LinkHealth::kGood) {
+      SetHealth(LinkHealth::kLate);
+    }
     if (link->m_session->CanSend()) {
       LinkPing ping = m_describe ? m_describe() : LinkPing();
       ping.m_number = ++number;
--- a/filbertspar/node/src/link_server.cc
+++ b/filbertspar/node/src/link_server.cc
@@ -159,6 +159,7 @@
     peer.m_store_age = ping->m_store_age;
     peer.m_cpu_capacity = ping->m_cpu_capacity;
     peer.m_willing = ping->m_willing;
+    peer.m_relays_starts = ping->m_relays_starts;
     Send(link, link->m_session->Wrap(
                    LinkPong{ping->m_number, m_confirmed && m_confirmed(),
                             ShouldAskFirst(m_traffic.Received(), BootNow())}));
@@ -284,7 +285,7 @@
 bool LinkServer::CanRelay(const VmName& vm) const {
   const auto peer = m_state->m_peers.find(vm);
   if (peer == m_state->m_peers.end() || !peer->second.m_connected ||
-      !peer->second.m_willing ||
+      !peer->second.m_willing || !peer->second.m_relays_starts ||
       BootNow() - peer->second.m_last_ping_at > kRelayPingAge) {
     return false;
   }
--- a/filbertspar/node/src/node.cc
+++ b/filbertspar/node/src/node.cc
@@ -289,6 +289,7 @@
         reached == TimePoint::min() ? Seconds(3600) : BootNow() - reached;
     ping.m_cpu_capacity = parts.m_options.m_cpu_capacity;
     ping.m_willing = parts.m_watch.IsWilling();
+    ping.m_relays_starts = true;
     return ping;
   });
   parts.m_watch.Start([&parts](OwnerWatch::WonClaim won) {
--- a/filbertspar/ownership/src/claim.cc
+++ b/filbertspar/ownership/src/claim.cc
@@ -50,6 +50,7 @@
     case LinkHealth::kStoreUnreachable:
       return kStoreUnreachableTimeout + allowance;
     case LinkHealth::kSilent:
+    case LinkHealth::kLate:
     case LinkHealth::kGood:
       break;
   }
@@ -72,6 +73,11 @@
   if (view.m_link == LinkHealth::kGood) {
     return kHealthyReadPeriod;
   }
+  // While the link is late the row is read, so that the time for which it has
+  // not changed is known when the link counts as silent.
+  if (view.m_link == LinkHealth::kLate) {
+    return kMaxSuspectReadPeriod;
+  }
   // A store that answers reads slowly also delays the owner's writes.
   const Duration unchanged = view.m_confirmed_at - view.m_version_first_seen -
                              view.m_read_time * kReadsPerWrite;
--- a/filbertspar/ownership/src/claim.h
+++ b/filbertspar/ownership/src/claim.h
@@ -10,6 +10,8 @@
 enum class LinkHealth : std::uint8_t {
   /// The owner answers and reports that it reaches the store.
   kGood,
+  /// The owner's last answer is overdue.
+  kLate,
   /// The owner answers and reports that it does not reach the store.
   kStoreUnreachable,
   /// The owner does not answer in time.
--- a/filbertspar/wire/src/decode.cc
+++ b/filbertspar/wire/src/decode.cc
@@ -182,6 +182,7 @@
   m.m_store_age = Milliseconds(t.store_age_ms());
   m.m_cpu_capacity = Millicores(t.strength());
   m.m_willing = t.willing();
+  m.m_relays_starts = t.relays_starts();
 }
 
 void Read(Reader& /*r*/, const fbs::LinkPong& t, LinkPong& m) {
--- a/filbertspar/wire/src/messages.h
+++ b/filbertspar/wire/src/messages.h
@@ -211,6 +211,9 @@
   Millicores m_cpu_capacity;
   /// Whether the sender may become the owner.
   bool m_willing = false;
+  /// Whether the sender can be asked to send starts; releases before
+  /// RelayedStart close the link when they are asked.
+  bool m_relays_starts = false;
 
   friend bool operator==(const LinkPing&, const LinkPing&) = default;
 };
--- a/filbertspar/wire/src/peer_generated.h
+++ b/filbertspar/wire/src/peer_generated.h
@@ -1787,7 +1787,8 @@
     VT_NUMBER = 4,
     VT_STORE_AGE_MS = 6,
     VT_STRENGTH = 8,
-    VT_WILLING = 10
+    VT_WILLING = 10,
+    VT_RELAYS_STARTS = 12
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1801,12 +1802,16 @@
   bool willing() const {
     return GetField<uint8_t>(VT_WILLING, 0) != 0;
   }
+  bool relays_starts() const {
+    return GetField<uint8_t>(VT_RELAYS_STARTS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            VerifyField<uint32_t>(verifier, VT_STORE_AGE_MS, 4) &&
            VerifyField<int64_t>(verifier, VT_STRENGTH, 8) &&
            VerifyField<uint8_t>(verifier, VT_WILLING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RELAYS_STARTS, 1) &&
            verifier.EndTable();
   }
 };
@@ -1827,6 +1832,9 @@
   void add_willing(bool willing) {
     fbb_.AddElement<uint8_t>(LinkPing::VT_WILLING, static_cast<uint8_t>(willing), 0);
   }
+  void add_relays_starts(bool relays_starts) {
+    fbb_.AddElement<uint8_t>(LinkPing::VT_RELAYS_STARTS, static_cast<uint8_t>(relays_starts), 0);
+  }
   explicit LinkPingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1843,11 +1851,13 @@
     uint64_t number = 0,
     uint32_t store_age_ms = 0,
     int64_t strength = 0,
-    bool willing = false) {
+    bool willing = false,
+    bool relays_starts = false) {
   LinkPingBuilder builder_(_fbb);
   builder_.add_strength(strength);
   builder_.add_number(number);
   builder_.add_store_age_ms(store_age_ms);
+  builder_.add_relays_starts(relays_starts);
   builder_.add_willing(willing);
   return builder_.Finish();
 }
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,9 +18,9 @@
 from soak.site import Site
 
 
-async def play(seed, seconds, slot, folder, plant, nodes, vms):
+async def play(seed, seconds, slot, folder, plant, nodes, vms, link_mbps):
     rng = random.Random(seed)
-    site = Site(seed, folder, slot, nodes, vms)
+    site = Site(seed, folder, slot, nodes, vms, link_mbps)
     plants.before(plant, site)
     await site.start()
     await asyncio.sleep(2)
@@ -49,6 +49,8 @@
     parser.add_argument("--runs", type=int, default=1, help="seeds one after the other")
     parser.add_argument("--nodes", type=int, default=6)
     parser.add_argument("--vms", type=int, default=12)
+    parser.add_argument("--link-mbps", type=float, default=1000,
+                        help="bandwidth that the nodes are told; with 0.1 they relay starts and offer jobs")
     parser.add_argument("--slot", type=int, default=20, help="second number of the loopback addresses")
     parser.add_argument("--plant", choices=plants.NAMES, help="break a promise on purpose")
     arguments = parser.parse_args()
@@ -58,7 +60,7 @@
     for seed in range(arguments.seed, arguments.seed + arguments.runs):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         site, injected = asyncio.run(play(seed, arguments.seconds, arguments.slot, folder, arguments.plant,
-                                          arguments.nodes, arguments.vms))
+                                          arguments.nodes, arguments.vms, arguments.link_mbps))
         report(seed, site, injected, folder)
         if arguments.plant:
             found = {promise for _, promise, _ in site.promises.violations}
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,6 +20,8 @@
         self.lasts = rng.random() < 0.05
         self.is_poison = not self.lasts and rng.random() < 0.05
         self.attempts = queue.attempts
+        # As long as a usual payload, and no other job's.
+        self.spec = f"{self.id} " + "x" * rng.randint(500, 2500)
         self.is_cancelled = False
         self.accepted_at = None
 
@@ -33,7 +35,7 @@
             if self.lasts:
                 step["long_running"] = True
             steps.append(step)
-        return {"spec": "soak", "steps": steps}
+        return {"spec": self.spec, "steps": steps}
 
 
 class Jobs:
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -22,6 +22,7 @@
 link_port = 7000
 metrics_port = 9464
 cpu_share = {cpu_share}
+link_mbps = {link_mbps}
 
 [store]
 address = {ip}:8344
@@ -54,12 +55,12 @@
 class Node:
     CALLER_PORT = 8340
 
-    def __init__(self, name, zone, ip, cpu_share, store_address, fleet_address, folder):
+    def __init__(self, name, zone, ip, cpu_share, link_mbps, store_address, fleet_address, folder):
         self.name, self.ip = name, ip
         self.store_path = Proxy(store_address)
         self._settings = folder / f"{name}.ini"
         self._settings.write_text(SETTINGS.format(
-            name=name, zone=zone, ip=ip, cpu_share=cpu_share, grace=GRACE_S,
+            name=name, zone=zone, ip=ip, cpu_share=cpu_share, link_mbps=link_mbps, grace=GRACE_S,
             fleet="%s:%d" % fleet_address))
         self._log = open(folder / f"{name}.log", "ab")
         self.process = None
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -24,7 +24,7 @@
         if not holds:
             self.violations.append((time.monotonic(), promise, detail))
 
-    def run_started(self, task, number, worker, pool):
+    def run_started(self, task, number, worker, pool, spec):
         job = self.jobs.of_task(task)
         self._running[task][(worker, number)] = time.monotonic()
         self.check(len(self._running[task]) == 1, "one-run",
@@ -36,6 +36,7 @@
         self.check(submit is not None and submit != "refused", "true-refusal",
                    f"{task} runs, its job was {submit or 'never sent'}")
         self.check(pool == job.queue.pool, "placement", f"{task} runs in {pool}, its queue is of {job.queue.pool}")
+        self.check(spec == job.spec, "payload", f"{task} was started with another job's payload")
         held = sum(self.jobs.of_task(each).cpu * len(runs) for each, runs in self._running.items()
                    if runs and self.jobs.of_task(each).workspace == job.workspace)
         ceiling = self.ceilings[job.workspace]
--- a/soak/site.py
+++ b/soak/site.py
@@ -50,7 +50,7 @@
 
 
 class Site:
-    def __init__(self, seed, folder, slot, nodes=6, vms=12):
+    def __init__(self, seed, folder, slot, nodes=6, vms=12, link_mbps=1000):
         self._rng = random.Random(seed)
         self._folder, self._net = folder, f"127.{slot}"
         self.began = time.monotonic()
@@ -69,7 +69,7 @@
         self._waves = 0
         self._log = open(folder / "soak.log", "w")
         self.nodes = [Node(f"node-{i}", f"zone-{i % 3}", f"{self._net}.3.{i + 1}", 0.5 if i < 3 else 0.2,
-                           (f"{self._net}.1.1", 8344), (f"{self._net}.1.2", 8344), folder) for i in range(nodes)]
+                           link_mbps, (f"{self._net}.1.1", 8344), (f"{self._net}.1.2", 8344), folder) for i in range(nodes)]
         for i in range(vms):
             vm = Vm(f"vm-{i}", ["pool-a", "pool-b", "standby"][i % 3], f"zone-{i % 3}", f"rack-{i % 4}", 8)
             self.fleet.vms[vm.name] = vm
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -145,7 +145,7 @@
         if fails or "fail_all" in self.faults:
             run.how, run.ends_at = "failed", time.monotonic() + 0.1
         self.running[task] = run
-        self._promises.run_started(task, number, self.name, self._pool)
+        self._promises.run_started(task, number, self.name, self._pool, body["spec"])
         return 200, {}
 
     def _extend(self, deadline_ms):
--- a/tests/ownership_claim_test.cc
+++ b/tests/ownership_claim_test.cc
@@ -40,6 +40,17 @@
                     kNow));
 }
 
+// A VM reads the row of an owner that answers only every few seconds. Guards
+// against starting to watch the row only when the link counts as silent, which
+// leaves callers without an owner for as much longer.
+TEST_CASE("the row of an owner that is late is read but not claimed") {
+  const OwnerView late = ViewOf(Seconds(9), LinkHealth::kLate);
+  CHECK_FALSE(ShouldClaim(late, kSelf, kNow));
+  CHECK(TimeToNextOwnerRead(late, kSelf, kNow) <= Milliseconds(250));
+  CHECK(TimeToNextOwnerRead(ViewOf(Seconds(9), LinkHealth::kGood), kSelf,
+                            kNow) >= Seconds(1));
+}
+
 // Guards against owners that replace each other while each still reads the
 // stored jobs over a slow link, so that none ever schedules.
 TEST_CASE("a VM that has just become the owner gets more time") {
--- a/tests/wire_fuzz_test.cc
+++ b/tests/wire_fuzz_test.cc
@@ -45,7 +45,7 @@
       {1, 9, GrantHint{node, TeamName("t"), 3, 1}},
       {1, 10, JobCall{1, JobVerb::kSubmit, "q", "w", "j", "body", Seconds(1)}},
       {1, 11, JobReply{1, Code::kOk, 2, 3, Seconds(1)}},
-      {1, 12, LinkPing{4, Seconds(1), Millicores(250), true}},
+      {1, 12, LinkPing{4, Seconds(1), Millicores(250), true, true}},
       {1, 13, LinkPong{4, true, true}},
       {1, 14,
        RelayedStart{1, "w", Endpoint{"10.0.0.1", 80}, "j", 0, 1, 2, 3, 4,
--- a/tests/wire_messages.h
+++ b/tests/wire_messages.h
@@ -126,7 +126,7 @@
     case 12:
       return LinkPing{AnyNumber(),
                       Milliseconds(*rc::gen::arbitrary<std::uint32_t>()),
-                      Millicores(AnyInt()), AnyBool()};
+                      Millicores(AnyInt()), AnyBool(), AnyBool()};
     case 13:
       return LinkPong{AnyNumber(), AnyBool(), AnyBool()};
     case 14: {
