Count the leases of an owner that went on while the store was away

The owner goes on ordering workers, as it should when nobody can replace it. When the store returns, another VM reaches it first and claims the row, which has not changed for 4.5 s; it takes the previous owner for silent since then, its leases for expired, and starts tasks of adopted runs elsewhere 5 ms after it found them running. Ruled out: the link budget (these links have 1000 Mbit/s), the claim (safe by version and fencing number).

Change: the previous owner may have acted until this VM's uninterrupted contact with the store began. The decision is a pure function with a test.

--- a/filbertspar/node/src/owner_watch.cc
+++ b/filbertspar/node/src/owner_watch.cc
@@ -127,7 +127,8 @@
       FencingNumber(m_view.m_record ? m_view.m_record->m_epoch.Value() + 1 : 1);
   claim.m_write_number = 0;
   claim.m_released = false;
-  const TimePoint previous_silent_since = m_view.m_version_first_seen;
+  const TimePoint previous_silent_since =
+      LastEvidenceOfOwner(m_view, m_store.ReachedSince());
   const bool all_recorded =
       CanRelyOnRecordedStarts(m_view, m_store.ReachedSince(), BootNow());
   claim.m_all_starts_recorded = all_recorded;
--- a/filbertspar/ownership/src/claim.cc
+++ b/filbertspar/ownership/src/claim.cc
@@ -107,6 +107,14 @@
           now - reached_since > kMinStoreContact);
 }
 
+TimePoint LastEvidenceOfOwner(const OwnerView& view, TimePoint reached_since) {
+  // While no VM reaches the store the owner goes on without confirmations; it
+  // learns with the next ping that this VM reaches the store again.
+  return reached_since == TimePoint::max()
+             ? view.m_version_first_seen
+             : std::max(view.m_version_first_seen, reached_since);
+}
+
 bool ShouldClaim(const OwnerView& view, const Candidate& self, TimePoint now) {
   return view.m_has_read && TimeToClaim(view, self, now) <= Duration(0);
 }
--- a/filbertspar/ownership/src/claim.h
+++ b/filbertspar/ownership/src/claim.h
@@ -62,6 +62,12 @@
 bool CanRelyOnRecordedStarts(const OwnerView& view, TimePoint reached_since,
                              TimePoint now);
 
+/// \brief Latest time at which the owner's last write may have been confirmed
+/// to it, or at which it may have known that no VM reaches the store. It stops
+/// sending orders a bounded time after both. `reached_since` is the start of
+/// this VM's uninterrupted contact with the store.
+TimePoint LastEvidenceOfOwner(const OwnerView& view, TimePoint reached_since);
+
 /// \brief Time until the owner row should be read again.
 Duration TimeToNextOwnerRead(const OwnerView& view, const Candidate& self,
                              TimePoint now);
--- a/tests/ownership_claim_test.cc
+++ b/tests/ownership_claim_test.cc
@@ -40,6 +40,19 @@
                     kNow));
 }
 
+// An owner goes on ordering workers while the store is away for all VMs. Guards
+// against a next owner, the first to reach the store again, that takes the
+// leases of those orders for expired and starts running tasks elsewhere.
+TEST_CASE("an owner may have acted until the store could be reached again") {
+  const OwnerView view = ViewOf(Milliseconds(4500), LinkHealth::kSilent);
+  CHECK(LastEvidenceOfOwner(view, kNow - Milliseconds(2)) ==
+        kNow - Milliseconds(2));
+  CHECK(LastEvidenceOfOwner(view, kNow - Seconds(60)) ==
+        kNow - Milliseconds(4500));
+  CHECK(LastEvidenceOfOwner(view, TimePoint::max()) ==
+        kNow - Milliseconds(4500));
+}
+
 // A VM reads the row of an owner that answers only every few seconds. Guards
 // against starting to watch the row only when the link counts as silent, which
 // leaves callers without an owner for as much longer.
