Say at start when workers take orders in a way that is not supported

Cause: on a deployment whose workers take commands with their reports (commands = heartbeat) nothing is served and no line says why.

Change: the settings carry the platform's word, the adapter says whether it is supported, the process logs setting_not_supported once at start.

Unit tests of adapter, settings and node pass.

--- a/filbertspar/node/src/node.cc
+++ b/filbertspar/node/src/node.cc
@@ -13,6 +13,7 @@
 #include "filbertspar/node/src/job_api.h"
 #include "filbertspar/node/src/metric_names.h"
 #include "filbertspar/node/src/random.h"
+#include "platform/platform.h"
 
 namespace filbertspar {
 namespace {
@@ -275,6 +276,12 @@
                    absl::StrCat("vm=", parts.m_options.m_vm.Value(),
                                 " zone=", parts.m_options.m_zone.Value(),
                                 " incarnation=", parts.m_incarnation));
+  if (!adapter::IsSupportedOrderMode(parts.m_options.m_worker_orders)) {
+    parts.m_log.Warn("node", "setting_not_supported",
+                     absl::StrCat("key=workers.orders value=",
+                                  parts.m_options.m_worker_orders,
+                                  " effect=\"no task will be started\""));
+  }
   parts.m_configuration.Start([&parts] {
     if (parts.m_owner_term != nullptr) {
       parts.m_owner_term->ConfigChanged();
--- a/filbertspar/node/src/options.cc
+++ b/filbertspar/node/src/options.cc
@@ -55,6 +55,7 @@
       settings.GetOptionalEndpoint("recommendation.address");
   options.m_worker_report_interval = settings.GetMilliseconds(
       "workers.report_ms", Milliseconds(1500), Milliseconds(1), kDay);
+  options.m_worker_orders = settings.GetText("workers.orders", "");
   options.m_max_lease = settings.GetMilliseconds(
       "workers.max_lease_ms", Seconds(6), Milliseconds(100), kDay);
   options.m_stop_time = settings.GetMilliseconds("workers.stop_ms", Seconds(1),
--- a/filbertspar/node/src/options.h
+++ b/filbertspar/node/src/options.h
@@ -34,6 +34,8 @@
   Duration m_holder_ttl{0};
   std::optional<Endpoint> m_recommendation;
   Duration m_worker_report_interval{0};
+  /// How workers take orders, in the platform's word; empty when not stated.
+  std::string m_worker_orders;
   Duration m_max_lease{0};
   Duration m_stop_time{0};
   Duration m_config_apply_time{0};
--- a/tests/platform/adapter_codec_test.cc
+++ b/tests/platform/adapter_codec_test.cc
@@ -233,5 +233,12 @@
   CHECK(DecodeVmOrderResult(MakeResult(500, "")) == VmOrderResult::kUnknown);
 }
 
+// Guards against a deployment on which nothing is served and no line says why.
+TEST_CASE("only workers that are called can be ordered") {
+  CHECK(IsSupportedOrderMode(""));
+  CHECK(IsSupportedOrderMode("invocation"));
+  CHECK_FALSE(IsSupportedOrderMode("heartbeat"));
+}
+
 }  // namespace
 }  // namespace filbertspar::adapter
