--- a/soak/plants.py
+++ b/soak/plants.py
@@ -7,7 +7,7 @@
 
 BREAKS = {"copy": "one-run", "refusal": "true-refusal", "ceiling": "ceiling", "revoked": "revocation",
           "route": "configuration", "attempts": "attempts", "lost": "kept", "holder": "one-holder",
-          "cut": "graceful-stop"}
+          "cut": "graceful-stop", "payload": "payload"}
 NAMES = sorted(BREAKS)
 
 
@@ -45,6 +45,11 @@
             for job in site.jobs.by_id.values():
                 job.attempts = 1
             await asyncio.sleep(0.1)
+    elif plant == "payload":
+        for _ in range(100):
+            for job in site.jobs.by_id.values():
+                job.spec = "another payload"
+            await asyncio.sleep(0.1)
     elif plant == "lost":
         places = [place for place in site.store.rows if place[0] == "filbertspar_jobs"]
         site.store.write([(place, None) for place in places])
