Let a relay start jobs without a payload

Cause, found while reading the diff: a job with an empty payload is relayed to a VM that did not forward it without anything to keep, so that the VM asks for the payload again and again for the 2 s of the start's window. Change: what was sent along is taken when its digest is the one asked for, also when it is empty. Test: an empty payload need not have been kept.

--- a/filbertspar/node/src/start_relay.cc
+++ b/filbertspar/node/src/start_relay.cc
@@ -57,11 +57,8 @@
   const TimePoint deadline = BootNow() + start.m_wait;
   RelayedStartReply reply;
   reply.m_number = start.m_number;
-  if (!start.m_payload.empty()) {
-    Keep(JobId(start.m_job), start.m_payload);
-  }
-  const std::string* payload =
-      FindPayload(m_payloads, JobId(start.m_job), start.m_digest);
+  const std::string* payload = ResolvePayload(m_payloads, JobId(start.m_job),
+                                              start.m_digest, start.m_payload);
   if (payload == nullptr) {
     reply.m_outcome = RelayOutcome::kNoPayload;
     co_return reply;
--- a/filbertspar/traffic/src/payload_cache.cc
+++ b/filbertspar/traffic/src/payload_cache.cc
@@ -33,6 +33,15 @@
              : nullptr;
 }
 
+const std::string* ResolvePayload(PayloadCache& cache, const JobId& job,
+                                  const std::string& digest,
+                                  const std::string& sent) {
+  if (PayloadDigest(sent) == digest) {
+    KeepPayload(cache, job, sent);
+  }
+  return FindPayload(cache, job, digest);
+}
+
 std::string PayloadDigest(const std::string& payload) {
   std::string digest(SHA256_DIGEST_LENGTH, '\0');
   SHA256(reinterpret_cast<const unsigned char*>(payload.data()), payload.size(),
--- a/filbertspar/traffic/src/payload_cache.h
+++ b/filbertspar/traffic/src/payload_cache.h
@@ -27,6 +27,12 @@
 const std::string* FindPayload(const PayloadCache& cache, const JobId& job,
                                const std::string& digest);
 
+/// \brief Payload with this digest: `sent`, which is kept then, or one that was
+/// kept before; nullptr when neither has it. An empty payload is one, too.
+const std::string* ResolvePayload(PayloadCache& cache, const JobId& job,
+                                  const std::string& digest,
+                                  const std::string& sent);
+
 /// \brief Identifies a payload: its SHA-256 hash, 32 bytes.
 std::string PayloadDigest(const std::string& payload);
 
--- a/tests/traffic_payload_test.cc
+++ b/tests/traffic_payload_test.cc
@@ -18,6 +18,23 @@
   CHECK(FindPayload(cache, JobId("other"), PayloadDigest("second")) == nullptr);
 }
 
+// A job without a payload has nothing to send along. Guards against a relay
+// that asks for it again and again.
+TEST_CASE("an empty payload need not have been kept") {
+  PayloadCache cache;
+  cache.m_max_bytes = 1000;
+  const std::string* found =
+      ResolvePayload(cache, JobId("job"), PayloadDigest(""), "");
+  REQUIRE(found != nullptr);
+  CHECK(found->empty());
+  CHECK(ResolvePayload(cache, JobId("other"), PayloadDigest("x"), "") ==
+        nullptr);
+  CHECK(ResolvePayload(cache, JobId("other"), PayloadDigest("x"), "y") ==
+        nullptr);
+  CHECK(*ResolvePayload(cache, JobId("other"), PayloadDigest("x"), "x") == "x");
+  CHECK(*ResolvePayload(cache, JobId("other"), PayloadDigest("x"), "") == "x");
+}
+
 // Guards against a cache that grows without bound on a VM with little memory.
 TEST_CASE("the oldest payloads are dropped") {
   PayloadCache cache;
