Log how a worker was lost and whether a lost run had begun

The incident's hypotheses could not be told apart: worker_lost did not say how the poll ended, task_lost named neither the run nor whether its start was sent. HttpClient now says why a call was not answered (timed out, refused, closed); worker_lost carries it as how=, task_lost carries run=, sent=, confirmed= and age_ms=. No logic is changed.

--- a/filbertspar/http/src/client.cc
+++ b/filbertspar/http/src/client.cc
@@ -45,6 +45,18 @@
   return error == asio::error::would_block;
 }
 
+CallFailure FailureOf(const boost::system::error_code& error) {
+  if (error == asio::error::connection_refused) {
+    return CallFailure::kRefused;
+  }
+  const bool closed = error == http::error::end_of_stream ||
+                      error == http::error::partial_message ||
+                      error == asio::error::eof ||
+                      error == asio::error::connection_reset ||
+                      error == asio::error::broken_pipe;
+  return closed ? CallFailure::kClosed : CallFailure::kTimedOut;
+}
+
 }  // namespace
 
 struct HttpClient::State {
@@ -53,7 +65,9 @@
 
   ConnectionPtr TakeIdle(const Endpoint& endpoint);
   void PutIdle(const Endpoint& endpoint, ConnectionPtr connection);
-  asio::awaitable<ConnectionPtr> Connect(Endpoint endpoint, Duration timeout);
+  /// Sets `failure` when it returns null.
+  asio::awaitable<ConnectionPtr> Connect(Endpoint endpoint, Duration timeout,
+                                         CallFailure& failure);
 
   asio::io_context& m_context;
   HttpClientLimits m_limits;
@@ -91,8 +105,8 @@
   idle.push_back(std::move(connection));
 }
 
-asio::awaitable<ConnectionPtr> HttpClient::State::Connect(Endpoint endpoint,
-                                                          Duration timeout) {
+asio::awaitable<ConnectionPtr> HttpClient::State::Connect(
+    Endpoint endpoint, Duration timeout, CallFailure& failure) {
   boost::system::error_code error;
   const asio::ip::address address =
       asio::ip::make_address(endpoint.m_address, error);
@@ -105,6 +119,7 @@
   auto [connect_error] = co_await connection->m_stream.async_connect(
       tcp::endpoint(address, endpoint.m_port), kTuple);
   if (connect_error) {
+    failure = FailureOf(connect_error);
     co_return nullptr;
   }
   auto& socket = connection->m_stream.socket();
@@ -115,6 +130,20 @@
   co_return connection;
 }
 
+std::string_view CallFailureName(CallFailure failure) {
+  switch (failure) {
+    case CallFailure::kNone:
+      return "";
+    case CallFailure::kTimedOut:
+      return "timed_out";
+    case CallFailure::kRefused:
+      return "refused";
+    case CallFailure::kClosed:
+      return "closed";
+  }
+  return "";
+}
+
 HttpClient::HttpClient(asio::io_context& context, HttpClientLimits limits)
     : m_state(std::make_shared<State>(context, limits)) {}
 
@@ -134,7 +163,7 @@
   ConnectionPtr connection =
       fresh_connection ? nullptr : state->TakeIdle(endpoint);
   if (connection == nullptr) {
-    connection = co_await state->Connect(endpoint, timeout);
+    connection = co_await state->Connect(endpoint, timeout, result.m_failure);
   }
   const Duration left = deadline - SteadyNow();
   if (connection == nullptr || left <= Duration(0)) {
@@ -149,6 +178,7 @@
       co_await http::async_write(stream, request, kTuple);
   if (write_error) {
     result.m_end = written == 0 ? CallEnd::kNotSent : CallEnd::kLost;
+    result.m_failure = FailureOf(write_error);
     co_return result;
   }
   http::response_parser<http::string_body> parser;
@@ -158,9 +188,11 @@
   static_cast<void>(bytes);
   if (read_error) {
     result.m_end = CallEnd::kLost;
+    result.m_failure = FailureOf(read_error);
     co_return result;
   }
   result.m_end = CallEnd::kAnswered;
+  result.m_failure = CallFailure::kNone;
   result.m_response = parser.release();
   if (result.m_response.keep_alive() && connection->m_buffer.size() == 0) {
     state->PutIdle(endpoint, std::move(connection));
--- a/filbertspar/http/src/client.h
+++ b/filbertspar/http/src/client.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <string_view>
 
 #include "boost/asio/awaitable.hpp"
 #include "boost/asio/io_context.hpp"
@@ -21,8 +22,23 @@
   kLost,
 };
 
+/// \brief Why a call was not answered.
+enum class CallFailure : std::uint8_t {
+  kNone,
+  /// No answer within the timeout; also any failure not listed here.
+  kTimedOut,
+  /// The connection was refused: nothing listens at the address.
+  kRefused,
+  /// The peer closed or reset the established connection.
+  kClosed,
+};
+
+/// \brief Text of a failure in logs; empty for kNone.
+std::string_view CallFailureName(CallFailure failure);
+
 struct CallResult {
   CallEnd m_end = CallEnd::kNotSent;
+  CallFailure m_failure = CallFailure::kTimedOut;
   HttpResponse m_response;
 };
 
--- a/filbertspar/node/src/worker_connections.cc
+++ b/filbertspar/node/src/worker_connections.cc
@@ -115,7 +115,7 @@
   auto self = shared_from_this();
   Duration pause = kFirstRetryDelay;
   bool fresh = false;
-  bool was_responsive = true;
+  std::string_view failure;
   while (m_running) {
     if (scheduler::IsRetired(m_scheduler.m_workers[index], BootNow())) {
       break;
@@ -124,16 +124,19 @@
       co_await SleepFor(kNotOwnerDelay);
       continue;
     }
-    const bool answered = co_await PollOnce(index, fresh);
+    const std::string_view last_failure = failure;
+    failure = co_await PollOnce(index, fresh);
     if (!m_running) {
       break;
     }
-    if (answered != was_responsive) {
-      was_responsive = answered;
+    const bool answered = failure.empty();
+    if (failure != last_failure) {
       const std::string fields = absl::StrCat(
           "worker=", m_scheduler.m_workers[index].m_record.m_name.Value());
-      answered ? m_log.Info("worker", "worker_regained", fields)
-               : m_log.Warn("worker", "worker_lost", fields);
+      answered
+          ? m_log.Info("worker", "worker_regained", fields)
+          : m_log.Warn("worker", "worker_lost",
+                       absl::StrCat(fields, " how=", std::string(failure)));
     }
     fresh = !answered;
     if (!answered) {
@@ -157,8 +160,8 @@
   ChannelOf(index).m_is_polled = false;
 }
 
-asio::awaitable<bool> WorkerConnections::PollOnce(WorkerIndex index,
-                                                  bool fresh_connection) {
+asio::awaitable<std::string_view> WorkerConnections::PollOnce(
+    WorkerIndex index, bool fresh_connection) {
   const TimePoint sent = BootNow();
   PollOrder order;
   order.m_fencing = m_scheduler.m_options.m_fencing;
@@ -178,7 +181,7 @@
                                  : Patience(kFirstPollTimeout),
       fresh_connection);
   if (!m_running) {
-    co_return false;
+    co_return "stopped";
   }
   std::size_t damaged = 0;
   const std::optional<WorkerStatus> look =
@@ -191,7 +194,7 @@
     Count(m_metrics, metric::kOrders, "look_accepted");
     scheduler::HandlePollResponse(m_scheduler, sent, BootNow(), index, *look);
     m_hooks.m_changed();
-    co_return true;
+    co_return "";
   }
   scheduler::HandlePollFailure(m_scheduler, index);
   const OrderResult refusal = adapter::DecodeOrderResponse(result).m_result;
@@ -201,7 +204,9 @@
     scheduler::HandleInstanceReplaced(m_scheduler, BootNow(), index);
     m_hooks.m_changed();
   }
-  co_return false;
+  co_return result.m_end == CallEnd::kAnswered
+      ? OrderResultName(refusal)
+      : CallFailureName(result.m_failure);
 }
 
 void WorkerConnections::SendOrders(scheduler::Effects& effects) {
--- a/filbertspar/node/src/worker_connections.h
+++ b/filbertspar/node/src/worker_connections.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 #include "filbertspar/http/http.h"
@@ -61,8 +62,9 @@
   static constexpr std::string_view kStartTraffic = "start";
 
   asio::awaitable<void> PollLoop(scheduler::WorkerIndex index);
-  asio::awaitable<bool> PollOnce(scheduler::WorkerIndex index,
-                                 bool fresh_connection);
+  /// Returns how the poll failed; empty when it was answered.
+  asio::awaitable<std::string_view> PollOnce(scheduler::WorkerIndex index,
+                                             bool fresh_connection);
   asio::awaitable<void> SendStart(scheduler::WorkerIndex index,
                                   StartOrder order);
   asio::awaitable<StartAttempt> SendStartDirectly(scheduler::WorkerIndex index,
--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -430,8 +430,14 @@
 void RequeueLostTask(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
                      std::string_view reason) {
   const WorkerIndex worker = ref.GetTask().m_worker;
+  const Task& task = ref.GetTask();
+  const bool was_sent = task.m_phase != TaskPhase::kStarting ||
+                        task.m_start_deadline_ms != kStartNotSent;
   AddLogEvent(scheduler, "task_lost", ref.Id(), worker,
-              absl::StrCat("reason=", std::string(reason)));
+              absl::StrCat("reason=", std::string(reason), " run=", task.m_run,
+                           " sent=", was_sent, " confirmed=",
+                           task.m_order_confirmed_at != TimePoint::max(),
+                           " age_ms=", ToMilliseconds(now - task.m_since)));
   SetWaiting(scheduler, now, ref);
 }
 
