--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -16,6 +16,7 @@
 struct FakeWorker {
   struct Run {
     std::uint64_t m_run = 0;
+    TimePoint m_began_at{};
     TimePoint m_ends_at{};
     RunOutcome m_outcome = RunOutcome::kDone;
     std::string m_checkpoint;
@@ -36,6 +37,10 @@
   bool m_drops_responses = false;
   /// Every run on it fails.
   bool m_fails_all = false;
+  /// When its process ended by itself; max() while it runs.
+  TimePoint m_crashed_at = TimePoint::max();
+  /// Its successor at the same address has started.
+  bool m_is_replaced = false;
 };
 
 /// \brief One owner with its workers and stored rows, in virtual time.
@@ -159,6 +164,17 @@
     worker.m_fencing = FencingNumber();
   }
 
+  /// Ends the worker's process. Nothing listens at its address until another
+  /// worker starts there.
+  void Crash(FakeWorker& worker) {
+    for (const auto& [task, run] : worker.m_running) {
+      ++m_lost_runs[task];
+    }
+    worker.m_running.clear();
+    worker.m_finished.clear();
+    worker.m_crashed_at = m_now;
+  }
+
   std::size_t CountRunning(const TaskId& task) const {
     std::size_t running = 0;
     for (const auto& worker : m_workers) {
@@ -187,6 +203,15 @@
   /// Highest number of simultaneous runs of one task.
   std::size_t m_max_concurrent_runs = 0;
   std::set<std::string> m_failing_jobs;
+  /// Tasks that crash each worker on which they run, and the age of the run at
+  /// which they do.
+  std::map<TaskId, Duration> m_crashing_tasks;
+  /// When workers crashed under these tasks.
+  std::map<TaskId, std::vector<TimePoint>> m_crashes;
+  /// Number of runs that were lost with a crashed worker, by task.
+  std::map<TaskId, int> m_lost_runs;
+  /// Time after a crash at which a new worker starts at the same address.
+  Duration m_restart_time = Seconds(3);
 
  private:
   static constexpr Duration kTick = Milliseconds(20);
@@ -197,12 +222,14 @@
 
   void Advance() {
     m_now += kTick;
+    ReplaceCrashedWorkers();
     for (WorkerIndex i = 0; i < m_owner->m_workers.size(); ++i) {
       FakeWorker* worker = Find(m_owner->m_workers[i].m_record.m_name);
       if (worker == nullptr) {
         continue;
       }
       FinishRuns(*worker);
+      CrashIfDue(*worker);
       Poll(i, *worker);
     }
     if (!m_store_is_down) {
@@ -232,6 +259,36 @@
     return nullptr;
   }
 
+  void CrashIfDue(FakeWorker& worker) {
+    for (const auto& [task, run] : worker.m_running) {
+      const auto crashing = m_crashing_tasks.find(task);
+      if (crashing != m_crashing_tasks.end() &&
+          m_now - run.m_began_at >= crashing->second) {
+        m_crashes[task].push_back(m_now);
+        Crash(worker);
+        return;
+      }
+    }
+  }
+
+  void ReplaceCrashedWorkers() {
+    for (std::size_t i = 0; i < m_workers.size(); ++i) {
+      FakeWorker& crashed = *m_workers[i];
+      if (crashed.m_crashed_at == TimePoint::max() || crashed.m_is_replaced ||
+          m_now - crashed.m_crashed_at < m_restart_time) {
+        continue;
+      }
+      crashed.m_is_replaced = true;
+      auto worker = std::make_unique<FakeWorker>();
+      worker->m_record = crashed.m_record;
+      worker->m_record.m_name =
+          WorkerName(crashed.m_record.m_name.Value() + "+");
+      worker->m_booted_at = m_now;
+      RegisterWorker(*m_owner, m_now, worker->m_record);
+      m_workers.push_back(std::move(worker));
+    }
+  }
+
   void Finish(FakeWorker& worker, const TaskId& task,
               const FakeWorker::Run& run, RunOutcome outcome) {
     worker.m_finished.push_back({worker.m_next_finished_number++, task,
@@ -255,8 +312,14 @@
 
   void Poll(WorkerIndex index, FakeWorker& worker) {
     const TimePoint sent = m_now;
+    if (worker.m_is_replaced) {
+      if (m_owner->m_workers[index].m_registered) {
+        HandleInstanceReplaced(*m_owner, m_now, index);
+      }
+      return;
+    }
     const auto deadline = GrantLease(*m_owner, m_now, index);
-    if (worker.m_is_unreachable) {
+    if (worker.m_is_unreachable || worker.m_crashed_at != TimePoint::max()) {
       HandlePollFailure(*m_owner, index);
       return;
     }
@@ -318,13 +381,15 @@
     FakeWorker* worker =
         Find(m_owner->m_workers[start.m_worker].m_record.m_name);
     const StartOrder& order = start.m_order;
-    if (worker == nullptr || worker->m_is_unreachable) {
+    if (worker == nullptr || worker->m_is_unreachable ||
+        worker->m_crashed_at != TimePoint::max()) {
       return;
     }
     const JobSpec& job = *m_owner->m_jobs.at(order.m_task.m_job)->m_spec;
     const StepSpec& step = job.m_steps[order.m_task.m_step];
     FakeWorker::Run run;
     run.m_run = order.m_run.Value();
+    run.m_began_at = m_now;
     run.m_checkpoint = order.m_checkpoint;
     const bool fails =
         worker->m_fails_all || m_failing_jobs.contains(job.m_id.Value());
