Requeue a task at once when its start was never sent

Cause: starts that go to a worker which has just crashed are refused a connection; no byte of them leaves, and still the task waited until a lease was over that no run could hold, then went on with its neighbors to the next crash.

Such a start now ends with not_delivered, which counts as a refusal; a start is not tried again at a worker that no longer answers polls. A start of which a byte was sent is treated as before.

--- a/filbertspar/fleetview/src/orders.cc
+++ b/filbertspar/fleetview/src/orders.cc
@@ -22,6 +22,8 @@
       return "unhealthy";
     case OrderResult::kOtherInstance:
       return "other_instance";
+    case OrderResult::kNotDelivered:
+      return "not_delivered";
     case OrderResult::kUnknown:
       return "unknown";
   }
--- a/filbertspar/fleetview/src/orders.h
+++ b/filbertspar/fleetview/src/orders.h
@@ -69,6 +69,8 @@
   kUnhealthy,
   /// The address belongs to another worker or incarnation.
   kOtherInstance,
+  /// No connection to the worker; nothing was sent.
+  kNotDelivered,
   /// No response, or an invalid one; the order may have taken effect.
   kUnknown,
 };
--- a/filbertspar/node/src/worker_connections_starts.cc
+++ b/filbertspar/node/src/worker_connections_starts.cc
@@ -105,6 +105,9 @@
           co_await SendStartDirectly(index, order, deadline - now, unanswered);
     }
     answer = attempt.m_response;
+    if (attempt.m_outcome == RelayOutcome::kNotSent && !unanswered) {
+      answer.m_result = OrderResult::kNotDelivered;
+    }
     Count(m_metrics, metric::kOrders,
           absl::StrCat(is_relayed ? "relayed_start_" : "start_",
                        std::string(OrderResultName(answer.m_result))));
@@ -116,6 +119,9 @@
       break;
     }
     if (attempt.m_outcome == RelayOutcome::kNotSent) {
+      if (!scheduler::IsResponsive(m_scheduler.m_workers[index], BootNow())) {
+        break;
+      }
       co_await SleepFor(kRetryDelay);
     } else {
       unanswered = true;
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -356,7 +356,8 @@
   if (response.m_result == OrderResult::kNoCapacity) {
     worker.m_no_capacity_until = now + kNoCapacityPause;
   }
-  if (response.m_result == OrderResult::kUnknown) {
+  if (response.m_result == OrderResult::kUnknown ||
+      response.m_result == OrderResult::kNotDelivered) {
     worker.m_avoid_until =
         std::max(worker.m_avoid_until, now + kUnhealthyPause);
   }
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -381,8 +381,12 @@
     FakeWorker* worker =
         Find(m_owner->m_workers[start.m_worker].m_record.m_name);
     const StartOrder& order = start.m_order;
-    if (worker == nullptr || worker->m_is_unreachable ||
-        worker->m_crashed_at != TimePoint::max()) {
+    if (worker != nullptr && worker->m_crashed_at != TimePoint::max()) {
+      HandleStartResponse(*m_owner, m_now, start.m_worker, order,
+                          {OrderResult::kNotDelivered, std::nullopt}, false);
+      return;
+    }
+    if (worker == nullptr || worker->m_is_unreachable) {
       return;
     }
     const JobSpec& job = *m_owner->m_jobs.at(order.m_task.m_job)->m_spec;
