Count the crashes of workers at their tasks and give up those that cause them

Cause: only runs that end 'failed' were counted; a run lost with its worker was requeued without bound, and all tasks of a lost worker came back together and were packed onto the same next worker as the one that had crashed it.

A worker whose poll is closed and whose address then refuses connections (or answers for another process) has crashed; silence, a planned end and the end of a whole rack count against no task. The tasks that were there get a crash record, stored with their job's progress (new field of the row; old rows read as before). Those that began last are suspects: their next run is isolated on a worker that gets no other task until the run has outlasted the earlier ones, which clears it. A task is given up after its third crash if it was once the only possible cause, and its job fails. A worker that answers again withdraws the records of its end.

--- a/filbertspar/job/src/progress.h
+++ b/filbertspar/job/src/progress.h
@@ -25,6 +25,20 @@
          state == JobState::kCancelled;
 }
 
+/// \brief The process of a worker that ended while a run of the task was there.
+struct CrashRecord {
+  std::uint64_t m_run = 0;
+  std::string m_worker;
+  /// Time from the start of the run to the end of the worker.
+  std::uint32_t m_age_ms = 0;
+  /// The task is among the likely causes.
+  bool m_is_suspect = false;
+  /// The run was isolated, so that no other task is a likely cause.
+  bool m_is_sole_cause = false;
+
+  friend bool operator==(const CrashRecord&, const CrashRecord&) = default;
+};
+
 /// \brief State that the next owner needs to resume an unfinished task.
 struct TaskProgress {
   std::uint32_t m_index = 0;
@@ -33,6 +47,9 @@
   std::string m_checkpoint;
   /// Worker to which the latest run was sent; empty when no run can be active.
   std::string m_worker;
+  /// Crashes of workers that may be the task's fault; of a gang only at its
+  /// first task.
+  std::vector<CrashRecord> m_crashes;
 
   friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
 };
--- a/filbertspar/job/src/rows.cc
+++ b/filbertspar/job/src/rows.cc
@@ -95,6 +95,13 @@
       }
       progress.m_checkpoint = ToString(task->checkpoint());
       progress.m_worker = ToString(task->worker());
+      if (task->crashes() != nullptr) {
+        for (const auto* crash : *task->crashes()) {
+          progress.m_crashes.push_back({crash->run(), ToString(crash->worker()),
+                                        crash->age_ms(), crash->suspect(),
+                                        crash->sole_cause()});
+        }
+      }
       step.m_tasks.push_back(std::move(progress));
     }
   }
@@ -109,8 +116,16 @@
     const auto failed_runs = builder.CreateVector(task.m_failed_runs);
     // The tasks of a job run on few workers, so each name is stored only once.
     const auto worker = builder.CreateSharedString(task.m_worker);
+    std::vector<Offset<fbs::CrashRow>> crashes;
+    for (const CrashRecord& crash : task.m_crashes) {
+      const auto crashed = builder.CreateSharedString(crash.m_worker);
+      crashes.push_back(fbs::CreateCrashRow(builder, crash.m_run, crashed,
+                                            crash.m_age_ms, crash.m_is_suspect,
+                                            crash.m_is_sole_cause));
+    }
+    const auto crash_rows = crashes.empty() ? 0 : builder.CreateVector(crashes);
     tasks.push_back(fbs::CreateTaskProgressRow(
-        builder, task.m_index, failed_runs, checkpoint, worker));
+        builder, task.m_index, failed_runs, checkpoint, worker, crash_rows));
   }
   const auto done = builder.CreateVector(
       reinterpret_cast<const std::uint8_t*>(step.m_done.data()),
--- a/filbertspar/job/src/rows_generated.h
+++ b/filbertspar/job/src/rows_generated.h
@@ -22,6 +22,9 @@
 struct JobRow;
 struct JobRowBuilder;
 
+struct CrashRow;
+struct CrashRowBuilder;
+
 struct TaskProgressRow;
 struct TaskProgressRowBuilder;
 
@@ -537,6 +540,111 @@
       received_ms);
 }
 
+struct CrashRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashRowBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RUN = 4,
+    VT_WORKER = 6,
+    VT_AGE_MS = 8,
+    VT_SUSPECT = 10,
+    VT_SOLE_CAUSE = 12
+  };
+  uint64_t run() const {
+    return GetField<uint64_t>(VT_RUN, 0);
+  }
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool suspect() const {
+    return GetField<uint8_t>(VT_SUSPECT, 0) != 0;
+  }
+  bool sole_cause() const {
+    return GetField<uint8_t>(VT_SOLE_CAUSE, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
+           VerifyOffset(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_SUSPECT, 1) &&
+           VerifyField<uint8_t>(verifier, VT_SOLE_CAUSE, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct CrashRowBuilder {
+  typedef CrashRow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_run(uint64_t run) {
+    fbb_.AddElement<uint64_t>(CrashRow::VT_RUN, run, 0);
+  }
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(CrashRow::VT_WORKER, worker);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(CrashRow::VT_AGE_MS, age_ms, 0);
+  }
+  void add_suspect(bool suspect) {
+    fbb_.AddElement<uint8_t>(CrashRow::VT_SUSPECT, static_cast<uint8_t>(suspect), 0);
+  }
+  void add_sole_cause(bool sole_cause) {
+    fbb_.AddElement<uint8_t>(CrashRow::VT_SOLE_CAUSE, static_cast<uint8_t>(sole_cause), 0);
+  }
+  explicit CrashRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CrashRow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CrashRow>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CrashRow> CreateCrashRow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t run = 0,
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    uint32_t age_ms = 0,
+    bool suspect = false,
+    bool sole_cause = false) {
+  CrashRowBuilder builder_(_fbb);
+  builder_.add_run(run);
+  builder_.add_age_ms(age_ms);
+  builder_.add_worker(worker);
+  builder_.add_sole_cause(sole_cause);
+  builder_.add_suspect(suspect);
+  return builder_.Finish();
+}
+
+struct CrashRow::Traits {
+  using type = CrashRow;
+  static auto constexpr Create = CreateCrashRow;
+};
+
+inline flatbuffers::Offset<CrashRow> CreateCrashRowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t run = 0,
+    const char *worker = nullptr,
+    uint32_t age_ms = 0,
+    bool suspect = false,
+    bool sole_cause = false) {
+  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
+  return filbertspar::fbs::CreateCrashRow(
+      _fbb,
+      run,
+      worker__,
+      age_ms,
+      suspect,
+      sole_cause);
+}
+
 struct TaskProgressRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef TaskProgressRowBuilder Builder;
   struct Traits;
@@ -544,7 +652,8 @@
     VT_INDEX = 4,
     VT_FAILED_RUNS = 6,
     VT_CHECKPOINT = 8,
-    VT_WORKER = 10
+    VT_WORKER = 10,
+    VT_CRASHES = 12
   };
   uint32_t index() const {
     return GetField<uint32_t>(VT_INDEX, 0);
@@ -558,6 +667,9 @@
   const flatbuffers::String *worker() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKER);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::CrashRow>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::CrashRow>> *>(VT_CRASHES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
@@ -567,6 +679,9 @@
            verifier.VerifyString(checkpoint()) &&
            VerifyOffset(verifier, VT_WORKER) &&
            verifier.VerifyString(worker()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
            verifier.EndTable();
   }
 };
@@ -587,6 +702,9 @@
   void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
     fbb_.AddOffset(TaskProgressRow::VT_WORKER, worker);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::CrashRow>>> crashes) {
+    fbb_.AddOffset(TaskProgressRow::VT_CRASHES, crashes);
+  }
   explicit TaskProgressRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -603,8 +721,10 @@
     uint32_t index = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> failed_runs = 0,
     flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
-    flatbuffers::Offset<flatbuffers::String> worker = 0) {
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::CrashRow>>> crashes = 0) {
   TaskProgressRowBuilder builder_(_fbb);
+  builder_.add_crashes(crashes);
   builder_.add_worker(worker);
   builder_.add_checkpoint(checkpoint);
   builder_.add_failed_runs(failed_runs);
@@ -622,16 +742,19 @@
     uint32_t index = 0,
     const std::vector<uint64_t> *failed_runs = nullptr,
     const char *checkpoint = nullptr,
-    const char *worker = nullptr) {
+    const char *worker = nullptr,
+    const std::vector<flatbuffers::Offset<filbertspar::fbs::CrashRow>> *crashes = nullptr) {
   auto failed_runs__ = failed_runs ? _fbb.CreateVector<uint64_t>(*failed_runs) : 0;
   auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<filbertspar::fbs::CrashRow>>(*crashes) : 0;
   return filbertspar::fbs::CreateTaskProgressRow(
       _fbb,
       index,
       failed_runs__,
       checkpoint__,
-      worker__);
+      worker__,
+      crashes__);
 }
 
 struct StepProgressRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/filbertspar/node/src/metric_names.h
+++ b/filbertspar/node/src/metric_names.h
@@ -25,6 +25,11 @@
     "kind"};
 inline constexpr MetricFamily kEnds{"filbertspar_task_ends_total",
                                     "Runs of tasks by how they ended.", "how"};
+inline constexpr MetricFamily kWorkerCrashes{
+    "filbertspar_worker_crashes_total",
+    "Workers with tasks whose process ended, by what was found to be the "
+    "cause.",
+    "cause"};
 inline constexpr MetricFamily kStoreCalls{
     "filbertspar_store_calls_total", "Calls to the store by kind and result.",
     "kind_result"};
@@ -58,9 +63,9 @@
                                           "Log lines that were not kept.", ""};
 
 inline constexpr std::array kAll = {
-    kCalls,         kCallSeconds, kJobs,       kJobSeconds,    kOrders,
-    kOrderSeconds,  kEnds,        kStoreCalls, kStoreSeconds,  kSentBytes,
-    kReceivedBytes, kVmOrders,    kOwner,      kConfigVersion, kConfigAge,
-    kActiveJobs,    kWorkers,     kLogDropped};
+    kCalls,        kCallSeconds,   kJobs,          kJobSeconds, kOrders,
+    kOrderSeconds, kEnds,          kWorkerCrashes, kStoreCalls, kStoreSeconds,
+    kSentBytes,    kReceivedBytes, kVmOrders,      kOwner,      kConfigVersion,
+    kConfigAge,    kActiveJobs,    kWorkers,       kLogDropped};
 
 }  // namespace filbertspar::metric
--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -371,11 +371,15 @@
 
 void OwnerTerm::WriteLogEvent(const scheduler::Effects::LogEvent& event) {
   CountLogEvent(event);
+  // The first field of these events is the label of a metric.
+  const std::size_t begin = event.m_detail.find('=') + 1;
+  const std::string_view label =
+      std::string_view(event.m_detail)
+          .substr(begin, event.m_detail.find(' ') - begin);
   if (event.m_event == "task_end") {
-    const std::size_t begin = event.m_detail.find('=') + 1;
-    Count(m_parts.m_metrics, metric::kEnds,
-          std::string_view(event.m_detail)
-              .substr(begin, event.m_detail.find(' ') - begin));
+    Count(m_parts.m_metrics, metric::kEnds, label);
+  } else if (event.m_event == "worker_crashed") {
+    Count(m_parts.m_metrics, metric::kWorkerCrashes, label);
   }
   std::string fields = JobField(event.m_task.m_job);
   if (!event.m_task.m_job.Empty()) {
--- a/filbertspar/node/src/worker_connections.cc
+++ b/filbertspar/node/src/worker_connections.cc
@@ -41,6 +41,20 @@
 constexpr int kOrderConnections = 2;
 constexpr Duration kNotOwnerDelay = Milliseconds(100);
 
+scheduler::PollFailure PollFailureOf(const CallResult& result) {
+  switch (result.m_failure) {
+    case CallFailure::kNone:
+      return scheduler::PollFailure::kUnusable;
+    case CallFailure::kTimedOut:
+      return scheduler::PollFailure::kSilent;
+    case CallFailure::kRefused:
+      return scheduler::PollFailure::kRefused;
+    case CallFailure::kClosed:
+      return scheduler::PollFailure::kClosed;
+  }
+  return scheduler::PollFailure::kSilent;
+}
+
 }  // namespace
 
 WorkerConnections::WorkerConnections(asio::io_context& context,
@@ -196,7 +210,8 @@
     m_hooks.m_changed();
     co_return "";
   }
-  scheduler::HandlePollFailure(m_scheduler, index);
+  scheduler::HandlePollFailure(m_scheduler, BootNow(), index,
+                               PollFailureOf(result));
   const OrderResult refusal = adapter::DecodeOrderResponse(result).m_result;
   Count(m_metrics, metric::kOrders,
         absl::StrCat("look_", std::string(OrderResultName(refusal))));
--- /dev/null
+++ b/filbertspar/scheduler/src/crashes.cc
@@ -0,0 +1,337 @@
+#include "filbertspar/scheduler/src/crashes.h"
+
+#include <algorithm>
+#include <string>
+
+#include "absl/strings/str_cat.h"
+#include "filbertspar/scheduler/src/jobs.h"
+#include "filbertspar/scheduler/src/workers.h"
+
+namespace filbertspar::scheduler {
+namespace {
+
+/// Crashes after which a task is given up, one of them while it was isolated.
+constexpr std::size_t kMaxCrashes = 3;
+/// Crashes after which a task is given up in any case: the third and fewer than
+/// three more.
+constexpr std::size_t kMaxSharedCrashes = 5;
+/// Between the end of a worker and its judgement: the ends of others that have
+/// the same cause are known by then.
+constexpr Duration kJudgementDelay = Milliseconds(400);
+/// The workers of a rack end within this time when the rack is the cause.
+constexpr Duration kCommonCauseWindow = Milliseconds(300);
+/// Of the tasks that were on a crashed worker, those that began at most this
+/// long before the last one are suspects.
+constexpr Duration kSuspectSpread = Milliseconds(100);
+constexpr Duration kProbationMargin = Milliseconds(500);
+constexpr Duration kMaxProbation = Seconds(30);
+/// Longest time for which a worker is kept free of other tasks.
+constexpr Duration kMaxIsolation = Seconds(5);
+/// Age of a run whose start is not known.
+constexpr Duration kUnknownAge = Seconds(60);
+
+/// A unit whose run may have begun before its worker ended.
+struct Candidate {
+  TaskRef m_unit;
+  std::uint64_t m_run = 0;
+  Duration m_age{0};
+  bool m_is_isolated = false;
+};
+
+Duration AgeAt(const Task& task, TimePoint at) {
+  return task.m_run_began_at == TimePoint::min() ? kUnknownAge
+                                                 : at - task.m_run_began_at;
+}
+
+std::vector<Candidate> CandidatesOn(const Worker& worker) {
+  std::vector<Candidate> candidates;
+  for (const TaskRef& ref : worker.m_tasks) {
+    const Task& task = ref.GetTask();
+    const Duration age = AgeAt(task, worker.m_end.m_at);
+    if (!MayRun(task) || age < Duration(0) || IsFinal(ref.m_job->m_state)) {
+      continue;
+    }
+    const TaskRef unit = CrashUnit(ref);
+    const auto known = std::find_if(candidates.begin(), candidates.end(),
+                                    [&unit](const Candidate& candidate) {
+                                      return candidate.m_unit == unit;
+                                    });
+    if (known != candidates.end()) {
+      known->m_age = std::min(known->m_age, age);
+      continue;
+    }
+    candidates.push_back({unit, task.m_run, age, task.m_is_isolated});
+  }
+  return candidates;
+}
+
+/// Ends by order: the worker leaves, or its VM is taken away.
+bool IsPlanned(const Worker& worker) {
+  return worker.m_record.m_draining || worker.m_cordoned;
+}
+
+/// One task ends one worker. When a whole rack ends at once, the rack is the
+/// cause. Several workers of different racks are no such sign: the suspects of
+/// earlier crashes are often started again at the same moment.
+bool HasCommonCause(const Scheduler& scheduler, const Worker& worker) {
+  bool has_others = false;
+  for (const Worker& other : scheduler.m_workers) {
+    if (&other == &worker || !other.m_has_responded || IsPlanned(other) ||
+        other.m_record.m_rack.Empty() ||
+        other.m_record.m_rack != worker.m_record.m_rack) {
+      continue;
+    }
+    const Duration apart = other.m_end.m_at > worker.m_end.m_at
+                               ? other.m_end.m_at - worker.m_end.m_at
+                               : worker.m_end.m_at - other.m_end.m_at;
+    if (other.m_end.m_at == TimePoint::max() || apart > kCommonCauseWindow) {
+      return false;
+    }
+    has_others = true;
+  }
+  return has_others;
+}
+
+std::string WorkersOf(const Task& unit) {
+  std::string workers;
+  for (const CrashRecord& crash : unit.m_crashes) {
+    absl::StrAppend(&workers, workers.empty() ? "" : ",", crash.m_worker);
+  }
+  return workers;
+}
+
+void RecordCrash(Scheduler& scheduler, TimePoint now, WorkerIndex index,
+                 const Candidate& candidate, bool is_suspect,
+                 bool is_sole_cause) {
+  const TaskRef& ref = candidate.m_unit;
+  Task& unit = ref.GetTask();
+  const auto known = std::find_if(unit.m_crashes.begin(), unit.m_crashes.end(),
+                                  [&candidate](const CrashRecord& crash) {
+                                    return crash.m_run == candidate.m_run;
+                                  });
+  if (known != unit.m_crashes.end()) {
+    return;
+  }
+  Worker& worker = scheduler.m_workers[index];
+  unit.m_crashes.push_back(
+      {candidate.m_run, worker.m_record.m_name.Value(),
+       static_cast<std::uint32_t>(ToMilliseconds(candidate.m_age)), is_suspect,
+       is_sole_cause});
+  worker.m_end.m_recorded_runs.emplace_back(ref.Id(), candidate.m_run);
+  scheduler.m_crash_suspects.insert(ref.Id());
+  MarkChanged(scheduler, *ref.m_job);
+  AddLogEvent(scheduler, "task_crash", ref.Id(), index,
+              absl::StrCat("run=", candidate.m_run,
+                           " age_ms=", ToMilliseconds(candidate.m_age),
+                           " suspect=", is_suspect, " sole_cause=",
+                           is_sole_cause, " crashes=", unit.m_crashes.size()));
+  const bool has_sole = std::any_of(
+      unit.m_crashes.begin(), unit.m_crashes.end(),
+      [](const CrashRecord& crash) { return crash.m_is_sole_cause; });
+  if (unit.m_crashes.size() >= kMaxSharedCrashes ||
+      (unit.m_crashes.size() >= kMaxCrashes && has_sole)) {
+    AddLogEvent(scheduler, "task_given_up", ref.Id(), kNoWorker,
+                absl::StrCat("crashes=", unit.m_crashes.size(),
+                             " workers=", WorkersOf(unit)));
+    FailJob(scheduler, now, *ref.m_job);
+  }
+}
+
+void RecordSharedCrash(Scheduler& scheduler, TimePoint now, WorkerIndex index,
+                       const std::vector<Candidate>& candidates) {
+  Duration youngest = kUnknownAge;
+  for (const Candidate& candidate : candidates) {
+    youngest = std::min(youngest, candidate.m_age);
+  }
+  for (const Candidate& candidate : candidates) {
+    // An earlier candidate may have failed the job of this one.
+    if (!IsFinal(candidate.m_unit.m_job->m_state)) {
+      RecordCrash(scheduler, now, index, candidate,
+                  candidate.m_age <= youngest + kSuspectSpread,
+                  candidates.size() == 1);
+    }
+  }
+}
+
+/// The candidate whose isolated run was still on probation; null when there is
+/// none.
+const Candidate* FindIsolated(const std::vector<Candidate>& candidates) {
+  const auto found = std::find_if(
+      candidates.begin(), candidates.end(), [](const Candidate& candidate) {
+        return candidate.m_is_isolated &&
+               candidate.m_age <= ProbationOf(candidate.m_unit.GetTask());
+      });
+  return found == candidates.end() ? nullptr : &*found;
+}
+
+void JudgeEnd(Scheduler& scheduler, TimePoint now, WorkerIndex index) {
+  const Worker& worker = scheduler.m_workers[index];
+  if (worker.m_end.m_is_judged || worker.m_end.m_at == TimePoint::max() ||
+      !worker.m_end.m_is_confirmed) {
+    return;
+  }
+  scheduler.m_workers[index].m_end.m_is_judged = true;
+  const std::vector<Candidate> candidates = CandidatesOn(worker);
+  if (candidates.empty()) {
+    return;
+  }
+  const Candidate* isolated = FindIsolated(candidates);
+  std::string_view cause = isolated != nullptr ? "isolated_task" : "shared";
+  if (IsPlanned(worker)) {
+    cause = "planned";
+  } else if (HasCommonCause(scheduler, worker)) {
+    cause = "common";
+  }
+  AddLogEvent(
+      scheduler, "worker_crashed", {}, index,
+      absl::StrCat("cause=", std::string(cause), " tasks=", candidates.size()));
+  if (cause == "isolated_task") {
+    RecordCrash(scheduler, now, index, *isolated, true, true);
+  } else if (cause == "shared") {
+    RecordSharedCrash(scheduler, now, index, candidates);
+  }
+}
+
+/// Whether all runs of the unit have outlasted its probation.
+bool HasSurvived(const Scheduler& scheduler, TimePoint now,
+                 const TaskRef& unit) {
+  const Duration probation = ProbationOf(unit.GetTask());
+  const auto survived = [&](const Task& task) {
+    if (task.m_phase != TaskPhase::kRunning) {
+      return task.m_phase == TaskPhase::kDone;
+    }
+    const Worker& worker = scheduler.m_workers[task.m_worker];
+    return AgeAt(task, now) > probation &&
+           worker.m_end.m_at == TimePoint::max() && IsResponsive(worker, now);
+  };
+  if (!unit.Spec().m_gang) {
+    return survived(unit.GetTask());
+  }
+  const std::vector<Task>& members = unit.GetStep().m_tasks;
+  return std::all_of(members.begin(), members.end(), survived);
+}
+
+/// Whether the worker is still needed for the test of its suspect.
+bool KeepsIsolation(Scheduler& scheduler, TimePoint now, WorkerIndex index) {
+  const Worker& worker = scheduler.m_workers[index];
+  if (!scheduler.m_crash_suspects.contains(*worker.m_isolated_for)) {
+    return false;
+  }
+  const TaskRef unit = FindTask(scheduler, *worker.m_isolated_for);
+  const bool runs_here = std::any_of(
+      worker.m_tasks.begin(), worker.m_tasks.end(), [&](const TaskRef& ref) {
+        return CrashUnit(ref) == unit &&
+               (!MayRun(ref.GetTask()) ||
+                AgeAt(ref.GetTask(), now) < kMaxIsolation);
+      });
+  return runs_here || now < worker.m_isolation_wait_until;
+}
+
+}  // namespace
+
+TaskRef CrashUnit(const TaskRef& ref) {
+  TaskRef unit = ref;
+  if (ref.Spec().m_gang) {
+    unit.m_index = 0;
+  }
+  return unit;
+}
+
+Duration ProbationOf(const Task& unit) {
+  Duration longest{0};
+  for (const CrashRecord& crash : unit.m_crashes) {
+    longest = std::max(longest, Duration(Milliseconds(crash.m_age_ms)));
+  }
+  return std::min(longest * 2 + kProbationMargin, kMaxProbation);
+}
+
+bool NeedsIsolation(const Task& unit) {
+  return unit.m_crashes.size() > 1 ||
+         (unit.m_crashes.size() == 1 && unit.m_crashes.front().m_is_suspect);
+}
+
+void RecordPollFailure(Worker& worker, TimePoint now, PollFailure failure) {
+  WorkerEnd& end = worker.m_end;
+  if (failure == PollFailure::kUnusable) {
+    return;
+  }
+  if (failure == PollFailure::kSilent) {
+    // A close that silence follows came from the network.
+    end.m_was_silent = true;
+    if (!end.m_is_confirmed) {
+      end.m_at = TimePoint::max();
+    }
+    return;
+  }
+  if (end.m_was_silent || !worker.m_has_responded) {
+    return;
+  }
+  end.m_at = std::min(end.m_at, now);
+  end.m_is_confirmed = end.m_is_confirmed || failure == PollFailure::kRefused;
+}
+
+void HandleWorkerAlive(Scheduler& scheduler, WorkerIndex index) {
+  Worker& worker = scheduler.m_workers[index];
+  for (const auto& [id, run] : worker.m_end.m_recorded_runs) {
+    const TaskRef ref = FindTask(scheduler, id);
+    if (!ref) {
+      continue;
+    }
+    std::vector<CrashRecord>& crashes = ref.GetTask().m_crashes;
+    std::erase_if(crashes, [run = run](const CrashRecord& crash) {
+      return crash.m_run == run;
+    });
+    if (crashes.empty()) {
+      scheduler.m_crash_suspects.erase(id);
+    }
+    MarkChanged(scheduler, *ref.m_job);
+    AddLogEvent(scheduler, "task_crash_withdrawn", id, index,
+                absl::StrCat("run=", run));
+  }
+  worker.m_end = WorkerEnd();
+}
+
+void HandleWorkerReplaced(Scheduler& scheduler, TimePoint now,
+                          WorkerIndex index) {
+  scheduler.m_workers[index].m_end.m_is_confirmed = true;
+  JudgeEnd(scheduler, now, index);
+}
+
+void JudgeEndedWorkers(Scheduler& scheduler, TimePoint now) {
+  for (WorkerIndex i = 0; i < scheduler.m_workers.size(); ++i) {
+    const WorkerEnd& end = scheduler.m_workers[i].m_end;
+    if (end.m_at != TimePoint::max() && now - end.m_at >= kJudgementDelay) {
+      JudgeEnd(scheduler, now, i);
+    }
+  }
+}
+
+void ReviewSuspects(Scheduler& scheduler, TimePoint now) {
+  for (auto it = scheduler.m_crash_suspects.begin();
+       it != scheduler.m_crash_suspects.end();) {
+    const TaskRef unit = FindTask(scheduler, *it);
+    if (!unit || IsFinal(unit.m_job->m_state) ||
+        unit.GetTask().m_phase == TaskPhase::kDone) {
+      it = scheduler.m_crash_suspects.erase(it);
+      continue;
+    }
+    if (!HasSurvived(scheduler, now, unit)) {
+      ++it;
+      continue;
+    }
+    AddLogEvent(scheduler, "task_cleared", *it, unit.GetTask().m_worker,
+                absl::StrCat("crashes=", unit.GetTask().m_crashes.size()));
+    unit.GetTask().m_crashes.clear();
+    unit.GetTask().m_is_isolated = false;
+    MarkChanged(scheduler, *unit.m_job);
+    it = scheduler.m_crash_suspects.erase(it);
+  }
+  for (WorkerIndex i = 0; i < scheduler.m_workers.size(); ++i) {
+    Worker& worker = scheduler.m_workers[i];
+    if (worker.m_isolated_for && !KeepsIsolation(scheduler, now, i)) {
+      worker.m_isolated_for.reset();
+    }
+  }
+}
+
+}  // namespace filbertspar::scheduler
--- a/filbertspar/scheduler/src/dispatch.cc
+++ b/filbertspar/scheduler/src/dispatch.cc
@@ -5,7 +5,9 @@
 
 #include "absl/strings/str_cat.h"
 #include "filbertspar/scheduler/src/admit.h"
+#include "filbertspar/scheduler/src/eligibility.h"
 #include "filbertspar/scheduler/src/evacuate.h"
+#include "filbertspar/scheduler/src/isolation.h"
 #include "filbertspar/scheduler/src/jobs.h"
 #include "filbertspar/scheduler/src/placement.h"
 #include "filbertspar/scheduler/src/starts.h"
@@ -15,11 +17,6 @@
 namespace filbertspar::scheduler {
 namespace {
 
-/// Each owner's run numbers start at this multiple of the number of owners
-/// before it, so that they exceed those of previous owners without a store
-/// write per start.
-constexpr std::uint64_t kRunsPerOwner = 1000;
-
 /// Dispatch order. Long-running tasks come first because they are useful only
 /// while they run. Next come jobs that can still meet their objective, then
 /// late jobs, then both kinds of jobs beyond their workspace's share.
@@ -49,18 +46,6 @@
   auto Key() const { return std::tuple(m_urgency, m_priority, m_objective); }
 };
 
-/// A recorded run of the previous owner delays only its own task. When runs may
-/// be unrecorded, the whole job waits until they are resolved.
-bool MayStartTasks(const Scheduler& scheduler, const Job& job) {
-  return !job.m_inherited || scheduler.m_inherited_resolved ||
-         scheduler.m_options.m_runs_are_recorded;
-}
-
-bool IsStartable(const Task& task, TimePoint now) {
-  return task.m_phase == TaskPhase::kWaiting && !task.m_may_be_running &&
-         now >= task.m_not_before;
-}
-
 TimePoint ObjectiveOfOccurrence(const Scheduler& scheduler, const Job& job,
                                 const Occurrence& occurrence) {
   const TimePoint objective = ObjectiveOf(scheduler, job);
@@ -112,51 +97,6 @@
   return candidates;
 }
 
-bool IsReady(const Candidate& candidate, std::uint32_t number, TimePoint now) {
-  Step& step = candidate.m_occurrence->m_steps[number];
-  const StepSpec& spec = candidate.m_job->m_spec->m_steps[number];
-  const bool ready = std::all_of(
-      spec.m_depends_on.begin(), spec.m_depends_on.end(),
-      [&](std::uint32_t dependency) {
-        const Step& dependency_step =
-            candidate.m_occurrence->m_steps[dependency];
-        return dependency_step.m_done == dependency_step.m_tasks.size();
-      });
-  if (ready && step.m_ready_at == TimePoint::max()) {
-    step.m_ready_at = now;
-  }
-  return ready;
-}
-
-bool IsWithinQuota(const Scheduler& scheduler, const WorkspaceName& workspace,
-                   const ResourceVector& additional) {
-  if (workspace.Empty() || scheduler.m_deployment == nullptr) {
-    return true;
-  }
-  const WorkspaceConfig* config =
-      FindWorkspace(*scheduler.m_deployment, workspace);
-  if (config == nullptr) {
-    return true;
-  }
-  const auto reserved = scheduler.m_reserved.find(workspace);
-  const ResourceVector total_demand = reserved == scheduler.m_reserved.end()
-                                          ? additional
-                                          : reserved->second + additional;
-  const auto within = [](auto amount, auto limit) {
-    return limit.Count() == 0 || amount <= limit;
-  };
-  const ResourceVector& quota = config->m_quota;
-  return within(total_demand.m_cpu, quota.m_cpu) &&
-         within(total_demand.m_memory, quota.m_memory) &&
-         within(total_demand.m_accelerators, quota.m_accelerators);
-}
-
-std::uint64_t NextRun(const Scheduler& scheduler, const Task& task) {
-  const std::uint64_t first =
-      (scheduler.m_options.m_fencing.Value() - 1) * kRunsPerOwner + 1;
-  return std::max(first, task.m_run + 1);
-}
-
 void DeductCapacity(std::vector<FreeCapacity>& capacities, WorkerIndex worker,
                     const ResourceVector& demand) {
   for (FreeCapacity& capacity : capacities) {
@@ -195,7 +135,9 @@
                std::vector<FreeCapacity>& capacities, const TaskRef& first) {
   const StepSpec& spec = first.Spec();
   if (spec.m_gang) {
-    StartGang(scheduler, now, capacities, first);
+    if (!WaitsForIsolation(first, now)) {
+      StartGang(scheduler, now, capacities, first);
+    }
     return;
   }
   const auto count = static_cast<std::uint32_t>(first.GetStep().m_tasks.size());
@@ -203,7 +145,7 @@
   for (std::uint32_t i = 0; i < count; ++i) {
     const TaskRef ref{first.m_job, first.m_occurrence, first.m_step, i};
     const Task& task = ref.GetTask();
-    if (!IsStartable(task, now)) {
+    if (!IsStartable(task, now) || WaitsForIsolation(ref, now)) {
       continue;
     }
     if (!IsWithinQuota(scheduler, ref.m_job->m_spec->m_workspace,
@@ -253,6 +195,7 @@
     if (pool.m_jobs.empty()) {
       continue;
     }
+    StartSuspects(scheduler, now, name);
     std::vector<FreeCapacity> capacities = FreeCapacities(scheduler, now, pool);
     if (capacities.empty()) {
       continue;
@@ -266,7 +209,8 @@
       for (std::uint32_t s = 0; s < steps; ++s) {
         const StepSpec& spec = candidate.m_job->m_spec->m_steps[s];
         Step& step = candidate.m_occurrence->m_steps[s];
-        if (step.m_waiting == 0 || !IsReady(candidate, s, now) ||
+        if (step.m_waiting == 0 ||
+            !IsReady(*candidate.m_job, *candidate.m_occurrence, s, now) ||
             !FitsIn(ReservedDemand(spec), largest)) {
           continue;
         }
@@ -306,7 +250,8 @@
       for (std::uint32_t s = 0; s < candidate.m_occurrence->m_steps.size();
            ++s) {
         const TaskRef ref{candidate.m_job, candidate.m_occurrence, s, 0};
-        if (ref.GetStep().m_waiting == 0 || !IsReady(candidate, s, now)) {
+        if (ref.GetStep().m_waiting == 0 ||
+            !IsReady(*candidate.m_job, *candidate.m_occurrence, s, now)) {
           continue;
         }
         Approvals& approvals = scheduler.m_approvals[ref.Id()];
--- a/filbertspar/scheduler/src/job_writes.cc
+++ b/filbertspar/scheduler/src/job_writes.cc
@@ -25,9 +25,9 @@
     std::string worker =
         WorkerOfRun(scheduler, {job.m_spec->m_id, occurrence, number, t}, task);
     if (!worker.empty() || !task.m_failed_runs.empty() ||
-        !task.m_checkpoint.empty()) {
-      progress.m_tasks.push_back(
-          {t, task.m_failed_runs, task.m_checkpoint, std::move(worker)});
+        !task.m_checkpoint.empty() || !task.m_crashes.empty()) {
+      progress.m_tasks.push_back({t, task.m_failed_runs, task.m_checkpoint,
+                                  std::move(worker), task.m_crashes});
     }
   }
   return progress;
@@ -43,7 +43,7 @@
     std::string worker = WorkerOfRun(
         scheduler, {job.m_spec->m_id, occurrence, number, t}, step.m_tasks[t]);
     if (!worker.empty()) {
-      progress.m_tasks.push_back({t, {}, "", std::move(worker)});
+      progress.m_tasks.push_back({t, {}, "", std::move(worker), {}});
     }
   }
   return progress;
--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -147,6 +147,7 @@
   }
   task.m_since = now;
   task.m_ordered_speed_percent = 100;
+  task.m_is_isolated = false;
   if (IsFinal(ref.m_job->m_state) && ref.m_job->m_placed_tasks == 0) {
     // The last run has ended, so the rows that recorded the runs can be
     // removed.
@@ -164,6 +165,7 @@
   }
   RemoveInheritedRun(scheduler, ref);
   ReleaseResources(scheduler, ref);
+  task.m_is_isolated = false;
   task.m_phase = TaskPhase::kDone;
   task.m_since = now;
   Step& step = ref.GetStep();
@@ -270,6 +272,13 @@
         if (stored_task.m_index < step.m_tasks.size()) {
           Task& task = step.m_tasks[stored_task.m_index];
           task.m_failed_runs = stored_task.m_failed_runs;
+          task.m_crashes = stored_task.m_crashes;
+          task.m_since = now;
+          if (!task.m_crashes.empty()) {
+            scheduler.m_crash_suspects.insert(
+                {job.m_spec->m_id, occurrence.m_number,
+                 static_cast<std::uint32_t>(s), stored_task.m_index});
+          }
           if (!stored_task.m_worker.empty()) {
             InheritRun(scheduler,
                        {&job, &occurrence, static_cast<std::uint32_t>(s),
@@ -427,15 +436,17 @@
   }
 }
 
+void FailJob(Scheduler& scheduler, TimePoint now, Job& job) {
+  FinishJob(scheduler, now, job, JobState::kFailed);
+}
+
 void RequeueLostTask(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
                      std::string_view reason) {
   const WorkerIndex worker = ref.GetTask().m_worker;
   const Task& task = ref.GetTask();
-  const bool was_sent = task.m_phase != TaskPhase::kStarting ||
-                        task.m_start_deadline_ms != kStartNotSent;
   AddLogEvent(scheduler, "task_lost", ref.Id(), worker,
               absl::StrCat("reason=", std::string(reason), " run=", task.m_run,
-                           " sent=", was_sent, " confirmed=",
+                           " sent=", MayRun(task), " confirmed=",
                            task.m_order_confirmed_at != TimePoint::max(),
                            " age_ms=", ToMilliseconds(now - task.m_since)));
   SetWaiting(scheduler, now, ref);
--- a/filbertspar/scheduler/src/jobs.h
+++ b/filbertspar/scheduler/src/jobs.h
@@ -68,6 +68,9 @@
 void HandleRunFinished(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
                        const FinishedRun& finished, WorkerIndex worker);
 
+/// \brief Ends a job as failed and stops its tasks.
+void FailJob(Scheduler& scheduler, TimePoint now, Job& job);
+
 /// \brief Puts a task whose run was lost back to waiting.
 void RequeueLostTask(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
                      std::string_view reason);
--- a/filbertspar/scheduler/src/placement.cc
+++ b/filbertspar/scheduler/src/placement.cc
@@ -40,21 +40,6 @@
                     }));
 }
 
-bool CanRun(const Scheduler& scheduler, TimePoint now, const Worker& worker,
-            const TaskRef& ref) {
-  const StepSpec& spec = ref.Spec();
-  if (!HasLabel(worker, spec.m_required_label)) {
-    return false;
-  }
-  if (spec.m_max_per_worker > 0 &&
-      CountStepTasks(worker, ref) >= spec.m_max_per_worker) {
-    return false;
-  }
-  return !ref.m_job->m_spec->m_policy.m_needs_recommendation ||
-         FindTicket(scheduler, now, ref.Id(), worker.m_record.m_name) !=
-             nullptr;
-}
-
 double UsedFraction(const Worker& worker, const ResourceVector& free) {
   const auto capacity =
       static_cast<double>(worker.m_record.m_capacity.m_cpu.Count());
@@ -112,12 +97,27 @@
 
 }  // namespace
 
+bool CanRun(const Scheduler& scheduler, TimePoint now, const Worker& worker,
+            const TaskRef& ref) {
+  const StepSpec& spec = ref.Spec();
+  if (!HasLabel(worker, spec.m_required_label)) {
+    return false;
+  }
+  if (spec.m_max_per_worker > 0 &&
+      CountStepTasks(worker, ref) >= spec.m_max_per_worker) {
+    return false;
+  }
+  return !ref.m_job->m_spec->m_policy.m_needs_recommendation ||
+         FindTicket(scheduler, now, ref.Id(), worker.m_record.m_name) !=
+             nullptr;
+}
+
 std::vector<FreeCapacity> FreeCapacities(const Scheduler& scheduler,
                                          TimePoint now, const Pool& pool) {
   std::vector<FreeCapacity> capacities;
   for (const WorkerIndex index : pool.m_workers) {
     const Worker& worker = scheduler.m_workers[index];
-    if (IsSchedulable(scheduler, worker, now)) {
+    if (!worker.m_isolated_for && IsSchedulable(scheduler, worker, now)) {
       capacities.push_back({index, worker.m_record.m_capacity - worker.m_used});
     }
   }
--- a/filbertspar/scheduler/src/placement.h
+++ b/filbertspar/scheduler/src/placement.h
@@ -12,6 +12,11 @@
   ResourceVector m_free;
 };
 
+/// \brief Whether the worker suits the task, apart from its free capacity.
+bool CanRun(const Scheduler& scheduler, TimePoint now, const Worker& worker,
+            const TaskRef& ref);
+
+/// \brief Workers that accept tasks; without those that are isolated.
 std::vector<FreeCapacity> FreeCapacities(const Scheduler& scheduler,
                                          TimePoint now, const Pool& pool);
 
--- a/filbertspar/scheduler/src/starts.cc
+++ b/filbertspar/scheduler/src/starts.cc
@@ -13,6 +13,7 @@
                 WorkerIndex index) {
   Task& task = ref.GetTask();
   task.m_since = now;
+  task.m_run_began_at = now;
   task.m_start_deadline_ms = GrantStartDeadline(scheduler, now, index);
   StartOrder order;
   order.m_task = ref.Id();
--- a/filbertspar/scheduler/src/state.cc
+++ b/filbertspar/scheduler/src/state.cc
@@ -44,6 +44,11 @@
   return ToMilliseconds(now.time_since_epoch() + scheduler.m_unix_offset);
 }
 
+bool MayRun(const Task& task) {
+  return task.m_phase != TaskPhase::kStarting ||
+         task.m_start_deadline_ms != kStartNotSent;
+}
+
 ResourceVector ReservedDemand(const StepSpec& step) {
   ResourceVector reserved = step.m_demand;
   if (step.m_best_effort) {
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -44,6 +45,12 @@
   std::vector<std::uint64_t> m_failed_runs;
   /// Worker of the last failed run; others are preferred.
   WorkerIndex m_last_failed_on = kNoWorker;
+  /// Crashes of workers that may be this task's fault; see crashes.h.
+  std::vector<CrashRecord> m_crashes;
+  /// When the last start was sent; min() for a run of a previous owner.
+  TimePoint m_run_began_at = TimePoint::min();
+  /// The last start went to a worker that is isolated for it.
+  bool m_is_isolated = false;
   std::string m_checkpoint;
   /// Entry into the current phase; for a running task, its start.
   TimePoint m_since{};
@@ -130,6 +137,19 @@
   friend bool operator==(const TaskRef&, const TaskRef&) = default;
 };
 
+/// \brief Evidence that the process of a worker ended while its machine was up.
+struct WorkerEnd {
+  /// When its poll was closed or refused first; max() when it was not.
+  TimePoint m_at = TimePoint::max();
+  /// Nothing listens at its address, or another process does.
+  bool m_is_confirmed = false;
+  /// A poll timed out first: the machine is out of reach or without power.
+  bool m_was_silent = false;
+  bool m_is_judged = false;
+  /// Runs with a CrashRecord of this end.
+  std::vector<std::pair<TaskId, std::uint64_t>> m_recorded_runs;
+};
+
 /// \brief The owner's view of one worker.
 struct Worker {
   WorkerRecord m_record;
@@ -178,6 +198,12 @@
   /// The worker refused a start for lack of capacity that this view showed as
   /// free; it is skipped until then.
   TimePoint m_no_capacity_until = TimePoint::min();
+  WorkerEnd m_end;
+  /// The task, or first task of a gang, that is tested here; no other task is
+  /// started meanwhile.
+  std::optional<TaskId> m_isolated_for;
+  /// How long the worker waits for other tasks to end before the test.
+  TimePoint m_isolation_wait_until = TimePoint::min();
 };
 
 /// \brief Orders and log events that calls into the scheduler produced.
@@ -305,6 +331,8 @@
   /// Runs that the previous owner recorded and no poll has shown yet, with
   /// their workers.
   std::map<TaskId, WorkerName> m_inherited_runs;
+  /// Tasks, or first tasks of gangs, with crash records.
+  std::set<TaskId> m_crash_suspects;
   /// Starts waiting to be recorded in the store, oldest first.
   std::deque<PlannedStart> m_planned_starts;
   /// Whether a start is sent only after the store has recorded it. Off while
@@ -330,6 +358,10 @@
 /// \brief Unix time at `now`, in milliseconds.
 std::int64_t UnixMs(const Scheduler& scheduler, TimePoint now);
 
+/// \brief Whether a start of the placed task was sent, so that its run may
+/// exist.
+bool MayRun(const Task& task);
+
 /// \brief Resources that a task reserves on its worker; best-effort tasks
 /// reserve no processor.
 ResourceVector ReservedDemand(const StepSpec& step);
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -4,6 +4,7 @@
 
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
+#include "filbertspar/scheduler/src/crashes.h"
 #include "filbertspar/scheduler/src/jobs.h"
 #include "filbertspar/scheduler/src/starts.h"
 
@@ -49,12 +50,6 @@
       worker.m_clock_at + MaxElapsedTime(remaining_ms) + kLeaseKillDelay);
 }
 
-/// Whether the start of the task was sent, so that its run may exist.
-bool MayRun(const Task& task) {
-  return task.m_phase != TaskPhase::kStarting ||
-         task.m_start_deadline_ms != kStartNotSent;
-}
-
 void RequeueTasksOf(Scheduler& scheduler, TimePoint now, Worker& worker,
                     std::string_view reason) {
   const std::vector<TaskRef> tasks = worker.m_tasks;
@@ -69,6 +64,10 @@
                           WorkerIndex index, std::int64_t incarnation) {
   Worker& worker = scheduler.m_workers[index];
   const bool is_first = worker.m_incarnation == 0;
+  if (!is_first) {
+    HandleWorkerReplaced(scheduler, now, index);
+  }
+  worker.m_end = WorkerEnd();
   worker.m_incarnation = incarnation;
   worker.m_has_responded = false;
   if (is_first) {
@@ -177,6 +176,7 @@
   --ref.GetStep().m_waiting;
   task.m_phase = TaskPhase::kRunning;
   task.m_run = run.m_run.Value();
+  task.m_run_began_at = TimePoint::min();
   task.m_since = now;
   task.m_order_confirmed_at = now;
   AddLogEvent(scheduler, "task_adopted", ref.Id(), index,
@@ -310,6 +310,7 @@
     // A later poll was answered first.
     return;
   }
+  HandleWorkerAlive(scheduler, index);
   worker.m_answered_poll_sent_at = sent;
   UpdateClock(worker, now, status.m_clock_ms);
   worker.m_last_response_at = now;
@@ -330,13 +331,16 @@
   RequeueMissingRuns(scheduler, sent, now, index, status);
 }
 
-void HandlePollFailure(Scheduler& scheduler, WorkerIndex index) {
+void HandlePollFailure(Scheduler& scheduler, TimePoint now, WorkerIndex index,
+                       PollFailure failure) {
   ++scheduler.m_workers[index].m_failed_polls;
+  RecordPollFailure(scheduler.m_workers[index], now, failure);
 }
 
 void HandleInstanceReplaced(Scheduler& scheduler, TimePoint now,
                             WorkerIndex index) {
   Worker& worker = scheduler.m_workers[index];
+  HandleWorkerReplaced(scheduler, now, index);
   worker.m_registered = false;
   worker.m_has_responded = false;
   worker.m_lease_until = TimePoint::min();
@@ -409,6 +413,8 @@
 }
 
 void ExpireLeases(Scheduler& scheduler, TimePoint now) {
+  JudgeEndedWorkers(scheduler, now);
+  ReviewSuspects(scheduler, now);
   for (Worker& worker : scheduler.m_workers) {
     if (worker.m_tasks.empty() || now <= worker.m_lease_until) {
       continue;
--- a/filbertspar/scheduler/src/workers.h
+++ b/filbertspar/scheduler/src/workers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "filbertspar/scheduler/src/crashes.h"
 #include "filbertspar/scheduler/src/state.h"
 
 namespace filbertspar::scheduler {
@@ -19,7 +20,8 @@
 /// \brief Called when a poll got no answer. Later polls renew no lease until
 /// one is answered, beyond m_unanswered_renewals, so that the worker's tasks
 /// are given up when the lease expires.
-void HandlePollFailure(Scheduler& scheduler, WorkerIndex index);
+void HandlePollFailure(Scheduler& scheduler, TimePoint now, WorkerIndex index,
+                       PollFailure failure);
 
 /// \brief Called when the worker's address answers for another worker: this
 /// incarnation has ended and none of its runs exist.
--- a/tests/job_rows_test.cc
+++ b/tests/job_rows_test.cc
@@ -49,7 +49,11 @@
   progress.m_state = JobState::kRunning;
   progress.m_next_occurrence = 3;
   progress.m_occurrences.push_back(
-      {2, {{"\x05", {{1, {7, 9}, "c", "w1"}}}, {"", {}}}});
+      {2,
+       {{"\x05",
+         {{1, {7, 9}, "c", "w1", {{7, "w0", 12, true, false}}},
+          {2, {}, "", "", {{8, "w0", 900, false, true}}}}},
+        {"", {}}}});
   const auto decoded = DecodeProgress(EncodeProgress(progress));
   REQUIRE(decoded.ok());
   CHECK(*decoded == progress);
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -319,8 +319,15 @@
       return;
     }
     const auto deadline = GrantLease(*m_owner, m_now, index);
-    if (worker.m_is_unreachable || worker.m_crashed_at != TimePoint::max()) {
-      HandlePollFailure(*m_owner, index);
+    if (worker.m_crashed_at != TimePoint::max()) {
+      const bool had_poll = m_owner->m_workers[index].m_failed_polls == 0;
+      HandlePollFailure(
+          *m_owner, m_now, index,
+          had_poll ? PollFailure::kClosed : PollFailure::kRefused);
+      return;
+    }
+    if (worker.m_is_unreachable) {
+      HandlePollFailure(*m_owner, m_now, index, PollFailure::kSilent);
       return;
     }
     worker.m_fencing = std::max(worker.m_fencing, m_owner->m_options.m_fencing);
--- a/tests/scheduler_worker_test.cc
+++ b/tests/scheduler_worker_test.cc
@@ -250,16 +250,16 @@
   Scheduler& owner = *simulation.m_owner;
   const TimePoint before = owner.m_workers[0].m_lease_until;
   const TimePoint later = simulation.m_now + Seconds(1);
-  HandlePollFailure(owner, 0);
+  HandlePollFailure(owner, simulation.m_now, 0, PollFailure::kSilent);
   CHECK_FALSE(GrantLease(owner, later, 0).has_value());
   CHECK(owner.m_workers[0].m_lease_until == before);
   owner.m_options.m_unanswered_renewals = 2;
   CHECK(GrantLease(owner, later, 0).has_value());
   CHECK(owner.m_workers[0].m_lease_until > before);
-  HandlePollFailure(owner, 0);
+  HandlePollFailure(owner, simulation.m_now, 0, PollFailure::kSilent);
   CHECK(GrantLease(owner, later, 0).has_value());
   // A worker that is gone is given up in the end.
-  HandlePollFailure(owner, 0);
+  HandlePollFailure(owner, simulation.m_now, 0, PollFailure::kSilent);
   CHECK_FALSE(GrantLease(owner, later, 0).has_value());
 }
 
