Make crash counts outlast owners and spare tasks that are old or isolated no more

Cause: three gaps of the count. An owner lost within 0.4 s of each crash took the count with it (10 crashes in virtual time).

A new owner counts a recorded run whose worker refuses connections, unless the row knows that worker's crash. A start of a suspect always waits for the store. Isolation lasts as long as the probation; runs older than 10 s (long-running: 5 s) are no likely cause. A worker that crashed in a test no longer counts against the workers that may be isolated.

--- a/filbertspar/node/src/event_log.cc
+++ b/filbertspar/node/src/event_log.cc
@@ -22,6 +22,10 @@
 /// A pipe that polls writable accepts this many bytes without blocking (POSIX).
 constexpr std::size_t kMaxWriteBytes = PIPE_BUF;
 
+/// Share of the burst that only warnings may use, so that a busy process does
+/// not drop them.
+constexpr double kWarningShare = 0.1;
+
 std::string_view FirstLine(std::string_view text) {
   return text.substr(0, text.find('\n'));
 }
@@ -36,13 +40,15 @@
     m_tokens = limits.m_burst_lines;
   }
 
-  bool TryTakeToken() {
+  /// Leaves `reserve` tokens for others.
+  bool TryTakeToken(double reserve) {
     const TimePoint now = BootNow();
     m_tokens = std::min(
         m_limits.m_burst_lines,
         m_tokens + ToSeconds(now - m_refilled) * m_limits.m_lines_per_s);
     m_refilled = now;
-    if (m_tokens < 1 || m_buffer.size() >= m_limits.m_buffered_bytes) {
+    if (m_tokens < 1 + reserve ||
+        m_buffer.size() >= m_limits.m_buffered_bytes) {
       ++m_dropped;
       ++m_dropped_unreported;
       return false;
@@ -51,6 +57,33 @@
     return true;
   }
 
+  void Log(spdlog::level::level_enum level, std::string_view component,
+           std::string_view event, std::string_view fields) {
+    const bool is_warning = level == spdlog::level::warn;
+    if (!TryTakeToken(is_warning ? 0
+                                 : m_limits.m_burst_lines * kWarningShare)) {
+      return;
+    }
+    if (m_dropped_unreported > 0) {
+      WriteLine(
+          "log", spdlog::level::warn,
+          absl::StrCat("event=lines_dropped count=", m_dropped_unreported));
+      m_dropped_unreported = 0;
+    }
+    WriteLine(
+        component, level,
+        absl::StrCat("event=", std::string(event), fields.empty() ? "" : " ",
+                     std::string(FirstLine(fields))));
+    ScheduleFlush();
+  }
+
+  void WriteLine(std::string_view component, spdlog::level::level_enum level,
+                 const std::string& text) {
+    log(spdlog::details::log_msg(
+        spdlog::string_view_t(component.data(), component.size()), level,
+        text));
+  }
+
   void sink_it_(const spdlog::details::log_msg& message) override {
     spdlog::memory_buf_t line;
     formatter_->format(message, line);
@@ -116,39 +149,12 @@
 
 void EventLog::Info(std::string_view component, std::string_view event,
                     std::string_view fields) {
-  State& state = *m_state;
-  if (!state.TryTakeToken()) {
-    return;
-  }
-  const auto log = [&state](std::string_view name,
-                            spdlog::level::level_enum level,
-                            const std::string& text) {
-    state.log(spdlog::details::log_msg(
-        spdlog::string_view_t(name.data(), name.size()), level, text));
-  };
-  if (state.m_dropped_unreported > 0) {
-    log("log", spdlog::level::warn,
-        absl::StrCat("event=lines_dropped count=", state.m_dropped_unreported));
-    state.m_dropped_unreported = 0;
-  }
-  log(component, spdlog::level::info,
-      absl::StrCat("event=", std::string(event), fields.empty() ? "" : " ",
-                   std::string(FirstLine(fields))));
-  state.ScheduleFlush();
+  m_state->Log(spdlog::level::info, component, event, fields);
 }
 
 void EventLog::Warn(std::string_view component, std::string_view event,
                     std::string_view fields) {
-  State& state = *m_state;
-  if (!state.TryTakeToken()) {
-    return;
-  }
-  state.log(spdlog::details::log_msg(
-      spdlog::string_view_t(component.data(), component.size()),
-      spdlog::level::warn,
-      absl::StrCat("event=", std::string(event), fields.empty() ? "" : " ",
-                   std::string(FirstLine(fields)))));
-  state.ScheduleFlush();
+  m_state->Log(spdlog::level::warn, component, event, fields);
 }
 
 void EventLog::Flush() { m_state->Write(); }
--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -393,7 +393,11 @@
         m_scheduler.m_workers[event.m_worker].m_record.m_name.Value());
   }
   absl::StrAppend(&fields, " ", event.m_detail);
-  m_parts.m_log.Info("scheduler", event.m_event, fields);
+  if (event.m_is_warning) {
+    m_parts.m_log.Warn("scheduler", event.m_event, fields);
+  } else {
+    m_parts.m_log.Info("scheduler", event.m_event, fields);
+  }
 }
 
 void OwnerTerm::RequestRecommendations() {
--- a/filbertspar/scheduler/src/crashes.cc
+++ b/filbertspar/scheduler/src/crashes.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "absl/strings/str_cat.h"
+#include "filbertspar/scheduler/src/eligibility.h"
 #include "filbertspar/scheduler/src/jobs.h"
 #include "filbertspar/scheduler/src/workers.h"
 
@@ -24,13 +25,15 @@
 /// long before the last one are suspects.
 constexpr Duration kSuspectSpread = Milliseconds(100);
 constexpr Duration kProbationMargin = Milliseconds(500);
-constexpr Duration kMaxProbation = Seconds(30);
-/// Longest time for which a worker is kept free of other tasks.
-constexpr Duration kMaxIsolation = Seconds(5);
+constexpr Duration kMaxProbation = Seconds(10);
+/// A run that is older than this is no likely cause. Long-running tasks are on
+/// many workers when others crash these, and most of their runs are old.
+constexpr Duration kMaxBatchAge = Seconds(10);
+constexpr Duration kMaxLongRunningAge = Seconds(5);
 /// Age of a run whose start is not known.
 constexpr Duration kUnknownAge = Seconds(60);
 
-/// A unit whose run may have begun before its worker ended.
+/// A unit whose run may be the cause of its worker's end.
 struct Candidate {
   TaskRef m_unit;
   std::uint64_t m_run = 0;
@@ -43,12 +46,42 @@
                                                  : at - task.m_run_began_at;
 }
 
+/// Units of the runs that the previous owner recorded on a worker which this
+/// one has not reached. Their starts are not known.
+std::vector<Candidate> InheritedCandidatesOn(Scheduler& scheduler,
+                                             const WorkerName& worker) {
+  std::vector<Candidate> candidates;
+  for (const auto& [id, recorded] : scheduler.m_inherited_runs) {
+    const TaskRef ref = FindTask(scheduler, id);
+    if (recorded != worker || !ref || IsFinal(ref.m_job->m_state)) {
+      continue;
+    }
+    const TaskRef unit = CrashUnit(ref);
+    const std::vector<CrashRecord>& crashes = unit.GetTask().m_crashes;
+    const bool is_known = std::any_of(crashes.begin(), crashes.end(),
+                                      [&worker](const CrashRecord& crash) {
+                                        return crash.m_worker == worker.Value();
+                                      });
+    const bool is_listed = std::any_of(
+        candidates.begin(), candidates.end(),
+        [&unit](const Candidate& other) { return other.m_unit == unit; });
+    if (!is_known && !is_listed) {
+      candidates.push_back(
+          {unit, LastInheritedRun(scheduler), Duration(0), false});
+    }
+  }
+  return candidates;
+}
+
 std::vector<Candidate> CandidatesOn(const Worker& worker) {
   std::vector<Candidate> candidates;
   for (const TaskRef& ref : worker.m_tasks) {
     const Task& task = ref.GetTask();
     const Duration age = AgeAt(task, worker.m_end.m_at);
-    if (!MayRun(task) || age < Duration(0) || IsFinal(ref.m_job->m_state)) {
+    const Duration max_age =
+        ref.Spec().m_long_running ? kMaxLongRunningAge : kMaxBatchAge;
+    if (!MayRun(task) || age < Duration(0) || age > max_age ||
+        IsFinal(ref.m_job->m_state)) {
       continue;
     }
     const TaskRef unit = CrashUnit(ref);
@@ -81,13 +114,12 @@
         other.m_record.m_rack != worker.m_record.m_rack) {
       continue;
     }
-    const Duration apart = other.m_end.m_at > worker.m_end.m_at
-                               ? other.m_end.m_at - worker.m_end.m_at
-                               : worker.m_end.m_at - other.m_end.m_at;
-    if (other.m_end.m_at == TimePoint::max() || apart > kCommonCauseWindow) {
+    if (other.m_end.m_at > worker.m_end.m_at + kCommonCauseWindow) {
       return false;
     }
-    has_others = true;
+    // Those that ended earlier were no longer there.
+    has_others = has_others ||
+                 other.m_end.m_at + kCommonCauseWindow >= worker.m_end.m_at;
   }
   return has_others;
 }
@@ -128,17 +160,23 @@
   const bool has_sole = std::any_of(
       unit.m_crashes.begin(), unit.m_crashes.end(),
       [](const CrashRecord& crash) { return crash.m_is_sole_cause; });
-  if (unit.m_crashes.size() >= kMaxSharedCrashes ||
+  if ((unit.m_crashes.size() >= kMaxSharedCrashes &&
+       !ref.Spec().m_long_running) ||
       (unit.m_crashes.size() >= kMaxCrashes && has_sole)) {
-    AddLogEvent(scheduler, "task_given_up", ref.Id(), kNoWorker,
-                absl::StrCat("crashes=", unit.m_crashes.size(),
-                             " workers=", WorkersOf(unit)));
+    AddWarning(scheduler, "task_given_up", ref.Id(), kNoWorker,
+               absl::StrCat("crashes=", unit.m_crashes.size(),
+                            " workers=", WorkersOf(unit)));
     FailJob(scheduler, now, *ref.m_job);
   }
 }
 
 void RecordSharedCrash(Scheduler& scheduler, TimePoint now, WorkerIndex index,
                        const std::vector<Candidate>& candidates) {
+  // Of an inherited run it is only known to have been alone when the previous
+  // owner had reason to isolate it.
+  const bool is_alone = candidates.size() == 1 &&
+                        (scheduler.m_workers[index].m_has_responded ||
+                         NeedsIsolation(candidates.front().m_unit.GetTask()));
   Duration youngest = kUnknownAge;
   for (const Candidate& candidate : candidates) {
     youngest = std::min(youngest, candidate.m_age);
@@ -147,8 +185,7 @@
     // An earlier candidate may have failed the job of this one.
     if (!IsFinal(candidate.m_unit.m_job->m_state)) {
       RecordCrash(scheduler, now, index, candidate,
-                  candidate.m_age <= youngest + kSuspectSpread,
-                  candidates.size() == 1);
+                  candidate.m_age <= youngest + kSuspectSpread, is_alone);
     }
   }
 }
@@ -171,7 +208,10 @@
     return;
   }
   scheduler.m_workers[index].m_end.m_is_judged = true;
-  const std::vector<Candidate> candidates = CandidatesOn(worker);
+  const std::vector<Candidate> candidates =
+      worker.m_has_responded
+          ? CandidatesOn(worker)
+          : InheritedCandidatesOn(scheduler, worker.m_record.m_name);
   if (candidates.empty()) {
     return;
   }
@@ -182,7 +222,7 @@
   } else if (HasCommonCause(scheduler, worker)) {
     cause = "common";
   }
-  AddLogEvent(
+  AddWarning(
       scheduler, "worker_crashed", {}, index,
       absl::StrCat("cause=", std::string(cause), " tasks=", candidates.size()));
   if (cause == "isolated_task") {
@@ -219,11 +259,8 @@
   }
   const TaskRef unit = FindTask(scheduler, *worker.m_isolated_for);
   const bool runs_here = std::any_of(
-      worker.m_tasks.begin(), worker.m_tasks.end(), [&](const TaskRef& ref) {
-        return CrashUnit(ref) == unit &&
-               (!MayRun(ref.GetTask()) ||
-                AgeAt(ref.GetTask(), now) < kMaxIsolation);
-      });
+      worker.m_tasks.begin(), worker.m_tasks.end(),
+      [&unit](const TaskRef& ref) { return CrashUnit(ref) == unit; });
   return runs_here || now < worker.m_isolation_wait_until;
 }
 
@@ -263,7 +300,7 @@
     }
     return;
   }
-  if (end.m_was_silent || !worker.m_has_responded) {
+  if (end.m_was_silent) {
     return;
   }
   end.m_at = std::min(end.m_at, now);
--- a/filbertspar/scheduler/src/eligibility.cc
+++ b/filbertspar/scheduler/src/eligibility.cc
@@ -63,10 +63,12 @@
          within(total_demand.m_accelerators, quota.m_accelerators);
 }
 
+std::uint64_t LastInheritedRun(const Scheduler& scheduler) {
+  return (scheduler.m_options.m_fencing.Value() - 1) * kRunsPerOwner;
+}
+
 std::uint64_t NextRun(const Scheduler& scheduler, const Task& task) {
-  const std::uint64_t first =
-      (scheduler.m_options.m_fencing.Value() - 1) * kRunsPerOwner + 1;
-  return std::max(first, task.m_run + 1);
+  return std::max(LastInheritedRun(scheduler), task.m_run) + 1;
 }
 
 }  // namespace filbertspar::scheduler
--- a/filbertspar/scheduler/src/eligibility.h
+++ b/filbertspar/scheduler/src/eligibility.h
@@ -22,6 +22,9 @@
 bool IsWithinQuota(const Scheduler& scheduler, const WorkspaceName& workspace,
                    const ResourceVector& additional);
 
+/// \brief Run number above those of all previous owners and below this one's.
+std::uint64_t LastInheritedRun(const Scheduler& scheduler);
+
 /// \brief Number of the task's next run.
 std::uint64_t NextRun(const Scheduler& scheduler, const Task& task);
 
--- a/filbertspar/scheduler/src/isolation.cc
+++ b/filbertspar/scheduler/src/isolation.cc
@@ -69,21 +69,20 @@
   return best;
 }
 
-std::size_t CountIsolated(const Scheduler& scheduler, const Pool& pool) {
-  return static_cast<std::size_t>(std::count_if(
-      pool.m_workers.begin(), pool.m_workers.end(),
-      [&scheduler](WorkerIndex index) {
-        return scheduler.m_workers[index].m_isolated_for.has_value();
-      }));
-}
-
-std::size_t MaxIsolated(const Scheduler& scheduler, TimePoint now,
-                        const Pool& pool) {
-  const auto schedulable = static_cast<std::size_t>(std::count_if(
-      pool.m_workers.begin(), pool.m_workers.end(), [&](WorkerIndex index) {
-        return IsSchedulable(scheduler, scheduler.m_workers[index], now);
-      }));
-  return std::max<std::size_t>(1, schedulable / kIsolatedShare);
+/// Whether the pool can spare another worker for a test. One that crashed in
+/// its test no longer counts.
+bool MayIsolateMore(const Scheduler& scheduler, TimePoint now,
+                    const Pool& pool) {
+  std::size_t schedulable = 0;
+  std::size_t isolated = 0;
+  for (const WorkerIndex index : pool.m_workers) {
+    const Worker& worker = scheduler.m_workers[index];
+    if (IsSchedulable(scheduler, worker, now)) {
+      ++schedulable;
+      isolated += worker.m_isolated_for ? 1 : 0;
+    }
+  }
+  return isolated < std::max<std::size_t>(1, schedulable / kIsolatedShare);
 }
 
 /// Worker that waits for its tasks to end before it runs the unit.
@@ -138,7 +137,7 @@
   }
   WorkerIndex index = DrainedFor(scheduler, pool, id);
   if (index == kNoWorker) {
-    if (CountIsolated(scheduler, pool) >= MaxIsolated(scheduler, now, pool)) {
+    if (!MayIsolateMore(scheduler, now, pool)) {
       return;
     }
     index = ChooseWorkerToIsolate(scheduler, now, pool, unit);
--- a/filbertspar/scheduler/src/starts.cc
+++ b/filbertspar/scheduler/src/starts.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "filbertspar/scheduler/src/crashes.h"
 #include "filbertspar/scheduler/src/placement.h"
 #include "filbertspar/scheduler/src/workers.h"
 
@@ -71,8 +72,10 @@
   task.m_load = -1;
   task.m_start_deadline_ms = kStartNotSent;
   const std::uint64_t change = MarkChanged(scheduler, *ref.m_job);
-  if (scheduler.m_record_before_start) {
-    scheduler.m_planned_starts.push_back({ref.Id(), run, worker, change});
+  const bool must_be_recorded = !CrashUnit(ref).GetTask().m_crashes.empty();
+  if (scheduler.m_record_before_start || must_be_recorded) {
+    scheduler.m_planned_starts.push_back(
+        {ref.Id(), run, worker, change, must_be_recorded});
   } else {
     scheduler.m_last_unrecorded_start = change;
     IssueStart(scheduler, now, ref, worker);
@@ -97,10 +100,14 @@
   }
   scheduler.m_last_unrecorded_start =
       scheduler.m_planned_starts.back().m_change;
-  while (!scheduler.m_planned_starts.empty()) {
-    const PlannedStart planned = scheduler.m_planned_starts.front();
-    scheduler.m_planned_starts.pop_front();
-    IssuePlannedStart(scheduler, now, planned);
+  std::deque<PlannedStart> planned_starts;
+  std::swap(planned_starts, scheduler.m_planned_starts);
+  for (const PlannedStart& planned : planned_starts) {
+    if (planned.m_must_be_recorded) {
+      scheduler.m_planned_starts.push_back(planned);
+    } else {
+      IssuePlannedStart(scheduler, now, planned);
+    }
   }
 }
 
--- a/filbertspar/scheduler/src/state.cc
+++ b/filbertspar/scheduler/src/state.cc
@@ -94,4 +94,10 @@
       {std::move(event), task, worker, std::move(detail)});
 }
 
+void AddWarning(Scheduler& scheduler, std::string event, const TaskId& task,
+                WorkerIndex worker, std::string detail) {
+  scheduler.m_effects.m_log_events.push_back(
+      {std::move(event), task, worker, std::move(detail), true});
+}
+
 }  // namespace filbertspar::scheduler
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -227,6 +227,7 @@
     WorkerIndex m_worker = kNoWorker;
     /// Further `key=value` pairs; may be empty.
     std::string m_detail;
+    bool m_is_warning = false;
   };
   std::vector<Start> m_starts;
   std::vector<Stop> m_stops;
@@ -271,6 +272,9 @@
   WorkerIndex m_worker = kNoWorker;
   /// Number of the change that records it.
   std::uint64_t m_change = 0;
+  /// Waits for the store even where other starts do not: the crashes of its
+  /// task must be known to the next owner before there can be one more.
+  bool m_must_be_recorded = false;
 };
 
 struct Pool {
@@ -377,4 +381,8 @@
 void AddLogEvent(Scheduler& scheduler, std::string event, const TaskId& task,
                  WorkerIndex worker, std::string detail = "");
 
+/// \brief The same for an event that is logged as a warning.
+void AddWarning(Scheduler& scheduler, std::string event, const TaskId& task,
+                WorkerIndex worker, std::string detail);
+
 }  // namespace filbertspar::scheduler
--- a/tests/node_event_log_test.cc
+++ b/tests/node_event_log_test.cc
@@ -69,5 +69,30 @@
   close(ends[1]);
 }
 
+// Guards against a busy process that drops the lines which explain a failure.
+TEST_CASE("warnings are logged while other lines are dropped") {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  REQUIRE(fcntl(ends[0], F_SETFL, O_NONBLOCK) == 0);
+  asio::io_context context;
+  EventLogLimits limits;
+  limits.m_lines_per_s = 1;
+  limits.m_burst_lines = 50;
+  {
+    EventLog log(context, limits, ends[1]);
+    for (int i = 0; i < 100; ++i) {
+      log.Info("test", "line");
+    }
+    REQUIRE(log.Dropped() > 0);
+    log.Warn("test", "given_up");
+    log.Flush();
+    const std::string text = ReadAll(ends[0]);
+    CHECK(text.find("event=given_up") != std::string::npos);
+    CHECK(text.find("event=lines_dropped count=") != std::string::npos);
+  }
+  close(ends[0]);
+  close(ends[1]);
+}
+
 }  // namespace
 }  // namespace filbertspar
--- a/tests/scheduler_crash_test.cc
+++ b/tests/scheduler_crash_test.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <random>
+#include <set>
 
 #include "tests/scheduler_simulation.h"
 
@@ -10,11 +12,11 @@
   return {JobId(job), 0, 0, index};
 }
 
-/// Six workers with 16 cores each.
-void AddPool(Simulation& simulation) {
+/// Six workers with 16 cores each, two in a rack.
+void AddPool(Simulation& simulation, const std::string& prefix = "w") {
   for (int i = 0; i < 6; ++i) {
-    simulation.AddWorker("w" + std::to_string(i), "p", 16,
-                         "r" + std::to_string(i / 2));
+    simulation.AddWorker(prefix + std::to_string(i), "p", 16,
+                         prefix + "r" + std::to_string(i / 2));
   }
 }
 
@@ -81,5 +83,280 @@
   CHECK(simulation.m_starts[TaskOf("job", 1)] == 1);
 }
 
+// Runs a job "bad" whose task 0 crashes its workers beside other work, and
+// checks what each caller gets.
+void CheckCrashingJob(Simulation& simulation, const JobSpec& bad,
+                      Duration crash_age = Milliseconds(10)) {
+  AddPool(simulation);
+  simulation.m_crashing_tasks[TaskOf("bad")] = crash_age;
+  REQUIRE(simulation.Submit(bad));
+  const int others = SubmitOthers(simulation, Seconds(20), 2);
+  simulation.RunFor(Seconds(20));
+  CHECK(simulation.m_crashes[TaskOf("bad")].size() == 3);
+  CHECK(simulation.StateOfJob("bad") == JobState::kFailed);
+  CHECK(simulation.m_max_concurrent_runs == 1);
+  for (int i = 0; i < others; ++i) {
+    CHECK(simulation.StateOfJob("other" + std::to_string(i)) ==
+          JobState::kCompleted);
+  }
+}
+
+// Guards against kinds of tasks whose crashes are not counted.
+TEST_CASE("a gang with a crashing member crashes no more than three workers") {
+  Simulation simulation;
+  JobSpec job = Simulation::MakeJob("bad", "p", 4, Seconds(1));
+  job.m_steps[0].m_gang = true;
+  job.m_steps[0].m_colocated = true;
+  CheckCrashingJob(simulation, job);
+}
+
+TEST_CASE("a crashing task with checkpoints is given up") {
+  Simulation simulation;
+  JobSpec job = Simulation::MakeJob("bad", "p", 2, Seconds(4));
+  job.m_steps[0].m_checkpointing = true;
+  CheckCrashingJob(simulation, job, Seconds(2));
+}
+
+TEST_CASE("a crashing long-running task is given up") {
+  Simulation simulation;
+  JobSpec job = Simulation::MakeJob("bad", "p", 3, Seconds(1));
+  job.m_steps[0].m_long_running = true;
+  CheckCrashingJob(simulation, job, Milliseconds(100));
+}
+
+TEST_CASE("a crashing task of a job with due times is given up") {
+  Simulation simulation;
+  JobSpec job = Simulation::MakeJob("bad", "p", 2, Seconds(1));
+  job.m_occurrence_count = 2;
+  job.m_first_due_ms = ToMilliseconds(simulation.m_now.time_since_epoch());
+  job.m_interval = Seconds(60);
+  CheckCrashingJob(simulation, job);
+}
+
+// Guards against a culprit that hides behind tasks that began after it.
+TEST_CASE("a task that crashes its workers late is given up") {
+  Simulation simulation;
+  CheckCrashingJob(simulation, Simulation::MakeJob("bad", "p", 1, Seconds(8)),
+                   Seconds(3));
+}
+
+// Guards against a count that is lost with the owner that saw the crashes.
+TEST_CASE("the crashes of a task outlive each owner") {
+  for (const Duration after :
+       {Milliseconds(0), Milliseconds(300), Milliseconds(700), Seconds(2)}) {
+    Simulation simulation;
+    AddPool(simulation);
+    const TaskId bad = TaskOf("bad");
+    simulation.m_crashing_tasks[bad] = Milliseconds(10);
+    REQUIRE(simulation.Submit(Simulation::MakeJob("bad", "p", 2, Seconds(1))));
+    std::size_t crashes = 0;
+    for (int i = 0; i < 3000; ++i) {
+      simulation.RunFor(Milliseconds(20));
+      if (simulation.m_crashes[bad].size() > crashes) {
+        crashes = simulation.m_crashes[bad].size();
+        simulation.RunFor(after);
+        simulation.TakeOver();
+      }
+    }
+    INFO("owner lost after " << ToMilliseconds(after) << " ms");
+    CHECK(crashes <= 3);
+    CHECK(simulation.StateOfJob("bad") == JobState::kFailed);
+  }
+}
+
+// Guards against runs that could crash a worker while the crashes before them
+// cannot be stored.
+TEST_CASE("a suspect is not started while the store is away") {
+  Simulation simulation;
+  AddPool(simulation);
+  const TaskId bad = TaskOf("bad");
+  simulation.m_crashing_tasks[bad] = Milliseconds(10);
+  REQUIRE(simulation.Submit(Simulation::MakeJob("bad", "p", 2, Seconds(1))));
+  simulation.RunFor(Milliseconds(200));
+  REQUIRE(simulation.m_crashes[bad].size() == 1);
+  simulation.m_store_is_down = true;
+  SetRecordBeforeStart(*simulation.m_owner, simulation.m_now, false);
+  REQUIRE(simulation.Submit(Simulation::MakeJob("good", "p", 2, Seconds(1))));
+  simulation.RunFor(Seconds(6));
+  CHECK(simulation.m_crashes[bad].size() == 1);
+  CHECK(simulation.m_starts[TaskOf("good")] == 1);
+  simulation.m_store_is_down = false;
+  simulation.RunFor(Seconds(12));
+  CHECK(simulation.m_crashes[bad].size() == 3);
+  CHECK(simulation.StateOfJob("bad") == JobState::kFailed);
+}
+
+// Guards against a crash that is counted again by a late or repeated report.
+TEST_CASE("a crash that is reported twice counts once") {
+  Simulation simulation;
+  FakeWorker& worker = simulation.AddWorker("w1", "p", 16);
+  REQUIRE(simulation.Submit(Simulation::MakeJob("job", "p", 1, Seconds(9))));
+  simulation.RunFor(Seconds(1));
+  simulation.Crash(worker);
+  simulation.RunFor(Milliseconds(600));
+  Scheduler& owner = *simulation.m_owner;
+  const TaskRef task = FindTask(owner, TaskOf("job"));
+  REQUIRE(task.GetTask().m_crashes.size() == 1);
+  HandlePollFailure(owner, simulation.m_now, 0, PollFailure::kRefused);
+  JudgeEndedWorkers(owner, simulation.m_now + Seconds(1));
+  HandleInstanceReplaced(owner, simulation.m_now, 0);
+  CHECK(task.GetTask().m_crashes.size() == 1);
+}
+
+// Runs a job whose workers end again and again, other than by a crash of their
+// process alone, and checks that nothing is held against it.
+template <typename EndWorkers>
+void CheckOtherCause(EndWorkers end_workers) {
+  Simulation simulation;
+  AddPool(simulation);
+  REQUIRE(simulation.Submit(Simulation::MakeJob("job", "p", 3, Seconds(5))));
+  JobSpec lasting = Simulation::MakeJob("lasting", "p", 2, Seconds(1));
+  lasting.m_steps[0].m_long_running = true;
+  REQUIRE(simulation.Submit(lasting));
+  for (int i = 0; i < 6; ++i) {
+    simulation.RunFor(Seconds(2));
+    const std::size_t workers = simulation.m_workers.size();
+    for (std::size_t w = 0; w < workers; ++w) {
+      FakeWorker& worker = *simulation.m_workers[w];
+      if (worker.m_crashed_at == TimePoint::max() &&
+          !worker.m_running.empty()) {
+        end_workers(simulation, worker);
+      }
+    }
+    simulation.RunFor(Seconds(5));
+    CHECK(simulation.m_owner->m_crash_suspects.empty());
+  }
+  simulation.RunFor(Seconds(10));
+  CHECK(simulation.StateOfJob("job") == JobState::kCompleted);
+  CHECK(simulation.StateOfJob("lasting") == JobState::kRunning);
+}
+
+TEST_CASE("the loss of a worker's power counts against no task") {
+  CheckOtherCause([](Simulation& simulation, FakeWorker& worker) {
+    simulation.PowerOff(worker);
+  });
+}
+
+TEST_CASE("the crash of a whole rack counts against no task") {
+  CheckOtherCause([](Simulation& simulation, FakeWorker& worker) {
+    for (const auto& other : simulation.m_workers) {
+      if (other->m_record.m_rack == worker.m_record.m_rack &&
+          other->m_crashed_at == TimePoint::max()) {
+        simulation.Crash(*other);
+      }
+    }
+  });
+}
+
+TEST_CASE("the end of a worker after its notice counts against no task") {
+  CheckOtherCause([](Simulation& simulation, FakeWorker& worker) {
+    worker.m_record.m_draining = true;
+    worker.m_record.m_remaining = Milliseconds(100);
+    RegisterWorker(*simulation.m_owner, simulation.m_now, worker.m_record);
+    simulation.RunFor(Milliseconds(100));
+    simulation.Crash(worker);
+    worker.m_record.m_draining = false;
+  });
+}
+
+TEST_CASE("a frozen worker counts against no task") {
+  CheckOtherCause([](Simulation& simulation, FakeWorker& worker) {
+    worker.m_is_unreachable = true;
+    simulation.RunFor(Seconds(4));
+    worker.m_is_unreachable = false;
+  });
+}
+
+TEST_CASE("a cut that refuses connections counts against no task") {
+  CheckOtherCause([](Simulation& simulation, FakeWorker& worker) {
+    worker.m_refuses = true;
+    simulation.RunFor(Seconds(4));
+    worker.m_refuses = false;
+  });
+}
+
+TEST_CASE("a worker that is replaced unseen counts against no task") {
+  CheckOtherCause([](Simulation& simulation, FakeWorker& worker) {
+    simulation.Crash(worker);
+    worker.m_crashed_at -= simulation.m_restart_time;
+  });
+}
+
+// Guards against a long-running job that is given up because it was on many
+// workers that others crashed.
+TEST_CASE("a long-running job survives a series of crashing neighbors") {
+  for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+    std::mt19937 random(seed);
+    Simulation simulation;
+    AddPool(simulation);
+    for (const std::string id : {"lasting0", "lasting1"}) {
+      JobSpec lasting = Simulation::MakeJob(id, "p", 5, Seconds(1));
+      lasting.m_steps[0].m_long_running = true;
+      lasting.m_steps[0].m_max_per_worker = 1;
+      REQUIRE(simulation.Submit(lasting));
+    }
+    for (int i = 0; i < 200; ++i) {
+      const std::string id = "job" + std::to_string(i);
+      if (random() % 15 == 0) {
+        simulation.m_crashing_tasks[TaskOf(id)] = Milliseconds(10);
+      }
+      simulation.Submit(Simulation::MakeJob(id, "p", 3, Milliseconds(800)));
+      simulation.RunFor(Milliseconds(200));
+    }
+    INFO("seed " << seed);
+    CHECK(simulation.StateOfJob("lasting0") == JobState::kRunning);
+    CHECK(simulation.StateOfJob("lasting1") == JobState::kRunning);
+  }
+}
+
+// Guards against work that is given up because of the crashes of others.
+TEST_CASE("only tasks that crash their workers are given up, for any seed") {
+  for (std::uint32_t seed = 1; seed <= 30; ++seed) {
+    std::mt19937 random(seed);
+    const auto pick = [&random](std::uint32_t count) {
+      return std::uniform_int_distribution<std::uint32_t>(0, count - 1)(random);
+    };
+    Simulation simulation;
+    AddPool(simulation);
+    AddPool(simulation, "x");
+    std::set<std::string> submitted;
+    for (int i = 0; i < 120; ++i) {
+      const std::string id = "job" + std::to_string(i);
+      JobSpec job =
+          Simulation::MakeJob(id, "p", 1 + pick(6), Milliseconds(800));
+      job.m_steps[0].m_gang = pick(8) == 0;
+      if (pick(25) == 0) {
+        simulation.m_crashing_tasks[TaskOf(id)] = Milliseconds(10 + pick(300));
+      }
+      if (simulation.Submit(job)) {
+        submitted.insert(id);
+      }
+      simulation.RunFor(Milliseconds(200));
+      if (pick(20) == 0) {
+        FakeWorker& worker = *simulation.m_workers[pick(
+            static_cast<std::uint32_t>(simulation.m_workers.size()))];
+        if (worker.m_crashed_at == TimePoint::max()) {
+          pick(2) == 0 ? simulation.PowerOff(worker) : simulation.Crash(worker);
+        }
+      }
+      if (pick(40) == 0) {
+        simulation.TakeOver();
+      }
+    }
+    simulation.RunFor(Seconds(30));
+    INFO("seed " << seed);
+    CHECK(simulation.m_max_concurrent_runs == 1);
+    for (const std::string& id : submitted) {
+      INFO(id);
+      const bool crashes = simulation.m_crashing_tasks.contains(TaskOf(id));
+      CHECK(simulation.StateOfJob(id) ==
+            (crashes ? JobState::kFailed : JobState::kCompleted));
+    }
+    for (const auto& [task, crashes] : simulation.m_crashes) {
+      CHECK(crashes.size() <= 5);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace filbertspar::scheduler
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -33,6 +33,8 @@
   TimePoint m_lease_until{};
   /// Polls and orders get no answer; its tasks keep running.
   bool m_is_unreachable = false;
+  /// Connections to it are refused; its tasks keep running.
+  bool m_refuses = false;
   /// Carries out starts, but the answers are lost.
   bool m_drops_responses = false;
   /// Every run on it fails.
@@ -149,6 +151,9 @@
     }
     m_owner->m_expected_workers.emplace();
     for (const auto& worker : m_workers) {
+      if (worker->m_is_replaced) {
+        continue;
+      }
       RegisterWorker(*m_owner, m_now, worker->m_record);
       m_owner->m_expected_workers->push_back(worker->m_record.m_name);
     }
@@ -175,6 +180,13 @@
     worker.m_crashed_at = m_now;
   }
 
+  /// Cuts the power of the worker's machine: it is silent until another worker
+  /// starts at its address.
+  void PowerOff(FakeWorker& worker) {
+    Crash(worker);
+    worker.m_is_unreachable = true;
+  }
+
   std::size_t CountRunning(const TaskId& task) const {
     std::size_t running = 0;
     for (const auto& worker : m_workers) {
@@ -279,6 +291,7 @@
         continue;
       }
       crashed.m_is_replaced = true;
+      UnregisterWorker(*m_owner, m_now, crashed.m_record.m_name);
       auto worker = std::make_unique<FakeWorker>();
       worker->m_record = crashed.m_record;
       worker->m_record.m_name =
@@ -313,23 +326,24 @@
   void Poll(WorkerIndex index, FakeWorker& worker) {
     const TimePoint sent = m_now;
     if (worker.m_is_replaced) {
-      if (m_owner->m_workers[index].m_registered) {
+      if (!m_owner->m_workers[index].m_tasks.empty()) {
         HandleInstanceReplaced(*m_owner, m_now, index);
       }
       return;
     }
     const auto deadline = GrantLease(*m_owner, m_now, index);
-    if (worker.m_crashed_at != TimePoint::max()) {
-      const bool had_poll = m_owner->m_workers[index].m_failed_polls == 0;
+    if (worker.m_is_unreachable) {
+      HandlePollFailure(*m_owner, m_now, index, PollFailure::kSilent);
+      return;
+    }
+    if (worker.m_crashed_at != TimePoint::max() || worker.m_refuses) {
+      const Worker& seen = m_owner->m_workers[index];
+      const bool had_poll = seen.m_has_responded && seen.m_failed_polls == 0;
       HandlePollFailure(
           *m_owner, m_now, index,
           had_poll ? PollFailure::kClosed : PollFailure::kRefused);
       return;
     }
-    if (worker.m_is_unreachable) {
-      HandlePollFailure(*m_owner, m_now, index, PollFailure::kSilent);
-      return;
-    }
     worker.m_fencing = std::max(worker.m_fencing, m_owner->m_options.m_fencing);
     if (deadline) {
       worker.m_lease_until =
@@ -362,7 +376,8 @@
     for (const auto& stop : effects.m_stops) {
       FakeWorker* worker =
           Find(m_owner->m_workers[stop.m_worker].m_record.m_name);
-      if (worker == nullptr || worker->m_is_unreachable) {
+      if (worker == nullptr || worker->m_is_unreachable || worker->m_refuses ||
+          worker->m_crashed_at != TimePoint::max()) {
         continue;
       }
       const auto run = worker->m_running.find(stop.m_order.m_task);
@@ -388,7 +403,8 @@
     FakeWorker* worker =
         Find(m_owner->m_workers[start.m_worker].m_record.m_name);
     const StartOrder& order = start.m_order;
-    if (worker != nullptr && worker->m_crashed_at != TimePoint::max()) {
+    if (worker != nullptr && !worker->m_is_unreachable &&
+        (worker->m_crashed_at != TimePoint::max() || worker->m_refuses)) {
       HandleStartResponse(*m_owner, m_now, start.m_worker, order,
                           {OrderResult::kNotDelivered, std::nullopt}, false);
       return;
