Check a worker's capacity when a start is sent; count unwanted runs against it

Cause of what could break: a start is planned, then waits until the store has recorded it, and was sent without looking at the capacity again; and a run that is stopped because its task is done or runs elsewhere took no room in the owner's view.

FreeOn() is what is left of the capacity after the tasks and the unwanted runs; a planned start that does not fit is requeued (capacity_shrank), a gang as a whole. While a worker runs something of a job that is not known, it gets no task.

--- a/filbertspar/scheduler/src/isolation.cc
+++ b/filbertspar/scheduler/src/isolation.cc
@@ -155,8 +155,7 @@
   if (HasBatchTasks(worker) && now < worker.m_isolation_wait_until) {
     return;
   }
-  const ResourceVector free = worker.m_record.m_capacity - worker.m_used;
-  if (!FitsIn(ReservedDemand(unit.Spec()), free)) {
+  if (!FitsIn(ReservedDemand(unit.Spec()), FreeOn(worker))) {
     worker.m_isolated_for.reset();
     return;
   }
--- a/filbertspar/scheduler/src/placement.cc
+++ b/filbertspar/scheduler/src/placement.cc
@@ -118,7 +118,7 @@
   for (const WorkerIndex index : pool.m_workers) {
     const Worker& worker = scheduler.m_workers[index];
     if (!worker.m_isolated_for && IsSchedulable(scheduler, worker, now)) {
-      capacities.push_back({index, worker.m_record.m_capacity - worker.m_used});
+      capacities.push_back({index, FreeOn(worker)});
     }
   }
   return capacities;
--- a/filbertspar/scheduler/src/starts.cc
+++ b/filbertspar/scheduler/src/starts.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "filbertspar/scheduler/src/crashes.h"
+#include "filbertspar/scheduler/src/jobs.h"
 #include "filbertspar/scheduler/src/placement.h"
 #include "filbertspar/scheduler/src/workers.h"
 
@@ -31,14 +32,37 @@
   scheduler.m_effects.m_starts.push_back({index, std::move(order)});
 }
 
-/// Sends a planned start unless its task was stopped or lost in the meantime.
+bool HasRoom(const Scheduler& scheduler, const Task& task) {
+  return FitsIn(ResourceVector(), FreeOn(scheduler.m_workers[task.m_worker]));
+}
+
+/// Whether the worker still has room for the placed task. The members of a gang
+/// are started together or not at all.
+bool HasRoomToStart(const Scheduler& scheduler, const TaskRef& ref) {
+  if (!ref.Spec().m_gang) {
+    return HasRoom(scheduler, ref.GetTask());
+  }
+  const std::vector<Task>& members = ref.GetStep().m_tasks;
+  return std::all_of(members.begin(), members.end(), [&](const Task& member) {
+    return member.m_worker != kNoWorker &&
+           (MayRun(member) || HasRoom(scheduler, member));
+  });
+}
+
+/// Sends a planned start unless its task was stopped or lost in the meantime,
+/// or the worker has no room for it any more.
 void IssuePlannedStart(Scheduler& scheduler, TimePoint now,
                        const PlannedStart& planned) {
   const TaskRef ref = FindTask(scheduler, planned.m_task);
-  if (ref && ref.GetTask().m_phase == TaskPhase::kStarting &&
-      ref.GetTask().m_run == planned.m_run &&
-      ref.GetTask().m_worker == planned.m_worker) {
+  if (!ref || ref.GetTask().m_phase != TaskPhase::kStarting ||
+      ref.GetTask().m_run != planned.m_run ||
+      ref.GetTask().m_worker != planned.m_worker) {
+    return;
+  }
+  if (HasRoomToStart(scheduler, ref)) {
     IssueStart(scheduler, now, ref, planned.m_worker);
+  } else {
+    RequeueLostTask(scheduler, now, ref, "capacity_shrank");
   }
 }
 
--- a/filbertspar/scheduler/src/state.cc
+++ b/filbertspar/scheduler/src/state.cc
@@ -57,6 +57,10 @@
   return reserved;
 }
 
+ResourceVector FreeOn(const Worker& worker) {
+  return worker.m_record.m_capacity - worker.m_used - worker.m_unwanted_used;
+}
+
 void ReserveResources(Scheduler& scheduler, const TaskRef& ref,
                       WorkerIndex worker) {
   Task& task = ref.GetTask();
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -173,6 +173,12 @@
   TimePoint m_lease_until = TimePoint::min();
   /// Resources reserved by m_tasks.
   ResourceVector m_used;
+  /// Resources of the runs of the last status that are not in m_tasks; they are
+  /// being stopped.
+  ResourceVector m_unwanted_used;
+  /// Whether one of these runs is of a job that is not known, so that its
+  /// resources are not either.
+  bool m_has_unknown_run = false;
   std::vector<TaskRef> m_tasks;
   /// Number of the last finished run that was read, and of the last whose
   /// effects are stored.
@@ -370,6 +376,10 @@
 /// reserve no processor.
 ResourceVector ReservedDemand(const StepSpec& step);
 
+/// \brief Free resources of the worker; negative where its capacity has shrunk
+/// below what runs there.
+ResourceVector FreeOn(const Worker& worker);
+
 /// \brief Reserves and releases a task's resources on a worker and in its
 /// workspace.
 void ReserveResources(Scheduler& scheduler, const TaskRef& ref,
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -227,6 +227,23 @@
   }
 }
 
+/// Sums up the runs that the worker reports beside its tasks.
+void CountUnwantedRuns(Scheduler& scheduler, WorkerIndex index,
+                       const WorkerStatus& status) {
+  Worker& worker = scheduler.m_workers[index];
+  worker.m_unwanted_used = ResourceVector();
+  worker.m_has_unknown_run = false;
+  for (const ActiveRun& run : status.m_running) {
+    const TaskRef ref = FindTask(scheduler, run.m_task);
+    if (!ref) {
+      worker.m_has_unknown_run = true;
+    } else if (ref.GetTask().m_worker != index ||
+               ref.GetTask().m_run != run.m_run.Value()) {
+      worker.m_unwanted_used += ReservedDemand(ref.Spec());
+    }
+  }
+}
+
 /// Requeues tasks that the worker should report and does not.
 void RequeueMissingRuns(Scheduler& scheduler, TimePoint sent, TimePoint now,
                         WorkerIndex index, const WorkerStatus& status) {
@@ -328,6 +345,7 @@
   for (const ActiveRun& run : status.m_running) {
     ReadActiveRun(scheduler, now, index, run);
   }
+  CountUnwantedRuns(scheduler, index, status);
   RequeueMissingRuns(scheduler, sent, now, index, status);
 }
 
@@ -489,8 +507,9 @@
 bool IsSchedulable(const Scheduler& scheduler, const Worker& worker,
                    TimePoint now) {
   return worker.m_registered && !worker.m_record.m_draining &&
-         !worker.m_cordoned && IsResponsive(worker, now) &&
-         now >= worker.m_avoid_until && now >= worker.m_no_capacity_until &&
+         !worker.m_cordoned && !worker.m_has_unknown_run &&
+         IsResponsive(worker, now) && now >= worker.m_avoid_until &&
+         now >= worker.m_no_capacity_until &&
          (scheduler.m_deployment == nullptr ||
           scheduler.m_deployment->m_pools.contains(worker.m_record.m_pool));
 }
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -169,6 +169,12 @@
     worker.m_fencing = FencingNumber();
   }
 
+  /// Changes the capacity that the worker reports.
+  void SetCapacity(FakeWorker& worker, std::int64_t cores) {
+    worker.m_record.m_capacity.m_cpu = Millicores(cores * 1000);
+    RegisterWorker(*m_owner, m_now, worker.m_record);
+  }
+
   /// Ends the worker's process. Nothing listens at its address until another
   /// worker starts there.
   void Crash(FakeWorker& worker) {
@@ -212,6 +218,9 @@
   bool m_store_is_down = false;
   /// Whether the next owner relies on the runs recorded in the store.
   bool m_runs_are_recorded = true;
+  /// Starts that brought a worker over its capacity. Workers start whatever
+  /// they are ordered to.
+  int m_starts_over_capacity = 0;
   /// Highest number of simultaneous runs of one task.
   std::size_t m_max_concurrent_runs = 0;
   std::set<std::string> m_failing_jobs;
@@ -271,6 +280,16 @@
     return nullptr;
   }
 
+  /// What is being stopped still counts.
+  bool IsOverCapacity(const FakeWorker& worker) const {
+    ResourceVector used;
+    for (const auto& [task, run] : worker.m_running) {
+      const auto job = m_jobs.find(task.m_job);
+      used += ReservedDemand(DecodeJob(job->second)->m_steps[task.m_step]);
+    }
+    return !FitsIn(used, worker.m_record.m_capacity);
+  }
+
   void CrashIfDue(FakeWorker& worker) {
     for (const auto& [task, run] : worker.m_running) {
       const auto crashing = m_crashing_tasks.find(task);
@@ -382,7 +401,8 @@
       }
       const auto run = worker->m_running.find(stop.m_order.m_task);
       if (run != worker->m_running.end() &&
-          run->second.m_run == stop.m_order.m_run.Value()) {
+          run->second.m_run == stop.m_order.m_run.Value() &&
+          run->second.m_outcome != RunOutcome::kStopped) {
         run->second.m_ends_at = m_now + m_stop_time;
         run->second.m_outcome = RunOutcome::kStopped;
       }
@@ -431,6 +451,7 @@
         std::max(worker->m_lease_until,
                  m_now + Milliseconds(order.m_deadline_ms - ClockOf(*worker)));
     worker->m_running[order.m_task] = run;
+    m_starts_over_capacity += IsOverCapacity(*worker) ? 1 : 0;
     ++m_starts[order.m_task];
     if (!worker->m_drops_responses) {
       HandleStartResponse(*m_owner, m_now, start.m_worker, order,
