Bound the workers that one request of the own interface may end

Time-outs count as before. The test 'a request is tried on no more than three workers that end' failed before (4 starts until its deadline).

--- a/filbertspar/entry/src/admin_api.cc
+++ b/filbertspar/entry/src/admin_api.cc
@@ -353,6 +353,7 @@
                       {"attempts", counters.m_attempts},
                       {"retries", counters.m_retries},
                       {"refused_by_worker", counters.m_refused_by_worker},
+                      {"given_up", counters.m_given_up},
                       {"lost", counters.m_lost},
                       {"forwarded", counters.m_forwarded},
                       {"replies", std::move(replies)},
--- a/filbertspar/entry/src/metrics_api.cc
+++ b/filbertspar/entry/src/metrics_api.cc
@@ -54,6 +54,9 @@
               counters.m_refused_by_worker);
   AppendCount(text, "filbertspar_lost_attempts_total",
               "Attempts whose answer did not arrive.", counters.m_lost);
+  AppendCount(text, "filbertspar_given_up_total",
+              "Requests given up because upstreams ended while running them.",
+              counters.m_given_up);
   AppendCount(text, "filbertspar_forwarded_total",
               "Requests forwarded to a peer.", counters.m_forwarded);
   AppendUses(text, engine);
--- a/filbertspar/entry/src/worker_client.cc
+++ b/filbertspar/entry/src/worker_client.cc
@@ -96,6 +96,7 @@
       attempt.m_timeout);
   AttemptReport report;
   report.m_attempt = attempt.m_attempt;
+  report.m_worker_closed = result.m_failure == CallFailure::kClosed;
   if (result.m_end == CallEnd::kNotSent) {
     report.m_result = AttemptResult::kNotSent;
   } else if (result.m_end == CallEnd::kAnswered) {
--- a/filbertspar/request/src/attempts.cc
+++ b/filbertspar/request/src/attempts.cc
@@ -113,9 +113,13 @@
   }
 }
 
-void AfterLost(Engine& engine, TimePoint now, Request& request) {
+void AfterLost(Engine& engine, TimePoint now, Request& request,
+               bool worker_closed) {
   request.m_may_have_run = true;
-  if (request.m_repeatable && Retry(engine, now, request)) {
+  request.m_crashes += worker_closed ? 1 : 0;
+  const bool given_up = request.m_crashes >= engine.m_options.m_max_crashes;
+  engine.m_counters.m_given_up += given_up ? 1 : 0;
+  if (request.m_repeatable && !given_up && Retry(engine, now, request)) {
     return;
   }
   request.m_state = RequestState::kSettling;
@@ -159,7 +163,7 @@
       }
       break;
     case AttemptResult::kLost:
-      AfterLost(engine, now, request);
+      AfterLost(engine, now, request, report.m_worker_closed);
       break;
     case AttemptResult::kStopped:
       AfterStopped(engine, now, request, effects);
--- a/filbertspar/request/src/engine.h
+++ b/filbertspar/request/src/engine.h
@@ -46,6 +46,9 @@
   Duration m_backoff_base = Milliseconds(20);
   Duration m_backoff_cap = Milliseconds(500);
   std::int32_t m_max_retries = 8;
+  /// Workers that may end while they run a request; it is not sent to another
+  /// one then.
+  std::int32_t m_max_crashes = 3;
   /// Refusals after which a request that did not start is given up.
   std::int32_t m_max_refusals = 64;
   /// How long the caller of lost repeatable work waits for the worker to say
@@ -78,6 +81,8 @@
   std::uint64_t m_settled_late = 0;
   /// Answers that did not belong to the attempt or were cut short.
   std::uint64_t m_mismatched = 0;
+  /// Requests that were given up because of the workers that ended.
+  std::uint64_t m_given_up = 0;
   /// Reports about attempts that had ended before.
   std::uint64_t m_duplicates = 0;
   /// Replies per result code.
--- a/filbertspar/request/src/events.h
+++ b/filbertspar/request/src/events.h
@@ -53,6 +53,9 @@
 struct AttemptReport {
   AttemptId m_attempt;
   AttemptResult m_result = AttemptResult::kLost;
+  /// Of a lost attempt: the worker's machine closed the connection, as it does
+  /// when the worker's process ends.
+  bool m_worker_closed = false;
   /// Request id echoed by the worker; none when there was no answer.
   RequestId m_echoed_request;
   AttemptId m_echoed_attempt;
--- a/filbertspar/request/src/state.h
+++ b/filbertspar/request/src/state.h
@@ -52,6 +52,8 @@
   AttemptId m_attempt;
   std::int32_t m_retries = 0;
   std::int32_t m_refusals = 0;
+  /// Attempts whose worker ended.
+  std::int32_t m_crashes = 0;
   bool m_claimed = false;
   bool m_cancelled = false;
   bool m_was_forwarded = false;
--- a/tests/request_engine_test.cc
+++ b/tests/request_engine_test.cc
@@ -173,5 +173,24 @@
   CHECK(fixture.Take<StartAttempt>().size() == 1);
 }
 
+// Guards against a request that ends one worker after another.
+TEST_CASE("a request is tried on no more than three workers that end") {
+  Fixture fixture(true);
+  fixture.SubmitOne(1);
+  std::size_t starts = 0;
+  for (std::int64_t at = 10; at < 8'000; at += 10) {
+    for (const StartAttempt& start : fixture.Take<StartAttempt>()) {
+      ++starts;
+      AttemptReport lost;
+      lost.m_attempt = start.m_attempt;
+      lost.m_worker_closed = true;
+      AttemptEnded(fixture.m_engine, At(at), lost, fixture.m_effects);
+    }
+    Tick(fixture.m_engine, At(at), fixture.m_effects);
+  }
+  CHECK(starts == 3);
+  CHECK(fixture.m_engine.m_counters.m_given_up == 1);
+}
+
 }  // namespace
 }  // namespace filbertspar
