Soak: tasks that crash their workers, capacities that shrink, unguarded workers

One job in 25 crashes each worker that starts its first task, 10 to 300 ms later; the process is back at its address after 1 to 4 s, its registration stays for three reports. Workers of one pool start whatever they are ordered to, and any worker's capacity may shrink for some seconds.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,6 +19,8 @@
         self.cpu = rng.choice([500, 1000, 2000])
         self.lasts = rng.random() < 0.05
         self.is_poison = not self.lasts and rng.random() < 0.05
+        # Its first task crashes each worker this long after its start.
+        self.crashes_after = rng.uniform(0.01, 0.3) if not self.is_poison and rng.random() < 0.04 else None
         self.attempts = queue.attempts
         # As long as a usual payload, and no other job's.
         self.spec = f"{self.id} " + "x" * rng.randint(500, 2500)
@@ -47,6 +49,10 @@
     def of_task(self, task):
         return self.by_id[task.split(".")[0]]
 
+    def crashes_after(self, task):
+        """Time from a start of the task to the end of its worker; None when it is sound."""
+        return self.of_task(task).crashes_after if task.endswith(".0.0.0") else None
+
     def task(self, task):
         """Seconds, demand, whether it lasts and whether it fails."""
         job = self.of_task(task)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -82,11 +82,20 @@
     vm = rng.choice([vm for vm in site.fleet.vms.values() if vm.state == "up"])
     vm.state = "down"
     vm.worker.end()
+    vm.worker.unregister()
     await asyncio.sleep(rng.uniform(0.5, 2))
     vm.state = "up"
     await site.new_worker(vm)
 
 
+async def shrink_worker(site, rng):
+    vm = rng.choice(list(site.fleet.vms.values()))
+    whole = vm.capacity["cpu"]
+    vm.set_cpu(rng.randrange(1000, whole, 1000) if whole > 1000 else whole)
+    await asyncio.sleep(rng.uniform(2, 10))
+    vm.set_cpu(whole)
+
+
 async def revoke_key(site, rng):
     await site.revoke(rng.choice(sorted(site.config.keys)))
 
@@ -100,7 +109,7 @@
 
 
 ALL = [kill, kill_all, stop, pause, reload, cut_from_store, harm_store, forget_history, harm_worker,
-       crash_worker, revoke_key, add_queue, wave]
+       crash_worker, shrink_worker, revoke_key, add_queue, wave]
 
 
 async def inject(site, rng, until, mean_gap_s):
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -7,7 +7,7 @@
 
 BREAKS = {"copy": "one-run", "refusal": "true-refusal", "ceiling": "ceiling", "revoked": "revocation",
           "route": "configuration", "attempts": "attempts", "lost": "kept", "holder": "one-holder",
-          "cut": "graceful-stop", "payload": "payload"}
+          "cut": "graceful-stop", "payload": "payload", "crashes": "crashes", "capacity": "capacity"}
 NAMES = sorted(BREAKS)
 
 
@@ -50,6 +50,15 @@
             for job in site.jobs.by_id.values():
                 job.spec = "another payload"
             await asyncio.sleep(0.1)
+    elif plant == "crashes":
+        # The workers that a task crashes are counted double and threefold.
+        crashed = site.promises.worker_crashed
+        site.promises.worker_crashed = lambda task: [crashed(task) for _ in range(3)]
+        for job in site.jobs.by_id.values():
+            job.crashes_after = 0.1
+    elif plant == "capacity":
+        for vm in site.fleet.vms.values():
+            vm.most_cpu_since = lambda since: 1000
     elif plant == "lost":
         places = [place for place in site.store.rows if place[0] == "filbertspar_jobs"]
         site.store.write([(place, None) for place in places])
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -4,6 +4,10 @@
 from collections import defaultdict
 
 CEILING_SLACK = 1.1
+# A task that has crashed three workers must not be started three times more.
+MOST_CRASHES = 5
+# A capacity that has shrunk counts from then on: contact time and one report.
+CAPACITY_SEEN_S = 4.5
 
 
 class Promises:
@@ -18,6 +22,9 @@
         self._submits = {}
         self.jobs = None
         self.ceilings = {}
+        self.crashes = defaultdict(int)
+        # When what workers report of themselves last could not reach all nodes.
+        self.reports_harmed_at = lambda: 0.0
 
     def check(self, holds, promise, detail):
         self.checks[promise] += 1
@@ -43,6 +50,17 @@
         self.check(held <= ceiling * CEILING_SLACK + job.cpu, "ceiling",
                    f"{job.workspace} has {held} running, its ceiling is {ceiling}")
 
+    def worker_crashed(self, task):
+        self.crashes[task] += 1
+        self.check(self.crashes[task] <= MOST_CRASHES, "crashes", f"{task} crashed {self.crashes[task]} workers")
+
+    def filled(self, task, vm, cpu):
+        now = time.monotonic()
+        if now - self.reports_harmed_at() < CAPACITY_SEEN_S:
+            return
+        capacity = vm.most_cpu_since(now - CAPACITY_SEEN_S)
+        self.check(cpu <= capacity, "capacity", f"{task} brings {vm.name} to {cpu}, its capacity is {capacity}")
+
     def run_ended(self, task, number, worker, how):
         if how == "failed":
             self.failed_runs[task].add(number)
--- a/soak/site.py
+++ b/soak/site.py
@@ -13,6 +13,8 @@
 REVOKE_S, CONFIG_APPLY_S, CONTACT_S = 5.0, 2.0, 3.0
 SETTLE_S = 60.0
 PAUSE_FORGOTTEN_S = 10.0
+# Pools whose workers start whatever they are ordered to.
+UNGUARDED_POOLS = {"pool-b"}
 
 
 class Queue:
@@ -39,7 +41,8 @@
             "routes": [{"name": queue.name, "host": queue.host, "path_prefix": queue.prefix, "timeout_ms": 4000,
                         "target_latency_ms": 2000, "priority": queue.priority, "service": queue.pool,
                         "attempts": queue.attempts, "stretch": 4.0, "public": False} for queue in self.queues],
-            "services": [{"name": name, "health_path": "/health", "rejects_overload": True, "standby": standby}
+            "services": [{"name": name, "health_path": "/health",
+                          "rejects_overload": name not in UNGUARDED_POOLS, "standby": standby}
                          for name, standby in pools],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
                        "idle_timeout_ms": 15000},
@@ -61,6 +64,9 @@
         self.promises.ceilings = self.config.ceiling_cpu
         self.store = Store(self._rng)
         self.store_calm_since = time.monotonic()
+        self.promises.reports_harmed_at = lambda: (
+            time.monotonic() if self.store.fault is not None or any(node.store_path.mode != "open" for node in self.nodes)
+            else max([self.store_calm_since] + [node.calm_since for node in self.nodes] + list(self.paused_at.values())))
         self.fleet = Fleet(self.promises)
         self.fleet.new_worker = self.new_worker
         self.paused_at = {}
@@ -96,11 +102,21 @@
             await node.open_path()
             node.start()
 
-    async def new_worker(self, vm):
+    async def new_worker(self, vm, address=None):
         self._lives += 1
-        address = (f"{self._net}.{4 + self._lives // 250}.{1 + self._lives % 250}", 8000)
-        vm.worker = Worker(f"i-{self._lives}", vm, address, self._rng, self.store, self.promises, self.jobs)
-        await vm.worker.start()
+        # A process that crashed starts again at its address.
+        if address is None:
+            address = (f"{self._net}.{4 + self._lives // 250}.{1 + self._lives % 250}", 8000)
+        worker = Worker(f"i-{self._lives}", vm, address, self._rng, self.store, self.promises, self.jobs,
+                        vm.pool not in UNGUARDED_POOLS)
+        worker.on_crash = lambda: self._replace_crashed(vm, worker)
+        vm.worker = worker
+        await worker.start()
+
+    async def _replace_crashed(self, vm, worker):
+        await asyncio.sleep(self._rng.uniform(1, 4))
+        if vm.worker is worker and vm.state == "up" and self.fleet.new_worker is not None:
+            await self.new_worker(vm, worker.address)
 
     def write_config(self):
         return self.store.put("op", "config", self.config.value())
@@ -177,8 +193,9 @@
                 if state in ("completed", "failed"):
                     failed = max((len(runs) for task, runs in self.promises.failed_runs.items()
                                   if task.startswith(job.id)), default=0)
-                    self.promises.check(state == "completed" or failed >= job.attempts, "kept",
-                                        f"{job.id} is failed after {failed} failed runs")
+                    crashed = self.promises.crashes[f"{job.id}.0.0.0"]
+                    self.promises.check(state == "completed" or failed >= job.attempts or crashed >= 2, "kept",
+                                        f"{job.id} is failed after {failed} failed runs and {crashed} crashes")
                     del left[job.id]
                 elif state == 410:
                     gone[job.id] = gone.get(job.id, 0) + 1
--- a/soak/store.py
+++ b/soak/store.py
@@ -170,6 +170,7 @@
     def _leave(self, vm, state, after_s):
         vm.state = state
         vm.worker.end()
+        vm.worker.unregister()
         asyncio.get_running_loop().call_later(after_s, self._join, vm)
 
     def _join(self, vm):
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -8,6 +8,7 @@
 REPORT_S = 1.5
 STOP_S = 0.2
 LONGEST_LEASE_MS = 6000
+REGISTRATION_S = 3 * REPORT_S
 ENDS_LISTED = 500
 
 
@@ -21,9 +22,11 @@
 class Worker:
     """One life of a VM. `faults` holds: cut, lose_answers, fail_all, late."""
 
-    def __init__(self, name, vm, address, rng, store, promises, jobs):
+    def __init__(self, name, vm, address, rng, store, promises, jobs, guards):
         self.name, self.vm, self.address, self._rng = name, vm, address, rng
         self._store, self._promises, self._jobs = store, promises, jobs
+        # Whether it refuses a start beyond its capacity.
+        self._guards = guards
         self.faults = set()
         self.is_up = False
         self._born = int(time.time() * 1000)
@@ -41,6 +44,7 @@
         self._tasks = []
         # A VM that moves joins its next pool as another worker.
         self._pool = vm.pool
+        self.on_crash = None
 
     def clock_ms(self):
         return int((time.monotonic() - self._began) * 1000 * self._rate) + 1000
@@ -51,7 +55,7 @@
         self._tasks = [asyncio.ensure_future(self._report()), asyncio.ensure_future(self._advance())]
 
     def end(self):
-        """Ends the life and all that runs."""
+        """Ends the life and all that runs; the registration stays."""
         if not self.is_up:
             return
         self.is_up = False
@@ -61,8 +65,20 @@
         for task in self._tasks:
             task.cancel()
         asyncio.ensure_future(self._server.stop())
+
+    def unregister(self):
         self._store.put("servers", self.name, None)
 
+    def _crash(self, task, number):
+        """Ends the process as the task does; the store learns of it late."""
+        run = self.running.get(task)
+        if run is None or run.number != number:
+            return
+        self._promises.worker_crashed(task)
+        self.end()
+        asyncio.get_running_loop().call_later(REGISTRATION_S, self.unregister)
+        asyncio.ensure_future(self.on_crash())
+
     async def _report(self):
         while True:
             self._sequence += 1
@@ -138,14 +154,19 @@
         if late:
             return 409, {"reason": "late"}
         seconds, demand, lasts, fails = self._jobs.task(task)
-        used = sum(each.demand["cpu"] for each in self.running.values())
-        if used + demand["cpu"] > self.vm.capacity["cpu"]:
+        used = sum(each.demand["cpu"] for each in self.running.values()) + demand["cpu"]
+        if self._guards and used > self.vm.capacity["cpu"]:
             return 409, {"reason": "room"}
+        if not self._guards and "late" not in self.faults:
+            self._promises.filled(task, self.vm, used)
         run = Run(task, number, seconds, demand, lasts)
         if fails or "fail_all" in self.faults:
             run.how, run.ends_at = "failed", time.monotonic() + 0.1
         self.running[task] = run
         self._promises.run_started(task, number, self.name, self._pool, body["spec"])
+        crashes_after = self._jobs.crashes_after(task)
+        if crashes_after is not None:
+            asyncio.get_running_loop().call_later(crashes_after, self._crash, task, number)
         return 200, {}
 
     def _extend(self, deadline_ms):
@@ -175,10 +196,19 @@
         self.name, self.pool, self.zone, self.state = name, pool, zone, "up"
         self.labels = ["a", rack]
         self.capacity = {"cpu": cores * 1000, "mem_mb": 32768, "gpu": 0}
+        # Capacities of earlier times, each with the time at which it ended.
+        self.past_capacities = []
         self.worker = None
         # Number of the last wave that took it down.
         self.in_wave = None
 
+    def set_cpu(self, cpu):
+        self.past_capacities.append((time.monotonic(), self.capacity["cpu"]))
+        self.capacity = self.capacity | {"cpu": cpu}
+
+    def most_cpu_since(self, since):
+        return max([self.capacity["cpu"]] + [cpu for ended, cpu in self.past_capacities if ended >= since])
+
     def shown(self):
         return {"machine": self.name, "pool": self.pool, "state": self.state, "zone": self.zone,
                 "labels": self.labels, "capacity": self.capacity,
