Give restarted entry processes a higher incarnation than before

Cause: the incarnation was drawn at random, and peers ignore messages of a lower incarnation than the one they know (membership Heard() and ApplyUpdate()): one restart in two. It is now the time of the start in units of 10 ms with 24 random bits, which keep the engine's id prefix as spread as before.

A clock that was set back between two starts still gives a lower one.

--- a/filbertspar/entry/src/process.cc
+++ b/filbertspar/entry/src/process.cc
@@ -1,5 +1,6 @@
 #include "filbertspar/entry/src/process.h"
 
+#include <chrono>
 #include <memory>
 #include <random>
 #include <utility>
@@ -255,8 +256,11 @@
     }
     secrets = std::make_shared<const Secrets>(std::move(*loaded));
   }
-  // Half the range, so that a node name's number fits a signed integer too.
-  EntryProcess process(context, options, RandomNumber() >> 1U, secrets);
+  const auto unix_time = std::chrono::system_clock::now().time_since_epoch();
+  const std::int64_t unix_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(unix_time).count();
+  EntryProcess process(context, options,
+                       MakeIncarnation(unix_ms, RandomNumber()), secrets);
   FS_RETURN_IF_ERROR(process.Start());
   OnStopSignal(context, [&] { process.BeginStop(); });
   context.run();
--- a/filbertspar/wire/src/session.cc
+++ b/filbertspar/wire/src/session.cc
@@ -18,6 +18,13 @@
 
 }  // namespace
 
+std::uint64_t MakeIncarnation(std::int64_t unix_ms, std::uint64_t random) {
+  constexpr int kRandomBits = 24;
+  constexpr std::int64_t kTickMs = 10;
+  return (static_cast<std::uint64_t>(unix_ms / kTickMs) << kRandomBits) |
+         (random & ((std::uint64_t{1} << kRandomBits) - 1));
+}
+
 NodeName MakeNodeName(const VmName& vm, std::uint64_t incarnation) {
   return NodeName(absl::StrCat(vm.Value(), "#", incarnation));
 }
--- a/filbertspar/wire/src/session.h
+++ b/filbertspar/wire/src/session.h
@@ -8,6 +8,10 @@
 
 namespace filbertspar {
 
+/// \brief Incarnation of a process that starts at this Unix time: above those
+/// of the VM's earlier processes, since peers ignore lower ones, and below
+/// 2^63. `random` keeps processes apart that start at one moment.
+std::uint64_t MakeIncarnation(std::int64_t unix_ms, std::uint64_t random);
 /// \brief "vm#incarnation".
 NodeName MakeNodeName(const VmName& vm, std::uint64_t incarnation);
 /// \brief Part of a node name before the last '#'; the whole without one.
--- a/scripts/process_test.py
+++ b/scripts/process_test.py
@@ -222,6 +222,25 @@
     wait_for(lambda: submit(cluster, entry="entry-3")[1]["code"] == 0, "entry-3 serves")
 
 
+def listed_as(cluster, vm, by):
+    """Names under which an entry process lists a VM as live."""
+    live = cluster.admin("GET", "peers", entry=by)[1]["live"]
+    return [peer["node"] for peer in live if peer["node"].startswith(vm + "#")]
+
+
+def test_restarted_entry(cluster):
+    """Guards against a restarted entry process that its peers take for an earlier one."""
+    others = ("entry-1", "entry-2")
+    for _ in range(4):
+        wait_for(lambda: all(listed_as(cluster, "entry-3", by) for by in others), "entry-3 listed")
+        before = listed_as(cluster, "entry-3", "entry-1")
+        cluster.processes["entry-3"].terminate()
+        expect(cluster.processes["entry-3"].wait(60) == 0, "exit code of entry-3")
+        cluster.start_entry("entry-3")
+        wait_for(lambda: all(listed_as(cluster, "entry-3", by) not in ([], before) for by in others),
+                 "restarted entry-3 listed by " + " and ".join(others))
+
+
 def test_graceful_stop(cluster):
     """Guards against a stop that cuts off running work."""
     caller = subprocess.Popen(
@@ -251,7 +270,7 @@
     if options.pairs:
         sets += list(itertools.combinations(faults, 2))
     cases += [("test_fault_" + "_and_".join(s), lambda c, s=s: run_faults(c, s)) for s in sets]
-    cases += [(t.__name__, t) for t in (test_killed_entry, test_graceful_stop)]
+    cases += [(t.__name__, t) for t in (test_killed_entry, test_restarted_entry, test_graceful_stop)]
     passed, failed = 0, 0
     try:
         cluster.start()
--- a/tests/wire_session_test.cc
+++ b/tests/wire_session_test.cc
@@ -31,6 +31,17 @@
   }
 };
 
+// Guards against a restarted process that its peers take for an earlier one.
+TEST_CASE("a process that starts later has the higher incarnation") {
+  const std::int64_t now_ms = 1'796'000'000'000;
+  const std::uint64_t first = MakeIncarnation(now_ms, ~std::uint64_t{0});
+  CHECK(MakeIncarnation(now_ms + 10, 0) > first);
+  CHECK(MakeIncarnation(now_ms, 1) != MakeIncarnation(now_ms, 2));
+  const std::int64_t year_2100_ms = 4'102'444'800'000;
+  CHECK(MakeIncarnation(year_2100_ms, 0) < std::uint64_t{1} << 63U);
+  CHECK(IncarnationOf(MakeNodeName(VmName("a"), first)) == first);
+}
+
 // Guards against a stranger that learns anything, and against a peer taken
 // for connected before it answered this connection's nonce.
 TEST_CASE("a session opens only with fresh frames of both sides") {
