Move leases of workers to a file of their own

Leases, their grants and the resolution of inherited runs are one duty; no logic is changed. The comments of crash records say what the code counts.

--- a/filbertspar/job/src/progress.h
+++ b/filbertspar/job/src/progress.h
@@ -33,7 +33,7 @@
   std::uint32_t m_age_ms = 0;
   /// The task is among the likely causes.
   bool m_is_suspect = false;
-  /// The run was isolated, so that no other task is a likely cause.
+  /// No other task was a likely cause, as when the run was isolated.
   bool m_is_sole_cause = false;
 
   friend bool operator==(const CrashRecord&, const CrashRecord&) = default;
--- a/filbertspar/scheduler/src/crashes.cc
+++ b/filbertspar/scheduler/src/crashes.cc
@@ -11,7 +11,7 @@
 namespace filbertspar::scheduler {
 namespace {
 
-/// Crashes after which a task is given up, one of them while it was isolated.
+/// Crashes after which a task is given up if it was the sole cause of one.
 constexpr std::size_t kMaxCrashes = 3;
 /// Crashes after which a task is given up in any case: the third and fewer than
 /// three more.
@@ -172,8 +172,8 @@
 
 void RecordSharedCrash(Scheduler& scheduler, TimePoint now, WorkerIndex index,
                        const std::vector<Candidate>& candidates) {
-  // Of an inherited run it is only known to have been alone when the previous
-  // owner had reason to isolate it.
+  // An inherited run is known to have been alone only if the previous owner had
+  // reason to isolate it.
   const bool is_alone = candidates.size() == 1 &&
                         (scheduler.m_workers[index].m_has_responded ||
                          NeedsIsolation(candidates.front().m_unit.GetTask()));
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -11,10 +11,6 @@
 namespace filbertspar::scheduler {
 namespace {
 
-/// Largest factor by which a worker's clock may run slow: 2%, rounded up.
-constexpr double kMaxClockSlowdown = 1.03;
-/// Time after the end of a lease within which a worker kills its runs.
-constexpr Duration kLeaseKillDelay = Milliseconds(200);
 /// A worker that has not answered for this long gets no new tasks.
 constexpr Duration kResponseTimeout = Milliseconds(2500);
 /// Interval after which the stop of a run that goes on is sent again.
@@ -27,13 +23,6 @@
 constexpr Duration kUnhealthyPause = Milliseconds(700);
 constexpr Duration kNoCapacityPause = Milliseconds(150);
 
-/// Longest time that may pass until the worker's clock has advanced by
-/// `milliseconds`.
-Duration MaxElapsedTime(std::int64_t milliseconds) {
-  return Duration(static_cast<std::int64_t>(static_cast<double>(milliseconds) *
-                                            1000 * kMaxClockSlowdown));
-}
-
 /// Keeps the reading that gives the highest lower bound of the clock.
 void UpdateClock(Worker& worker, TimePoint now, std::int64_t clock_ms) {
   if (clock_ms >= MinWorkerClock(worker, now) || !worker.m_has_responded) {
@@ -42,14 +31,6 @@
   }
 }
 
-void ExtendLease(Worker& worker, std::int64_t deadline_ms) {
-  const std::int64_t remaining_ms =
-      std::max<std::int64_t>(0, deadline_ms - worker.m_clock_ms);
-  worker.m_lease_until = std::max(
-      worker.m_lease_until,
-      worker.m_clock_at + MaxElapsedTime(remaining_ms) + kLeaseKillDelay);
-}
-
 void RequeueTasksOf(Scheduler& scheduler, TimePoint now, Worker& worker,
                     std::string_view reason) {
   const std::vector<TaskRef> tasks = worker.m_tasks;
@@ -430,75 +411,6 @@
   }
 }
 
-void ExpireLeases(Scheduler& scheduler, TimePoint now) {
-  JudgeEndedWorkers(scheduler, now);
-  ReviewSuspects(scheduler, now);
-  for (Worker& worker : scheduler.m_workers) {
-    if (worker.m_tasks.empty() || now <= worker.m_lease_until) {
-      continue;
-    }
-    // A start that waits for the store holds no lease yet.
-    const std::vector<TaskRef> tasks = worker.m_tasks;
-    for (const TaskRef& ref : tasks) {
-      if (MayRun(ref.GetTask())) {
-        RequeueLostTask(scheduler, now, ref, "lease_ran_out");
-      }
-    }
-  }
-  if (scheduler.m_inherited_resolved) {
-    return;
-  }
-  ResolveInheritedRuns(scheduler, now);
-  const bool all_responded =
-      scheduler.m_expected_workers &&
-      std::all_of(scheduler.m_expected_workers->begin(),
-                  scheduler.m_expected_workers->end(),
-                  [&scheduler](const WorkerName& name) {
-                    const auto found = scheduler.m_worker_index.find(name);
-                    return found != scheduler.m_worker_index.end() &&
-                           scheduler.m_workers[found->second].m_has_responded;
-                  });
-  if (all_responded || now > scheduler.m_options.m_inherited_leases_until) {
-    scheduler.m_inherited_resolved = true;
-    AddLogEvent(
-        scheduler, "settled", {}, kNoWorker,
-        absl::StrCat(
-            "reason=", all_responded ? "all_workers_answered" : "leases_over",
-            " held_back=", scheduler.m_inherited_runs.size()));
-    ResolveInheritedRuns(scheduler, now);
-  }
-}
-
-std::optional<std::int64_t> GrantLease(Scheduler& scheduler, TimePoint now,
-                                       WorkerIndex index) {
-  Worker& worker = scheduler.m_workers[index];
-  if (!worker.m_has_responded ||
-      worker.m_failed_polls > scheduler.m_options.m_unanswered_renewals) {
-    return std::nullopt;
-  }
-  const std::int64_t deadline =
-      MinWorkerClock(worker, now) + ToMilliseconds(scheduler.m_options.m_lease);
-  ExtendLease(worker, deadline);
-  return deadline;
-}
-
-std::int64_t GrantStartDeadline(Scheduler& scheduler, TimePoint now,
-                                WorkerIndex index) {
-  Worker& worker = scheduler.m_workers[index];
-  const std::int64_t deadline =
-      MinWorkerClock(worker, now) +
-      ToMilliseconds(scheduler.m_options.m_start_window);
-  ExtendLease(worker, deadline);
-  return deadline;
-}
-
-std::int64_t MinWorkerClock(const Worker& worker, TimePoint now) {
-  return worker.m_clock_ms +
-         static_cast<std::int64_t>(
-             static_cast<double>(ToMilliseconds(now - worker.m_clock_at)) /
-             kMaxClockSlowdown);
-}
-
 bool IsResponsive(const Worker& worker, TimePoint now) {
   return worker.m_has_responded && worker.m_failed_polls == 0 &&
          now - worker.m_last_response_at < kResponseTimeout;
--- a/tests/node_operations_page_test.cc
+++ b/tests/node_operations_page_test.cc
@@ -54,6 +54,7 @@
         "filbertspar/node/src/configuration.cc", "filbertspar/node/src/node.cc",
         "filbertspar/scheduler/src/jobs.cc",
         "filbertspar/scheduler/src/crashes.cc",
+        "filbertspar/scheduler/src/leases.cc",
         "filbertspar/scheduler/src/workers.cc",
         "filbertspar/scheduler/src/dispatch.cc"}) {
     sources += ReadFile(file);
