--- a/tests/node_operations_page_test.cc
+++ b/tests/node_operations_page_test.cc
@@ -38,25 +38,26 @@
 // Guards against documented log events that no process writes.
 TEST_CASE("docs/OPERATIONS.md names only events that are logged") {
   std::string sources;
-  for (const char* file :
-       {"filbertspar/node/src/owner_term.cc",
-        "filbertspar/node/src/owner_term_calls.cc",
-        "filbertspar/node/src/owner_term_workers.cc",
-        "filbertspar/node/src/job_api.cc",
-        "filbertspar/node/src/owner_watch.cc",
-        "filbertspar/node/src/journal.cc", "filbertspar/node/src/event_log.cc",
-        "filbertspar/node/src/vm_manager.cc",
-        "filbertspar/node/src/link_client.cc",
-        "filbertspar/node/src/store_client.cc",
-        "filbertspar/node/src/worker_connections.cc",
-        "filbertspar/node/src/worker_connections_starts.cc",
-        "filbertspar/node/src/start_relay.cc",
-        "filbertspar/node/src/configuration.cc", "filbertspar/node/src/node.cc",
-        "filbertspar/scheduler/src/jobs.cc",
-        "filbertspar/scheduler/src/crashes.cc",
-        "filbertspar/scheduler/src/leases.cc",
-        "filbertspar/scheduler/src/workers.cc",
-        "filbertspar/scheduler/src/dispatch.cc"}) {
+  for (const char* file : {"filbertspar/node/src/owner_term.cc",
+                           "filbertspar/node/src/owner_term_calls.cc",
+                           "filbertspar/node/src/owner_term_workers.cc",
+                           "filbertspar/node/src/job_api.cc",
+                           "filbertspar/node/src/owner_watch.cc",
+                           "filbertspar/node/src/journal.cc",
+                           "filbertspar/node/src/event_log.cc",
+                           "filbertspar/node/src/vm_manager.cc",
+                           "filbertspar/node/src/link_client.cc",
+                           "filbertspar/node/src/store_client.cc",
+                           "filbertspar/node/src/worker_connections.cc",
+                           "filbertspar/node/src/worker_connections_starts.cc",
+                           "filbertspar/node/src/start_relay.cc",
+                           "filbertspar/node/src/configuration.cc",
+                           "filbertspar/node/src/node.cc",
+                           "filbertspar/scheduler/src/jobs.cc",
+                           "filbertspar/scheduler/src/crashes.cc",
+                           "filbertspar/scheduler/src/leases.cc",
+                           "filbertspar/scheduler/src/workers.cc",
+                           "filbertspar/scheduler/src/dispatch.cc"}) {
     sources += ReadFile(file);
   }
   const std::string page = ReadFile("docs/OPERATIONS.md");
