Do not put crashes just after a start down to the rack

The test 'suspects that are tested on one rack crash three workers each' failed before with 10 crashes each and no end: the same can happen to first crashes.

A rack whose workers all end at once is the cause unless on each of them a run had begun less than 0.25 s before.

--- a/filbertspar/scheduler/src/crashes.cc
+++ b/filbertspar/scheduler/src/crashes.cc
@@ -21,6 +21,8 @@
 constexpr Duration kJudgementDelay = Milliseconds(400);
 /// The workers of a rack end within this time when the rack is the cause.
 constexpr Duration kCommonCauseWindow = Milliseconds(300);
+/// A run this young when its worker ended may have ended it by its start.
+constexpr Duration kSuddenCrashAge = Milliseconds(250);
 /// Of the tasks that were on a crashed worker, those that began at most this
 /// long before the last one are suspects.
 constexpr Duration kSuspectSpread = Milliseconds(100);
@@ -103,11 +105,25 @@
   return worker.m_record.m_draining || worker.m_cordoned;
 }
 
+/// Whether a run began just before the worker ended.
+bool HasSuddenRun(const Worker& worker) {
+  return std::any_of(worker.m_tasks.begin(), worker.m_tasks.end(),
+                     [&worker](const TaskRef& ref) {
+                       const Duration age =
+                           AgeAt(ref.GetTask(), worker.m_end.m_at);
+                       return MayRun(ref.GetTask()) && age >= Duration(0) &&
+                              age <= kSuddenCrashAge;
+                     });
+}
+
 /// One task ends one worker. When a whole rack ends at once, the rack is the
-/// cause. Several workers of different racks are no such sign: the suspects of
-/// earlier crashes are often started again at the same moment.
+/// cause, unless on each of its workers a run had just begun: the suspects of
+/// earlier crashes are often started again at the same moment, also on one
+/// rack. For the same reason workers of different racks that end together have
+/// no common cause.
 bool HasCommonCause(const Scheduler& scheduler, const Worker& worker) {
   bool has_others = false;
+  bool all_sudden = HasSuddenRun(worker);
   for (const Worker& other : scheduler.m_workers) {
     if (&other == &worker || !other.m_has_responded || IsPlanned(other) ||
         other.m_record.m_rack.Empty() ||
@@ -117,11 +133,14 @@
     if (other.m_end.m_at > worker.m_end.m_at + kCommonCauseWindow) {
       return false;
     }
-    // Those that ended earlier were no longer there.
-    has_others = has_others ||
-                 other.m_end.m_at + kCommonCauseWindow >= worker.m_end.m_at;
+    if (other.m_end.m_at + kCommonCauseWindow < worker.m_end.m_at) {
+      // It ended earlier, so it was no longer there.
+      continue;
+    }
+    has_others = true;
+    all_sudden = all_sudden && HasSuddenRun(other);
   }
-  return has_others;
+  return has_others && !all_sudden;
 }
 
 std::string WorkersOf(const Task& unit) {
--- a/tests/scheduler_crash_test.cc
+++ b/tests/scheduler_crash_test.cc
@@ -282,6 +282,26 @@
   });
 }
 
+// Guards against crashes in two tests at one moment that are put down to the
+// rack on which both tests were.
+TEST_CASE("suspects that are tested on one rack crash three workers each") {
+  Simulation simulation;
+  for (int i = 0; i < 8; ++i) {
+    simulation.AddWorker("w" + std::to_string(i), "p", 16,
+                         "r" + std::to_string(i / 2));
+  }
+  for (const std::string id : {"bad0", "bad1"}) {
+    simulation.m_crashing_tasks[TaskOf(id)] = Milliseconds(10);
+    REQUIRE(simulation.Submit(
+        Simulation::MakeJob(id, "p", 1, Milliseconds(800), 10000)));
+  }
+  simulation.RunFor(Seconds(30));
+  for (const std::string id : {"bad0", "bad1"}) {
+    CHECK(simulation.m_crashes[TaskOf(id)].size() == 3);
+    CHECK(simulation.StateOfJob(id) == JobState::kFailed);
+  }
+}
+
 // Guards against a long-running job that is given up because it was on many
 // workers that others crashed.
 TEST_CASE("a long-running job survives a series of crashing neighbors") {
