--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -151,13 +151,13 @@
         self.fleet = platform.Machines(self.record, self.machines)
         self.workers = [
             platform.Worker(f"i-{number + 1:04d}", machine, (f"{self.net}.{41 + number}", 8000), self.store, self.watch,
-                            self._work_of, BOUNDS["max_hold_ms"], BOUNDS["stop_timeout_ms"])
+                            self.work_of, BOUNDS["max_hold_ms"], BOUNDS["stop_timeout_ms"])
             for number, machine in enumerate(self.machines)]
         self.nodes = [Node(self, f"edge-{number + 1}", f"zone-{'abc'[number % 3]}", f"{self.net}.{11 + number}",
                            f"{self.net}.1:8344", shares[number] if shares else 0.25) for number in range(nodes)]
         self._numbers = random.getrandbits(40) << 20
 
-    def _work_of(self, task):
+    def work_of(self, task):
         job, _, step, index = task.split(".")
         return self.work[job](int(step), int(index))
 
