--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -5,11 +5,12 @@
 
 import asyncio
 import base64
+import functools
 import json
 import time
 import urllib.parse
 
-from soak.http1 import Server, Silent
+from soak.http1 import Dropped, Server, Silent
 
 REPORT_S = 1.5
 ENDS_LISTED = 500
@@ -184,9 +185,9 @@
         self._fence, self._lease_ms, self._sequence, self._next_end = 0, 0, 0, 1
         self.running, self._closed, self._ends = {}, {}, []
         self._woken = asyncio.Event()
-        self._server = Server(self._handle)
-        await self._server.start(*self.address)
+        self._server = Server(functools.partial(self._handle, self._born))
         self.is_up = True
+        await self._server.start(*self.address)
         self._watch.record(f"worker {self.name} is up, born {self._born}")
         self._tasks = [asyncio.ensure_future(self._report()), asyncio.ensure_future(self._advance())]
 
@@ -229,7 +230,10 @@
         self._woken.set()
         self._woken = asyncio.Event()
 
-    async def _handle(self, method, path, headers, body):
+    async def _handle(self, life, method, path, headers, body):
+        if not self.is_up or life != self._born:
+            # A connection that was accepted at the moment of the crash.
+            raise Dropped
         if headers.get("x-expected-instance") != self.name:
             return 421, self._said({})
         if body["fencing_token"] < self._fence:
