--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,11 +10,11 @@
 
 
 def work(step, index):
-    return (3.0 if index < SHORT else 30.0), {"cpu": 300, "mem_mb": 64}
+    return (3.0 if index < SHORT else 30.0), {"cpu": 80, "mem_mb": 64}
 
 
 async def case(site):
-    steps = [{"count": COUNT, "cpu": 300, "mem_mb": 64, "est_duration_ms": 20000}]
+    steps = [{"count": COUNT, "cpu": 80, "mem_mb": 64, "est_duration_ms": 20000}]
     job = await site.submit(QUEUE, "merchants", steps, work)
     await site.until(lambda: len(site.watch.starts) == COUNT, 40, "the subtasks did not all start")
     await site.until(lambda: len(site.watch.done_noted) >= SHORT, 20, "the ends were not taken note of")
@@ -34,5 +34,5 @@
 
 
 play(Site(pathlib.Path(__file__).parent, nodes=3,
-          machines=[(f"m-{i}", "billing", f"zone-{'abc'[i % 3]}", f"r{i // 4}", 64000, 262144) for i in range(12)],
+          machines=[(f"m-{i}", "billing", f"zone-{'abc'[i % 3]}", f"r{i // 4}", 16000, 32768) for i in range(12)],
           queues=[QUEUE], tenants={"merchants": ("key-merchants", 0)}), case)
