A refusal holds for every earlier copy of the call

Cause: a forwarded call that a cut held up was sent again on a new link and refused there; the first copy arrived after the cut and was admitted. The link was closed without a reset, the call did not say when it was made, and the owner judged each copy by itself.

Change: calls carry the time at which the caller's request was received and the time at which nobody waits any more, as bounds on the owner's clock, which pongs now tell. A refusal (of admission, of an offer, or because the store was not reached in time) holds for every copy received before it; calls that are over are not executed. A closed link is reset.

--- a/filbertspar/node/src/clock.h
+++ b/filbertspar/node/src/clock.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <ctime>
 
 #include "filbertspar/base/base.h"
@@ -21,4 +22,15 @@
   return Seconds(now.tv_sec) + Duration(now.tv_nsec / 1000);
 }
 
+/// \brief Times of the link protocol, in milliseconds of a VM's own clock.
+/// Values that no clock shows are clamped.
+inline TimePoint TimeFromMs(std::int64_t milliseconds) {
+  constexpr std::int64_t kMaxMs = 1LL << 50;
+  return TimePoint(
+      Milliseconds(std::clamp<std::int64_t>(milliseconds, 0, kMaxMs)));
+}
+inline std::int64_t MsFromTime(TimePoint time) {
+  return std::max<std::int64_t>(0, ToMilliseconds(time.time_since_epoch()));
+}
+
 }  // namespace filbertspar
--- a/filbertspar/node/src/link_client.cc
+++ b/filbertspar/node/src/link_client.cc
@@ -1,5 +1,6 @@
 #include "filbertspar/node/src/link_client.h"
 
+#include <deque>
 #include <map>
 #include <utility>
 
@@ -37,6 +38,13 @@
     std::unique_ptr<Session> m_session;
     FrameQueue m_queue;
     TimePoint m_last_received_at{};
+    /// Numbers and times of the pings that have no answer yet.
+    std::deque<std::pair<std::uint64_t, TimePoint>> m_unanswered_pings;
+    std::uint64_t m_last_ping = 0;
+    /// Whether the owner has answered a ping.
+    bool m_is_answered = false;
+    /// Empty when the owner does not tell its clock.
+    std::optional<PeerClock> m_owner_clock;
     bool m_closed = false;
     bool m_was_refused = false;
   };
@@ -63,6 +71,8 @@
   asio::awaitable<void> SendStart(LinkPtr link, RelayedStart start);
   asio::awaitable<void> WriteQueue(LinkPtr link);
   void HandleMessage(const LinkPtr& link, const Envelope& envelope);
+  void HandlePong(Link& link, const LinkPong& pong);
+  void SendPing(const LinkPtr& link);
   bool Send(const LinkPtr& link, Envelope envelope);
   void Close(const LinkPtr& link);
   void SetHealth(LinkHealth health);
@@ -132,6 +142,9 @@
     co_return;
   }
   link->m_socket.set_option(tcp::no_delay(true), address_error);
+  // A reset also discards calls that a cut in the network holds up; after a
+  // close they would still arrive.
+  link->m_socket.set_option(asio::socket_base::linger(true, 0), address_error);
   Hello hello = m_self;
   hello.m_nonce = RandomNonce();
   hello.m_to = m_owner->m_vm;
@@ -168,9 +181,7 @@
                                       const Envelope& envelope) {
   link->m_last_received_at = BootNow();
   if (const auto* pong = std::get_if<LinkPong>(&envelope.m_message)) {
-    m_should_offer = pong->m_ask_first;
-    SetHealth(pong->m_confirmed ? LinkHealth::kGood
-                                : LinkHealth::kStoreUnreachable);
+    HandlePong(*link, *pong);
   } else if (const auto* reply = std::get_if<JobReply>(&envelope.m_message)) {
     const auto found = m_pending_calls.find(reply->m_number);
     if (found != m_pending_calls.end()) {
@@ -185,9 +196,28 @@
     m_log.Info("link", "owner_linked",
                absl::StrCat("vm=", m_owner ? m_owner->m_vm.Value() : "-"));
     SetHealth(LinkHealth::kGood);
+    SendPing(link);
   }
 }
 
+void LinkClient::State::HandlePong(Link& link, const LinkPong& pong) {
+  auto& pings = link.m_unanswered_pings;
+  while (!pings.empty() && pings.front().first < pong.m_number) {
+    pings.pop_front();
+  }
+  if (!pings.empty() && pings.front().first == pong.m_number) {
+    link.m_is_answered = true;
+    if (pong.m_clock_ms >= 0) {
+      link.m_owner_clock = {pings.front().second, BootNow(),
+                            TimeFromMs(pong.m_clock_ms)};
+    }
+    pings.pop_front();
+  }
+  m_should_offer = pong.m_ask_first;
+  SetHealth(pong.m_confirmed ? LinkHealth::kGood
+                             : LinkHealth::kStoreUnreachable);
+}
+
 asio::awaitable<void> LinkClient::State::SendStart(LinkPtr link,
                                                    RelayedStart start) {
   auto self = shared_from_this();
@@ -197,9 +227,15 @@
   }
 }
 
+void LinkClient::State::SendPing(const LinkPtr& link) {
+  LinkPing ping = m_describe ? m_describe() : LinkPing();
+  ping.m_number = ++link->m_last_ping;
+  link->m_unanswered_pings.emplace_back(ping.m_number, BootNow());
+  Send(link, link->m_session->Wrap(ping));
+}
+
 asio::awaitable<void> LinkClient::State::Ping(LinkPtr link) {
   auto self = shared_from_this();
-  std::uint64_t number = 0;
   while (!link->m_closed) {
     if (BootNow() - link->m_last_received_at > kSilenceTimeout) {
       m_log.Warn(
@@ -214,9 +250,7 @@
       SetHealth(LinkHealth::kLate);
     }
     if (link->m_session->CanSend()) {
-      LinkPing ping = m_describe ? m_describe() : LinkPing();
-      ping.m_number = ++number;
-      Send(link, link->m_session->Wrap(ping));
+      SendPing(link);
     }
     co_await SleepFor(kPingPeriod);
   }
@@ -296,12 +330,14 @@
 
 bool LinkClient::IsReady() const {
   return m_state->m_link != nullptr && m_state->m_link->m_session != nullptr &&
-         m_state->m_link->m_session->CanSend();
+         m_state->m_link->m_session->CanSend() &&
+         m_state->m_link->m_is_answered;
 }
 
 bool LinkClient::ShouldOfferJobs() const { return m_state->m_should_offer; }
 
 asio::awaitable<LinkClient::Result> LinkClient::Call(JobCall call,
+                                                     TimePoint received_at,
                                                      Duration timeout) {
   const std::shared_ptr<State> state = m_state;
   Result result;
@@ -311,6 +347,10 @@
   const std::uint64_t number = ++state->m_next_call;
   call.m_number = number;
   call.m_wait = timeout;
+  if (const auto& clock = state->m_link->m_owner_clock) {
+    call.m_received_ms = MsFromTime(EarliestReading(*clock, received_at));
+    call.m_expires_ms = MsFromTime(LatestReading(*clock, BootNow() + timeout));
+  }
   auto pending = std::make_shared<State::PendingCall>(state->m_context);
   state->m_pending_calls[number] = pending;
   const State::LinkPtr link = state->m_link;
--- a/filbertspar/node/src/link_client.h
+++ b/filbertspar/node/src/link_client.h
@@ -9,6 +9,7 @@
 #include "filbertspar/node/src/event_log.h"
 #include "filbertspar/node/src/traffic_meter.h"
 #include "filbertspar/ownership/ownership.h"
+#include "filbertspar/routing/routing.h"
 #include "filbertspar/wire/wire.h"
 
 namespace filbertspar {
@@ -35,6 +36,7 @@
   /// \brief Connects to this owner, or disconnects when there is none.
   void SetOwner(const std::optional<OwnerRecord>& owner);
 
+  /// \brief Whether the owner has answered on this connection.
   bool IsReady() const;
   /// \brief Whether the owner wants jobs to be offered before they are
   /// submitted.
@@ -47,7 +49,9 @@
     /// Whether the call was sent at all.
     bool m_sent = false;
   };
-  asio::awaitable<Result> Call(JobCall call, Duration timeout);
+  /// \brief Forwards a call that this VM received at `received_at`.
+  asio::awaitable<Result> Call(JobCall call, TimePoint received_at,
+                               Duration timeout);
 
  private:
   struct State;
--- a/filbertspar/node/src/link_server.cc
+++ b/filbertspar/node/src/link_server.cc
@@ -162,7 +162,8 @@
     peer.m_relays_starts = ping->m_relays_starts;
     Send(link, link->m_session->Wrap(
                    LinkPong{ping->m_number, m_confirmed && m_confirmed(),
-                            ShouldAskFirst(m_traffic.Received(), BootNow())}));
+                            ShouldAskFirst(m_traffic.Received(), BootNow()),
+                            MsFromTime(BootNow())}));
     return true;
   }
   if (const auto* done = std::get_if<RelayedStartReply>(&envelope.m_message)) {
--- a/filbertspar/node/src/owner_term.h
+++ b/filbertspar/node/src/owner_term.h
@@ -77,6 +77,8 @@
   /// admitted job counts as arrived; a refused one always does.
   JobReply Admit(const JobCall& call, const JobSpec& spec,
                  bool counts_if_admitted);
+  /// \brief Refuses a job for this and every earlier copy of the call.
+  JobReply Refuse(const JobId& job, Code code, Duration retry_after);
   JobReply AnswerOffer(const JobCall& call);
   asio::awaitable<JobReply> Cancel(const JobCall& call);
   JobReply StateReply(const JobCall& call) const;
@@ -114,6 +116,7 @@
   /// Delay before the next dispatch, proportional to the duration of the last.
   Duration m_dispatch_pause{0};
   scheduler::WorkloadCache m_workload_cache;
+  Refusals m_refusals;
   bool m_jobs_loaded = false;
   bool m_running = true;
   bool m_handing_over = false;
--- a/filbertspar/node/src/owner_term_calls.cc
+++ b/filbertspar/node/src/owner_term_calls.cc
@@ -24,6 +24,13 @@
   const auto self = shared_from_this();
   JobReply reply;
   const TimePoint deadline = BootNow() + call.m_wait;
+  if (call.m_expires_ms >= 0 && BootNow() > TimeFromMs(call.m_expires_ms)) {
+    m_parts.m_log.Info(
+        "call", "call_expired",
+        absl::StrCat(JobField(JobId(call.m_job)), " peer=", from.Value()));
+    reply.m_code = Code::kDeadlinePassed;
+    co_return reply;
+  }
   while (m_running && !m_jobs_loaded && BootNow() < deadline) {
     co_await m_jobs_loaded_signal.WaitFor(deadline - BootNow());
   }
@@ -63,16 +70,35 @@
   return reply;
 }
 
+JobReply OwnerTerm::Refuse(const JobId& job, Code code, Duration retry_after) {
+  RecordRefusal(m_refusals, job, {code, retry_after, BootNow()});
+  Count(m_parts.m_metrics, metric::kJobs, "refused");
+  JobReply reply;
+  reply.m_code = code;
+  reply.m_retry_after = retry_after;
+  return reply;
+}
+
 JobReply OwnerTerm::Admit(const JobCall& call, const JobSpec& spec,
                           bool counts_if_admitted) {
   JobReply reply;
   const TimePoint now = BootNow();
-  if (m_journal->IsStalled(now)) {
-    reply.m_code = Code::kJournalStoreDown;
-    reply.m_retry_after = kStoreRetryAfter;
-    Count(m_parts.m_metrics, metric::kJobs, "refused");
+  const TimePoint received_at =
+      call.m_received_ms < 0 ? now : TimeFromMs(call.m_received_ms);
+  if (const auto earlier = FindRefusal(m_refusals, spec.m_id, received_at)) {
+    m_parts.m_log.Info(
+        "call", "submit_refused_before",
+        absl::StrCat(JobField(spec.m_id),
+                     " code=", static_cast<int>(earlier->m_code),
+                     " age_ms=", ToMilliseconds(now - earlier->m_at),
+                     " received_ms_ago=", ToMilliseconds(now - received_at)));
+    reply.m_code = earlier->m_code;
+    reply.m_retry_after = earlier->m_retry_after;
     return reply;
   }
+  if (m_journal->IsStalled(now)) {
+    return Refuse(spec.m_id, Code::kJournalStoreDown, kStoreRetryAfter);
+  }
   const PoolName& pool_name = spec.m_policy.m_pool;
   const scheduler::Admission admission = scheduler::Admit(
       m_scheduler, now, spec,
@@ -103,10 +129,9 @@
           " wait_ms=", ToMilliseconds(admission.m_expected_wait),
           " chain_ms=", ToMilliseconds(admission.m_expected_critical_path),
           " retry_after_ms=", ToMilliseconds(admission.m_retry_after)));
-  if (!is_admitted) {
-    Count(m_parts.m_metrics, metric::kJobs, "refused");
-  }
-  return reply;
+  return is_admitted
+             ? reply
+             : Refuse(spec.m_id, admission.m_code, admission.m_retry_after);
 }
 
 JobReply OwnerTerm::AnswerOffer(const JobCall& call) {
@@ -149,7 +174,7 @@
   const TimePoint began = BootNow();
   reply.m_code = co_await m_journal->Accept(*std::move(spec), call.m_wait);
   if (reply.m_code == Code::kJournalStoreDown) {
-    reply.m_retry_after = kStoreRetryAfter;
+    reply = Refuse(id, reply.m_code, kStoreRetryAfter);
   }
   if (reply.m_code == Code::kOk) {
     scheduler::SetPayloadHolder(m_scheduler, id, from);
--- a/filbertspar/node/src/router.cc
+++ b/filbertspar/node/src/router.cc
@@ -39,6 +39,8 @@
     reply.m_code = Code::kNotLeaseHolder;
     call.m_wait = deadline - BootNow();
     if (const std::shared_ptr<OwnerTerm> owner_term = m_owner_term()) {
+      call.m_received_ms = MsFromTime(began);
+      call.m_expires_ms = MsFromTime(deadline) + 1;
       reply = co_await owner_term->Execute(VmName(), call);
       // A write in progress when this VM lost ownership may still have taken
       // effect.
@@ -48,7 +50,7 @@
                m_link.ShouldOfferJobs() && !is_admitted) {
       // An offer has no effect, so that its reply may be lost.
       const LinkClient::Result offered =
-          co_await m_link.Call(OfferOf(call), call.m_wait);
+          co_await m_link.Call(OfferOf(call), began, call.m_wait);
       if (offered.m_reply && offered.m_reply->m_code == Code::kOk) {
         is_admitted = true;
         if (offered.m_reply->m_count > 0) {
@@ -60,7 +62,8 @@
         reply = *offered.m_reply;
       }
     } else if (m_link.IsReady()) {
-      const LinkClient::Result result = co_await m_link.Call(call, call.m_wait);
+      const LinkClient::Result result =
+          co_await m_link.Call(call, began, call.m_wait);
       may_have_effect = may_have_effect || result.m_sent;
       if (result.m_reply) {
         reply = *result.m_reply;
@@ -71,7 +74,8 @@
     if (reply.m_code == Code::kOutcomeUnknown) {
       may_have_effect = true;
     } else if (reply.m_code != Code::kNotLeaseHolder &&
-               reply.m_code != Code::kNoOwner) {
+               reply.m_code != Code::kNoOwner &&
+               reply.m_code != Code::kDeadlinePassed) {
       co_return reply;
     }
     co_await m_watch.Changed().WaitFor(kRetryInterval);
--- a/filbertspar/wire/src/decode.cc
+++ b/filbertspar/wire/src/decode.cc
@@ -165,6 +165,8 @@
   m.m_job = r.Text(t.job());
   m.m_body = r.Text(t.body());
   m.m_wait = Milliseconds(t.wait_ms());
+  m.m_received_ms = t.received_ms();
+  m.m_expires_ms = t.expires_ms();
 }
 
 void Read(Reader& r, const fbs::JobReply& t, JobReply& m) {
@@ -189,6 +191,7 @@
   m.m_number = t.number();
   m.m_confirmed = t.confirmed();
   m.m_ask_first = t.ask_first();
+  m.m_clock_ms = t.clock_ms();
 }
 
 void Read(Reader& r, const fbs::RelayedStart& t, RelayedStart& m) {
--- a/filbertspar/wire/src/encode.cc
+++ b/filbertspar/wire/src/encode.cc
@@ -154,7 +154,8 @@
   const auto body = w.Text(m.m_body);
   return fbs::CreateJobCall(w.m_builder, m.m_number,
                             static_cast<std::uint8_t>(m.m_verb), queue,
-                            workspace, job, body, WholeMilliseconds(m.m_wait))
+                            workspace, job, body, WholeMilliseconds(m.m_wait),
+                            m.m_received_ms, m.m_expires_ms)
       .Union();
 }
 
@@ -174,7 +175,7 @@
 
 Offset<void> Write(Writer& w, const LinkPong& m) {
   return fbs::CreateLinkPong(w.m_builder, m.m_number, m.m_confirmed,
-                             m.m_ask_first)
+                             m.m_ask_first, m.m_clock_ms)
       .Union();
 }
 
--- a/filbertspar/wire/src/messages.h
+++ b/filbertspar/wire/src/messages.h
@@ -184,6 +184,12 @@
   std::string m_body;
   /// Time in which the answer is of use to the caller.
   Duration m_wait{0};
+  /// Times on the clock of the VM that executes the call, in milliseconds; -1
+  /// when the sender does not know that clock. Earliest time at which the
+  /// caller's request may have been received.
+  std::int64_t m_received_ms = -1;
+  /// Latest time at which the sender may still wait for the reply.
+  std::int64_t m_expires_ms = -1;
 
   friend bool operator==(const JobCall&, const JobCall&) = default;
 };
@@ -224,6 +230,8 @@
   bool m_confirmed = false;
   /// Whether jobs should be offered before they are submitted.
   bool m_ask_first = false;
+  /// Clock of the sender, in milliseconds; -1 from releases without it.
+  std::int64_t m_clock_ms = -1;
 
   friend bool operator==(const LinkPong&, const LinkPong&) = default;
 };
--- a/filbertspar/wire/src/peer_generated.h
+++ b/filbertspar/wire/src/peer_generated.h
@@ -1568,7 +1568,9 @@
     VT_WORKSPACE = 10,
     VT_JOB = 12,
     VT_BODY = 14,
-    VT_WAIT_MS = 16
+    VT_WAIT_MS = 16,
+    VT_RECEIVED_MS = 18,
+    VT_EXPIRES_MS = 20
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1591,6 +1593,12 @@
   uint32_t wait_ms() const {
     return GetField<uint32_t>(VT_WAIT_MS, 0);
   }
+  int64_t received_ms() const {
+    return GetField<int64_t>(VT_RECEIVED_MS, -1LL);
+  }
+  int64_t expires_ms() const {
+    return GetField<int64_t>(VT_EXPIRES_MS, -1LL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -1604,6 +1612,8 @@
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyString(body()) &&
            VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
+           VerifyField<int64_t>(verifier, VT_RECEIVED_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_EXPIRES_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1633,6 +1643,12 @@
   void add_wait_ms(uint32_t wait_ms) {
     fbb_.AddElement<uint32_t>(JobCall::VT_WAIT_MS, wait_ms, 0);
   }
+  void add_received_ms(int64_t received_ms) {
+    fbb_.AddElement<int64_t>(JobCall::VT_RECEIVED_MS, received_ms, -1LL);
+  }
+  void add_expires_ms(int64_t expires_ms) {
+    fbb_.AddElement<int64_t>(JobCall::VT_EXPIRES_MS, expires_ms, -1LL);
+  }
   explicit JobCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1652,8 +1668,12 @@
     flatbuffers::Offset<flatbuffers::String> workspace = 0,
     flatbuffers::Offset<flatbuffers::String> job = 0,
     flatbuffers::Offset<flatbuffers::String> body = 0,
-    uint32_t wait_ms = 0) {
+    uint32_t wait_ms = 0,
+    int64_t received_ms = -1LL,
+    int64_t expires_ms = -1LL) {
   JobCallBuilder builder_(_fbb);
+  builder_.add_expires_ms(expires_ms);
+  builder_.add_received_ms(received_ms);
   builder_.add_number(number);
   builder_.add_wait_ms(wait_ms);
   builder_.add_body(body);
@@ -1677,7 +1697,9 @@
     const char *workspace = nullptr,
     const char *job = nullptr,
     const char *body = nullptr,
-    uint32_t wait_ms = 0) {
+    uint32_t wait_ms = 0,
+    int64_t received_ms = -1LL,
+    int64_t expires_ms = -1LL) {
   auto queue__ = queue ? _fbb.CreateString(queue) : 0;
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   auto job__ = job ? _fbb.CreateString(job) : 0;
@@ -1690,7 +1712,9 @@
       workspace__,
       job__,
       body__,
-      wait_ms);
+      wait_ms,
+      received_ms,
+      expires_ms);
 }
 
 struct JobReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1873,7 +1897,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NUMBER = 4,
     VT_CONFIRMED = 6,
-    VT_ASK_FIRST = 8
+    VT_ASK_FIRST = 8,
+    VT_CLOCK_MS = 10
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1884,11 +1909,15 @@
   bool ask_first() const {
     return GetField<uint8_t>(VT_ASK_FIRST, 0) != 0;
   }
+  int64_t clock_ms() const {
+    return GetField<int64_t>(VT_CLOCK_MS, -1LL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            VerifyField<uint8_t>(verifier, VT_CONFIRMED, 1) &&
            VerifyField<uint8_t>(verifier, VT_ASK_FIRST, 1) &&
+           VerifyField<int64_t>(verifier, VT_CLOCK_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1906,6 +1935,9 @@
   void add_ask_first(bool ask_first) {
     fbb_.AddElement<uint8_t>(LinkPong::VT_ASK_FIRST, static_cast<uint8_t>(ask_first), 0);
   }
+  void add_clock_ms(int64_t clock_ms) {
+    fbb_.AddElement<int64_t>(LinkPong::VT_CLOCK_MS, clock_ms, -1LL);
+  }
   explicit LinkPongBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1921,8 +1953,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t number = 0,
     bool confirmed = false,
-    bool ask_first = false) {
+    bool ask_first = false,
+    int64_t clock_ms = -1LL) {
   LinkPongBuilder builder_(_fbb);
+  builder_.add_clock_ms(clock_ms);
   builder_.add_number(number);
   builder_.add_ask_first(ask_first);
   builder_.add_confirmed(confirmed);
--- a/tests/wire_messages.h
+++ b/tests/wire_messages.h
@@ -115,7 +115,9 @@
                      *Bytes(40),
                      *Bytes(40),
                      *Bytes(400),
-                     Milliseconds(*rc::gen::arbitrary<std::uint32_t>())};
+                     Milliseconds(*rc::gen::arbitrary<std::uint32_t>()),
+                     AnyInt(),
+                     AnyInt()};
     case 11: {
       const auto table = CodeTable();
       const auto at = *rc::gen::inRange<std::size_t>(0, table.size());
@@ -128,7 +130,7 @@
                       Milliseconds(*rc::gen::arbitrary<std::uint32_t>()),
                       Millicores(AnyInt()), AnyBool(), AnyBool()};
     case 13:
-      return LinkPong{AnyNumber(), AnyBool(), AnyBool()};
+      return LinkPong{AnyNumber(), AnyBool(), AnyBool(), AnyInt()};
     case 14: {
       RelayedStart start;
       start.m_number = AnyNumber();
