Bound what one job costs its owner

Cause: all due occurrences were opened at once, and each dispatch computed the remaining path of all of them for each of them, on the only thread; the owner's row was not renewed.

Ruled out: the size of the progress row (with rows of any size the case broke the same way).

Change: bounded open occurrences and tasks, a remaining path for each occurrence, bounded starts a dispatch and a worker, payloads taken when an order is sent, the spread of a step counted once, polls paced by the number of runs, and admission by memory.

--- a/filbertspar/fleetview/src/orders.h
+++ b/filbertspar/fleetview/src/orders.h
@@ -14,6 +14,7 @@
 struct StartOrder {
   TaskId m_task;
   RunNumber m_run;
+  /// Filled in when the order is sent.
   std::string m_payload;
   /// Milliseconds on the worker's clock; the worker refuses the order after
   /// it.
--- a/filbertspar/node/src/options.cc
+++ b/filbertspar/node/src/options.cc
@@ -30,7 +30,9 @@
                        settings.GetDouble("node.cpu_speed", 1, 0.001, 1024);
   options.m_cpu_capacity = Millicores(static_cast<std::int64_t>(cores * 1000));
   options.m_link_mbps = settings.GetDouble("node.link_mbps", 1000, 0.001, 1e6);
-  settings.GetInt("node.memory_mb", 256, 1, 1 << 30);
+  options.m_memory_bytes = static_cast<std::size_t>(settings.GetInt(
+                               "node.memory_mb", 256, 1, 1 << 30))
+                           << 20;
   settings.GetBool("node.first_start", false);
   options.m_store = settings.GetEndpoint("store.address");
   options.m_store_writes_per_s =
--- a/filbertspar/node/src/options.h
+++ b/filbertspar/node/src/options.h
@@ -19,6 +19,7 @@
   Endpoint m_metrics_listen;
   /// Processor capacity of this VM: its CPU share times its CPU speed.
   Millicores m_cpu_capacity;
+  std::size_t m_memory_bytes = 0;
   /// Bandwidth of this VM's link in megabits per second.
   double m_link_mbps = 0;
   Endpoint m_store;
--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -35,9 +35,11 @@
 constexpr Duration kDispatchDelay = Milliseconds(2);
 /// Idle time after a dispatch, as a multiple of its duration. Limits dispatch
 /// to a third of the processor for any backlog whose dispatch is shorter than
-/// half of kMaxDispatchPause; the rest serves calls, polls and the store.
+/// half of kMaxDispatchPause, and to a half for one up to kLongDispatchPause;
+/// the rest serves calls, polls and the store.
 constexpr int kDispatchIdleFactor = 2;
 constexpr Duration kMaxDispatchPause = Milliseconds(40);
+constexpr Duration kLongDispatchPause = Milliseconds(400);
 constexpr Duration kRecommendationTimeout = Seconds(2);
 constexpr std::size_t kMaxRemovalsPerTick = 20;
 /// A peer whose link has been down for this long while the store confirmed the
@@ -54,6 +56,10 @@
 /// store that it counts as continuous.
 constexpr Duration kLongStoreAwayTime = Seconds(2);
 
+/// Jobs may take one part in this of the process's memory; the rest covers
+/// their rows while they are written, the orders, and the callers.
+constexpr std::size_t kJobMemoryShare = 3;
+
 Duration WorkerLease(const NodeOptions& options) {
   return std::min(options.m_max_lease,
                   options.m_worker_report_interval * kLeaseReportIntervals);
@@ -75,6 +81,7 @@
   options.m_fencing = won.m_record.m_epoch;
   options.m_lease = WorkerLease(parts.m_options);
   options.m_runs_are_recorded = won.m_all_runs_recorded;
+  options.m_max_job_bytes = parts.m_options.m_memory_bytes / kJobMemoryShare;
   options.m_state_retention = parts.m_options.m_state_retention;
   options.m_inherited_leases_until =
       won.m_previous_silent_since + kMaxUnconfirmedTime +
@@ -279,6 +286,7 @@
           scheduler::RemoveExpiredJobs(m_scheduler, now, kMaxRemovalsPerTick));
       Dispatch();
     }
+      scheduler::TrimFinishedJobs(m_scheduler, now);
     std::vector<VmName> gone;
     for (const auto& [vm, peer] : m_parts.m_links.Peers()) {
       if (!peer.m_connected && IsConfirmed() &&
@@ -338,9 +346,11 @@
     RequestRecommendations();
   }
   m_dispatch_pause =
-      std::min((BootNow() - now) * kDispatchIdleFactor, kMaxDispatchPause);
+      std::max(std::min(took * kDispatchIdleFactor, kMaxDispatchPause),
+               std::min(took, kLongDispatchPause));
   ApplyEffects();
 }
+  const Duration took = BootNow() - now;
 
 void OwnerTerm::ApplyEffects() {
   scheduler::Effects effects;
--- a/filbertspar/node/src/owner_term_calls.cc
+++ b/filbertspar/node/src/owner_term_calls.cc
@@ -11,6 +11,9 @@
 
 /// Retry time returned to callers while the store is unavailable.
 constexpr Duration kStoreRetryAfter = Seconds(2);
+/// The same while jobs fill the owner's memory; finished ones are freed after
+/// some ten seconds.
+constexpr Duration kMemoryRetryAfter = Seconds(10);
 /// Interval between checks whether a cancelled job's final state is stored.
 constexpr Duration kCancelPollPeriod = Milliseconds(5);
 
@@ -99,6 +102,14 @@
   if (m_journal->IsStalled(now)) {
     return Refuse(spec.m_id, Code::kJournalStoreDown, kStoreRetryAfter);
   }
+  if (!scheduler::HasMemoryFor(m_workload_cache, m_scheduler, now, spec)) {
+    m_parts.m_log.Warn(
+        "call", "submit_refused",
+        absl::StrCat(JobField(spec.m_id),
+                     " reason=memory job_bytes=", m_workload_cache.m_job_bytes,
+                     " max_bytes=", m_scheduler.m_options.m_max_job_bytes));
+    return Refuse(spec.m_id, Code::kQueueFull, kMemoryRetryAfter);
+  }
   const PoolName& pool_name = spec.m_policy.m_pool;
   const scheduler::Admission admission = scheduler::Admit(
       m_scheduler, now, spec,
--- a/filbertspar/node/src/worker_connections.cc
+++ b/filbertspar/node/src/worker_connections.cc
@@ -24,6 +24,9 @@
 /// Between two polls of one worker; runs that finish close together are read
 /// by the same poll.
 constexpr Duration kPollInterval = Milliseconds(30);
+/// The same for each run that the worker listed: a poll transfers all of them.
+constexpr Duration kPollIntervalPerRun = Duration(100);
+constexpr Duration kMaxPollInterval = Milliseconds(400);
 /// The same while this VM's link is loaded: fewer polls read the same ends.
 constexpr Duration kLoadedPollInterval = Milliseconds(150);
 /// Unanswered polls that renew the lease while this VM's link is loaded; with
@@ -168,8 +171,11 @@
         co_await m_finished_runs_stored.WaitFor(until - BootNow());
       }
     }
-    co_await SleepFor(m_traffic.IsLoaded() ? kLoadedPollInterval
-                                           : kPollInterval);
+    const auto runs =
+        static_cast<std::int64_t>(m_scheduler.m_workers[index].m_tasks.size());
+    co_await SleepFor(
+        (m_traffic.IsLoaded() ? kLoadedPollInterval : kPollInterval) +
+        std::min(runs * kPollIntervalPerRun, kMaxPollInterval));
   }
   ChannelOf(index).m_is_polled = false;
 }
--- a/filbertspar/node/src/worker_connections_starts.cc
+++ b/filbertspar/node/src/worker_connections_starts.cc
@@ -88,6 +88,8 @@
         ref.GetTask().m_run != order.m_run.Value()) {
       co_return;
     }
+    // Orders that wait for their turn do not hold a copy each.
+    order.m_payload = ref.m_job->m_spec->m_payload;
     const TimePoint now = BootNow();
     const VmName relay = ChooseRelay(ref.m_job->m_payload_holder);
     const StartRoute route =
--- a/filbertspar/scheduler/src/admit.cc
+++ b/filbertspar/scheduler/src/admit.cc
@@ -38,44 +38,47 @@
 }
 
 Duration RemainingCriticalPath(const Scheduler& scheduler, TimePoint now,
-                               const Job& job) {
+                               const Job& job, const Occurrence& occurrence) {
   const double ratio = RunTimeRatio(scheduler, job.m_spec->m_queue);
-  if (!job.m_has_started && job.m_spec->m_occurrence_count == 0) {
+  if (!job.m_has_started) {
     return Scaled(job.m_critical_path, ratio);
   }
   Duration longest{0};
-  for (const auto& occurrence : job.m_occurrences) {
-    std::vector<Duration> step_ends(occurrence->m_steps.size(), Duration(0));
-    for (std::size_t s = 0; s < occurrence->m_steps.size(); ++s) {
-      const Step& step = occurrence->m_steps[s];
-      const StepSpec& spec = job.m_spec->m_steps[s];
-      if (step.m_done == step.m_tasks.size()) {
-        continue;
-      }
-      Duration start{0};
-      for (const std::uint32_t dependency : spec.m_depends_on) {
-        start = std::max(start, step_ends[dependency]);
-      }
-      Duration needed = Scaled(spec.m_estimate, ratio);
-      if (step.m_waiting == 0) {
-        Duration remaining{0};
-        for (const Task& task : step.m_tasks) {
-          if (task.m_phase != TaskPhase::kDone) {
-            remaining = std::max(remaining, needed - (now - task.m_since));
-          }
+  std::vector<Duration> step_ends(occurrence.m_steps.size(), Duration(0));
+  for (std::size_t s = 0; s < occurrence.m_steps.size(); ++s) {
+    const Step& step = occurrence.m_steps[s];
+    const StepSpec& spec = job.m_spec->m_steps[s];
+    if (step.m_done == step.m_tasks.size()) {
+      continue;
+    }
+    Duration start{0};
+    for (const std::uint32_t dependency : spec.m_depends_on) {
+      start = std::max(start, step_ends[dependency]);
+    }
+    Duration needed = Scaled(spec.m_estimate, ratio);
+    if (step.m_waiting == 0) {
+      Duration remaining{0};
+      for (const Task& task : step.m_tasks) {
+        if (task.m_phase != TaskPhase::kDone) {
+          remaining = std::max(remaining, needed - (now - task.m_since));
         }
-        needed = remaining;
       }
-      step_ends[s] = start + needed;
-      longest = std::max(longest, step_ends[s]);
+      needed = remaining;
     }
+    step_ends[s] = start + needed;
+    longest = std::max(longest, step_ends[s]);
   }
   return longest;
 }
 
-Duration SlackOf(const Scheduler& scheduler, TimePoint now, const Job& job,
-                 TimePoint objective) {
-  return objective - now - RemainingCriticalPath(scheduler, now, job);
+Duration RemainingCriticalPath(const Scheduler& scheduler, TimePoint now,
+                               const Job& job) {
+  Duration longest{0};
+  for (const auto& occurrence : job.m_occurrences) {
+    longest = std::max(longest,
+                       RemainingCriticalPath(scheduler, now, job, *occurrence));
+  }
+  return longest;
 }
 
 Admission Admit(const Scheduler& scheduler, TimePoint now, const JobSpec& spec,
--- a/filbertspar/scheduler/src/admit.h
+++ b/filbertspar/scheduler/src/admit.h
@@ -25,16 +25,14 @@
 /// plus the queue's target.
 TimePoint ObjectiveOf(const Scheduler& scheduler, const Job& job);
 
-/// \brief Estimated time until the job's end if every remaining task starts as
-/// soon as the steps it depends on are done.
+/// \brief Estimated time until the end of one open occurrence, or of all of
+/// them, if every remaining task starts as soon as the steps it depends on are
+/// done.
+Duration RemainingCriticalPath(const Scheduler& scheduler, TimePoint now,
+                               const Job& job, const Occurrence& occurrence);
 Duration RemainingCriticalPath(const Scheduler& scheduler, TimePoint now,
                                const Job& job);
 
-/// \brief Time that a job can still wait and meet `objective` if run times
-/// match the estimates; negative when it will be late.
-Duration SlackOf(const Scheduler& scheduler, TimePoint now, const Job& job,
-                 TimePoint objective);
-
 /// \brief Learned ratio of run time to estimate for a queue; 1 when nothing is
 /// known.
 double RunTimeRatio(const Scheduler& scheduler, const QueueName& queue);
--- a/filbertspar/scheduler/src/dispatch.cc
+++ b/filbertspar/scheduler/src/dispatch.cc
@@ -17,6 +17,11 @@
 namespace filbertspar::scheduler {
 namespace {
 
+/// Tasks of one pool that a dispatch starts; a gang may exceed it. Bounds the
+/// time of a dispatch for steps of any size. The next one follows when the
+/// starts are stored.
+constexpr std::uint32_t kMaxStartsPerPool = 512;
+
 /// Dispatch order. Long-running tasks come first because they are useful only
 /// while they run. Next come jobs that can still meet their objective, then
 /// late jobs, then both kinds of jobs beyond their workspace's share.
@@ -85,7 +90,8 @@
                                   : Urgency::kServing;
       } else {
         const bool on_time =
-            SlackOf(scheduler, now, *job, candidate.m_objective) >= Duration(0);
+            now + RemainingCriticalPath(scheduler, now, *job, *occurrence) <=
+            candidate.m_objective;
         candidate.m_urgency = UrgencyOf(job->m_over_share, on_time);
       }
       candidates.push_back(candidate);
@@ -97,11 +103,13 @@
   return candidates;
 }
 
-void DeductCapacity(std::vector<FreeCapacity>& capacities, WorkerIndex worker,
-                    const ResourceVector& demand) {
+void DeductStart(std::vector<FreeCapacity>& capacities, WorkerIndex worker,
+                 const ResourceVector& demand) {
   for (FreeCapacity& capacity : capacities) {
     if (capacity.m_worker == worker) {
       capacity.m_free -= demand;
+      capacity.m_starts_left -=
+          std::min<std::uint32_t>(capacity.m_starts_left, 1);
     }
   }
 }
@@ -127,12 +135,14 @@
   for (std::uint32_t i = 0; i < workers.size(); ++i) {
     const TaskRef ref{first.m_job, first.m_occurrence, first.m_step, i};
     PlanStart(scheduler, now, ref, workers[i], run);
-    DeductCapacity(capacities, workers[i], ReservedDemand(spec));
+    DeductStart(capacities, workers[i], ReservedDemand(spec));
   }
 }
 
+/// Starts up to `limit` tasks of the step, or all members of a gang.
 void StartStep(Scheduler& scheduler, TimePoint now,
-               std::vector<FreeCapacity>& capacities, const TaskRef& first) {
+               std::vector<FreeCapacity>& capacities, const TaskRef& first,
+               std::uint32_t limit) {
   const StepSpec& spec = first.Spec();
   if (spec.m_gang) {
     if (!WaitsForIsolation(first, now)) {
@@ -140,9 +150,10 @@
     }
     return;
   }
+  StepSpread spread = SpreadOf(scheduler, first);
   const auto count = static_cast<std::uint32_t>(first.GetStep().m_tasks.size());
   std::uint32_t started = 0;
-  for (std::uint32_t i = 0; i < count; ++i) {
+  for (std::uint32_t i = 0; i < count && started < limit; ++i) {
     const TaskRef ref{first.m_job, first.m_occurrence, first.m_step, i};
     const Task& task = ref.GetTask();
     if (!IsStartable(task, now) || WaitsForIsolation(ref, now)) {
@@ -152,12 +163,14 @@
                        spec.m_demand)) {
       break;
     }
-    const WorkerIndex worker = ChooseWorker(scheduler, now, capacities, ref);
+    const WorkerIndex worker =
+        ChooseWorker(scheduler, now, capacities, ref, spread);
     if (worker == kNoWorker) {
       break;
     }
     PlanStart(scheduler, now, ref, worker, NextRun(scheduler, task));
-    DeductCapacity(capacities, worker, ReservedDemand(spec));
+    DeductStart(capacities, worker, ReservedDemand(spec));
+    AddToSpread(spread, scheduler, worker);
     ++started;
   }
   if (started > 0) {
@@ -168,11 +181,15 @@
   }
 }
 
-/// Maximum free amount of each resource on any one worker.
+/// Maximum free amount of each resource on any one worker that takes another
+/// start; negative if there is none.
 ResourceVector LargestFreeCapacity(
     const std::vector<FreeCapacity>& capacities) {
-  ResourceVector largest;
+  ResourceVector largest = {Millicores(-1), Megabytes(-1), Accelerators(-1)};
   for (const FreeCapacity& capacity : capacities) {
+    if (capacity.m_starts_left == 0) {
+      continue;
+    }
     largest.m_cpu = std::max(largest.m_cpu, capacity.m_free.m_cpu);
     largest.m_memory = std::max(largest.m_memory, capacity.m_free.m_memory);
     largest.m_accelerators =
@@ -203,10 +220,14 @@
     // With a long backlog most steps fit on no worker; this check avoids
     // scanning all workers for each of them.
     ResourceVector largest = LargestFreeCapacity(capacities);
+    std::uint32_t starts_left = kMaxStartsPerPool;
     for (const Candidate& candidate : CandidatesOf(scheduler, now, pool)) {
+      if (starts_left == 0) {
+        break;
+      }
       const auto steps =
           static_cast<std::uint32_t>(candidate.m_occurrence->m_steps.size());
-      for (std::uint32_t s = 0; s < steps; ++s) {
+      for (std::uint32_t s = 0; s < steps && starts_left > 0; ++s) {
         const StepSpec& spec = candidate.m_job->m_spec->m_steps[s];
         Step& step = candidate.m_occurrence->m_steps[s];
         if (step.m_waiting == 0 ||
@@ -216,8 +237,9 @@
         }
         const std::uint32_t waiting = step.m_waiting;
         StartStep(scheduler, now, capacities,
-                  {candidate.m_job, candidate.m_occurrence, s, 0});
+                  {candidate.m_job, candidate.m_occurrence, s, 0}, starts_left);
         if (step.m_waiting != waiting) {
+          starts_left -= std::min(starts_left, waiting - step.m_waiting);
           largest = LargestFreeCapacity(capacities);
         }
       }
--- a/filbertspar/scheduler/src/evacuate.cc
+++ b/filbertspar/scheduler/src/evacuate.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "filbertspar/scheduler/src/admit.h"
 #include "filbertspar/scheduler/src/jobs.h"
 #include "filbertspar/scheduler/src/placement.h"
@@ -44,13 +45,24 @@
   });
 }
 
-bool HasFreeWorker(Scheduler& scheduler, TimePoint now, const TaskRef& ref) {
-  const Pool& pool = scheduler.m_pools[ref.m_job->m_spec->m_policy.m_pool];
-  return ChooseWorker(scheduler, now, FreeCapacities(scheduler, now, pool),
-                      ref) != kNoWorker;
+/// Whether a worker is free for a task of each step, for one pass over all
+/// tasks; stops do not change it.
+using FreeWorkers = absl::flat_hash_map<const Step*, bool>;
+
+bool HasFreeWorker(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
+                   FreeWorkers& known) {
+  const auto [found, is_new] = known.try_emplace(&ref.GetStep(), false);
+  if (is_new) {
+    const Pool& pool = scheduler.m_pools[ref.m_job->m_spec->m_policy.m_pool];
+    found->second =
+        ChooseWorker(scheduler, now, FreeCapacities(scheduler, now, pool), ref,
+                     SpreadOf(scheduler, ref)) != kNoWorker;
+  }
+  return found->second;
 }
 
-void EvacuateTask(Scheduler& scheduler, TimePoint now, const TaskRef& ref) {
+void EvacuateTask(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
+                  FreeWorkers& free_workers) {
   if (ref.GetTask().m_phase != TaskPhase::kRunning ||
       IsFinal(ref.m_job->m_state)) {
     return;
@@ -68,7 +80,7 @@
                          IsDisruptionAllowed(ref)
                    : ref.Spec().m_max_unavailable == 0 || !IsStopPending(ref) ||
                          now + kStopMargin > worker.m_drain_deadline;
-  if (allowed && HasFreeWorker(scheduler, now, ref)) {
+  if (allowed && HasFreeWorker(scheduler, now, ref, free_workers)) {
     StopTask(scheduler, now, ref,
              is_voluntary ? "worker_emptied" : "worker_leaves");
   }
@@ -92,6 +104,7 @@
 }
 
 void Evacuate(Scheduler& scheduler, TimePoint now) {
+  FreeWorkers free_workers;
   // Draining workers first: the tasks that they will lose count against the
   // limit before any task is stopped by choice.
   for (const bool draining : {true, false}) {
@@ -105,7 +118,7 @@
       }
       const std::vector<TaskRef> tasks = worker.m_tasks;
       for (const TaskRef& ref : tasks) {
-        EvacuateTask(scheduler, now, ref);
+        EvacuateTask(scheduler, now, ref, free_workers);
       }
     }
   }
--- a/filbertspar/scheduler/src/isolation.cc
+++ b/filbertspar/scheduler/src/isolation.cc
@@ -48,10 +48,11 @@
                                   const Pool& pool, const TaskRef& unit) {
   WorkerIndex best = kNoWorker;
   double best_cost = std::numeric_limits<double>::max();
+  const StepSpread spread = SpreadOf(scheduler, unit);
   for (const WorkerIndex index : pool.m_workers) {
     const Worker& worker = scheduler.m_workers[index];
     if (worker.m_isolated_for || !IsSchedulable(scheduler, worker, now) ||
-        !CanRun(scheduler, now, worker, unit)) {
+        !CanRun(scheduler, now, index, unit, spread)) {
       continue;
     }
     ResourceVector available = worker.m_record.m_capacity;
--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -22,6 +22,11 @@
 /// estimate.
 constexpr double kMinRatio = 0.2;
 constexpr double kMaxRatio = 5;
+/// Bounds of the occurrences of a job that are open at a time: each of them
+/// takes memory, and time in every dispatch. Occurrences that are due beyond
+/// them are opened as earlier ones finish.
+constexpr std::size_t kMaxOpenOccurrences = 256;
+constexpr std::size_t kMaxOpenTasks = kMaxTasksPerJob;
 
 bool IsBitSet(const std::string& bits, std::uint32_t index) {
   return index / 8 < bits.size() &&
@@ -70,19 +75,32 @@
       std::any_of(spec.m_steps.begin(), spec.m_steps.end(),
                   [](const StepSpec& step) { return step.m_long_running; });
   job->m_critical_path = CriticalPath(spec);
+  job->m_tasks_per_occurrence = TasksPerOccurrence(spec);
   job->m_spec = std::make_shared<const JobSpec>(std::move(spec));
   Job& inserted = *job;
   scheduler.m_jobs[job->m_spec->m_id] = std::move(job);
   return inserted;
 }
 
+void OpenDueOccurrences(Job& job, std::int64_t unix_ms) {
+  const JobSpec& spec = *job.m_spec;
+  const std::size_t max_open = std::clamp<std::size_t>(
+      kMaxOpenTasks / job.m_tasks_per_occurrence, 1, kMaxOpenOccurrences);
+  while (job.m_occurrences.size() < max_open &&
+         job.m_next_occurrence < spec.m_occurrence_count &&
+         DueMs(spec, job.m_next_occurrence) <= unix_ms) {
+    AddOccurrence(job, job.m_next_occurrence);
+    ++job.m_next_occurrence;
+  }
+}
+
 void ActivateJob(Scheduler& scheduler, TimePoint now, Job& job) {
   scheduler.m_pools[job.m_spec->m_policy.m_pool].m_jobs.push_back(&job);
   if (job.m_spec->m_occurrence_count == 0 && job.m_next_occurrence == 0) {
     AddOccurrence(job, 0);
     job.m_next_occurrence = 1;
   }
-  AdvanceOccurrences(scheduler, now);
+  OpenDueOccurrences(job, UnixMs(scheduler, now));
 }
 
 /// Makes the job final and stops its starting and running tasks.
@@ -360,16 +378,59 @@
   const std::int64_t unix_ms = UnixMs(scheduler, now);
   for (auto& [name, pool] : scheduler.m_pools) {
     for (Job* job : pool.m_jobs) {
-      const JobSpec& spec = *job->m_spec;
-      while (job->m_next_occurrence < spec.m_occurrence_count &&
-             DueMs(spec, job->m_next_occurrence) <= unix_ms) {
-        AddOccurrence(*job, job->m_next_occurrence);
-        ++job->m_next_occurrence;
-      }
+      OpenDueOccurrences(*job, unix_ms);
     }
   }
 }
 
+std::size_t TasksPerOccurrence(const JobSpec& spec) {
+  std::size_t tasks = 0;
+  for (const StepSpec& step : spec.m_steps) {
+    tasks += step.m_count;
+  }
+  return tasks;
+}
+
+void TrimFinishedJobs(Scheduler& scheduler, TimePoint now) {
+  /// Longer than a start may be late, so that no run of the job can show up.
+  constexpr Duration kTrimAfter = Seconds(10);
+  for (const auto& [id, job] : scheduler.m_jobs) {
+    if (!IsFinal(job->m_stored_state) || job->m_placed_tasks > 0 ||
+        job->m_first_unstored != 0 || job->m_occurrences.empty() ||
+        now - job->m_ended_at < kTrimAfter) {
+      continue;
+    }
+    auto spec = std::make_shared<JobSpec>();
+    spec->m_id = job->m_spec->m_id;
+    spec->m_queue = job->m_spec->m_queue;
+    spec->m_workspace = job->m_spec->m_workspace;
+    spec->m_policy = job->m_spec->m_policy;
+    job->m_spec = std::move(spec);
+    job->m_occurrences.clear();
+  }
+}
+
+std::size_t JobBytes(const JobSpec& spec, std::size_t tasks) {
+  /// Memory of a job without its payload, steps and tasks.
+  constexpr std::size_t kFixedBytes = 1500;
+  std::size_t bytes =
+      kFixedBytes + spec.m_payload.size() + tasks * sizeof(Task);
+  for (const StepSpec& step : spec.m_steps) {
+    bytes += sizeof(StepSpec) + sizeof(Step) +
+             step.m_depends_on.size() * sizeof(std::uint32_t);
+  }
+  return bytes;
+}
+
+std::size_t JobBytes(const Scheduler& scheduler) {
+  std::size_t bytes = 0;
+  for (const auto& [id, job] : scheduler.m_jobs) {
+    bytes += JobBytes(*job->m_spec,
+                      job->m_occurrences.size() * job->m_tasks_per_occurrence);
+  }
+  return bytes;
+}
+
 std::vector<JobId> RemoveExpiredJobs(Scheduler& scheduler, TimePoint now,
                                      std::size_t limit) {
   std::vector<JobId> forgotten;
--- a/filbertspar/scheduler/src/jobs.h
+++ b/filbertspar/scheduler/src/jobs.h
@@ -75,6 +75,15 @@
 void RequeueLostTask(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
                      std::string_view reason);
 
+/// \brief Frees the tasks and the payload of jobs that ended some time ago;
+/// their state is kept.
+void TrimFinishedJobs(Scheduler& scheduler, TimePoint now);
+
+/// \brief Estimated memory of a job with `tasks` tasks, and of all jobs.
+std::size_t JobBytes(const JobSpec& spec, std::size_t tasks);
+std::size_t JobBytes(const Scheduler& scheduler);
+std::size_t TasksPerOccurrence(const JobSpec& spec);
+
 /// \brief Orders a starting or running task to stop.
 void StopTask(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
               std::string_view reason);
--- a/filbertspar/scheduler/src/load.cc
+++ b/filbertspar/scheduler/src/load.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "filbertspar/scheduler/src/admit.h"
+#include "filbertspar/scheduler/src/jobs.h"
 #include "filbertspar/scheduler/src/workers.h"
 
 namespace filbertspar::scheduler {
@@ -103,8 +104,8 @@
     const double backlog = workload.m_backlog - backlog_before;
     const double work = workload.m_remaining_work - work_before;
     if (work > 0) {
-      const Duration slack =
-          SlackOf(scheduler, now, *job, ObjectiveOf(scheduler, *job));
+      const Duration slack = ObjectiveOf(scheduler, *job) - now -
+                             RemainingCriticalPath(scheduler, now, *job);
       slack_by_work += backlog * std::max(0.0, ToSeconds(slack));
       const bool on_time = slack >= Duration(0);
       // Running tasks are not preempted, whether within a share or beyond it.
@@ -146,6 +147,21 @@
   return entry.m_workload;
 }
 
+bool HasMemoryFor(WorkloadCache& cache, const Scheduler& scheduler,
+                  TimePoint now, const JobSpec& spec) {
+  constexpr Duration kMaxAge = Milliseconds(500);
+  if (now >= cache.m_job_bytes_at + kMaxAge) {
+    cache.m_job_bytes = JobBytes(scheduler);
+    cache.m_job_bytes_at = now;
+  }
+  const std::size_t bytes = JobBytes(spec, TasksPerOccurrence(spec));
+  if (cache.m_job_bytes + bytes > scheduler.m_options.m_max_job_bytes) {
+    return false;
+  }
+  cache.m_job_bytes += bytes;
+  return true;
+}
+
 void CountAdmitted(WorkloadCache& cache, const PoolName& pool, double work,
                    bool over_share) {
   PoolWorkload& workload = cache.m_pools[pool].m_workload;
--- a/filbertspar/scheduler/src/load.h
+++ b/filbertspar/scheduler/src/load.h
@@ -48,6 +48,9 @@
     TimePoint m_at = TimePoint::min();
   };
   absl::flat_hash_map<PoolName, Entry> m_pools;
+  /// Memory of all jobs, with those admitted since it was computed.
+  std::size_t m_job_bytes = 0;
+  TimePoint m_job_bytes_at = TimePoint::min();
 };
 
 /// \brief Workload of a pool, recomputed when the cached one is too old.
@@ -55,6 +58,10 @@
                                    const Scheduler& scheduler, TimePoint now,
                                    const PoolName& pool);
 
+/// \brief Whether the memory for jobs has room for one more.
+bool HasMemoryFor(WorkloadCache& cache, const Scheduler& scheduler,
+                  TimePoint now, const JobSpec& spec);
+
 /// \brief Adds the `work`, in core-seconds, of a job admitted since its pool's
 /// workload was computed.
 void CountAdmitted(WorkloadCache& cache, const PoolName& pool, double work,
--- a/filbertspar/scheduler/src/placement.cc
+++ b/filbertspar/scheduler/src/placement.cc
@@ -25,21 +25,17 @@
 /// estimated run time before it accepts one elsewhere.
 constexpr double kDataWaitFactor = 1.0;
 
+/// Starts that may be planned or sent to one worker and not answered. It has
+/// two connections for orders, so that more would only wait in memory until
+/// their deadline passes.
+constexpr std::uint32_t kMaxPendingStarts = 64;
+
 bool HasLabel(const Worker& worker, const LabelName& label) {
   const auto& labels = worker.m_record.m_labels;
   return label.Empty() ||
          std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-std::uint32_t CountStepTasks(const Worker& worker, const TaskRef& ref) {
-  return static_cast<std::uint32_t>(
-      std::count_if(worker.m_tasks.begin(), worker.m_tasks.end(),
-                    [&ref](const TaskRef& other) {
-                      return other.m_occurrence == ref.m_occurrence &&
-                             other.m_step == ref.m_step;
-                    }));
-}
-
 double UsedFraction(const Worker& worker, const ResourceVector& free) {
   const auto capacity =
       static_cast<double>(worker.m_record.m_capacity.m_cpu.Count());
@@ -50,20 +46,20 @@
 /// Spreads a long-running step over workers and racks, so that one failure
 /// affects few of its tasks, and keeps best-effort tasks away from serving
 /// tasks.
-double LongRunningPenalty(const Scheduler& scheduler, const Pool& pool,
-                          const Worker& worker, const TaskRef& ref) {
+double LongRunningPenalty(const Scheduler& scheduler, WorkerIndex index,
+                          const TaskRef& ref, const StepSpread& spread) {
+  const Worker& worker = scheduler.m_workers[index];
+  const std::uint32_t on_worker = CountOnWorker(spread, index);
   double penalty = worker.m_upkeep_due ? kUpkeepDuePenalty : 0;
-  penalty += kSameStepOnWorkerPenalty * CountStepTasks(worker, ref);
+  penalty += kSameStepOnWorkerPenalty * on_worker;
+  const auto in_rack = spread.m_in_rack.find(worker.m_record.m_rack);
+  if (in_rack != spread.m_in_rack.end()) {
+    penalty += kSameStepInRackPenalty * (in_rack->second - on_worker);
+  }
   const bool has_long_running = std::any_of(
       worker.m_tasks.begin(), worker.m_tasks.end(),
       [](const TaskRef& other) { return other.Spec().m_long_running; });
   penalty += has_long_running ? 0 : kFirstLongRunningPenalty;
-  for (const WorkerIndex index : pool.m_workers) {
-    const Worker& other = scheduler.m_workers[index];
-    if (&other != &worker && other.m_record.m_rack == worker.m_record.m_rack) {
-      penalty += kSameStepInRackPenalty * CountStepTasks(other, ref);
-    }
-  }
   const StepSpec& spec = ref.Spec();
   for (const TaskRef& other : worker.m_tasks) {
     const bool interferes =
@@ -97,14 +93,40 @@
 
 }  // namespace
 
-bool CanRun(const Scheduler& scheduler, TimePoint now, const Worker& worker,
-            const TaskRef& ref) {
+StepSpread SpreadOf(const Scheduler& scheduler, const TaskRef& ref) {
+  StepSpread spread;
+  const StepSpec& spec = ref.Spec();
+  if (spec.m_max_per_worker == 0 && !spec.m_long_running) {
+    return spread;
+  }
+  for (const Task& task : ref.GetStep().m_tasks) {
+    if (task.m_worker != kNoWorker) {
+      AddToSpread(spread, scheduler, task.m_worker);
+    }
+  }
+  return spread;
+}
+
+void AddToSpread(StepSpread& spread, const Scheduler& scheduler,
+                 WorkerIndex worker) {
+  ++spread.m_on_worker[worker];
+  ++spread.m_in_rack[scheduler.m_workers[worker].m_record.m_rack];
+}
+
+std::uint32_t CountOnWorker(const StepSpread& spread, WorkerIndex worker) {
+  const auto found = spread.m_on_worker.find(worker);
+  return found == spread.m_on_worker.end() ? 0 : found->second;
+}
+
+bool CanRun(const Scheduler& scheduler, TimePoint now, WorkerIndex index,
+            const TaskRef& ref, const StepSpread& spread) {
+  const Worker& worker = scheduler.m_workers[index];
   const StepSpec& spec = ref.Spec();
   if (!HasLabel(worker, spec.m_required_label)) {
     return false;
   }
   if (spec.m_max_per_worker > 0 &&
-      CountStepTasks(worker, ref) >= spec.m_max_per_worker) {
+      CountOnWorker(spread, index) >= spec.m_max_per_worker) {
     return false;
   }
   return !ref.m_job->m_spec->m_policy.m_needs_recommendation ||
@@ -118,7 +140,13 @@
   for (const WorkerIndex index : pool.m_workers) {
     const Worker& worker = scheduler.m_workers[index];
     if (!worker.m_isolated_for && IsSchedulable(scheduler, worker, now)) {
-      capacities.push_back({index, FreeOn(worker)});
+      const auto pending = static_cast<std::uint32_t>(std::count_if(
+          worker.m_tasks.begin(), worker.m_tasks.end(), [](const TaskRef& ref) {
+            return ref.GetTask().m_phase == TaskPhase::kStarting;
+          }));
+      capacities.push_back(
+          {index, FreeOn(worker),
+           pending < kMaxPendingStarts ? kMaxPendingStarts - pending : 0});
     }
   }
   return capacities;
@@ -126,19 +154,18 @@
 
 WorkerIndex ChooseWorker(const Scheduler& scheduler, TimePoint now,
                          const std::vector<FreeCapacity>& capacities,
-                         const TaskRef& ref) {
+                         const TaskRef& ref, const StepSpread& spread) {
   const StepSpec& spec = ref.Spec();
   const ResourceVector needed = ReservedDemand(spec);
   const bool near_data_only = WaitsForData(scheduler, now, ref);
-  const Pool& pool =
-      scheduler.m_pools.find(ref.m_job->m_spec->m_policy.m_pool)->second;
   WorkerIndex best = kNoWorker;
   double best_penalty = std::numeric_limits<double>::max();
   for (const FreeCapacity& capacity : capacities) {
     const Worker& worker = scheduler.m_workers[capacity.m_worker];
     const bool near_data = worker.m_record.m_rack == spec.m_data_rack;
-    if (!FitsIn(needed, capacity.m_free) || (near_data_only && !near_data) ||
-        !CanRun(scheduler, now, worker, ref)) {
+    if (capacity.m_starts_left == 0 || !FitsIn(needed, capacity.m_free) ||
+        (near_data_only && !near_data) ||
+        !CanRun(scheduler, now, capacity.m_worker, ref, spread)) {
       continue;
     }
     double penalty = spec.m_long_running
@@ -152,7 +179,7 @@
       penalty += kFarFromDataPenalty;
     }
     if (spec.m_long_running) {
-      penalty += LongRunningPenalty(scheduler, pool, worker, ref);
+      penalty += LongRunningPenalty(scheduler, capacity.m_worker, ref, spread);
     }
     if (penalty < best_penalty) {
       best_penalty = penalty;
@@ -169,6 +196,7 @@
   const StepSpec& spec = first.Spec();
   const ResourceVector needed = ReservedDemand(spec);
   const std::size_t count = first.GetStep().m_tasks.size();
+  const StepSpread spread = SpreadOf(scheduler, first);
   const auto place = [&](const RackName* rack) {
     std::vector<FreeCapacity> remaining = capacities;
     std::sort(remaining.begin(), remaining.end(),
@@ -179,10 +207,10 @@
     for (FreeCapacity& capacity : remaining) {
       const Worker& worker = scheduler.m_workers[capacity.m_worker];
       if ((rack != nullptr && worker.m_record.m_rack != *rack) ||
-          !CanRun(scheduler, now, worker, first)) {
+          !CanRun(scheduler, now, capacity.m_worker, first, spread)) {
         continue;
       }
-      std::uint32_t count_here = CountStepTasks(worker, first);
+      std::uint32_t count_here = CountOnWorker(spread, capacity.m_worker);
       while (
           workers.size() < count && FitsIn(needed, capacity.m_free) &&
           (spec.m_max_per_worker == 0 || count_here < spec.m_max_per_worker)) {
--- a/filbertspar/scheduler/src/placement.h
+++ b/filbertspar/scheduler/src/placement.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstdint>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "filbertspar/scheduler/src/state.h"
 
 namespace filbertspar::scheduler {
@@ -10,20 +12,35 @@
 struct FreeCapacity {
   WorkerIndex m_worker = kNoWorker;
   ResourceVector m_free;
+  /// Further starts that may be planned on it; the tasks of a gang are started
+  /// together and do not count.
+  std::uint32_t m_starts_left = 0;
 };
 
+/// \brief Number of a step's tasks on each worker and in each rack.
+struct StepSpread {
+  absl::flat_hash_map<WorkerIndex, std::uint32_t> m_on_worker;
+  absl::flat_hash_map<RackName, std::uint32_t> m_in_rack;
+};
+
+StepSpread SpreadOf(const Scheduler& scheduler, const TaskRef& ref);
+void AddToSpread(StepSpread& spread, const Scheduler& scheduler,
+                 WorkerIndex worker);
+std::uint32_t CountOnWorker(const StepSpread& spread, WorkerIndex worker);
+
 /// \brief Whether the worker suits the task, apart from its free capacity.
-bool CanRun(const Scheduler& scheduler, TimePoint now, const Worker& worker,
-            const TaskRef& ref);
+bool CanRun(const Scheduler& scheduler, TimePoint now, WorkerIndex index,
+            const TaskRef& ref, const StepSpread& spread);
 
 /// \brief Workers that accept tasks; without those that are isolated.
 std::vector<FreeCapacity> FreeCapacities(const Scheduler& scheduler,
                                          TimePoint now, const Pool& pool);
 
-/// \brief Worker for one task; kNoWorker when none has capacity now.
+/// \brief Worker for one task, given the spread of its step; kNoWorker when
+/// none has capacity now.
 WorkerIndex ChooseWorker(const Scheduler& scheduler, TimePoint now,
                          const std::vector<FreeCapacity>& capacities,
-                         const TaskRef& ref);
+                         const TaskRef& ref, const StepSpread& spread);
 
 /// \brief Workers for all members of a gang, one per task; empty when they do
 /// not all fit now.
--- a/filbertspar/scheduler/src/starts.cc
+++ b/filbertspar/scheduler/src/starts.cc
@@ -20,7 +20,6 @@
   StartOrder order;
   order.m_task = ref.Id();
   order.m_run = RunNumber(task.m_run);
-  order.m_payload = ref.m_job->m_spec->m_payload;
   order.m_deadline_ms = task.m_start_deadline_ms;
   order.m_fencing = scheduler.m_options.m_fencing;
   order.m_checkpoint =
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -100,6 +100,7 @@
   TimePoint m_ended_at{};
   TimePoint m_accepted_at{};
   std::uint32_t m_next_occurrence = 0;
+  std::size_t m_tasks_per_occurrence = 0;
   std::vector<std::unique_ptr<Occurrence>> m_occurrences;
   bool m_has_started = false;
   /// Restored after a takeover: a task that was not found yet may still run on
@@ -264,6 +265,8 @@
   TimePoint m_disruption_allowed_from = TimePoint::min();
 };
 
+  /// Memory that jobs may take; further ones are refused.
+  std::size_t m_max_job_bytes = 64 << 20;
 /// \brief Observed run times of a queue's tasks.
 struct QueueHistory {
   /// Run time divided by estimate, exponentially smoothed.
