--- a/filbertspar/job/src/rows.cc
+++ b/filbertspar/job/src/rows.cc
@@ -1,6 +1,9 @@
 #include "filbertspar/job/src/rows.h"
 
 #include <algorithm>
+#include <limits>
+#include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -80,7 +83,57 @@
   return flatbuffers::GetRoot<Row>(bytes.data());
 }
 
-StepProgress ReadStepProgress(const fbs::StepProgressRow& row) {
+/// Values of the columns of a job with many tasks.
+struct Columns {
+  /// Names of the workers, by the number that stands for them.
+  std::vector<std::string> m_workers;
+  /// Subtracted from all run numbers.
+  std::uint64_t m_first_run = 0;
+};
+
+/// Calls `read` with the task of each entry and the entry's position.
+template <typename Tasks, typename Values, typename Read>
+void ForEachEntry(const Tasks* tasks, const Values* values, Read read) {
+  if (tasks == nullptr || values == nullptr) {
+    return;
+  }
+  const auto count = std::min(tasks->size(), values->size());
+  for (flatbuffers::uoffset_t i = 0; i < count; ++i) {
+    read(tasks->Get(i), values->Get(i));
+  }
+}
+
+void ReadColumns(const fbs::StepProgressRow& row, const Columns& columns,
+                 StepProgress& step) {
+  std::map<std::uint32_t, TaskProgress> tasks;
+  for (TaskProgress& task : step.m_tasks) {
+    const std::uint32_t index = task.m_index;
+    tasks[index] = std::move(task);
+  }
+  const auto task_of = [&tasks](std::uint16_t index) -> TaskProgress& {
+    tasks[index].m_index = index;
+    return tasks[index];
+  };
+  ForEachEntry(row.run_tasks(), row.run_workers(), [&](auto task, auto worker) {
+    if (worker < columns.m_workers.size()) {
+      task_of(task).m_worker = columns.m_workers[worker];
+    }
+  });
+  ForEachEntry(row.failed_tasks(), row.failed_runs(), [&](auto task, auto run) {
+    task_of(task).m_failed_runs.push_back(columns.m_first_run + run);
+  });
+  ForEachEntry(row.checkpoint_tasks(), row.checkpoints(),
+               [&](auto task, const auto* checkpoint) {
+                 task_of(task).m_checkpoint = ToString(checkpoint);
+               });
+  step.m_tasks.clear();
+  for (auto& [index, task] : tasks) {
+    step.m_tasks.push_back(std::move(task));
+  }
+}
+
+StepProgress ReadStepProgress(const fbs::StepProgressRow& row,
+                              const Columns& columns) {
   StepProgress step;
   if (row.done() != nullptr) {
     step.m_done.assign(row.done()->begin(), row.done()->end());
@@ -105,35 +158,141 @@
       step.m_tasks.push_back(std::move(progress));
     }
   }
+  if (row.run_tasks() != nullptr || row.failed_tasks() != nullptr ||
+      row.checkpoint_tasks() != nullptr) {
+    ReadColumns(row, columns, step);
+  }
   return step;
 }
 
+using TaskRows = std::vector<Offset<fbs::TaskProgressRow>>;
+
+void AddTaskRow(FlatBufferBuilder& builder, const TaskProgress& task,
+                TaskRows& rows) {
+  const auto checkpoint = builder.CreateString(task.m_checkpoint);
+  const auto failed_runs = builder.CreateVector(task.m_failed_runs);
+  // The tasks of a job run on few workers, so each name is stored only once.
+  const auto worker = builder.CreateSharedString(task.m_worker);
+  std::vector<Offset<fbs::CrashRow>> crashes;
+  for (const CrashRecord& crash : task.m_crashes) {
+    const auto crashed = builder.CreateSharedString(crash.m_worker);
+    crashes.push_back(fbs::CreateCrashRow(builder, crash.m_run, crashed,
+                                          crash.m_age_ms, crash.m_is_suspect,
+                                          crash.m_is_sole_cause));
+  }
+  const auto crash_rows = crashes.empty() ? 0 : builder.CreateVector(crashes);
+  rows.push_back(fbs::CreateTaskProgressRow(builder, task.m_index, failed_runs,
+                                            checkpoint, worker, crash_rows));
+}
+
+Offset<flatbuffers::Vector<std::uint8_t>> WriteDone(FlatBufferBuilder& builder,
+                                                    const StepProgress& step) {
+  return builder.CreateVector(
+      reinterpret_cast<const std::uint8_t*>(step.m_done.data()),
+      step.m_done.size());
+}
+
 Offset<fbs::StepProgressRow> WriteStepProgress(FlatBufferBuilder& builder,
                                                const StepProgress& step) {
-  std::vector<Offset<fbs::TaskProgressRow>> tasks;
+  TaskRows rows;
   for (const TaskProgress& task : step.m_tasks) {
-    const auto checkpoint = builder.CreateString(task.m_checkpoint);
-    const auto failed_runs = builder.CreateVector(task.m_failed_runs);
-    // The tasks of a job run on few workers, so each name is stored only once.
-    const auto worker = builder.CreateSharedString(task.m_worker);
-    std::vector<Offset<fbs::CrashRow>> crashes;
-    for (const CrashRecord& crash : task.m_crashes) {
-      const auto crashed = builder.CreateSharedString(crash.m_worker);
-      crashes.push_back(fbs::CreateCrashRow(builder, crash.m_run, crashed,
-                                            crash.m_age_ms, crash.m_is_suspect,
-                                            crash.m_is_sole_cause));
-    }
-    const auto crash_rows = crashes.empty() ? 0 : builder.CreateVector(crashes);
-    tasks.push_back(fbs::CreateTaskProgressRow(
-        builder, task.m_index, failed_runs, checkpoint, worker, crash_rows));
+    AddTaskRow(builder, task, rows);
   }
-  const auto done = builder.CreateVector(
-      reinterpret_cast<const std::uint8_t*>(step.m_done.data()),
-      step.m_done.size());
-  const auto task_rows = builder.CreateVector(tasks);
+  const auto done = WriteDone(builder, step);
+  const auto task_rows = builder.CreateVector(rows);
   return fbs::CreateStepProgressRow(builder, done, task_rows);
 }
 
+/// Number that stands for each worker.
+using WorkerNumbers = std::map<std::string, std::uint16_t>;
+
+Offset<fbs::StepProgressRow> WriteStepColumns(FlatBufferBuilder& builder,
+                                              const StepProgress& step,
+                                              const WorkerNumbers& workers,
+                                              std::uint64_t first_run) {
+  TaskRows rows;
+  std::vector<std::uint16_t> run_tasks;
+  std::vector<std::uint16_t> run_workers;
+  std::vector<std::uint16_t> failed_tasks;
+  std::vector<std::uint32_t> failed_runs;
+  std::vector<std::uint16_t> checkpoint_tasks;
+  std::vector<Offset<flatbuffers::String>> checkpoints;
+  for (const TaskProgress& task : step.m_tasks) {
+    const auto index = static_cast<std::uint16_t>(task.m_index);
+    if (!task.m_crashes.empty()) {
+      AddTaskRow(builder, {task.m_index, {}, "", "", task.m_crashes}, rows);
+    }
+    if (!task.m_worker.empty()) {
+      run_tasks.push_back(index);
+      run_workers.push_back(workers.at(task.m_worker));
+    }
+    for (const std::uint64_t run : task.m_failed_runs) {
+      failed_tasks.push_back(index);
+      failed_runs.push_back(static_cast<std::uint32_t>(run - first_run));
+    }
+    if (!task.m_checkpoint.empty()) {
+      checkpoint_tasks.push_back(index);
+      checkpoints.push_back(builder.CreateString(task.m_checkpoint));
+    }
+  }
+  const auto vector_of = [&builder](const auto& values) {
+    return values.empty() ? 0 : builder.CreateVector(values);
+  };
+  const auto done = WriteDone(builder, step);
+  const auto task_rows = builder.CreateVector(rows);
+  const auto run_task_rows = vector_of(run_tasks);
+  const auto run_worker_rows = vector_of(run_workers);
+  const auto failed_task_rows = vector_of(failed_tasks);
+  const auto failed_run_rows = vector_of(failed_runs);
+  const auto checkpoint_task_rows = vector_of(checkpoint_tasks);
+  const auto checkpoint_rows = vector_of(checkpoints);
+  return fbs::CreateStepProgressRow(
+      builder, done, task_rows, run_task_rows, run_worker_rows,
+      failed_task_rows, failed_run_rows, checkpoint_task_rows, checkpoint_rows);
+}
+
+/// What the columns of a job need; nullopt when its few tasks are written one
+/// by one, in the form that earlier releases read, or when a value has no room
+/// in a column.
+struct ColumnPlan {
+  WorkerNumbers m_workers;
+  std::uint64_t m_first_run = 0;
+};
+
+std::optional<ColumnPlan> PlanColumns(const JobProgress& progress) {
+  constexpr std::size_t kMaxTaskRows = 256;
+  static_assert(kMaxTasksPerJob <= std::numeric_limits<std::uint16_t>::max());
+  ColumnPlan plan;
+  std::size_t tasks = 0;
+  std::uint64_t first_run = std::numeric_limits<std::uint64_t>::max();
+  std::uint64_t last_run = 0;
+  for (const OccurrenceProgress& occurrence : progress.m_occurrences) {
+    for (const StepProgress& step : occurrence.m_steps) {
+      tasks += step.m_tasks.size();
+      for (const TaskProgress& task : step.m_tasks) {
+        plan.m_workers.try_emplace(task.m_worker, 0);
+        for (const std::uint64_t run : task.m_failed_runs) {
+          first_run = std::min(first_run, run);
+          last_run = std::max(last_run, run);
+        }
+      }
+    }
+  }
+  const bool runs_fit =
+      last_run == 0 ||
+      last_run - first_run <= std::numeric_limits<std::uint32_t>::max();
+  if (tasks <= kMaxTaskRows || !runs_fit ||
+      plan.m_workers.size() > std::numeric_limits<std::uint16_t>::max()) {
+    return std::nullopt;
+  }
+  plan.m_first_run = last_run == 0 ? 0 : first_run;
+  std::uint16_t number = 0;
+  for (auto& [worker, assigned] : plan.m_workers) {
+    assigned = number++;
+  }
+  return plan;
+}
+
 }  // namespace
 
 std::string EncodeJob(const JobSpec& job) {
@@ -192,20 +351,31 @@
 
 std::string EncodeProgress(const JobProgress& progress) {
   FlatBufferBuilder builder(256);
+  const std::optional<ColumnPlan> plan = PlanColumns(progress);
   std::vector<Offset<fbs::OccurrenceProgressRow>> occurrences;
   for (const OccurrenceProgress& occurrence : progress.m_occurrences) {
     std::vector<Offset<fbs::StepProgressRow>> steps;
     for (const StepProgress& step : occurrence.m_steps) {
-      steps.push_back(WriteStepProgress(builder, step));
+      steps.push_back(plan ? WriteStepColumns(builder, step, plan->m_workers,
+                                              plan->m_first_run)
+                           : WriteStepProgress(builder, step));
     }
     const auto step_rows = builder.CreateVector(steps);
     occurrences.push_back(fbs::CreateOccurrenceProgressRow(
         builder, occurrence.m_number, step_rows));
   }
   const auto occurrence_rows = builder.CreateVector(occurrences);
+  std::vector<std::string> workers;
+  if (plan) {
+    for (const auto& [worker, number] : plan->m_workers) {
+      workers.push_back(worker);
+    }
+  }
+  const auto worker_rows = plan ? builder.CreateVectorOfStrings(workers) : 0;
   builder.Finish(fbs::CreateProgressRow(
       builder, static_cast<std::uint8_t>(progress.m_state), progress.m_ended_ms,
-      progress.m_next_occurrence, occurrence_rows));
+      progress.m_next_occurrence, occurrence_rows, worker_rows,
+      plan ? plan->m_first_run : 0));
   return BuilderBytes(builder);
 }
 
@@ -220,13 +390,20 @@
   progress.m_state = static_cast<JobState>(row->state());
   progress.m_ended_ms = row->ended_ms();
   progress.m_next_occurrence = row->next_occurrence();
+  Columns columns;
+  columns.m_first_run = row->first_run();
+  if (row->workers() != nullptr) {
+    for (const auto* worker : *row->workers()) {
+      columns.m_workers.push_back(ToString(worker));
+    }
+  }
   if (row->occurrences() != nullptr) {
     for (const auto* occurrence_row : *row->occurrences()) {
       OccurrenceProgress occurrence;
       occurrence.m_number = occurrence_row->number();
       if (occurrence_row->steps() != nullptr) {
         for (const auto* step : *occurrence_row->steps()) {
-          occurrence.m_steps.push_back(ReadStepProgress(*step));
+          occurrence.m_steps.push_back(ReadStepProgress(*step, columns));
         }
       }
       progress.m_occurrences.push_back(std::move(occurrence));
--- a/filbertspar/job/src/rows.h
+++ b/filbertspar/job/src/rows.h
@@ -17,6 +17,9 @@
 /// accepts.
 absl::StatusOr<JobSpec> DecodeJob(std::string_view bytes);
 
+/// \brief Progress that is larger is stored without checkpoints.
+inline constexpr std::size_t kMaxProgressBytes = 700'000;
+
 /// \brief FlatBuffers encoding of a job's progress, for its stored row.
 std::string EncodeProgress(const JobProgress& progress);
 
--- a/filbertspar/job/src/rows_generated.h
+++ b/filbertspar/job/src/rows_generated.h
@@ -762,7 +762,13 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_DONE = 4,
-    VT_TASKS = 6
+    VT_TASKS = 6,
+    VT_RUN_TASKS = 8,
+    VT_RUN_WORKERS = 10,
+    VT_FAILED_TASKS = 12,
+    VT_FAILED_RUNS = 14,
+    VT_CHECKPOINT_TASKS = 16,
+    VT_CHECKPOINTS = 18
   };
   const flatbuffers::Vector<uint8_t> *done() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DONE);
@@ -770,6 +776,24 @@
   const flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::TaskProgressRow>> *tasks() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::TaskProgressRow>> *>(VT_TASKS);
   }
+  const flatbuffers::Vector<uint16_t> *run_tasks() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_RUN_TASKS);
+  }
+  const flatbuffers::Vector<uint16_t> *run_workers() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_RUN_WORKERS);
+  }
+  const flatbuffers::Vector<uint16_t> *failed_tasks() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_FAILED_TASKS);
+  }
+  const flatbuffers::Vector<uint32_t> *failed_runs() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_FAILED_RUNS);
+  }
+  const flatbuffers::Vector<uint16_t> *checkpoint_tasks() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_CHECKPOINT_TASKS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *checkpoints() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_CHECKPOINTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DONE) &&
@@ -777,6 +801,19 @@
            VerifyOffset(verifier, VT_TASKS) &&
            verifier.VerifyVector(tasks()) &&
            verifier.VerifyVectorOfTables(tasks()) &&
+           VerifyOffset(verifier, VT_RUN_TASKS) &&
+           verifier.VerifyVector(run_tasks()) &&
+           VerifyOffset(verifier, VT_RUN_WORKERS) &&
+           verifier.VerifyVector(run_workers()) &&
+           VerifyOffset(verifier, VT_FAILED_TASKS) &&
+           verifier.VerifyVector(failed_tasks()) &&
+           VerifyOffset(verifier, VT_FAILED_RUNS) &&
+           verifier.VerifyVector(failed_runs()) &&
+           VerifyOffset(verifier, VT_CHECKPOINT_TASKS) &&
+           verifier.VerifyVector(checkpoint_tasks()) &&
+           VerifyOffset(verifier, VT_CHECKPOINTS) &&
+           verifier.VerifyVector(checkpoints()) &&
+           verifier.VerifyVectorOfStrings(checkpoints()) &&
            verifier.EndTable();
   }
 };
@@ -791,6 +828,24 @@
   void add_tasks(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::TaskProgressRow>>> tasks) {
     fbb_.AddOffset(StepProgressRow::VT_TASKS, tasks);
   }
+  void add_run_tasks(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> run_tasks) {
+    fbb_.AddOffset(StepProgressRow::VT_RUN_TASKS, run_tasks);
+  }
+  void add_run_workers(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> run_workers) {
+    fbb_.AddOffset(StepProgressRow::VT_RUN_WORKERS, run_workers);
+  }
+  void add_failed_tasks(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> failed_tasks) {
+    fbb_.AddOffset(StepProgressRow::VT_FAILED_TASKS, failed_tasks);
+  }
+  void add_failed_runs(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> failed_runs) {
+    fbb_.AddOffset(StepProgressRow::VT_FAILED_RUNS, failed_runs);
+  }
+  void add_checkpoint_tasks(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> checkpoint_tasks) {
+    fbb_.AddOffset(StepProgressRow::VT_CHECKPOINT_TASKS, checkpoint_tasks);
+  }
+  void add_checkpoints(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> checkpoints) {
+    fbb_.AddOffset(StepProgressRow::VT_CHECKPOINTS, checkpoints);
+  }
   explicit StepProgressRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -805,8 +860,20 @@
 inline flatbuffers::Offset<StepProgressRow> CreateStepProgressRow(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> done = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::TaskProgressRow>>> tasks = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::TaskProgressRow>>> tasks = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> run_tasks = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> run_workers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> failed_tasks = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> failed_runs = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> checkpoint_tasks = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> checkpoints = 0) {
   StepProgressRowBuilder builder_(_fbb);
+  builder_.add_checkpoints(checkpoints);
+  builder_.add_checkpoint_tasks(checkpoint_tasks);
+  builder_.add_failed_runs(failed_runs);
+  builder_.add_failed_tasks(failed_tasks);
+  builder_.add_run_workers(run_workers);
+  builder_.add_run_tasks(run_tasks);
   builder_.add_tasks(tasks);
   builder_.add_done(done);
   return builder_.Finish();
@@ -820,13 +887,31 @@
 inline flatbuffers::Offset<StepProgressRow> CreateStepProgressRowDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<uint8_t> *done = nullptr,
-    const std::vector<flatbuffers::Offset<filbertspar::fbs::TaskProgressRow>> *tasks = nullptr) {
+    const std::vector<flatbuffers::Offset<filbertspar::fbs::TaskProgressRow>> *tasks = nullptr,
+    const std::vector<uint16_t> *run_tasks = nullptr,
+    const std::vector<uint16_t> *run_workers = nullptr,
+    const std::vector<uint16_t> *failed_tasks = nullptr,
+    const std::vector<uint32_t> *failed_runs = nullptr,
+    const std::vector<uint16_t> *checkpoint_tasks = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *checkpoints = nullptr) {
   auto done__ = done ? _fbb.CreateVector<uint8_t>(*done) : 0;
   auto tasks__ = tasks ? _fbb.CreateVector<flatbuffers::Offset<filbertspar::fbs::TaskProgressRow>>(*tasks) : 0;
+  auto run_tasks__ = run_tasks ? _fbb.CreateVector<uint16_t>(*run_tasks) : 0;
+  auto run_workers__ = run_workers ? _fbb.CreateVector<uint16_t>(*run_workers) : 0;
+  auto failed_tasks__ = failed_tasks ? _fbb.CreateVector<uint16_t>(*failed_tasks) : 0;
+  auto failed_runs__ = failed_runs ? _fbb.CreateVector<uint32_t>(*failed_runs) : 0;
+  auto checkpoint_tasks__ = checkpoint_tasks ? _fbb.CreateVector<uint16_t>(*checkpoint_tasks) : 0;
+  auto checkpoints__ = checkpoints ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*checkpoints) : 0;
   return filbertspar::fbs::CreateStepProgressRow(
       _fbb,
       done__,
-      tasks__);
+      tasks__,
+      run_tasks__,
+      run_workers__,
+      failed_tasks__,
+      failed_runs__,
+      checkpoint_tasks__,
+      checkpoints__);
 }
 
 struct OccurrenceProgressRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -906,7 +991,9 @@
     VT_STATE = 4,
     VT_ENDED_MS = 6,
     VT_NEXT_OCCURRENCE = 8,
-    VT_OCCURRENCES = 10
+    VT_OCCURRENCES = 10,
+    VT_WORKERS = 12,
+    VT_FIRST_RUN = 14
   };
   uint8_t state() const {
     return GetField<uint8_t>(VT_STATE, 0);
@@ -920,6 +1007,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::OccurrenceProgressRow>> *occurrences() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::OccurrenceProgressRow>> *>(VT_OCCURRENCES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *workers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_WORKERS);
+  }
+  uint64_t first_run() const {
+    return GetField<uint64_t>(VT_FIRST_RUN, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
@@ -928,6 +1021,10 @@
            VerifyOffset(verifier, VT_OCCURRENCES) &&
            verifier.VerifyVector(occurrences()) &&
            verifier.VerifyVectorOfTables(occurrences()) &&
+           VerifyOffset(verifier, VT_WORKERS) &&
+           verifier.VerifyVector(workers()) &&
+           verifier.VerifyVectorOfStrings(workers()) &&
+           VerifyField<uint64_t>(verifier, VT_FIRST_RUN, 8) &&
            verifier.EndTable();
   }
 };
@@ -948,6 +1045,12 @@
   void add_occurrences(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::OccurrenceProgressRow>>> occurrences) {
     fbb_.AddOffset(ProgressRow::VT_OCCURRENCES, occurrences);
   }
+  void add_workers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> workers) {
+    fbb_.AddOffset(ProgressRow::VT_WORKERS, workers);
+  }
+  void add_first_run(uint64_t first_run) {
+    fbb_.AddElement<uint64_t>(ProgressRow::VT_FIRST_RUN, first_run, 0);
+  }
   explicit ProgressRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -964,9 +1067,13 @@
     uint8_t state = 0,
     int64_t ended_ms = 0,
     uint32_t next_occurrence = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::OccurrenceProgressRow>>> occurrences = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::OccurrenceProgressRow>>> occurrences = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> workers = 0,
+    uint64_t first_run = 0) {
   ProgressRowBuilder builder_(_fbb);
+  builder_.add_first_run(first_run);
   builder_.add_ended_ms(ended_ms);
+  builder_.add_workers(workers);
   builder_.add_occurrences(occurrences);
   builder_.add_next_occurrence(next_occurrence);
   builder_.add_state(state);
@@ -983,14 +1090,19 @@
     uint8_t state = 0,
     int64_t ended_ms = 0,
     uint32_t next_occurrence = 0,
-    const std::vector<flatbuffers::Offset<filbertspar::fbs::OccurrenceProgressRow>> *occurrences = nullptr) {
+    const std::vector<flatbuffers::Offset<filbertspar::fbs::OccurrenceProgressRow>> *occurrences = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *workers = nullptr,
+    uint64_t first_run = 0) {
   auto occurrences__ = occurrences ? _fbb.CreateVector<flatbuffers::Offset<filbertspar::fbs::OccurrenceProgressRow>>(*occurrences) : 0;
+  auto workers__ = workers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*workers) : 0;
   return filbertspar::fbs::CreateProgressRow(
       _fbb,
       state,
       ended_ms,
       next_occurrence,
-      occurrences__);
+      occurrences__,
+      workers__,
+      first_run);
 }
 
 }  // namespace fbs
--- a/filbertspar/node/src/journal.cc
+++ b/filbertspar/node/src/journal.cc
@@ -27,6 +27,9 @@
 /// attempts fit into the time within which the ownership must be confirmed.
 constexpr Duration kMinRetryInterval = Milliseconds(200);
 constexpr Duration kRefusedRetryDelay = Milliseconds(60);
+/// Time between two writes as a multiple of the time that encoding one took, so
+/// that large jobs leave the processor to other work.
+constexpr int kEncodeIdleFactor = 4;
 /// Timeout for storing a row that an order depends on.
 constexpr Duration kPutTimeout = Seconds(1);
 constexpr Duration kStalledAfter = Milliseconds(1500);
@@ -65,12 +68,24 @@
   return {table, job_table::kPartition, id.Value()};
 }
 
+StoreKey ProgressKey(const JobId& id, std::size_t part) {
+  return {job_table::kProgress, job_table::kPartition,
+          PartKey(id.Value(), part)};
+}
+
+/// Bytes of a value that take `row_bytes` as base64.
+std::size_t MaxPartBytes(std::int64_t row_bytes) {
+  constexpr std::int64_t kMinPartBytes = 512;
+  return static_cast<std::size_t>(
+      std::max(kMinPartBytes, (row_bytes - 4) / 4 * 3));
+}
+
 }  // namespace
 
 Journal::Journal(asio::io_context& context, StoreClient& store,
                  const TrafficMeter& traffic, EventLog& log,
                  scheduler::Scheduler& scheduler, OwnerWatch::WonClaim won,
-                 std::int64_t transactions_per_s, Hooks hooks)
+                 const Limits& limits, Hooks hooks)
     : m_context(context),
       m_store(store),
       m_traffic(traffic),
@@ -79,20 +94,23 @@
       m_record(std::move(won.m_record)),
       m_version(won.m_version),
       m_hooks(std::move(hooks)),
-      m_write_interval(std::max(kMinWriteInterval,
-                                Duration(static_cast<std::int64_t>(
-                                    1e6 / kPartitionRateShare /
-                                    static_cast<double>(transactions_per_s))))),
+      m_write_interval(
+          std::max(kMinWriteInterval,
+                   Duration(static_cast<std::int64_t>(
+                       1e6 / kPartitionRateShare /
+                       static_cast<double>(limits.m_transactions_per_s))))),
       m_max_bytes(std::min(
           kMaxBytes, static_cast<std::size_t>(traffic.Budget().m_bytes_per_s *
                                               ToSeconds(kMaxWriteTimeOnLink)))),
+      m_max_part_bytes(MaxPartBytes(limits.m_row_bytes)),
       m_work_signal(context),
-      m_put_stored_signal(context),
+      m_put_settled_signal(context),
       m_confirmed_at(BootNow()),
       m_all_recorded_at_start(won.m_all_runs_recorded) {}
 
 bool Journal::HasWork() const {
-  return !m_unsent_jobs.empty() || !m_scheduler.m_unstored_jobs.empty() ||
+  return !m_unsent_jobs.empty() ||
+         scheduler::HasPendingWrites(m_scheduler, BootNow()) ||
          !m_removed_jobs.empty() || !m_puts.empty() || m_releasing;
 }
 
@@ -100,60 +118,218 @@
   return m_is_writing && now - m_write_began_at > kStalledAfter;
 }
 
-Journal::Batch Journal::NextBatch() {
-  Batch batch;
-  StoreTransaction& change = batch.m_change;
-  ++m_record.m_write_number;
-  change.m_conditions.push_back({OwnerRowKey(), m_version});
-  std::size_t bytes = 0;
-  std::size_t entries = 0;
-  while (!m_unsent_jobs.empty() && entries < kMaxEntries &&
-         bytes < m_max_bytes) {
+bool Journal::HasRoom(const Batch& batch) const {
+  return batch.CountItems() < m_rejections.m_max_items &&
+         batch.m_change.EntryCount() < kMaxEntries &&
+         batch.m_bytes < m_max_bytes;
+}
+
+std::size_t Journal::PartsOf(const JobId& job) const {
+  const auto found = m_progress_parts.find(job);
+  return found == m_progress_parts.end() ? 1 : found->second;
+}
+
+void Journal::SetProgressParts(const JobId& job, std::size_t parts) {
+  if (parts > 1) {
+    m_progress_parts[job] = parts;
+  } else {
+    m_progress_parts.erase(job);
+  }
+}
+
+void Journal::AddJobs(Batch& batch) {
+  while (!m_unsent_jobs.empty() && HasRoom(batch)) {
     const auto job = m_unsent_jobs.front();
     m_unsent_jobs.pop_front();
     std::string row = EncodeJob(job->m_spec);
-    bytes += row.size();
-    ++entries;
-    change.m_writes.push_back(
+    batch.m_bytes += row.size();
+    batch.m_change.m_writes.push_back(
         {JobKey(job_table::kJobs, job->m_spec.m_id), std::move(row)});
     batch.m_jobs.push_back(job);
   }
-  if (bytes < m_max_bytes && entries < kMaxEntries) {
-    batch.m_progress = scheduler::TakePendingWrites(
-        m_scheduler, (kMaxEntries - entries) / 2, m_max_bytes - bytes);
+}
+
+void Journal::AddProgress(Batch& batch) {
+  m_progress_goes_first = false;
+  if (!HasRoom(batch)) {
+    return;
   }
-  for (const scheduler::JobWrite& write : batch.m_progress) {
-    change.m_writes.push_back(
-        {JobKey(job_table::kProgress, write.m_id), write.m_progress});
-    ++entries;
+  StoreTransaction& change = batch.m_change;
+  bool is_alone = batch.CountItems() == 0;
+  const auto add_if_it_fits = [&](const scheduler::JobWrite& write) {
+    const std::vector<std::string> parts =
+        SplitValue(write.m_progress, m_max_part_bytes);
+    // Beside its parts: rows of parts that it no longer has, and the job's row.
+    const std::size_t entries = std::max(parts.size(), PartsOf(write.m_id)) + 1;
+    const std::size_t bytes = batch.m_bytes + write.m_progress.size();
+    // One that is too large even alone is left to the store to reject.
+    if (!is_alone &&
+        (change.EntryCount() + entries > kMaxEntries || bytes > m_max_bytes)) {
+      m_progress_goes_first = true;
+      return false;
+    }
+    is_alone = false;
+    batch.m_bytes = bytes;
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+      change.m_writes.push_back({ProgressKey(write.m_id, i), parts[i]});
+    }
+    for (std::size_t i = parts.size(); i < PartsOf(write.m_id); ++i) {
+      change.m_deletes.push_back(ProgressKey(write.m_id, i));
+    }
     if (IsFinal(write.m_state) && !write.m_has_runs) {
       change.m_deletes.push_back(JobKey(job_table::kJobs, write.m_id));
-      ++entries;
     }
-  }
-  while (!m_removed_jobs.empty() && entries < kMaxEntries) {
-    change.m_deletes.push_back(
-        JobKey(job_table::kProgress, m_removed_jobs.front()));
+    return true;
+  };
+  batch.m_progress = scheduler::TakePendingWrites(
+      m_scheduler, BootNow(), m_rejections.m_max_items - batch.CountItems(),
+      add_if_it_fits);
+}
+
+void Journal::AddRemovals(Batch& batch) {
+  while (!m_removed_jobs.empty() && HasRoom(batch) &&
+         batch.m_change.EntryCount() + PartsOf(m_removed_jobs.front()) <=
+             kMaxEntries) {
+    const JobId& job = m_removed_jobs.front();
+    for (std::size_t i = 0; i < PartsOf(job); ++i) {
+      batch.m_change.m_deletes.push_back(ProgressKey(job, i));
+    }
+    batch.m_removed_jobs.push_back(job);
     m_removed_jobs.pop_front();
-    ++entries;
   }
-  while (!m_puts.empty() && entries < kMaxEntries) {
-    change.m_writes.push_back(
-        {m_puts.begin()->first, std::move(m_puts.begin()->second)});
-    m_puts.erase(m_puts.begin());
-    ++entries;
+}
+
+void Journal::AddPuts(Batch& batch) {
+  while (!m_puts.empty() && HasRoom(batch)) {
+    auto put = m_puts.extract(m_puts.begin());
+    batch.m_bytes += put.mapped().m_value.size();
+    batch.m_change.m_writes.push_back({put.key(), put.mapped().m_value});
+    batch.m_puts.insert(std::move(put));
   }
-  batch.m_put_number = m_puts.empty() ? m_last_put_number : 0;
+}
+
+Journal::Batch Journal::NextBatch() {
+  Batch batch;
+  ++m_record.m_write_number;
+  batch.m_change.m_conditions.push_back({OwnerRowKey(), m_version});
+  if (m_progress_goes_first) {
+    AddProgress(batch);
+    AddJobs(batch);
+  } else {
+    AddJobs(batch);
+    AddProgress(batch);
+  }
+  AddRemovals(batch);
+  AddPuts(batch);
   m_record.m_released = m_releasing && m_unsent_jobs.empty() &&
-                        m_scheduler.m_unstored_jobs.empty();
+                        !scheduler::HasPendingWrites(m_scheduler, BootNow());
   m_record.m_strongest_cpu = m_hooks.m_highest_cpu_capacity();
   m_record.m_all_starts_recorded =
       (m_all_recorded_at_start || m_scheduler.m_inherited_resolved) &&
       !m_writes_are_slow && scheduler::AllStartsRecorded(m_scheduler);
-  change.m_writes.push_back({OwnerRowKey(), EncodeOwner(m_record)});
+  batch.m_change.m_writes.push_back({OwnerRowKey(), EncodeOwner(m_record)});
   return batch;
 }
 
+void Journal::HandleStored(const Batch& batch) {
+  HandleBatchStored(m_rejections, batch.CountItems());
+  for (const auto& job : batch.m_jobs) {
+    m_hooks.m_accepted(job->m_spec);
+    Finish(job, Code::kOk);
+  }
+  for (const scheduler::JobWrite& write : batch.m_progress) {
+    SetProgressParts(write.m_id,
+                     CountParts(write.m_progress.size(), m_max_part_bytes));
+  }
+  for (const JobId& job : batch.m_removed_jobs) {
+    SetProgressParts(job, 0);
+  }
+  for (const auto& [key, put] : batch.m_puts) {
+    SettlePut(put, /*stored=*/true);
+  }
+  const TimePoint now = BootNow();
+  const bool slow = now - m_write_began_at > kSlowWrite;
+  if (slow != m_writes_are_slow) {
+    m_writes_are_slow = slow;
+    m_log.Info(
+        "journal", slow ? "writes_slow" : "writes_fast",
+        absl::StrCat("took_ms=", ToMilliseconds(now - m_write_began_at)));
+  }
+  // The owner's row must announce that starts are no longer recorded before
+  // any unrecorded start, so that the next owner does not rely on the record.
+  const bool is_announced = !m_record.m_all_starts_recorded;
+  scheduler::HandleWriteCompleted(m_scheduler, now, batch.m_progress);
+  scheduler::SetRecordBeforeStart(m_scheduler, now,
+                                  !(m_writes_are_slow && is_announced));
+  m_put_settled_signal.Notify();
+  m_hooks.m_stored();
+}
+
+void Journal::HandleRejected(Batch batch) {
+  const RejectionVerdict verdict =
+      HandleBatchRejected(m_rejections, batch.CountItems());
+  m_log.Warn("journal", "write_rejected",
+             absl::StrCat("write=", m_record.m_write_number,
+                          " items=", batch.CountItems(), " entries=",
+                          batch.m_change.EntryCount(), " bytes=", batch.m_bytes,
+                          " dropped=", verdict == RejectionVerdict::kDropItem));
+  // Nothing of the batch is stored.
+  scheduler::ReturnWrites(m_scheduler, batch.m_progress);
+  if (verdict == RejectionVerdict::kDropItem) {
+    DropRejectedItem(batch);
+    return;
+  }
+  m_unsent_jobs.insert(m_unsent_jobs.begin(), batch.m_jobs.begin(),
+                       batch.m_jobs.end());
+  m_removed_jobs.insert(m_removed_jobs.begin(), batch.m_removed_jobs.begin(),
+                        batch.m_removed_jobs.end());
+  // A later value for the same key stays.
+  for (const auto& [key, put] : batch.m_puts) {
+    const auto [later, is_new] = m_puts.try_emplace(key, put);
+    if (!is_new) {
+      later->second.m_numbers.insert(later->second.m_numbers.end(),
+                                     put.m_numbers.begin(),
+                                     put.m_numbers.end());
+    }
+  }
+}
+
+void Journal::DropRejectedItem(const Batch& batch) {
+  for (const auto& job : batch.m_jobs) {
+    m_log.Warn("journal", "job_rejected",
+               absl::StrCat("job=", job->m_spec.m_id.Value(),
+                            " bytes=", batch.m_bytes));
+    Finish(job, Code::kInternal);
+  }
+  for (const scheduler::JobWrite& write : batch.m_progress) {
+    m_log.Warn(
+        "journal", "progress_rejected",
+        absl::StrCat("job=", write.m_id.Value(), " bytes=", batch.m_bytes));
+    scheduler::HandleWriteRejected(m_scheduler, BootNow(), write.m_id);
+  }
+  for (const JobId& job : batch.m_removed_jobs) {
+    m_log.Warn("journal", "removal_rejected",
+               absl::StrCat("job=", job.Value()));
+  }
+  for (const auto& [key, put] : batch.m_puts) {
+    m_log.Warn("journal", "row_rejected",
+               absl::StrCat("table=", key.m_table, " key=", key.m_key,
+                            " bytes=", batch.m_bytes));
+    SettlePut(put, /*stored=*/false);
+  }
+  m_put_settled_signal.Notify();
+  m_hooks.m_stored();
+}
+
+void Journal::SettlePut(const PendingPut& put, bool stored) {
+  for (const std::uint64_t number : put.m_numbers) {
+    m_unsettled_puts.erase(number);
+    if (!stored) {
+      m_rejected_puts.insert(number);
+    }
+  }
+}
+
 asio::awaitable<void> Journal::Run() {
   while (m_running) {
     const TimePoint due = m_confirmed_at + kOwnerRowRenewPeriod;
@@ -161,15 +337,18 @@
       co_await m_work_signal.WaitFor(due - BootNow());
     }
     const TimePoint earliest =
-        m_write_began_at + std::max(m_write_interval, m_link_interval);
+        m_write_began_at +
+        std::max({m_write_interval, m_link_interval, m_encode_interval});
     if (m_running && BootNow() < earliest) {
       co_await SleepFor(earliest - BootNow());
     }
     if (!m_running) {
       break;
     }
+    const TimePoint began = BootNow();
     Batch batch = NextBatch();
     m_write_began_at = BootNow();
+    m_encode_interval = (m_write_began_at - began) * kEncodeIdleFactor;
     m_link_interval = std::min(
         kMaxLinkInterval, TimeOnLink(m_traffic.Budget(),
                                      EncodedBytes(batch.m_change), kLinkShare));
@@ -186,40 +365,19 @@
       }
       break;
     }
-    const bool stored = outcome == Outcome::kStored;
-    for (const auto& job : batch.m_jobs) {
-      if (stored) {
-        m_hooks.m_accepted(job->m_spec);
-      }
-      Finish(job, stored ? Code::kOk : Code::kInternal);
-    }
-    if (stored) {
-      const TimePoint now = BootNow();
-      const bool slow = now - m_write_began_at > kSlowWrite;
-      if (slow != m_writes_are_slow) {
-        m_writes_are_slow = slow;
-        m_log.Info(
-            "journal", slow ? "writes_slow" : "writes_fast",
-            absl::StrCat("took_ms=", ToMilliseconds(now - m_write_began_at)));
-      }
-      // The owner's row must announce that starts are no longer recorded before
-      // any unrecorded start, so that the next owner does not rely on the
-      // record.
-      const bool is_announced = !m_record.m_all_starts_recorded;
-      scheduler::HandleWriteCompleted(m_scheduler, now, batch.m_progress);
-      scheduler::SetRecordBeforeStart(m_scheduler, now,
-                                      !(m_writes_are_slow && is_announced));
-      m_stored_put_number = std::max(m_stored_put_number, batch.m_put_number);
-      m_put_stored_signal.Notify();
-      m_hooks.m_stored();
+    if (outcome == Outcome::kRejected) {
+      HandleRejected(std::move(batch));
+      co_await SleepFor(kRefusedRetryDelay);
+      continue;
     }
+    HandleStored(batch);
     if (m_record.m_released) {
       m_released = true;
       m_running = false;
     }
   }
   FailUnsentJobs(Code::kNotLeaseHolder);
-  m_put_stored_signal.Notify();
+  m_put_settled_signal.Notify();
 }
 
 asio::awaitable<Journal::Outcome> Journal::Write(
@@ -237,8 +395,6 @@
         co_return co_await ResolveConflict(sent);
       }
       case StoreResult::kInvalid:
-        m_log.Warn("journal", "write_rejected",
-                   absl::StrCat("entries=", change.EntryCount()));
         co_return Outcome::kRejected;
       case StoreResult::kRefused:
         co_await SleepFor(kRefusedRetryDelay);
@@ -341,8 +497,10 @@
 }
 
 void Journal::Put(const StoreKey& key, std::string value) {
-  m_puts[key] = std::move(value);
-  ++m_last_put_number;
+  PendingPut& put = m_puts[key];
+  put.m_value = std::move(value);
+  put.m_numbers.push_back(++m_last_put_number);
+  m_unsettled_puts.insert(m_last_put_number);
   m_work_signal.Notify();
 }
 
@@ -350,11 +508,14 @@
                                           std::string value) {
   Put(key, std::move(value));
   const std::uint64_t number = m_last_put_number;
+  const auto is_settled = [this, number] {
+    return !m_unsettled_puts.contains(number);
+  };
   const TimePoint deadline = BootNow() + kPutTimeout;
-  while (m_running && m_stored_put_number < number && BootNow() < deadline) {
-    co_await m_put_stored_signal.WaitFor(deadline - BootNow());
+  while (m_running && !is_settled() && BootNow() < deadline) {
+    co_await m_put_settled_signal.WaitFor(deadline - BootNow());
   }
-  co_return m_stored_put_number >= number;
+  co_return is_settled() && !m_rejected_puts.contains(number);
 }
 
 asio::awaitable<void> Journal::Release() {
--- a/filbertspar/node/src/journal.h
+++ b/filbertspar/node/src/journal.h
@@ -4,9 +4,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "filbertspar/journal/journal.h"
 #include "filbertspar/node/src/async.h"
 #include "filbertspar/node/src/owner_watch.h"
 #include "filbertspar/scheduler/scheduler.h"
@@ -33,10 +35,16 @@
     std::function<Millicores()> m_highest_cpu_capacity;
   };
 
+  struct Limits {
+    std::int64_t m_transactions_per_s = 0;
+    /// Bytes of a row's value as the store counts them.
+    std::int64_t m_row_bytes = 0;
+  };
+
   Journal(asio::io_context& context, StoreClient& store,
           const TrafficMeter& traffic, EventLog& log,
           scheduler::Scheduler& scheduler, OwnerWatch::WonClaim won,
-          std::int64_t transactions_per_s, Hooks hooks);
+          const Limits& limits, Hooks hooks);
 
   /// \brief Writes until Stop, until the ownership is released or until another
   /// VM becomes the owner.
@@ -49,6 +57,9 @@
   /// rejected the row.
   asio::awaitable<Code> Accept(JobSpec spec, Duration wait);
 
+  /// \brief Records that the stored progress of a job takes several rows.
+  void SetProgressParts(const JobId& job, std::size_t parts);
+
   /// \brief Deletes the progress rows of expired jobs with the next writes.
   void RemoveJobs(const std::vector<JobId>& jobs);
 
@@ -56,8 +67,8 @@
   /// replaces one that is not sent yet.
   void Put(const StoreKey& key, std::string value);
 
-  /// \brief Stores a row. True: it is stored. False: no confirmation within 1
-  /// s; it may still be stored.
+  /// \brief Stores a row. True: it is stored. False: the store rejected it, or
+  /// there is no confirmation within 1 s; then it may still be stored.
   asio::awaitable<bool> PutAndWait(const StoreKey& key, std::string value);
 
   /// \brief Wakes the writer when there may be rows to write.
@@ -84,16 +95,40 @@
     Code m_code = Code::kOutcomeUnknown;
     bool m_is_over = false;
   };
+  struct PendingPut {
+    std::string m_value;
+    /// Numbers of the calls of Put whose value it is or replaces.
+    std::vector<std::uint64_t> m_numbers;
+  };
   struct Batch {
     StoreTransaction m_change;
     std::vector<std::shared_ptr<PendingJob>> m_jobs;
     std::vector<scheduler::JobWrite> m_progress;
-    /// Number of the last Put if the batch completes all of them, else 0.
-    std::uint64_t m_put_number = 0;
+    std::vector<JobId> m_removed_jobs;
+    std::map<StoreKey, PendingPut> m_puts;
+    /// Bytes of all values.
+    std::size_t m_bytes = 0;
+
+    std::size_t CountItems() const {
+      return m_jobs.size() + m_progress.size() + m_removed_jobs.size() +
+             m_puts.size();
+    }
   };
   enum class Outcome : std::uint8_t { kStored, kRejected, kNotOwner };
 
   Batch NextBatch();
+  bool HasRoom(const Batch& batch) const;
+  void AddJobs(Batch& batch);
+  void AddProgress(Batch& batch);
+  void AddRemovals(Batch& batch);
+  void AddPuts(Batch& batch);
+  std::size_t PartsOf(const JobId& job) const;
+  void HandleStored(const Batch& batch);
+  /// \brief Takes back what the store rejected, to be sent again in smaller
+  /// batches, without the item that is found to be at fault.
+  void HandleRejected(Batch batch);
+  void DropRejectedItem(const Batch& batch);
+  void SettlePut(const PendingPut& put, bool stored);
   asio::awaitable<Outcome> Write(const StoreTransaction& change);
   asio::awaitable<Outcome> ResolveConflict(TimePoint sent);
   void Finish(const std::shared_ptr<PendingJob>& job, Code code);
@@ -113,16 +148,27 @@
   Duration m_write_interval;
   /// The same for the bytes of the last write on this VM's link.
   Duration m_link_interval{0};
+  /// The same for the time that it took to encode the last batch.
+  Duration m_encode_interval{0};
   /// Bytes of rows after which a batch takes no further row.
   std::size_t m_max_bytes;
+  /// Largest value of a row, before its encoding for the store.
+  std::size_t m_max_part_bytes;
+  RejectionSearch m_rejections;
+  /// Number of stored rows of each job whose progress takes several.
+  absl::flat_hash_map<JobId, std::size_t> m_progress_parts;
+  /// Large progress found no room in the last batch and goes first in the next.
+  bool m_progress_goes_first = false;
   Signal m_work_signal;
   std::deque<std::shared_ptr<PendingJob>> m_unsent_jobs;
   absl::flat_hash_map<JobId, std::shared_ptr<PendingJob>> m_pending_jobs;
   std::deque<JobId> m_removed_jobs;
-  std::map<StoreKey, std::string> m_puts;
+  std::map<StoreKey, PendingPut> m_puts;
   std::uint64_t m_last_put_number = 0;
-  std::uint64_t m_stored_put_number = 0;
-  Signal m_put_stored_signal;
+  /// Numbers of the puts that are neither stored nor rejected.
+  std::set<std::uint64_t> m_unsettled_puts;
+  std::set<std::uint64_t> m_rejected_puts;
+  Signal m_put_settled_signal;
   TimePoint m_confirmed_at;
   TimePoint m_write_began_at = TimePoint::min();
   bool m_is_writing = false;
--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -109,7 +109,9 @@
   hooks.m_highest_cpu_capacity = [this] { return HighestCpuCapacity(); };
   m_journal = std::make_shared<Journal>(
       parts.m_context, parts.m_store, parts.m_traffic, parts.m_log, m_scheduler,
-      std::move(won), parts.m_options.m_partition_transactions_per_s,
+      std::move(won),
+      Journal::Limits{parts.m_options.m_partition_transactions_per_s,
+                      parts.m_options.m_max_row_bytes},
       std::move(hooks));
   m_workers = std::make_shared<WorkerConnections>(
       parts.m_context, parts.m_client, parts.m_links, parts.m_traffic,
@@ -241,13 +243,15 @@
     co_return false;
   }
   absl::flat_hash_map<std::string, JobProgress> known;
-  for (const StoreRow& row : progress.m_rows) {
-    absl::StatusOr<JobProgress> decoded = DecodeProgress(row.m_value);
-    if (decoded.ok()) {
-      known[row.m_key.m_key] = *std::move(decoded);
+  for (const auto& [key, joined] : JoinParts(progress.m_rows)) {
+    m_journal->SetProgressParts(JobId(key), joined.m_parts);
+    absl::StatusOr<JobProgress> decoded = DecodeProgress(joined.m_value);
+    if (decoded.ok() && joined.m_is_complete) {
+      known[key] = *std::move(decoded);
     } else {
       m_parts.m_log.Warn("owner", "progress_unreadable",
-                         absl::StrCat("job=", row.m_key.m_key));
+                         absl::StrCat("job=", key, " parts=", joined.m_parts,
+                                      " complete=", joined.m_is_complete));
     }
   }
   const TimePoint now = BootNow();
@@ -282,11 +286,11 @@
     UnregisterDue(now);
     if (m_jobs_loaded) {
       scheduler::ExpireLeases(m_scheduler, now);
+      scheduler::TrimFinishedJobs(m_scheduler, now);
       m_journal->RemoveJobs(
           scheduler::RemoveExpiredJobs(m_scheduler, now, kMaxRemovalsPerTick));
       Dispatch();
     }
-      scheduler::TrimFinishedJobs(m_scheduler, now);
     std::vector<VmName> gone;
     for (const auto& [vm, peer] : m_parts.m_links.Peers()) {
       if (!peer.m_connected && IsConfirmed() &&
@@ -345,12 +349,12 @@
     scheduler::Dispatch(m_scheduler, now);
     RequestRecommendations();
   }
+  const Duration took = BootNow() - now;
   m_dispatch_pause =
       std::max(std::min(took * kDispatchIdleFactor, kMaxDispatchPause),
                std::min(took, kLongDispatchPause));
   ApplyEffects();
 }
-  const Duration took = BootNow() - now;
 
 void OwnerTerm::ApplyEffects() {
   scheduler::Effects effects;
--- a/filbertspar/scheduler/src/eligibility.cc
+++ b/filbertspar/scheduler/src/eligibility.cc
@@ -15,6 +15,9 @@
 /// A recorded run of the previous owner delays only its own task. When runs may
 /// be unrecorded, the whole job waits until they are resolved.
 bool MayStartTasks(const Scheduler& scheduler, const Job& job) {
+  if (job.m_is_rejected) {
+    return false;
+  }
   return !job.m_inherited || scheduler.m_inherited_resolved ||
          scheduler.m_options.m_runs_are_recorded;
 }
--- a/filbertspar/scheduler/src/job_writes.cc
+++ b/filbertspar/scheduler/src/job_writes.cc
@@ -59,6 +59,16 @@
       });
 }
 
+void ClearCheckpoints(JobProgress& progress) {
+  for (OccurrenceProgress& occurrence : progress.m_occurrences) {
+    for (StepProgress& step : occurrence.m_steps) {
+      for (TaskProgress& task : step.m_tasks) {
+        task.m_checkpoint.clear();
+      }
+    }
+  }
+}
+
 }  // namespace
 
 JobProgress ProgressOf(const Scheduler& scheduler, const Job& job) {
@@ -86,29 +96,63 @@
   return progress;
 }
 
-std::vector<JobWrite> TakePendingWrites(Scheduler& scheduler, std::size_t limit,
-                                        std::size_t max_bytes) {
+namespace {
+
+JobWrite MakeWrite(const Scheduler& scheduler, const Job& job,
+                   std::uint64_t first_change) {
+  JobProgress progress = ProgressOf(scheduler, job);
+  JobWrite write;
+  write.m_id = job.m_spec->m_id;
+  write.m_state = job.m_state;
+  write.m_has_runs = std::any_of(progress.m_occurrences.begin(),
+                                 progress.m_occurrences.end(), HasRuns);
+  write.m_progress = EncodeProgress(progress);
+  write.m_first_change = first_change;
+  if (write.m_progress.size() > kMaxProgressBytes) {
+    // A task without its checkpoint only repeats work.
+    ClearCheckpoints(progress);
+    write.m_progress = EncodeProgress(progress);
+  }
+  return write;
+}
+
+bool MayWrite(const Job& job, TimePoint now) {
+  return !job.m_is_rejected || now >= job.m_write_not_before;
+}
+
+}  // namespace
+
+std::vector<JobWrite> TakePendingWrites(Scheduler& scheduler, TimePoint now,
+                                        std::size_t limit,
+                                        const WriteFits& fits) {
   std::vector<JobWrite> writes;
-  std::size_t bytes = 0;
-  while (!scheduler.m_unstored_jobs.empty() && writes.size() < limit &&
-         bytes < max_bytes) {
-    const auto first = scheduler.m_unstored_jobs.begin();
-    Job& job = *first->second;
+  auto next = scheduler.m_unstored_jobs.begin();
+  while (next != scheduler.m_unstored_jobs.end() && writes.size() < limit) {
+    Job& job = *next->second;
+    if (!MayWrite(job, now)) {
+      ++next;
+      continue;
+    }
+    JobWrite write = MakeWrite(scheduler, job, next->first);
+    if (!fits(write)) {
+      break;
+    }
     if (writes.empty()) {
-      scheduler.m_first_change_in_write = first->first;
+      scheduler.m_first_change_in_write = next->first;
     }
-    scheduler.m_unstored_jobs.erase(first);
+    next = scheduler.m_unstored_jobs.erase(next);
     job.m_first_unstored = 0;
-    const JobProgress progress = ProgressOf(scheduler, job);
-    const bool has_runs = std::any_of(progress.m_occurrences.begin(),
-                                      progress.m_occurrences.end(), HasRuns);
-    writes.push_back(
-        {job.m_spec->m_id, job.m_state, has_runs, EncodeProgress(progress)});
-    bytes += writes.back().m_progress.size();
+    writes.push_back(std::move(write));
   }
   return writes;
 }
 
+bool HasPendingWrites(const Scheduler& scheduler, TimePoint now) {
+  return std::any_of(
+      scheduler.m_unstored_jobs.begin(), scheduler.m_unstored_jobs.end(),
+      [now](const auto& entry) { return MayWrite(*entry.second, now); });
+}
+
 void HandleWriteCompleted(Scheduler& scheduler, TimePoint now,
                           const std::vector<JobWrite>& jobs) {
   scheduler.m_first_change_in_write = 0;
@@ -116,8 +160,39 @@
     const auto found = scheduler.m_jobs.find(write.m_id);
     if (found != scheduler.m_jobs.end()) {
       found->second->m_stored_state = write.m_state;
+      found->second->m_is_rejected = false;
+    }
+  }
+  AcknowledgeStoredRuns(scheduler);
+  IssueRecordedStarts(scheduler, now);
+}
+
+void ReturnWrites(Scheduler& scheduler, const std::vector<JobWrite>& jobs) {
+  scheduler.m_first_change_in_write = 0;
+  for (const JobWrite& write : jobs) {
+    const auto found = scheduler.m_jobs.find(write.m_id);
+    if (found == scheduler.m_jobs.end()) {
+      continue;
     }
+    Job& job = *found->second;
+    if (job.m_first_unstored != 0) {
+      scheduler.m_unstored_jobs.erase(job.m_first_unstored);
+    }
+    job.m_first_unstored = write.m_first_change;
+    scheduler.m_unstored_jobs[write.m_first_change] = &job;
+  }
+}
+
+void HandleWriteRejected(Scheduler& scheduler, TimePoint now,
+                         const JobId& job) {
+  /// Each attempt delays the writes of other jobs a little.
+  constexpr Duration kRetryDelay = Seconds(2);
+  const auto found = scheduler.m_jobs.find(job);
+  if (found == scheduler.m_jobs.end()) {
+    return;
   }
+  found->second->m_is_rejected = true;
+  found->second->m_write_not_before = now + kRetryDelay;
   AcknowledgeStoredRuns(scheduler);
   IssueRecordedStarts(scheduler, now);
 }
--- a/filbertspar/scheduler/src/jobs.h
+++ b/filbertspar/scheduler/src/jobs.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <limits>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -43,22 +43,47 @@
   bool m_has_runs = false;
   /// Encoded with EncodeProgress().
   std::string m_progress;
+  /// Number of the first change that it contains.
+  std::uint64_t m_first_change = 0;
 };
 
-/// \brief Returns up to `limit` jobs with changes to store, oldest first, and
-/// none after their progress has `max_bytes` together. Only one write may be in
-/// progress at a time.
+/// \brief Whether a write has room for the progress of one more job.
+using WriteFits = std::function<bool(const JobWrite&)>;
+
+/// \brief Returns up to `limit` jobs with changes to store, oldest first, up to
+/// the first that does not fit. Only one write may be in progress at a time.
 std::vector<JobWrite> TakePendingWrites(
-    Scheduler& scheduler, std::size_t limit,
-    std::size_t max_bytes = std::numeric_limits<std::size_t>::max());
+    Scheduler& scheduler, TimePoint now, std::size_t limit,
+    const WriteFits& fits = [](const JobWrite&) { return true; });
+
+/// \brief Whether there are changes that may be written now.
+bool HasPendingWrites(const Scheduler& scheduler, TimePoint now);
 
 /// \brief Called when a write has succeeded; sends the starts that it recorded.
 void HandleWriteCompleted(Scheduler& scheduler, TimePoint now,
                           const std::vector<JobWrite>& jobs);
 
-/// \brief Creates the occurrences that are due.
+/// \brief Called when a write was rejected, so that none of it is stored; its
+/// changes are to be written again.
+void ReturnWrites(Scheduler& scheduler, const std::vector<JobWrite>& jobs);
+
+/// \brief Called when the store rejects the progress of this job. The write is
+/// repeated after a while, with what has changed.
+void HandleWriteRejected(Scheduler& scheduler, TimePoint now, const JobId& job);
+
+/// \brief Opens the occurrences that are due, of each job as many as may be
+/// open at a time.
 void AdvanceOccurrences(Scheduler& scheduler, TimePoint now);
 
+/// \brief Frees the tasks and the payload of jobs that ended some time ago;
+/// their state is kept.
+void TrimFinishedJobs(Scheduler& scheduler, TimePoint now);
+
+/// \brief Estimated memory of a job with `tasks` tasks, and of all jobs.
+std::size_t JobBytes(const JobSpec& spec, std::size_t tasks);
+std::size_t JobBytes(const Scheduler& scheduler);
+std::size_t TasksPerOccurrence(const JobSpec& spec);
+
 /// \brief Removes from memory up to `limit` final jobs whose retention time is
 /// over, and returns them; the caller removes their rows.
 std::vector<JobId> RemoveExpiredJobs(Scheduler& scheduler, TimePoint now,
@@ -75,15 +100,6 @@
 void RequeueLostTask(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
                      std::string_view reason);
 
-/// \brief Frees the tasks and the payload of jobs that ended some time ago;
-/// their state is kept.
-void TrimFinishedJobs(Scheduler& scheduler, TimePoint now);
-
-/// \brief Estimated memory of a job with `tasks` tasks, and of all jobs.
-std::size_t JobBytes(const JobSpec& spec, std::size_t tasks);
-std::size_t JobBytes(const Scheduler& scheduler);
-std::size_t TasksPerOccurrence(const JobSpec& spec);
-
 /// \brief Orders a starting or running task to stop.
 void StopTask(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
               std::string_view reason);
--- a/filbertspar/scheduler/src/starts.cc
+++ b/filbertspar/scheduler/src/starts.cc
@@ -58,7 +58,9 @@
       ref.GetTask().m_worker != planned.m_worker) {
     return;
   }
-  if (HasRoomToStart(scheduler, ref)) {
+  if (ref.m_job->m_is_rejected) {
+    RequeueLostTask(scheduler, now, ref, "not_recorded");
+  } else if (HasRoomToStart(scheduler, ref)) {
     IssueStart(scheduler, now, ref, planned.m_worker);
   } else {
     RequeueLostTask(scheduler, now, ref, "capacity_shrank");
--- a/filbertspar/scheduler/src/state.cc
+++ b/filbertspar/scheduler/src/state.cc
@@ -35,9 +35,16 @@
   if (scheduler.m_first_change_in_write != 0) {
     return scheduler.m_first_change_in_write - 1;
   }
-  return scheduler.m_unstored_jobs.empty()
-             ? scheduler.m_last_change
-             : scheduler.m_unstored_jobs.begin()->first - 1;
+  const auto first = std::find_if(
+      scheduler.m_unstored_jobs.begin(), scheduler.m_unstored_jobs.end(),
+      [](const auto& entry) { return !entry.second->m_is_rejected; });
+  return first == scheduler.m_unstored_jobs.end() ? scheduler.m_last_change
+                                                  : first->first - 1;
+}
+
+bool IsRejected(const Scheduler& scheduler, const JobId& job) {
+  const auto found = scheduler.m_jobs.find(job);
+  return found != scheduler.m_jobs.end() && found->second->m_is_rejected;
 }
 
 std::int64_t UnixMs(const Scheduler& scheduler, TimePoint now) {
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -111,6 +111,11 @@
   /// Number of the first change not yet included in a write; 0 when there is
   /// none.
   std::uint64_t m_first_unstored = 0;
+  /// The store rejected the progress: until it takes it, no task is started and
+  /// no ended run is acknowledged.
+  bool m_is_rejected = false;
+  /// When the write of rejected progress may be tried again.
+  TimePoint m_write_not_before = TimePoint::min();
   bool m_long_running = false;
   /// VM that forwarded the submission and keeps its payload; empty when it came
   /// to the owner itself or is not known after a take-over.
@@ -151,6 +156,13 @@
   std::vector<std::pair<TaskId, std::uint64_t>> m_recorded_runs;
 };
 
+struct UnstoredFinishedRun {
+  std::uint64_t m_number = 0;
+  JobId m_job;
+  /// The change that must be stored before the worker may discard the entry.
+  std::uint64_t m_change = 0;
+};
+
 /// \brief The owner's view of one worker.
 struct Worker {
   WorkerRecord m_record;
@@ -185,9 +197,8 @@
   /// effects are stored.
   std::uint64_t m_finished_read = 0;
   std::uint64_t m_finished_stored = 0;
-  /// Finished runs that were read but not acknowledged: number, and the change
-  /// that must be stored before the worker may discard the entry.
-  std::deque<std::pair<std::uint64_t, std::uint64_t>> m_unstored_finished;
+  /// Finished runs that were read but not acknowledged.
+  std::deque<UnstoredFinishedRun> m_unstored_finished;
   /// When each unwanted run, which is not the current run of its task, was last
   /// ordered to stop.
   absl::flat_hash_map<std::string, TimePoint> m_unwanted_stops;
@@ -254,6 +265,8 @@
   Duration m_start_window = Seconds(2);
   /// Time for which the state of a final job is kept.
   Duration m_state_retention = Seconds(120);
+  /// Memory that jobs may take; further ones are refused.
+  std::size_t m_max_job_bytes = 64 << 20;
   /// Whether the stored progress names the worker of every run that the
   /// previous owner ordered.
   bool m_runs_are_recorded = false;
@@ -265,8 +278,6 @@
   TimePoint m_disruption_allowed_from = TimePoint::min();
 };
 
-  /// Memory that jobs may take; further ones are refused.
-  std::size_t m_max_job_bytes = 64 << 20;
 /// \brief Observed run times of a queue's tasks.
 struct QueueHistory {
   /// Run time divided by estimate, exponentially smoothed.
@@ -365,9 +376,13 @@
 /// the change.
 std::uint64_t MarkChanged(Scheduler& scheduler, Job& job);
 
-/// \brief Highest number up to which all changes are stored.
+/// \brief Highest number up to which all changes are stored, except those of
+/// jobs whose progress the store rejected.
 std::uint64_t LastStoredChange(const Scheduler& scheduler);
 
+/// \brief Whether the store rejected the progress of the job.
+bool IsRejected(const Scheduler& scheduler, const JobId& job);
+
 /// \brief Unix time at `now`, in milliseconds.
 std::int64_t UnixMs(const Scheduler& scheduler, TimePoint now);
 
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -92,8 +92,9 @@
 void AcknowledgeStored(const Scheduler& scheduler, Worker& worker) {
   const std::uint64_t stored = LastStoredChange(scheduler);
   while (!worker.m_unstored_finished.empty() &&
-         worker.m_unstored_finished.front().second <= stored) {
-    worker.m_finished_stored = worker.m_unstored_finished.front().first;
+         worker.m_unstored_finished.front().m_change <= stored &&
+         !IsRejected(scheduler, worker.m_unstored_finished.front().m_job)) {
+    worker.m_finished_stored = worker.m_unstored_finished.front().m_number;
     worker.m_unstored_finished.pop_front();
   }
 }
@@ -120,8 +121,8 @@
         scheduler, "task_end", finished.m_task, index,
         absl::StrCat("how=", std::string(RunOutcomeName(finished.m_outcome)),
                      " run=", finished.m_run.Value()));
-    scheduler.m_workers[index].m_unstored_finished.emplace_back(
-        finished.m_number, change);
+    scheduler.m_workers[index].m_unstored_finished.push_back(
+        {finished.m_number, finished.m_task.m_job, change});
   }
   AcknowledgeStored(scheduler, scheduler.m_workers[index]);
 }
--- a/tests/job_rows_test.cc
+++ b/tests/job_rows_test.cc
@@ -59,8 +59,92 @@
   CHECK(*decoded == progress);
 }
 
+/// Progress of a job whose tasks all run, on a few workers.
+JobProgress MakeWideProgress(std::uint32_t tasks) {
+  JobProgress progress;
+  progress.m_state = JobState::kRunning;
+  progress.m_next_occurrence = 1;
+  StepProgress step;
+  step.m_done.assign((tasks + 7) / 8, '\0');
+  for (std::uint32_t i = 0; i < tasks; ++i) {
+    step.m_tasks.push_back(
+        {i, {}, "", "i-0123456789-" + std::to_string(i % 12), {}});
+  }
+  progress.m_occurrences.push_back({0, {step}});
+  return progress;
+}
+
+// Guards against progress that the store rejects because it does not fit into a
+// row (review/2: 2,200 tasks, 80 kB).
+TEST_CASE("the progress of a wide job fits into a row") {
+  constexpr std::size_t kRowBytes = 65536;
+  const JobProgress progress = MakeWideProgress(2200);
+  const std::string encoded = EncodeProgress(progress);
+  CHECK(encoded.size() * 4 / 3 + 4 < kRowBytes / 4);
+  const auto decoded = DecodeProgress(encoded);
+  REQUIRE(decoded.ok());
+  CHECK(*decoded == progress);
+}
+
+// Guards against a part of the progress that the columns of a wide job lose.
+TEST_CASE("the progress of wide jobs survives encoding and decoding") {
+  Rng rng(3);
+  for (int i = 0; i < 50; ++i) {
+    JobProgress progress =
+        MakeWideProgress(200 + static_cast<std::uint32_t>(rng.Below(400)));
+    for (TaskProgress& task : progress.m_occurrences[0].m_steps[0].m_tasks) {
+      if (rng.Chance(0.3)) {
+        task.m_worker.clear();
+        task.m_failed_runs.push_back(5'000'000'001 + rng.Below(1000));
+      }
+      if (rng.Chance(0.2)) {
+        task.m_failed_runs.push_back(5'000'000'001 + rng.Below(1000));
+      }
+      if (rng.Chance(0.2) || (task.m_worker.empty() && rng.Chance(0.5))) {
+        task.m_checkpoint = "00000bb87a21d94b";
+      }
+      if (rng.Chance(0.1)) {
+        task.m_crashes.push_back({7, "w0", 12, true, false});
+      }
+    }
+    // A second occurrence whose steps differ.
+    progress.m_occurrences.push_back(
+        {3, {{"\x05", {}}, {"", {{2, {9}, "c", "w1", {}}}}}});
+    const auto decoded = DecodeProgress(EncodeProgress(progress));
+    REQUIRE(decoded.ok());
+    REQUIRE(*decoded == progress);
+  }
+}
+
+// Guards against progress of the largest job that no transaction takes.
+TEST_CASE("the largest job's progress is bounded") {
+  JobProgress progress = MakeWideProgress(kMaxTasksPerJob);
+  CHECK(EncodeProgress(progress).size() < 100'000);
+  for (TaskProgress& task : progress.m_occurrences[0].m_steps[0].m_tasks) {
+    task.m_failed_runs = {1001, 1002, 1003};
+  }
+  CHECK(EncodeProgress(progress).size() < kMaxProgressBytes);
+  for (TaskProgress& task : progress.m_occurrences[0].m_steps[0].m_tasks) {
+    task.m_failed_runs = {1, std::uint64_t{1} << 50};
+  }
+  const auto decoded = DecodeProgress(EncodeProgress(progress));
+  REQUIRE(decoded.ok());
+  CHECK(*decoded == progress);
+}
+
 // Guards against a damaged row that crashes the process or is decoded to an
 // invalid job.
+TEST_CASE("damaged rows of wide jobs crash nothing") {
+  const std::string encoded = EncodeProgress(MakeWideProgress(300));
+  for (std::size_t i = 0; i < encoded.size(); ++i) {
+    std::string damaged = encoded;
+    damaged[i] = static_cast<char>(damaged[i] ^ 0x5a);
+    DecodeProgress(damaged).status().IgnoreError();
+    DecodeProgress(encoded.substr(0, i)).status().IgnoreError();
+  }
+}
+
+// The same for jobs and for progress that is not in columns.
 TEST_CASE("damaged rows are rejected at every byte and length") {
   const std::string encoded = EncodeJob(MakeJob());
   CHECK_FALSE(DecodeJob("").ok());
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -216,6 +217,10 @@
   double m_ratio = 1;
   Duration m_stop_time = Milliseconds(200);
   bool m_store_is_down = false;
+  /// Progress that the store rejects; it rejects all that is written with it.
+  std::function<bool(const JobWrite&)> m_store_rejects = [](const JobWrite&) {
+    return false;
+  };
   /// Whether the next owner relies on the runs recorded in the store.
   bool m_runs_are_recorded = true;
   /// Starts that brought a worker over its capacity. Workers start whatever
@@ -254,11 +259,7 @@
       Poll(i, *worker);
     }
     if (!m_store_is_down) {
-      const std::vector<JobWrite> writes = TakePendingWrites(*m_owner, 100);
-      for (const JobWrite& write : writes) {
-        m_progress[write.m_id] = write.m_progress;
-      }
-      HandleWriteCompleted(*m_owner, m_now, writes);
+      StoreWrites();
     }
     ExpireLeases(*m_owner, m_now);
     Dispatch(*m_owner, m_now);
@@ -271,6 +272,26 @@
     }
   }
 
+  /// Sends what was rejected again in smaller batches.
+  void StoreWrites() {
+    constexpr std::size_t kMaxWrites = 100;
+    const std::vector<JobWrite> writes =
+        TakePendingWrites(*m_owner, m_now, m_max_writes);
+    if (std::any_of(writes.begin(), writes.end(), m_store_rejects)) {
+      ReturnWrites(*m_owner, writes);
+      if (writes.size() == 1) {
+        HandleWriteRejected(*m_owner, m_now, writes.front().m_id);
+      }
+      m_max_writes = std::max<std::size_t>(1, writes.size() / 2);
+      return;
+    }
+    m_max_writes = kMaxWrites;
+    for (const JobWrite& write : writes) {
+      m_progress[write.m_id] = write.m_progress;
+    }
+    HandleWriteCompleted(*m_owner, m_now, writes);
+  }
+
   FakeWorker* Find(const WorkerName& name) {
     for (const auto& worker : m_workers) {
       if (worker->m_record.m_name == name) {
@@ -460,6 +481,7 @@
   }
 
   DeploymentConfigPtr m_deployment;
+  std::size_t m_max_writes = 100;
 };
 
 }  // namespace filbertspar::scheduler
--- a/tests/scheduler_starts_test.cc
+++ b/tests/scheduler_starts_test.cc
@@ -224,12 +224,12 @@
   simulation.RunFor(Milliseconds(500));
   simulation.m_store_is_down = true;
   CancelJob(*simulation.m_owner, simulation.m_now, JobId("job"));
-  auto writes = TakePendingWrites(*simulation.m_owner, 10);
+  auto writes = TakePendingWrites(*simulation.m_owner, simulation.m_now, 10);
   REQUIRE(writes.size() == 1);
   CHECK(writes[0].m_has_runs);
   HandleWriteCompleted(*simulation.m_owner, simulation.m_now, writes);
   simulation.RunFor(Seconds(1));
-  writes = TakePendingWrites(*simulation.m_owner, 10);
+  writes = TakePendingWrites(*simulation.m_owner, simulation.m_now, 10);
   REQUIRE(writes.size() == 1);
   CHECK_FALSE(writes[0].m_has_runs);
 }
--- a/tests/scheduler_worker_test.cc
+++ b/tests/scheduler_worker_test.cc
@@ -162,7 +162,8 @@
     simulation.RunFor(Milliseconds(500));
     if (takes_over) {
       CancelJob(*simulation.m_owner, simulation.m_now, JobId("job"));
-      const auto writes = TakePendingWrites(*simulation.m_owner, 10);
+      const auto writes =
+          TakePendingWrites(*simulation.m_owner, simulation.m_now, 10);
       for (const JobWrite& write : writes) {
         simulation.m_progress[write.m_id] = write.m_progress;
       }
