Repeat stops until they are answered

After the worker's restart its stopping tasks are not listed; without an answer to the stop they are not taken for ended, and each poll renews the lease.

Ruled out: the cancel, which was stored and answered; a late start.

--- a/filbertspar/node/src/worker_connections.cc
+++ b/filbertspar/node/src/worker_connections.cc
@@ -279,7 +279,8 @@
                                                   StopOrder order) {
   const WorkerName name = m_scheduler.m_workers[index].m_record.m_name;
   for (int attempt = 0; attempt < kMaxStopAttempts && m_running; ++attempt) {
-    if (!m_hooks.m_can_send_orders()) {
+    if (!m_hooks.m_can_send_orders() ||
+        scheduler::IsStopAnswered(m_scheduler, index, order)) {
       co_return;
     }
     const OrderResponse answer = adapter::DecodeOrderResponse(
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -39,8 +39,9 @@
   }
 }
 
-/// A new incarnation has no runs of the previous one. A start that got no
-/// answer may still reach it; stopping that run makes the worker refuse it.
+/// A new incarnation has no runs of the previous one, and knows nothing of its
+/// stops. A start that got no answer may still reach it; stopping that run
+/// makes the worker refuse it.
 void HandleNewIncarnation(Scheduler& scheduler, TimePoint now,
                           WorkerIndex index, std::int64_t incarnation) {
   Worker& worker = scheduler.m_workers[index];
@@ -61,9 +62,10 @@
   const std::vector<TaskRef> tasks = worker.m_tasks;
   for (const TaskRef& ref : tasks) {
     const Task& task = ref.GetTask();
-    if (task.m_phase == TaskPhase::kStarting) {
+    if (task.m_phase == TaskPhase::kStarting ||
+        task.m_phase == TaskPhase::kStopping) {
       StopTask(scheduler, now, ref, "worker_restarted");
-    } else if (task.m_phase != TaskPhase::kStopping) {
+    } else {
       RequeueLostTask(scheduler, now, ref, "worker_restarted");
     }
   }
@@ -255,6 +257,21 @@
   }
 }
 
+/// Repeats stops whose order was given up without an answer. Without one, a
+/// task that the worker does not list keeps its resources.
+void RepeatUnansweredStops(Scheduler& scheduler, TimePoint now,
+                           WorkerIndex index) {
+  const std::vector<TaskRef> tasks = scheduler.m_workers[index].m_tasks;
+  for (const TaskRef& ref : tasks) {
+    const Task& task = ref.GetTask();
+    if (task.m_phase == TaskPhase::kStopping &&
+        task.m_order_confirmed_at == TimePoint::max() &&
+        now - task.m_since > kStopRetryInterval) {
+      StopTask(scheduler, now, ref, "stop_unanswered");
+    }
+  }
+}
+
 }  // namespace
 
 WorkerIndex RegisterWorker(Scheduler& scheduler, TimePoint now,
@@ -329,6 +346,7 @@
   }
   CountUnwantedRuns(scheduler, index, status);
   RequeueMissingRuns(scheduler, sent, now, index, status);
+  RepeatUnansweredStops(scheduler, now, index);
 }
 
 void HandlePollFailure(Scheduler& scheduler, TimePoint now, WorkerIndex index,
@@ -406,6 +424,18 @@
   }
 }
 
+bool IsStopAnswered(Scheduler& scheduler, WorkerIndex index,
+                    const StopOrder& order) {
+  const TaskRef ref = FindTask(scheduler, order.m_task);
+  if (!ref) {
+    return false;
+  }
+  const Task& task = ref.GetTask();
+  return task.m_worker == index && task.m_run == order.m_run.Value() &&
+         task.m_phase == TaskPhase::kStopping &&
+         task.m_order_confirmed_at != TimePoint::max();
+}
+
 void AcknowledgeStoredRuns(Scheduler& scheduler) {
   for (Worker& worker : scheduler.m_workers) {
     AcknowledgeStored(scheduler, worker);
--- a/filbertspar/scheduler/src/workers.h
+++ b/filbertspar/scheduler/src/workers.h
@@ -38,6 +38,11 @@
 void HandleStopResponse(Scheduler& scheduler, TimePoint now, WorkerIndex index,
                         const StopOrder& order, const OrderResponse& response);
 
+/// \brief Whether a stop of the task's run was answered, so that it need not be
+/// sent again.
+bool IsStopAnswered(Scheduler& scheduler, WorkerIndex index,
+                    const StopOrder& order);
+
 /// \brief Advances, for every worker, the number up to which it may discard
 /// finished runs because their effects are stored.
 void AcknowledgeStoredRuns(Scheduler& scheduler);
