Large gangs and jobs of many steps: linear starts, job rows in parts

Cause: the start of each member looked at all members, and a task's release searched its worker's list; the row of a job had to fit into one row of the store.

Ruled out: the placement of the gang, which is linear.

Change: the room of a gang is looked at once for all starts that are due, a task knows its place in its worker's list, and jobs take several rows like their progress.

--- a/filbertspar/journal/src/row_parts.cc
+++ b/filbertspar/journal/src/row_parts.cc
@@ -24,6 +24,19 @@
 
 }  // namespace
 
+std::size_t MaxPartBytes(std::int64_t row_bytes) {
+  constexpr std::int64_t kMinPartBytes = 512;
+  return static_cast<std::size_t>(
+      std::max(kMinPartBytes, (row_bytes - 4) / 4 * 3));
+}
+
+std::size_t MaxValueBytes(std::size_t max_part_bytes) {
+  /// Leaves room for the other entries and bytes of a transaction.
+  constexpr std::size_t kMaxParts = 80;
+  constexpr std::size_t kMaxBytes = 600'000;
+  return std::min(kMaxBytes, kMaxParts * max_part_bytes);
+}
+
 std::size_t CountParts(std::size_t bytes, std::size_t max_bytes) {
   return std::max<std::size_t>(1, (bytes + max_bytes - 1) / max_bytes);
 }
--- a/filbertspar/journal/src/row_parts.h
+++ b/filbertspar/journal/src/row_parts.h
@@ -9,6 +9,13 @@
 
 namespace filbertspar {
 
+/// \brief Largest part that a row takes whose value may have `row_bytes` as
+/// base64.
+std::size_t MaxPartBytes(std::int64_t row_bytes);
+
+/// \brief Largest value that fits, in parts, into one transaction.
+std::size_t MaxValueBytes(std::size_t max_part_bytes);
+
 /// \brief Number of rows of `max_bytes` that a value of `bytes` takes, at least
 /// one.
 std::size_t CountParts(std::size_t bytes, std::size_t max_bytes);
--- a/filbertspar/node/src/job_api.cc
+++ b/filbertspar/node/src/job_api.cc
@@ -116,10 +116,9 @@
   job->m_received_ms = ToMilliseconds(UnixNow());
   m_relay.Keep(job->m_id, job->m_payload);
   std::string row = EncodeJob(*job);
-  // The store encodes row values as base64.
-  if (row.size() * 4 / 3 + 4 > m_max_row_bytes) {
+  if (row.size() > m_max_job_bytes) {
     return Error(Code::kBodyTooLarge,
-                 "the job does not fit a row of the store");
+                 "the job does not fit into a transaction of the store");
   }
   return row;
 }
--- a/filbertspar/node/src/job_api.h
+++ b/filbertspar/node/src/job_api.h
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "filbertspar/http/http.h"
+#include "filbertspar/journal/journal.h"
 #include "filbertspar/node/src/configuration.h"
 #include "filbertspar/node/src/router.h"
 #include "filbertspar/node/src/start_relay.h"
@@ -14,13 +15,13 @@
 class JobApi {
  public:
   JobApi(Configuration& configuration, Router& router, StartRelay& relay,
-         MetricsBook& metrics, EventLog& log, std::size_t row_bytes)
+         MetricsBook& metrics, EventLog& log, std::int64_t row_bytes)
       : m_configuration(configuration),
         m_router(router),
         m_relay(relay),
         m_metrics(metrics),
         m_log(log),
-        m_max_row_bytes(row_bytes) {}
+        m_max_job_bytes(MaxValueBytes(MaxPartBytes(row_bytes))) {}
 
   asio::awaitable<HttpResponse> Handle(const HttpRequest& request);
 
@@ -44,8 +45,8 @@
   StartRelay& m_relay;
   MetricsBook& m_metrics;
   EventLog& m_log;
-  /// Largest value of a row in the store, in bytes after base64 encoding.
-  std::size_t m_max_row_bytes;
+  /// Largest encoded job that the store takes, in several rows.
+  std::size_t m_max_job_bytes;
 };
 
 }  // namespace filbertspar
--- a/filbertspar/node/src/journal.cc
+++ b/filbertspar/node/src/journal.cc
@@ -64,20 +64,23 @@
 /// time within which the owner's row must change.
 constexpr Duration kMaxWriteTimeOnLink = Milliseconds(150);
 
-StoreKey JobKey(const char* table, const JobId& id) {
-  return {table, job_table::kPartition, id.Value()};
+StoreKey KeyOf(const char* table, const JobId& id, std::size_t part) {
+  return {table, job_table::kPartition, PartKey(id.Value(), part)};
 }
 
-StoreKey ProgressKey(const JobId& id, std::size_t part) {
-  return {job_table::kProgress, job_table::kPartition,
-          PartKey(id.Value(), part)};
+std::size_t FindParts(const absl::flat_hash_map<JobId, std::size_t>& parts,
+                      const JobId& id) {
+  const auto found = parts.find(id);
+  return found == parts.end() ? 1 : found->second;
 }
 
-/// Bytes of a value that take `row_bytes` as base64.
-std::size_t MaxPartBytes(std::int64_t row_bytes) {
-  constexpr std::int64_t kMinPartBytes = 512;
-  return static_cast<std::size_t>(
-      std::max(kMinPartBytes, (row_bytes - 4) / 4 * 3));
+void SetParts(absl::flat_hash_map<JobId, std::size_t>& parts, const JobId& id,
+              std::size_t count) {
+  if (count > 1) {
+    parts[id] = count;
+  } else {
+    parts.erase(id);
+  }
 }
 
 }  // namespace
@@ -124,28 +127,33 @@
          batch.m_bytes < m_max_bytes;
 }
 
-std::size_t Journal::PartsOf(const JobId& job) const {
-  const auto found = m_progress_parts.find(job);
-  return found == m_progress_parts.end() ? 1 : found->second;
+void Journal::SetJobParts(const JobId& job, std::size_t parts) {
+  SetParts(m_job_parts, job, parts);
 }
 
 void Journal::SetProgressParts(const JobId& job, std::size_t parts) {
-  if (parts > 1) {
-    m_progress_parts[job] = parts;
-  } else {
-    m_progress_parts.erase(job);
-  }
+  SetParts(m_progress_parts, job, parts);
 }
 
 void Journal::AddJobs(Batch& batch) {
   while (!m_unsent_jobs.empty() && HasRoom(batch)) {
     const auto job = m_unsent_jobs.front();
+    const std::string row = EncodeJob(job->m_spec);
+    const std::vector<std::string> parts = SplitValue(row, m_max_part_bytes);
+    const std::size_t bytes = batch.m_bytes + row.size();
+    if (batch.CountItems() > 0 &&
+        (batch.m_change.EntryCount() + parts.size() > kMaxEntries ||
+         bytes > m_max_bytes)) {
+      break;
+    }
     m_unsent_jobs.pop_front();
-    std::string row = EncodeJob(job->m_spec);
-    batch.m_bytes += row.size();
-    batch.m_change.m_writes.push_back(
-        {JobKey(job_table::kJobs, job->m_spec.m_id), std::move(row)});
+    batch.m_bytes = bytes;
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+      batch.m_change.m_writes.push_back(
+          {KeyOf(job_table::kJobs, job->m_spec.m_id, i), parts[i]});
+    }
     batch.m_jobs.push_back(job);
+    batch.m_job_parts.push_back(parts.size());
   }
 }
 
@@ -160,7 +168,12 @@
     const std::vector<std::string> parts =
         SplitValue(write.m_progress, m_max_part_bytes);
     // Beside its parts: rows of parts that it no longer has, and the job's row.
-    const std::size_t entries = std::max(parts.size(), PartsOf(write.m_id)) + 1;
+    const std::size_t stored_parts = FindParts(m_progress_parts, write.m_id);
+    const bool is_over = IsFinal(write.m_state) && !write.m_has_runs;
+    const std::size_t job_parts =
+        is_over ? FindParts(m_job_parts, write.m_id) : 0;
+    const std::size_t entries =
+        std::max(parts.size(), stored_parts) + job_parts;
     const std::size_t bytes = batch.m_bytes + write.m_progress.size();
     // One that is too large even alone is left to the store to reject.
     if (!is_alone &&
@@ -171,13 +184,14 @@
     is_alone = false;
     batch.m_bytes = bytes;
     for (std::size_t i = 0; i < parts.size(); ++i) {
-      change.m_writes.push_back({ProgressKey(write.m_id, i), parts[i]});
+      change.m_writes.push_back(
+          {KeyOf(job_table::kProgress, write.m_id, i), parts[i]});
     }
-    for (std::size_t i = parts.size(); i < PartsOf(write.m_id); ++i) {
-      change.m_deletes.push_back(ProgressKey(write.m_id, i));
+    for (std::size_t i = parts.size(); i < stored_parts; ++i) {
+      change.m_deletes.push_back(KeyOf(job_table::kProgress, write.m_id, i));
     }
-    if (IsFinal(write.m_state) && !write.m_has_runs) {
-      change.m_deletes.push_back(JobKey(job_table::kJobs, write.m_id));
+    for (std::size_t i = 0; i < job_parts; ++i) {
+      change.m_deletes.push_back(KeyOf(job_table::kJobs, write.m_id, i));
     }
     return true;
   };
@@ -188,11 +202,13 @@
 
 void Journal::AddRemovals(Batch& batch) {
   while (!m_removed_jobs.empty() && HasRoom(batch) &&
-         batch.m_change.EntryCount() + PartsOf(m_removed_jobs.front()) <=
+         batch.m_change.EntryCount() +
+                 FindParts(m_progress_parts, m_removed_jobs.front()) <=
              kMaxEntries) {
     const JobId& job = m_removed_jobs.front();
-    for (std::size_t i = 0; i < PartsOf(job); ++i) {
-      batch.m_change.m_deletes.push_back(ProgressKey(job, i));
+    const std::size_t parts = FindParts(m_progress_parts, job);
+    for (std::size_t i = 0; i < parts; ++i) {
+      batch.m_change.m_deletes.push_back(KeyOf(job_table::kProgress, job, i));
     }
     batch.m_removed_jobs.push_back(job);
     m_removed_jobs.pop_front();
@@ -233,11 +249,15 @@
 
 void Journal::HandleStored(const Batch& batch) {
   HandleBatchStored(m_rejections, batch.CountItems());
-  for (const auto& job : batch.m_jobs) {
-    m_hooks.m_accepted(job->m_spec);
-    Finish(job, Code::kOk);
+  for (std::size_t i = 0; i < batch.m_jobs.size(); ++i) {
+    SetJobParts(batch.m_jobs[i]->m_spec.m_id, batch.m_job_parts[i]);
+    m_hooks.m_accepted(batch.m_jobs[i]->m_spec);
+    Finish(batch.m_jobs[i], Code::kOk);
   }
   for (const scheduler::JobWrite& write : batch.m_progress) {
+    if (IsFinal(write.m_state) && !write.m_has_runs) {
+      SetJobParts(write.m_id, 0);
+    }
     SetProgressParts(write.m_id,
                      CountParts(write.m_progress.size(), m_max_part_bytes));
   }
--- a/filbertspar/node/src/journal.h
+++ b/filbertspar/node/src/journal.h
@@ -57,7 +57,8 @@
   /// rejected the row.
   asio::awaitable<Code> Accept(JobSpec spec, Duration wait);
 
-  /// \brief Records that the stored progress of a job takes several rows.
+  /// \brief Number of rows that a stored job, or its progress, takes.
+  void SetJobParts(const JobId& job, std::size_t parts);
   void SetProgressParts(const JobId& job, std::size_t parts);
 
   /// \brief Deletes the progress rows of expired jobs with the next writes.
@@ -103,6 +104,8 @@
   struct Batch {
     StoreTransaction m_change;
     std::vector<std::shared_ptr<PendingJob>> m_jobs;
+    /// Number of rows of each of them.
+    std::vector<std::size_t> m_job_parts;
     std::vector<scheduler::JobWrite> m_progress;
     std::vector<JobId> m_removed_jobs;
     std::map<StoreKey, PendingPut> m_puts;
@@ -122,7 +125,6 @@
   void AddProgress(Batch& batch);
   void AddRemovals(Batch& batch);
   void AddPuts(Batch& batch);
-  std::size_t PartsOf(const JobId& job) const;
   void HandleStored(const Batch& batch);
   /// \brief Takes back what the store rejected, to be sent again in smaller
   /// batches, without the item that is found to be at fault.
@@ -155,7 +157,9 @@
   /// Largest value of a row, before its encoding for the store.
   std::size_t m_max_part_bytes;
   RejectionSearch m_rejections;
-  /// Number of stored rows of each job whose progress takes several.
+  /// Number of stored rows of each job, and of its progress, if there are
+  /// several.
+  absl::flat_hash_map<JobId, std::size_t> m_job_parts;
   absl::flat_hash_map<JobId, std::size_t> m_progress_parts;
   /// Large progress found no room in the last batch and goes first in the next.
   bool m_progress_goes_first = false;
--- a/filbertspar/node/src/node.cc
+++ b/filbertspar/node/src/node.cc
@@ -107,7 +107,7 @@
                       }),
         m_router(m_watch, m_link_client, [this] { return m_owner_term; }),
         m_job_api(m_configuration, m_router, m_relay, m_metrics, m_log,
-                  static_cast<std::size_t>(m_options.m_max_row_bytes)),
+                  m_options.m_max_row_bytes),
         m_callers(context, ServerLimits(),
                   [this](const HttpRequest& request) {
                     return m_job_api.Handle(request);
--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -255,14 +255,16 @@
     }
   }
   const TimePoint now = BootNow();
-  for (const StoreRow& row : jobs.m_rows) {
-    absl::StatusOr<JobSpec> spec = DecodeJob(row.m_value);
-    if (!spec.ok()) {
+  for (const auto& [key, joined] : JoinParts(jobs.m_rows)) {
+    m_journal->SetJobParts(JobId(key), joined.m_parts);
+    absl::StatusOr<JobSpec> spec = DecodeJob(joined.m_value);
+    if (!spec.ok() || !joined.m_is_complete) {
       m_parts.m_log.Warn("owner", "job_unreadable",
-                         absl::StrCat("job=", row.m_key.m_key));
+                         absl::StrCat("job=", key, " parts=", joined.m_parts,
+                                      " complete=", joined.m_is_complete));
       continue;
     }
-    const auto found = known.find(row.m_key.m_key);
+    const auto found = known.find(key);
     scheduler::RestoreJob(m_scheduler, now, *std::move(spec),
                           found == known.end() ? JobProgress() : found->second);
   }
--- a/filbertspar/scheduler/src/starts.cc
+++ b/filbertspar/scheduler/src/starts.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "filbertspar/scheduler/src/crashes.h"
 #include "filbertspar/scheduler/src/jobs.h"
 #include "filbertspar/scheduler/src/placement.h"
@@ -35,23 +36,32 @@
   return FitsIn(ResourceVector(), FreeOn(scheduler.m_workers[task.m_worker]));
 }
 
+/// Whether there is room for each gang of which a member was looked at.
+using GangRoom = absl::flat_hash_map<const Step*, bool>;
+
 /// Whether the worker still has room for the placed task. The members of a gang
 /// are started together or not at all.
-bool HasRoomToStart(const Scheduler& scheduler, const TaskRef& ref) {
+bool HasRoomToStart(const Scheduler& scheduler, const TaskRef& ref,
+                    GangRoom& gangs) {
   if (!ref.Spec().m_gang) {
     return HasRoom(scheduler, ref.GetTask());
   }
-  const std::vector<Task>& members = ref.GetStep().m_tasks;
-  return std::all_of(members.begin(), members.end(), [&](const Task& member) {
-    return member.m_worker != kNoWorker &&
-           (MayRun(member) || HasRoom(scheduler, member));
-  });
+  const auto [found, is_new] = gangs.try_emplace(&ref.GetStep(), false);
+  if (is_new) {
+    const std::vector<Task>& members = ref.GetStep().m_tasks;
+    found->second =
+        std::all_of(members.begin(), members.end(), [&](const Task& member) {
+          return member.m_worker != kNoWorker &&
+                 (MayRun(member) || HasRoom(scheduler, member));
+        });
+  }
+  return found->second;
 }
 
 /// Sends a planned start unless its task was stopped or lost in the meantime,
 /// or the worker has no room for it any more.
 void IssuePlannedStart(Scheduler& scheduler, TimePoint now,
-                       const PlannedStart& planned) {
+                       const PlannedStart& planned, GangRoom& gangs) {
   const TaskRef ref = FindTask(scheduler, planned.m_task);
   if (!ref || ref.GetTask().m_phase != TaskPhase::kStarting ||
       ref.GetTask().m_run != planned.m_run ||
@@ -60,7 +70,7 @@
   }
   if (ref.m_job->m_is_rejected) {
     RequeueLostTask(scheduler, now, ref, "not_recorded");
-  } else if (HasRoomToStart(scheduler, ref)) {
+  } else if (HasRoomToStart(scheduler, ref, gangs)) {
     IssueStart(scheduler, now, ref, planned.m_worker);
   } else {
     RequeueLostTask(scheduler, now, ref, "capacity_shrank");
@@ -109,11 +119,12 @@
 
 void IssueRecordedStarts(Scheduler& scheduler, TimePoint now) {
   const std::uint64_t stored = LastStoredChange(scheduler);
+  GangRoom gangs;
   while (!scheduler.m_planned_starts.empty() &&
          scheduler.m_planned_starts.front().m_change <= stored) {
     const PlannedStart planned = scheduler.m_planned_starts.front();
     scheduler.m_planned_starts.pop_front();
-    IssuePlannedStart(scheduler, now, planned);
+    IssuePlannedStart(scheduler, now, planned, gangs);
   }
 }
 
@@ -127,11 +138,12 @@
       scheduler.m_planned_starts.back().m_change;
   std::deque<PlannedStart> planned_starts;
   std::swap(planned_starts, scheduler.m_planned_starts);
+  GangRoom gangs;
   for (const PlannedStart& planned : planned_starts) {
     if (planned.m_must_be_recorded) {
       scheduler.m_planned_starts.push_back(planned);
     } else {
-      IssuePlannedStart(scheduler, now, planned);
+      IssuePlannedStart(scheduler, now, planned, gangs);
     }
   }
 }
--- a/filbertspar/scheduler/src/state.cc
+++ b/filbertspar/scheduler/src/state.cc
@@ -77,7 +77,9 @@
   ++ref.m_job->m_placed_tasks;
   ref.m_job->m_has_started = true;
   scheduler.m_workers[worker].m_used += ReservedDemand(ref.Spec());
-  scheduler.m_workers[worker].m_tasks.push_back(ref);
+  std::vector<TaskRef>& tasks = scheduler.m_workers[worker].m_tasks;
+  task.m_position_on_worker = static_cast<std::uint32_t>(tasks.size());
+  tasks.push_back(ref);
   scheduler.m_reserved[ref.m_job->m_spec->m_workspace] += ref.Spec().m_demand;
 }
 
@@ -88,11 +90,11 @@
   }
   Worker& worker = scheduler.m_workers[task.m_worker];
   worker.m_used -= ReservedDemand(ref.Spec());
-  const auto found =
-      std::find(worker.m_tasks.begin(), worker.m_tasks.end(), ref);
-  FS_ASSERT(found != worker.m_tasks.end(),
+  const std::uint32_t position = task.m_position_on_worker;
+  FS_ASSERT(position < worker.m_tasks.size() && worker.m_tasks[position] == ref,
             "a worker lists every task placed on it");
-  *found = worker.m_tasks.back();
+  worker.m_tasks[position] = worker.m_tasks.back();
+  worker.m_tasks[position].GetTask().m_position_on_worker = position;
   worker.m_tasks.pop_back();
   scheduler.m_reserved[ref.m_job->m_spec->m_workspace] -= ref.Spec().m_demand;
   task.m_worker = kNoWorker;
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -39,6 +39,8 @@
   TaskPhase m_phase = TaskPhase::kWaiting;
   /// Worker on which the task starts, runs or stops.
   WorkerIndex m_worker = kNoWorker;
+  /// Position in the list of that worker's tasks.
+  std::uint32_t m_position_on_worker = 0;
   /// Number of the last start; 0 before the first.
   std::uint64_t m_run = 0;
   /// Numbers of the runs that were counted as failed.
--- a/tests/journal_rows_test.cc
+++ b/tests/journal_rows_test.cc
@@ -42,6 +42,19 @@
   }
 }
 
+// Guards against a job that the pages allow and that fits no transaction.
+TEST_CASE("the largest value fits into one transaction") {
+  constexpr std::size_t kTransactionBytes = 1'000'000;
+  constexpr std::size_t kTransactionEntries = 100;
+  for (const std::int64_t row_bytes : {1024, 4096, 65536, 1 << 20}) {
+    const std::size_t part_bytes = MaxPartBytes(row_bytes);
+    const std::size_t value_bytes = MaxValueBytes(part_bytes);
+    CHECK((part_bytes + 2) / 3 * 4 <= static_cast<std::size_t>(row_bytes));
+    CHECK(CountParts(value_bytes, part_bytes) < kTransactionEntries - 10);
+    CHECK(value_bytes / 3 * 4 < kTransactionBytes - 100'000);
+  }
+}
+
 // Guards against progress without its middle that is taken for complete.
 TEST_CASE("a value with a missing part is reported") {
   std::vector<StoreRow> rows = RowsOf("job", "0123456789", 3);
--- a/tests/scheduler_large_jobs_test.cc
+++ b/tests/scheduler_large_jobs_test.cc
@@ -104,6 +104,28 @@
   CHECK(simulation.m_starts.size() == kTasks);
 }
 
+// Guards against a gang whose start takes the square of its members.
+TEST_CASE("a large gang starts, ends and frees its resources") {
+  constexpr std::uint32_t kMembers = 1000;
+  Simulation simulation;
+  for (int i = 0; i < 4; ++i) {
+    simulation.AddWorker("w" + std::to_string(i), "p", 64);
+  }
+  simulation.RunFor(Seconds(1));
+  JobSpec job = Simulation::MakeJob("gang", "p", kMembers, Seconds(1), 1);
+  job.m_steps[0].m_gang = true;
+  job.m_steps[0].m_demand.m_memory = Megabytes(0);
+  REQUIRE(simulation.Submit(job));
+  simulation.RunFor(Milliseconds(100));
+  CHECK(simulation.m_starts.size() == kMembers);
+  simulation.RunFor(Seconds(2));
+  CHECK(simulation.StateOfJob("gang") == JobState::kCompleted);
+  for (const Worker& worker : simulation.m_owner->m_workers) {
+    CHECK(worker.m_tasks.empty());
+    CHECK(worker.m_used == ResourceVector());
+  }
+}
+
 // Guards against accepted jobs that fill the owner's memory, and against a full
 // memory that stays full.
 TEST_CASE("jobs are refused while memory is full, and taken again later") {
