Soak: limits of the store, rejected transactions, wide and overdue jobs

A new fault rejects 30% of transactions for seconds. Callers send jobs of up to 2,500 tasks and of up to 1,500 overdue occurrences. The ceiling check adds up what starts and ends instead of going over all tasks that ever ran; it is as strict.

The planted violation 'copy' raised an error since run_started takes the payload; mended.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,6 +8,7 @@
 
 CALL_S = 4.0
 ATTEMPTS = 6
+WIDE_SHARE, OVERDUE_SHARE = 0.01, 0.02
 
 
 class Job:
@@ -22,11 +23,25 @@
         # Its first task crashes each worker this long after its start.
         self.crashes_after = rng.uniform(0.01, 0.3) if not self.is_poison and rng.random() < 0.04 else None
         self.attempts = queue.attempts
+        # Occurrences of a timed job, all of them overdue.
+        self.times = 0
+        if not self.lasts and not self.is_poison and self.crashes_after is None:
+            self._enlarge(rng)
         # As long as a usual payload, and no other job's.
         self.spec = f"{self.id} " + "x" * rng.randint(500, 2500)
         self.is_cancelled = False
         self.accepted_at = None
 
+    def _enlarge(self, rng):
+        """Makes a few jobs wide, or timed and overdue."""
+        kind = rng.random()
+        if kind < WIDE_SHARE:
+            self.width, self.steps = rng.randint(300, 2500), 1
+            self.seconds, self.cpu = rng.uniform(0.2, 2), rng.choice([1, 5, 10])
+        elif kind < WIDE_SHARE + OVERDUE_SHARE:
+            self.width, self.steps, self.times = 1, 1, rng.randint(50, 1500)
+            self.seconds, self.cpu = 0.1, 50
+
     def body(self):
         steps = []
         for number in range(1 if self.lasts else self.steps):
@@ -37,7 +52,9 @@
             if self.lasts:
                 step["long_running"] = True
             steps.append(step)
-        return {"spec": self.spec, "steps": steps}
+        timed = {"times": self.times, "interval_ms": 10,
+                 "start_at_ms": int(time.time() * 1000) - 10 * self.times} if self.times else {}
+        return {"spec": self.spec, "steps": steps} | timed
 
 
 class Jobs:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -60,7 +60,7 @@
 async def harm_store(site, rng):
     if site.store.fault is not None:
         return
-    site.store.fault = rng.choice(["down", "silent", "slow", "lost"])
+    site.store.fault = rng.choice(["down", "silent", "slow", "lost", "rejects"])
     await asyncio.sleep(rng.uniform(1, 5))
     site.store.fault = None
     site.store_calm_since = time.monotonic()
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -7,7 +7,7 @@
 
 BREAKS = {"copy": "one-run", "refusal": "true-refusal", "ceiling": "ceiling", "revoked": "revocation",
           "route": "configuration", "attempts": "attempts", "lost": "kept", "holder": "one-holder",
-          "cut": "graceful-stop", "payload": "payload", "crashes": "crashes", "capacity": "capacity"}
+          "cut": "graceful-stop", "payload": "payload", "crashes": "crashes", "capacity": "capacity", "limits": "store-limits"}
 NAMES = sorted(BREAKS)
 
 
@@ -18,6 +18,8 @@
     elif plant == "attempts":
         for queue in site.config.queues:
             queue.attempts = 30
+    elif plant == "limits":
+        site.store.row_bytes = 400
     elif plant == "refusal":
         submitted = site.promises.submitted
         site.promises.submitted = lambda job, outcome: submitted(job, "refused" if outcome == "accepted" else outcome)
@@ -30,7 +32,8 @@
     if plant == "copy":
         for vm in site.fleet.vms.values():
             for run in list(vm.worker.running.values()):
-                site.promises.run_started(run.task, run.number + 1, "phantom", vm.pool)
+                site.promises.run_started(run.task, run.number + 1, "phantom", vm.pool,
+                                           site.jobs.of_task(run.task).spec)
     elif plant == "revoked":
         key = site.config.keys["team-1"][0]
         await site.probe_revoked(key, 0)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -15,6 +15,7 @@
         self.violations = []
         self.checks = defaultdict(int)
         self._running = defaultdict(dict)
+        self._held = defaultdict(int)
         self._done_noted = set()
         self._failed_noted = defaultdict(set)
         self.failed_runs = defaultdict(set)
@@ -33,6 +34,8 @@
 
     def run_started(self, task, number, worker, pool, spec):
         job = self.jobs.of_task(task)
+        if (worker, number) not in self._running[task]:
+            self._held[job.workspace] += job.cpu
         self._running[task][(worker, number)] = time.monotonic()
         self.check(len(self._running[task]) == 1, "one-run",
                    f"{task} runs as {sorted(self._running[task])}")
@@ -44,8 +47,7 @@
                    f"{task} runs, its job was {submit or 'never sent'}")
         self.check(pool == job.queue.pool, "placement", f"{task} runs in {pool}, its queue is of {job.queue.pool}")
         self.check(spec == job.spec, "payload", f"{task} was started with another job's payload")
-        held = sum(self.jobs.of_task(each).cpu * len(runs) for each, runs in self._running.items()
-                   if runs and self.jobs.of_task(each).workspace == job.workspace)
+        held = self._held[job.workspace]
         ceiling = self.ceilings[job.workspace]
         self.check(held <= ceiling * CEILING_SLACK + job.cpu, "ceiling",
                    f"{job.workspace} has {held} running, its ceiling is {ceiling}")
@@ -64,7 +66,9 @@
     def run_ended(self, task, number, worker, how):
         if how == "failed":
             self.failed_runs[task].add(number)
-        self._running[task].pop((worker, number), None)
+        if self._running[task].pop((worker, number), None) is not None:
+            job = self.jobs.of_task(task)
+            self._held[job.workspace] -= job.cpu
 
     def end_noted(self, task, number, how):
         if how == "done":
--- a/soak/site.py
+++ b/soak/site.py
@@ -63,6 +63,7 @@
         self.config = Config()
         self.promises.ceilings = self.config.ceiling_cpu
         self.store = Store(self._rng)
+        self.store.on_transaction = lambda holds, sizes: self.promises.check(holds, "store-limits", sizes)
         self.store_calm_since = time.monotonic()
         self.promises.reports_harmed_at = lambda: (
             time.monotonic() if self.store.fault is not None or any(node.store_path.mode != "open" for node in self.nodes)
--- a/soak/store.py
+++ b/soak/store.py
@@ -10,6 +10,9 @@
 
 LONGEST_FEED_S = 30
 LIST_LIMIT = 500
+ROW_BYTES = 65536
+TRANSACTION_ENTRIES, TRANSACTION_BYTES = 100, 1_000_000
+REJECTED_SHARE = 0.3
 
 
 class Store:
@@ -23,6 +26,9 @@
         self._changed = asyncio.Condition()
         self.fault = None
         self.answer_s = 0.004
+        self.row_bytes = ROW_BYTES
+        # Called with whether a transaction keeps the limits, and with its sizes.
+        self.on_transaction = lambda is_within_limits, sizes: None
         self.server = Server(self._handle)
 
     async def _handle(self, method, path, headers, body):
@@ -38,6 +44,8 @@
             if lost and self._rng.random() < 0.5:
                 asyncio.get_running_loop().call_later(self._rng.uniform(0.5, 3), self._apply, body)
                 raise Dropped
+            if self.fault == "rejects" and self._rng.random() < REJECTED_SHARE:
+                return 400, {}
             status, answer = self._apply(body)
         elif url.path == "/rows-get":
             status, answer = 200, self._read(query)
@@ -56,6 +64,8 @@
 
     def _apply(self, body):
         """One transaction: all of its entries or none."""
+        if not self._is_within_limits(body):
+            return 400, {}
         for condition in body["expected_revision"]:
             current = self.rows.get(self._place(condition))
             if (current[1] if current else 0) != condition["schema_version"]:
@@ -66,6 +76,14 @@
         self.write(changes)
         return 200, {}
 
+    def _is_within_limits(self, body):
+        entries = sum(len(body[kind]) for kind in ("expected_revision", "set_keys", "remove"))
+        largest = max((len(base64.b64decode(row["value"])) for row in body["set_keys"]), default=0)
+        size = len(json.dumps(body, separators=(",", ":")))
+        within = entries <= TRANSACTION_ENTRIES and largest <= self.row_bytes and size <= TRANSACTION_BYTES
+        self.on_transaction(within, f"{entries} entries, {size} bytes, largest value {largest}")
+        return within
+
     def write(self, changes):
         self.version += 1
         for place, value in changes:
