A wave is complete only once its definition was read

Seen by operators: a wave was said to be completed by an owner that had started while the store was away, with machines of it that had not begun.

Cause: the stored progress of a wave created the wave with its done VMs only, so that an owner that had not read the table of waves took it for complete.

Ruled out: the stored progress, which is right.

Change: a wave known from its progress alone is not planned, has no status and is not complete.

Test: 'a wave of which only the progress is known is not complete', which failed with the check taken out.

--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -450,8 +450,8 @@
 asio::awaitable<void> VmManager::WriteWaveStatus() {
   for (auto& [number, wave] : m_upkeep_state.m_waves) {
     const bool complete = upkeep::IsComplete(m_upkeep_state, wave, BootNow());
-    if (wave.m_completed_stored || !m_hooks.m_is_confirmed() ||
-        (!complete && wave.m_running_stored)) {
+    if (!wave.m_is_defined || wave.m_completed_stored ||
+        !m_hooks.m_is_confirmed() || (!complete && wave.m_running_stored)) {
       continue;
     }
     StoreTransaction change;
--- a/filbertspar/upkeep/src/plan.cc
+++ b/filbertspar/upkeep/src/plan.cc
@@ -75,6 +75,7 @@
     if (wave.m_started_at == TimePoint{}) {
       wave.m_started_at = now;
     }
+    wave.m_is_defined = true;
     wave.m_spec = spec;
     for (const VmName& vm : spec.m_vms) {
       wave.m_vms.try_emplace(vm);
@@ -136,7 +137,8 @@
 }
 
 bool IsComplete(const State& state, const Wave& wave, TimePoint now) {
-  return std::all_of(wave.m_vms.begin(), wave.m_vms.end(),
+  return wave.m_is_defined &&
+         std::all_of(wave.m_vms.begin(), wave.m_vms.end(),
                      [&](const auto& entry) {
                        return entry.second.m_phase == Phase::kDown ||
                               entry.second.m_phase == Phase::kDone ||
@@ -154,6 +156,9 @@
     pool_unavailable[vm.m_pool] += vm.m_state != VmStatus::kUp;
   }
   for (auto& [number, wave] : state.m_waves) {
+    if (!wave.m_is_defined) {
+      continue;
+    }
     RefreshProgress(state, wave, now);
     std::vector<std::pair<double, VmName>> candidates;
     std::size_t down = CountDownVms(state, wave);
--- a/filbertspar/upkeep/src/plan.h
+++ b/filbertspar/upkeep/src/plan.h
@@ -48,7 +48,7 @@
               const std::function<VmLoad(const VmRecord&)>& load_of);
 
 /// \brief Whether the upkeep of every VM of the wave that still exists has
-/// begun.
+/// begun. False while the definition of the wave was not read.
 bool IsComplete(const State& state, const Wave& wave, TimePoint now);
 
 }  // namespace filbertspar::upkeep
--- a/filbertspar/upkeep/src/state.h
+++ b/filbertspar/upkeep/src/state.h
@@ -34,6 +34,9 @@
 };
 
 struct Wave {
+  /// Whether m_spec was read. Before that only some of its VMs are known, from
+  /// the stored progress.
+  bool m_is_defined = false;
   /// The wave as defined by the operators.
   UpkeepWave m_spec;
   /// When this owner first planned the wave.
--- a/tests/upkeep_plan_test.cc
+++ b/tests/upkeep_plan_test.cc
@@ -133,5 +133,25 @@
   CHECK_FALSE(DecodeOrderTimes("{\"a\":\"b\"}").ok());
 }
 
+// Guards against a wave that is reported as completed by an owner that has read
+// what was done and not yet what the wave is (review/further).
+TEST_CASE("a wave of which only the progress is known is not complete") {
+  State state;
+  MarkDone(state, 1, {VmName("m0"), VmName("m1")});
+  UpdateVms(state, kStart, kStart, {MakeVm("m0", "p"), MakeVm("m2", "p")});
+  CHECK_FALSE(IsComplete(state, state.m_waves[1], kStart));
+  const Plan plan =
+      MakePlan(state, kStart, [](const VmRecord&) { return VmLoad(); });
+  CHECK(plan.m_draining.empty());
+  UpkeepWave wave;
+  wave.m_number = 1;
+  wave.m_vms = {VmName("m0"), VmName("m1"), VmName("m2")};
+  wave.m_max_down = 1;
+  UpdateWaves(state, kStart, {{1, wave}});
+  CHECK_FALSE(IsComplete(state, state.m_waves[1], kStart));
+  MarkDone(state, 1, {VmName("m2")});
+  CHECK(IsComplete(state, state.m_waves[1], kStart));
+}
+
 }  // namespace
 }  // namespace filbertspar::upkeep
