The times of orders to VMs survive any number of owners

Cause: each owner wrote the row of order times from the orders of its own term only, so that the second owner's first order dropped those of the first.

Ruled out: the waiting of an owner, which follows the row.

Change: an owner takes over the stored times. An unreadable row counts as orders for all VMs. An order is sent no later than 0.3 s after the time recorded for it, from which the next owner counts; a slow write could delay it by 1 s.

--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -31,6 +31,9 @@
 /// Added to the holder's time to live, within which two holders must not
 /// alternate in sending orders.
 constexpr Duration kHolderTtlMargin = Milliseconds(400);
+/// An order is not sent later than this after the time recorded for it; the
+/// rest of the margin covers the reading of the store's clock.
+constexpr Duration kMaxRecordAge = Milliseconds(300);
 /// A VM list may show a state that is this much older than the request.
 constexpr Duration kMaxListLag = Seconds(1);
 /// A worker whose VM was ordered to move gets no tasks for this long; by then
@@ -65,6 +68,7 @@
 bool VmManager::CanSendOrder(const VmName& vm) const {
   const auto found = m_no_orders_until.find(vm);
   return m_running && m_hooks.m_is_confirmed() &&
+         BootNow() >= m_no_orders_before &&
          (found == m_no_orders_until.end() || BootNow() >= found->second);
 }
 
@@ -75,17 +79,17 @@
   const std::int64_t now_ms = m_parts.m_store.ClockMs();
   const std::int64_t kept_ms =
       ToMilliseconds(m_parts.m_options.m_holder_ttl + kHolderTtlMargin);
-  std::erase_if(m_order_times_ms, [now_ms, kept_ms](const auto& entry) {
-    return now_ms - entry.second > kept_ms;
-  });
-  m_order_times_ms[vm] = now_ms;
+  upkeep::RecordOrderTime(m_order_times_ms, vm, now_ms, kept_ms);
+  const TimePoint recorded_at = BootNow();
   // A named variable, since g++ 12 destroys such temporaries in a co_await
   // expression twice.
   const StoreKey key{kOrderTable, job_table::kPartition, kOrderKey};
   std::string value = upkeep::EncodeOrderTimes(m_order_times_ms);
   const bool stored =
       co_await m_parts.m_journal.PutAndWait(key, std::move(value));
-  co_return stored&& CanSendOrder(vm);
+  // The next owner counts from the recorded time.
+  co_return stored&& CanSendOrder(vm) &&
+      BootNow() - recorded_at < kMaxRecordAge;
 }
 
 asio::awaitable<void> VmManager::Run() {
@@ -135,8 +139,11 @@
     if (!orders.ok()) {
       m_parts.m_log.Warn("vm", "orders_unreadable",
                          absl::StrCat("key=", row.m_key.m_key));
+      // There may have been an order for any VM.
+      m_no_orders_before = BootNow() + kept;
       continue;
     }
+    upkeep::MergeOrderTimes(m_order_times_ms, *orders);
     for (const auto& [vm, ordered_ms] : *orders) {
       const Duration age = Milliseconds(m_parts.m_store.ClockMs() - ordered_ms);
       m_no_orders_until[vm] = BootNow() + std::min(kept, kept - age);
--- a/filbertspar/node/src/vm_manager.h
+++ b/filbertspar/node/src/vm_manager.h
@@ -76,10 +76,11 @@
   /// Workers of VMs that were ordered to move, with the time of the order.
   std::map<WorkerName, TimePoint> m_moved_workers;
   /// Time of the last order to each VM, in milliseconds of the store's clock.
-  std::map<VmName, std::int64_t> m_order_times_ms;
+  upkeep::OrderTimes m_order_times_ms;
   /// VMs that a previous owner sent orders to recently, with the time until
   /// which they receive no more.
   std::map<VmName, TimePoint> m_no_orders_until;
+  TimePoint m_no_orders_before = TimePoint::min();
   TimePoint m_loads_logged_at = TimePoint::min();
   bool m_running = true;
 };
--- a/filbertspar/upkeep/src/state.cc
+++ b/filbertspar/upkeep/src/state.cc
@@ -1,5 +1,7 @@
 #include "filbertspar/upkeep/src/state.h"
 
+#include <algorithm>
+
 #include "filbertspar/json/json.h"
 
 namespace filbertspar::upkeep {
@@ -26,7 +28,22 @@
   return std::vector<VmName>(names.begin(), names.end());
 }
 
-std::string EncodeOrderTimes(const std::map<VmName, std::int64_t>& orders) {
+void MergeOrderTimes(OrderTimes& times, const OrderTimes& stored) {
+  for (const auto& [vm, ordered_ms] : stored) {
+    const auto [found, is_new] = times.try_emplace(vm, ordered_ms);
+    found->second = std::max(found->second, ordered_ms);
+  }
+}
+
+void RecordOrderTime(OrderTimes& times, const VmName& vm, std::int64_t now_ms,
+                     std::int64_t kept_ms) {
+  std::erase_if(times, [now_ms, kept_ms](const auto& entry) {
+    return now_ms - entry.second > kept_ms;
+  });
+  times[vm] = now_ms;
+}
+
+std::string EncodeOrderTimes(const OrderTimes& orders) {
   JsonObject object;
   for (const auto& [vm, ordered_ms] : orders) {
     object[vm.Value()] = ordered_ms;
@@ -34,13 +51,12 @@
   return ToText(object);
 }
 
-absl::StatusOr<std::map<VmName, std::int64_t>> DecodeOrderTimes(
-    std::string_view text) {
+absl::StatusOr<OrderTimes> DecodeOrderTimes(std::string_view text) {
   absl::StatusOr<JsonObject> object = ParseJsonObject(text);
   if (!object.ok()) {
     return object.status();
   }
-  std::map<VmName, std::int64_t> orders;
+  OrderTimes orders;
   for (const auto& field : *object) {
     if (!field.value().is_int64()) {
       return Error(Code::kBadField, "orders: expected whole numbers");
--- a/filbertspar/upkeep/src/state.h
+++ b/filbertspar/upkeep/src/state.h
@@ -74,11 +74,20 @@
 /// \brief Returns kBadField unless the text is a valid list of VMs.
 absl::StatusOr<std::vector<VmName>> DecodeDoneVms(std::string_view text);
 
-/// \brief JSON text of the time of the last order for each VM, in milliseconds
-/// of the store's clock.
-std::string EncodeOrderTimes(const std::map<VmName, std::int64_t>& orders);
+/// \brief Time of the last order for each VM, by any owner, in milliseconds of
+/// the store's clock.
+using OrderTimes = std::map<VmName, std::int64_t>;
+
+/// \brief Adds the times that previous owners stored; the later one counts.
+void MergeOrderTimes(OrderTimes& times, const OrderTimes& stored);
+
+/// \brief Records an order and drops those that are older than `kept_ms`.
+void RecordOrderTime(OrderTimes& times, const VmName& vm, std::int64_t now_ms,
+                     std::int64_t kept_ms);
+
+/// \brief JSON text of the times.
+std::string EncodeOrderTimes(const OrderTimes& orders);
 /// \brief Returns kBadField unless the text is a valid map of such times.
-absl::StatusOr<std::map<VmName, std::int64_t>> DecodeOrderTimes(
-    std::string_view text);
+absl::StatusOr<OrderTimes> DecodeOrderTimes(std::string_view text);
 
 }  // namespace filbertspar::upkeep
--- a/tests/upkeep_plan_test.cc
+++ b/tests/upkeep_plan_test.cc
@@ -153,5 +153,30 @@
   CHECK(IsComplete(state, state.m_waves[1], kStart));
 }
 
+// Guards against orders of two holders within the lease time: the first order
+// of a second owner dropped the times that the first had stored
+// (review/further/holders.py).
+TEST_CASE("the times of orders survive any number of owners") {
+  constexpr std::int64_t kKeptMs = 3400;
+  std::string row = EncodeOrderTimes({});
+  for (int owner = 0; owner < 5; ++owner) {
+    OrderTimes times;
+    MergeOrderTimes(times, *DecodeOrderTimes(row));
+    RecordOrderTime(times, VmName("m" + std::to_string(owner)), 500 * owner,
+                    kKeptMs);
+    row = EncodeOrderTimes(times);
+  }
+  const OrderTimes stored = *DecodeOrderTimes(row);
+  REQUIRE(stored.size() == 5);
+  CHECK(stored.at(VmName("m0")) == 0);
+  OrderTimes times = stored;
+  MergeOrderTimes(times, {{VmName("m0"), 900}, {VmName("m1"), 100}});
+  CHECK(times.at(VmName("m0")) == 900);
+  CHECK(times.at(VmName("m1")) == 500);
+  RecordOrderTime(times, VmName("late"), 4000, kKeptMs);
+  CHECK(times.size() == 5);
+  CHECK_FALSE(times.contains(VmName("m1")));
+}
+
 }  // namespace
 }  // namespace filbertspar::upkeep
