A claim counts as won whenever the row shows it

Seen by callers: with one VM left, jobs had no answer and nothing ran, for good (review/further/sole.py).

Cause: a claim whose answer was lost counted as won only if the one read right after it was answered.

Ruled out: the claim itself, which had taken effect.

Change: each read of the owner's row asks whether it shows a term of this process that it has not begun.

Test: 'a claim that a later read shows counts as won, once' (a new function; the case shows the failure before).

--- a/filbertspar/node/src/owner_watch.cc
+++ b/filbertspar/node/src/owner_watch.cc
@@ -59,6 +59,7 @@
       continue;
     }
     co_await ReadOwnerRow();
+    BeginUnansweredTerm();
     if (!m_is_owner && m_willing && ShouldClaim(m_view, m_self, BootNow())) {
       co_await Claim();
     }
@@ -127,8 +128,7 @@
       FencingNumber(m_view.m_record ? m_view.m_record->m_epoch.Value() + 1 : 1);
   claim.m_write_number = 0;
   claim.m_released = false;
-  const TimePoint previous_silent_since =
-      LastEvidenceOfOwner(m_view, m_store.ReachedSince());
+  m_previous_silent_since = LastEvidenceOfOwner(m_view, m_store.ReachedSince());
   const bool all_recorded =
       CanRelyOnRecordedStarts(m_view, m_store.ReachedSince(), BootNow());
   claim.m_all_starts_recorded = all_recorded;
@@ -147,13 +147,7 @@
           ToMilliseconds(m_view.m_confirmed_at - m_view.m_version_first_seen)));
   const StoreResponse answer = co_await m_store.Change(change, kClaimTimeout);
   if (answer.m_result == StoreResult::kDone) {
-    m_is_owner = true;
-    m_log.Info("owner", "claim_won",
-               absl::StrCat("epoch=", claim.m_epoch.Value(),
-                            " version=", answer.m_version.Value()));
-    m_changed.Notify();
-    m_on_claim_won(
-        {claim, answer.m_version, previous_silent_since, all_recorded});
+    BeginTerm(claim, answer.m_version, all_recorded);
     co_return;
   }
   // A claim without a response may still take effect; the row then names this
@@ -162,14 +156,25 @@
       "owner", "claim_not_won",
       absl::StrCat("result=", std::string(StoreResultName(answer.m_result))));
   co_await ReadOwnerRow();
-  if (m_view.m_record && m_view.m_record->m_vm == m_self.m_vm &&
-      m_view.m_record->m_incarnation == m_self.m_incarnation &&
-      !m_view.m_record->m_released) {
-    m_is_owner = true;
-    m_changed.Notify();
-    m_on_claim_won(
-        {*m_view.m_record, m_view.m_version, previous_silent_since, false});
+  BeginUnansweredTerm();
+}
+
+void OwnerWatch::BeginUnansweredTerm() {
+  if (!m_is_owner && m_willing &&
+      IsOwnUnansweredClaim(m_view, m_self, m_last_term)) {
+    BeginTerm(*m_view.m_record, m_view.m_version, /*all_recorded=*/false);
   }
 }
 
+void OwnerWatch::BeginTerm(const OwnerRecord& record, RowVersion version,
+                           bool all_recorded) {
+  m_is_owner = true;
+  m_last_term = record.m_epoch;
+  m_log.Info("owner", "claim_won",
+             absl::StrCat("epoch=", record.m_epoch.Value(),
+                          " version=", version.Value()));
+  m_changed.Notify();
+  m_on_claim_won({record, version, m_previous_silent_since, all_recorded});
+}
+
 }  // namespace filbertspar
--- a/filbertspar/node/src/owner_watch.h
+++ b/filbertspar/node/src/owner_watch.h
@@ -64,6 +64,10 @@
   asio::awaitable<void> Follow();
   asio::awaitable<void> ReadOwnerRow();
   asio::awaitable<void> Claim();
+  void BeginTerm(const OwnerRecord& record, RowVersion version,
+                 bool all_recorded);
+  /// \brief Begins the term of a claim whose answer was lost, if there is one.
+  void BeginUnansweredTerm();
   void UpdateView(const std::optional<OwnerRecord>& record, RowVersion version,
                   TimePoint sent);
 
@@ -77,6 +81,10 @@
   Signal m_changed;
   Signal m_wake;
   bool m_is_owner = false;
+  /// The last term that this process has begun.
+  FencingNumber m_last_term;
+  /// From the last claim.
+  TimePoint m_previous_silent_since{};
   bool m_willing = true;
 };
 
--- a/filbertspar/ownership/src/claim.cc
+++ b/filbertspar/ownership/src/claim.cc
@@ -94,6 +94,13 @@
 
 }  // namespace
 
+bool IsOwnUnansweredClaim(const OwnerView& view, const Candidate& self,
+                          FencingNumber last_term) {
+  return view.m_record && view.m_record->m_vm == self.m_vm &&
+         view.m_record->m_incarnation == self.m_incarnation &&
+         !view.m_record->m_released && view.m_record->m_epoch > last_term;
+}
+
 bool CanRelyOnRecordedStarts(const OwnerView& view, TimePoint reached_since,
                              TimePoint now) {
   if (!view.m_record) {
--- a/filbertspar/ownership/src/claim.h
+++ b/filbertspar/ownership/src/claim.h
@@ -56,6 +56,11 @@
 /// an owner that still works.
 bool ShouldClaim(const OwnerView& view, const Candidate& self, TimePoint now);
 
+/// \brief Whether the row shows a claim of this process whose answer was lost:
+/// a term that it has not begun, `last_term` being the last that it has.
+bool IsOwnUnansweredClaim(const OwnerView& view, const Candidate& self,
+                          FencingNumber last_term);
+
 /// \brief Whether an owner that claims now can rely on the stored progress to
 /// contain every run that was started. `reached_since` is the start of this
 /// VM's uninterrupted contact with the store; TimePoint::max() if it had none.
--- a/tests/ownership_claim_test.cc
+++ b/tests/ownership_claim_test.cc
@@ -192,5 +192,22 @@
   CHECK_FALSE(DecodeOwner("{}").ok());
 }
 
+// Guards against an owner that never acts: the answers to its claim and to the
+// read after it were lost (review/further/sole.py).
+TEST_CASE("a claim that a later read shows counts as won, once") {
+  OwnerView view = ViewOf(Seconds(1), LinkHealth::kSilent);
+  CHECK_FALSE(IsOwnUnansweredClaim(OwnerView(), kSelf, FencingNumber(0)));
+  CHECK_FALSE(IsOwnUnansweredClaim(view, kSelf, FencingNumber(0)));
+  view.m_record->m_vm = kSelf.m_vm;
+  CHECK_FALSE(IsOwnUnansweredClaim(view, kSelf, FencingNumber(0)));
+  view.m_record->m_incarnation = kSelf.m_incarnation;
+  CHECK(IsOwnUnansweredClaim(view, kSelf, FencingNumber(0)));
+  CHECK(IsOwnUnansweredClaim(view, kSelf, FencingNumber(2)));
+  // A term that this process has begun, and one that it gave up.
+  CHECK_FALSE(IsOwnUnansweredClaim(view, kSelf, FencingNumber(3)));
+  view.m_record->m_released = true;
+  CHECK_FALSE(IsOwnUnansweredClaim(view, kSelf, FencingNumber(2)));
+}
+
 }  // namespace
 }  // namespace filbertspar
