A cancel holds for a job that is being stored or still under way

Seen by callers: a cancel was answered 410, 0.4 s later the job was accepted, and it ran to its end (review/further/cancel.py).

Cause: a cancel did not ask whether the job was being stored.

Ruled out: a second copy of the submission.

Change: a job that is cancelled while it is stored is cancelled when it is added. The answer 410 holds like a refusal for submissions that were received before the cancel and have not reached the owner.

Test: 'a job that was cancelled while it was stored never starts', which failed with the check in AddJob taken out.

--- a/filbertspar/node/src/owner_term.h
+++ b/filbertspar/node/src/owner_term.h
@@ -80,6 +80,8 @@
   /// \brief Refuses a job for this and every earlier copy of the call.
   JobReply Refuse(const JobId& job, Code code, Duration retry_after);
   JobReply AnswerOffer(const JobCall& call);
+  /// \brief Returns when the job is stored, or was not, or at the deadline.
+  asio::awaitable<void> CancelWhileStoring(const JobId& id, TimePoint deadline);
   asio::awaitable<JobReply> Cancel(const JobCall& call);
   JobReply StateReply(const JobCall& call) const;
   void ApplyWorkerRow(const StoreRow& row);
--- a/filbertspar/node/src/owner_term_calls.cc
+++ b/filbertspar/node/src/owner_term_calls.cc
@@ -184,6 +184,9 @@
   }
   const TimePoint began = BootNow();
   reply.m_code = co_await m_journal->Accept(*std::move(spec), call.m_wait);
+  if (!m_journal->IsStoring(id)) {
+    scheduler::ForgetEarlyCancel(m_scheduler, id);
+  }
   if (reply.m_code == Code::kJournalStoreDown) {
     reply = Refuse(id, reply.m_code, kStoreRetryAfter);
   }
@@ -197,16 +200,41 @@
   co_return reply;
 }
 
+asio::awaitable<void> OwnerTerm::CancelWhileStoring(const JobId& id,
+                                                    TimePoint deadline) {
+  scheduler::CancelWhenAdded(m_scheduler, id);
+  while (m_running && m_journal->IsStoring(id) && BootNow() < deadline) {
+    co_await SleepFor(kCancelPollPeriod);
+  }
+}
+
 asio::awaitable<JobReply> OwnerTerm::Cancel(const JobCall& call) {
   JobReply reply;
   const JobId id(call.m_job);
+  const TimePoint deadline = BootNow() + call.m_wait;
+  if (m_journal->IsStoring(id)) {
+    co_await CancelWhileStoring(id, deadline);
+  }
+  if (!m_running) {
+    reply.m_code = Code::kNotLeaseHolder;
+    co_return reply;
+  }
+  if (m_journal->IsStoring(id)) {
+    reply.m_code = Code::kOutcomeUnknown;
+    co_return reply;
+  }
   if (!scheduler::ReportedState(m_scheduler, id)) {
+    scheduler::ForgetEarlyCancel(m_scheduler, id);
     reply.m_code = IsConfirmed() ? Code::kRequestUnknown : Code::kNoOwner;
+    if (reply.m_code == Code::kRequestUnknown) {
+      // A submission that was received before the cancel may still be under
+      // way; its job must not run after this reply.
+      RecordRefusal(m_refusals, id, {Code::kCancelled, Duration(0), BootNow()});
+    }
     co_return reply;
   }
   scheduler::CancelJob(m_scheduler, BootNow(), id);
   HandleStateChange();
-  const TimePoint deadline = BootNow() + call.m_wait;
   while (m_running && BootNow() < deadline) {
     const std::optional<JobState> state =
         scheduler::ReportedState(m_scheduler, id);
--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -266,6 +266,9 @@
                      job.m_spec->m_occurrence_count == 0 &&
                      !ConsumeShare(scheduler, now, job.m_spec->m_workspace);
   ActivateJob(scheduler, now, job);
+  if (scheduler.m_cancelled_early.erase(job.m_spec->m_id) > 0) {
+    FinishJob(scheduler, now, job, JobState::kCancelled);
+  }
 }
 
 void RestoreJob(Scheduler& scheduler, TimePoint now, JobSpec spec,
@@ -351,6 +354,14 @@
   }
 }
 
+void CancelWhenAdded(Scheduler& scheduler, const JobId& id) {
+  scheduler.m_cancelled_early.insert(id);
+}
+
+void ForgetEarlyCancel(Scheduler& scheduler, const JobId& id) {
+  scheduler.m_cancelled_early.erase(id);
+}
+
 std::optional<JobState> ReportedState(const Scheduler& scheduler,
                                       const JobId& id) {
   const auto found = scheduler.m_jobs.find(id);
--- a/filbertspar/scheduler/src/jobs.h
+++ b/filbertspar/scheduler/src/jobs.h
@@ -23,6 +23,11 @@
 /// be stored before the caller is answered.
 void CancelJob(Scheduler& scheduler, TimePoint now, const JobId& id);
 
+/// \brief Cancels a job that is being stored, when it is added.
+void CancelWhenAdded(Scheduler& scheduler, const JobId& id);
+/// \brief Called when the job is not stored after all.
+void ForgetEarlyCancel(Scheduler& scheduler, const JobId& id);
+
 /// \brief State as reported to callers; nullopt for an unknown job.
 std::optional<JobState> ReportedState(const Scheduler& scheduler,
                                       const JobId& id);
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -333,6 +333,8 @@
   Options m_options;
   DeploymentConfigPtr m_deployment;
   absl::flat_hash_map<JobId, std::unique_ptr<Job>> m_jobs;
+  /// Jobs that are cancelled as soon as they are added.
+  std::set<JobId> m_cancelled_early;
   std::vector<Worker> m_workers;
   absl::flat_hash_map<WorkerName, WorkerIndex> m_worker_index;
   absl::flat_hash_map<PoolName, Pool> m_pools;
--- a/tests/scheduler_stop_test.cc
+++ b/tests/scheduler_stop_test.cc
@@ -85,6 +85,28 @@
   CHECK_FALSE(HoldsResources(*simulation.m_owner));
 }
 
+// Guards against a job that runs although its caller cancelled it: the cancel
+// came while the job was being stored (review/further/cancel.py).
+TEST_CASE("a job that was cancelled while it was stored never starts") {
+  Simulation simulation;
+  simulation.AddWorker("w1", "p", 16);
+  simulation.RunFor(Seconds(1));
+  CancelWhenAdded(*simulation.m_owner, JobId("first"));
+  CancelWhenAdded(*simulation.m_owner, JobId("second"));
+  ForgetEarlyCancel(*simulation.m_owner, JobId("second"));
+  REQUIRE(simulation.Submit(MakeJobOf("team", "first", 2, 1000)));
+  REQUIRE(simulation.Submit(MakeJobOf("team", "second", 2, 1000)));
+  simulation.RunFor(Seconds(1));
+  CHECK(simulation.StateOfJob("first") == JobState::kCancelled);
+  CHECK(simulation.StateOfJob("second") == JobState::kRunning);
+  for (const auto& [task, starts] : simulation.m_starts) {
+    CHECK(task.m_job == JobId("second"));
+  }
+  simulation.TakeOver();
+  simulation.RunFor(Seconds(1));
+  CHECK(simulation.StateOfJob("first") == JobState::kCancelled);
+}
+
 // Guards against any other order of crashes, lost orders, restarts, cancels and
 // take-overs after which a stopped task holds resources.
 TEST_CASE("after all jobs are cancelled nothing is reserved") {
