A run that is stopped because its task ended elsewhere still counts

Cause: a worker that was out of reach came back and reported tasks as done whose second runs, on other workers, were then stopped. The end of the task freed the resources of the run that was still being stopped.

Ruled out: the check of the soak, which counts runs until they end; the late starts of the same seconds, which were refused as too late.

Change: such a run keeps its resources, on its worker and in its workspace, until it has ended, is not listed any more after its stop was answered, or cannot exist any more.

--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "filbertspar/scheduler/src/fair_share.h"
 #include "filbertspar/scheduler/src/starts.h"
+#include "filbertspar/scheduler/src/superseded.h"
 #include "filbertspar/scheduler/src/workers.h"
 
 namespace filbertspar::scheduler {
@@ -479,7 +480,7 @@
   if (finished.m_outcome == RunOutcome::kDone && !long_running) {
     task.m_run = std::max(task.m_run, finished.m_run.Value());
     if (task.m_worker != kNoWorker && !is_on_worker) {
-      StopTask(scheduler, now, ref, "done_elsewhere");
+      StopSupersededRun(scheduler, now, ref);
     }
     CompleteTask(scheduler, now, ref);
     return;
--- a/filbertspar/scheduler/src/leases.cc
+++ b/filbertspar/scheduler/src/leases.cc
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 #include "filbertspar/scheduler/src/jobs.h"
 #include "filbertspar/scheduler/src/starts.h"
+#include "filbertspar/scheduler/src/superseded.h"
 #include "filbertspar/scheduler/src/workers.h"
 
 namespace filbertspar::scheduler {
@@ -33,9 +34,10 @@
   JudgeEndedWorkers(scheduler, now);
   ReviewSuspects(scheduler, now);
   for (Worker& worker : scheduler.m_workers) {
-    if (worker.m_tasks.empty() || now <= worker.m_lease_until) {
+    if (now <= worker.m_lease_until) {
       continue;
     }
+    ReleaseSupersededRuns(scheduler, worker);
     // A start that waits for the store holds no lease yet.
     const std::vector<TaskRef> tasks = worker.m_tasks;
     for (const TaskRef& ref : tasks) {
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -158,6 +158,19 @@
   std::vector<std::pair<TaskId, std::uint64_t>> m_recorded_runs;
 };
 
+/// \brief A run that is being stopped because its task ended on another worker.
+struct SupersededRun {
+  TaskId m_task;
+  RunNumber m_run;
+  WorkspaceName m_workspace;
+  /// Reserved on the worker, and in the workspace.
+  ResourceVector m_reserved;
+  ResourceVector m_demand;
+  TimePoint m_stopped_at{};
+  /// max() while the stop is unanswered.
+  TimePoint m_stop_answered_at = TimePoint::max();
+};
+
 struct UnstoredFinishedRun {
   std::uint64_t m_number = 0;
   JobId m_job;
@@ -186,7 +199,7 @@
   std::int64_t m_incarnation = 0;
   /// No run ordered so far outlives this time.
   TimePoint m_lease_until = TimePoint::min();
-  /// Resources reserved by m_tasks.
+  /// Resources reserved by m_tasks and m_superseded_runs.
   ResourceVector m_used;
   /// Resources of the runs of the last status that are not in m_tasks; they are
   /// being stopped.
@@ -195,6 +208,7 @@
   /// resources are not either.
   bool m_has_unknown_run = false;
   std::vector<TaskRef> m_tasks;
+  std::vector<SupersededRun> m_superseded_runs;
   /// Number of the last finished run that was read, and of the last whose
   /// effects are stored.
   std::uint64_t m_finished_read = 0;
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -7,6 +7,7 @@
 #include "filbertspar/scheduler/src/crashes.h"
 #include "filbertspar/scheduler/src/jobs.h"
 #include "filbertspar/scheduler/src/starts.h"
+#include "filbertspar/scheduler/src/superseded.h"
 
 namespace filbertspar::scheduler {
 namespace {
@@ -55,6 +56,7 @@
   if (is_first) {
     return;
   }
+  ReleaseSupersededRuns(scheduler, worker);
   worker.m_finished_read = 0;
   worker.m_finished_stored = 0;
   worker.m_unstored_finished.clear();
@@ -110,6 +112,7 @@
     }
     worker.m_finished_read = finished.m_number;
     RecordOutcome(scheduler, now, index, finished.m_outcome);
+    HandleSupersededEnd(scheduler, index, finished.m_task, finished.m_run);
     const TaskRef ref = FindTask(scheduler, finished.m_task);
     const bool has_stored_effect = ref && !ref.Spec().m_long_running;
     if (ref) {
@@ -221,8 +224,9 @@
     const TaskRef ref = FindTask(scheduler, run.m_task);
     if (!ref) {
       worker.m_has_unknown_run = true;
-    } else if (ref.GetTask().m_worker != index ||
-               ref.GetTask().m_run != run.m_run.Value()) {
+    } else if ((ref.GetTask().m_worker != index ||
+                ref.GetTask().m_run != run.m_run.Value()) &&
+               !IsSuperseded(worker, run.m_task, run.m_run)) {
       worker.m_unwanted_used += ReservedDemand(ref.Spec());
     }
   }
@@ -344,6 +348,7 @@
   for (const ActiveRun& run : status.m_running) {
     ReadActiveRun(scheduler, now, index, run);
   }
+  ReviewSupersededRuns(scheduler, sent, now, index, status);
   CountUnwantedRuns(scheduler, index, status);
   RequeueMissingRuns(scheduler, sent, now, index, status);
   RepeatUnansweredStops(scheduler, now, index);
@@ -363,6 +368,7 @@
   worker.m_has_responded = false;
   worker.m_lease_until = TimePoint::min();
   RequeueTasksOf(scheduler, now, worker, "instance_gone");
+  ReleaseSupersededRuns(scheduler, worker);
   AddLogEvent(scheduler, "worker_gone", {}, index, "reason=other_instance");
 }
 
@@ -412,14 +418,18 @@
 
 void HandleStopResponse(Scheduler& scheduler, TimePoint now, WorkerIndex index,
                         const StopOrder& order, const OrderResponse& response) {
+  const bool is_answered = response.m_result == OrderResult::kAccepted ||
+                           response.m_result == OrderResult::kStaleRun;
+  if (is_answered) {
+    HandleSupersededStop(scheduler, now, index, order);
+  }
   const TaskRef ref = FindTask(scheduler, order.m_task);
   if (!ref || ref.GetTask().m_worker != index ||
       ref.GetTask().m_run != order.m_run.Value() ||
       ref.GetTask().m_phase != TaskPhase::kStopping) {
     return;
   }
-  if (response.m_result == OrderResult::kAccepted ||
-      response.m_result == OrderResult::kStaleRun) {
+  if (is_answered) {
     ref.GetTask().m_order_confirmed_at = now;
   }
 }
@@ -459,7 +469,7 @@
 
 bool IsRetired(const Worker& worker, TimePoint now) {
   return !worker.m_registered && worker.m_tasks.empty() &&
-         now > worker.m_lease_until;
+         worker.m_superseded_runs.empty() && now > worker.m_lease_until;
 }
 
 }  // namespace filbertspar::scheduler
--- a/tests/scheduler_stop_test.cc
+++ b/tests/scheduler_stop_test.cc
@@ -85,6 +85,53 @@
   CHECK_FALSE(HoldsResources(*simulation.m_owner));
 }
 
+/// Resources of the runs of all workers, as the workers see them.
+std::int64_t MillicoresRunning(const Simulation& simulation) {
+  std::int64_t running = 0;
+  for (const auto& worker : simulation.m_workers) {
+    for (const auto& [task, run] : worker->m_running) {
+      const JobSpec job = *DecodeJob(simulation.m_jobs.at(task.m_job));
+      running += job.m_steps[task.m_step].m_demand.m_cpu.Count();
+    }
+  }
+  return running;
+}
+
+// Guards against a run that is being stopped and whose resources are given to
+// others: the task had ended on a worker that was out of reach (soak, seed 520:
+// 15000 running of a ceiling of 12000).
+TEST_CASE(
+    "a run that is stopped because its task ended elsewhere still counts") {
+  Simulation simulation;
+  FakeWorker& cut = simulation.AddWorker("w1", "p", 4);
+  simulation.RunFor(Milliseconds(100));
+  SetQuota(simulation, "team", 4000);
+  simulation.m_stop_time = Milliseconds(600);
+  JobSpec first = MakeJobOf("team", "first", 1, 3000);
+  first.m_steps[0].m_estimate = Milliseconds(2500);
+  REQUIRE(simulation.Submit(first));
+  simulation.RunFor(Milliseconds(500));
+  REQUIRE(cut.m_running.size() == 1);
+  FakeWorker& other = simulation.AddWorker("w2", "p", 4);
+  simulation.RunFor(Milliseconds(500));
+  cut.m_is_unreachable = true;
+  while (other.m_running.empty()) {
+    simulation.RunFor(Milliseconds(20));
+  }
+  REQUIRE(simulation.Submit(MakeJobOf("team", "second", 1, 3000)));
+  cut.m_is_unreachable = false;
+  for (int i = 0; i < 100; ++i) {
+    simulation.RunFor(Milliseconds(20));
+    REQUIRE(MillicoresRunning(simulation) <= 4000);
+  }
+  CHECK(simulation.StateOfJob("first") == JobState::kCompleted);
+  CHECK(simulation.StateOfJob("second") == JobState::kRunning);
+  CHECK(simulation.m_starts_over_capacity == 0);
+  CancelJob(*simulation.m_owner, simulation.m_now, JobId("second"));
+  simulation.RunFor(Seconds(2));
+  CHECK_FALSE(HoldsResources(*simulation.m_owner));
+}
+
 // Guards against a job that runs although its caller cancelled it: the cancel
 // came while the job was being stored (review/further/cancel.py).
 TEST_CASE("a job that was cancelled while it was stored never starts") {
