Crashes of one worker convict no task

Cause: a suspect is tested on the worker whose crash costs least, which is the one that has just crashed, and three crashes of that worker gave the task up.

Ruled out: the judgement of a single crash, which is right about what was there.

Change: three crashed workers give a task up, not three crashes; five crashes of several workers, or eight of one, in any case. A worker that crashed under the suspect comes later when one is chosen for its test.

--- a/filbertspar/scheduler/src/crashes.cc
+++ b/filbertspar/scheduler/src/crashes.cc
@@ -1,7 +1,9 @@
 #include "filbertspar/scheduler/src/crashes.h"
 
 #include <algorithm>
+#include <set>
 #include <string>
+#include <string_view>
 
 #include "absl/strings/str_cat.h"
 #include "filbertspar/scheduler/src/eligibility.h"
@@ -11,11 +13,15 @@
 namespace filbertspar::scheduler {
 namespace {
 
-/// Crashes after which a task is given up if it was the sole cause of one.
-constexpr std::size_t kMaxCrashes = 3;
-/// Crashes after which a task is given up in any case: the third and fewer than
-/// three more.
+/// Crashed workers after which a task is given up if it was the sole cause of
+/// one crash. Further crashes of the same worker prove nothing: it may go down
+/// by itself.
+constexpr std::size_t kMaxCrashedWorkers = 3;
+/// Crashes after which a task is given up in any case, if they were of several
+/// workers: the third and fewer than three more.
 constexpr std::size_t kMaxSharedCrashes = 5;
+/// The same if they were all of one worker, as in a pool that has no other.
+constexpr std::size_t kMaxCrashesOfOneWorker = 8;
 /// Between the end of a worker and its judgement: the ends of others that have
 /// the same cause are known by then.
 constexpr Duration kJudgementDelay = Milliseconds(400);
@@ -151,6 +157,29 @@
   return workers;
 }
 
+std::size_t CountWorkers(const std::vector<CrashRecord>& crashes) {
+  std::set<std::string_view> workers;
+  for (const CrashRecord& crash : crashes) {
+    workers.insert(crash.m_worker);
+  }
+  return workers.size();
+}
+
+bool IsGivenUp(const TaskRef& unit) {
+  const std::vector<CrashRecord>& crashes = unit.GetTask().m_crashes;
+  const std::size_t workers = CountWorkers(crashes);
+  const bool has_sole = std::any_of(
+      crashes.begin(), crashes.end(),
+      [](const CrashRecord& crash) { return crash.m_is_sole_cause; });
+  if (workers >= kMaxCrashedWorkers && has_sole) {
+    return true;
+  }
+  const std::size_t max_crashes =
+      workers > 1 ? kMaxSharedCrashes : kMaxCrashesOfOneWorker;
+  return crashes.size() >= max_crashes &&
+         (has_sole || !unit.Spec().m_long_running);
+}
+
 void RecordCrash(Scheduler& scheduler, TimePoint now, WorkerIndex index,
                  const Candidate& candidate, bool is_suspect,
                  bool is_sole_cause) {
@@ -176,12 +205,7 @@
                            " age_ms=", ToMilliseconds(candidate.m_age),
                            " suspect=", is_suspect, " sole_cause=",
                            is_sole_cause, " crashes=", unit.m_crashes.size()));
-  const bool has_sole = std::any_of(
-      unit.m_crashes.begin(), unit.m_crashes.end(),
-      [](const CrashRecord& crash) { return crash.m_is_sole_cause; });
-  if ((unit.m_crashes.size() >= kMaxSharedCrashes &&
-       !ref.Spec().m_long_running) ||
-      (unit.m_crashes.size() >= kMaxCrashes && has_sole)) {
+  if (IsGivenUp(ref)) {
     AddWarning(scheduler, "task_given_up", ref.Id(), kNoWorker,
                absl::StrCat("crashes=", unit.m_crashes.size(),
                             " workers=", WorkersOf(unit)));
--- a/filbertspar/scheduler/src/isolation.cc
+++ b/filbertspar/scheduler/src/isolation.cc
@@ -24,6 +24,8 @@
 /// continuously, or that cannot be moved soon, count more.
 constexpr double kLongRunningCost = 4;
 constexpr double kFarFromDataCost = 2;
+/// A test on a worker that crashed under the suspect before proves less.
+constexpr double kCrashedHereCost = 2;
 
 bool HasBatchTasks(const Worker& worker) {
   return std::any_of(
@@ -36,6 +38,12 @@
   for (const TaskRef& ref : worker.m_tasks) {
     cost += ref.Spec().m_long_running ? kLongRunningCost : 1;
   }
+  const std::vector<CrashRecord>& crashes = unit.GetTask().m_crashes;
+  const bool crashed_here = std::any_of(
+      crashes.begin(), crashes.end(), [&](const CrashRecord& crash) {
+        return crash.m_worker == worker.m_record.m_name.Value();
+      });
+  cost += crashed_here ? kCrashedHereCost : 0;
   const RackName& rack = unit.Spec().m_data_rack;
   return cost + (rack.Empty() || rack == worker.m_record.m_rack
                      ? 0
--- a/tests/scheduler_crash_test.cc
+++ b/tests/scheduler_crash_test.cc
@@ -231,6 +231,61 @@
   CHECK(simulation.StateOfJob("lasting") == JobState::kRunning);
 }
 
+// Guards against sound jobs that are failed because one worker goes down and up
+// under its name; its crashes prove nothing about the tasks on it (review/3).
+TEST_CASE("a worker that goes down and up fails no job") {
+  for (const bool pool_is_full : {false, true}) {
+    Simulation simulation;
+    AddPool(simulation);
+    simulation.RunFor(Seconds(1));
+    const int jobs = pool_is_full ? 12 : 6;
+    for (int i = 0; i < jobs; ++i) {
+      REQUIRE(simulation.Submit(Simulation::MakeJob(
+          "j" + std::to_string(i), "p", 1, Seconds(20), 7600)));
+    }
+    simulation.RunFor(Seconds(3));
+    FakeWorker& flapping = *simulation.m_workers[0];
+    REQUIRE_FALSE(flapping.m_running.empty());
+    for (int i = 0; i < 6; ++i) {
+      flapping.m_refuses = true;
+      flapping.m_running.clear();
+      flapping.m_finished.clear();
+      simulation.RunFor(Milliseconds(700));
+      simulation.Restart(flapping);
+      flapping.m_refuses = false;
+      simulation.RunFor(Milliseconds(700));
+    }
+    simulation.RunFor(Seconds(60));
+    for (int i = 0; i < jobs; ++i) {
+      INFO("full " << pool_is_full << " job " << i);
+      CHECK(simulation.StateOfJob("j" + std::to_string(i)) ==
+            JobState::kCompleted);
+    }
+  }
+}
+
+// Guards against a crashing task that no second worker can convict.
+TEST_CASE("a crashing task is given up also in a pool of one worker") {
+  Simulation simulation;
+  FakeWorker& only = simulation.AddWorker("w0", "p", 16);
+  simulation.RunFor(Seconds(1));
+  REQUIRE(simulation.Submit(Simulation::MakeJob("bad", "p", 1, Seconds(2))));
+  int crashes = 0;
+  for (int i = 0; i < 3000; ++i) {
+    simulation.RunFor(Milliseconds(20));
+    if (!only.m_refuses && !only.m_running.empty()) {
+      ++crashes;
+      only.m_refuses = true;
+      only.m_running.clear();
+      simulation.RunFor(Milliseconds(800));
+      simulation.Restart(only);
+      only.m_refuses = false;
+    }
+  }
+  CHECK(simulation.StateOfJob("bad") == JobState::kFailed);
+  CHECK(crashes <= 8);
+}
+
 TEST_CASE("the loss of a worker's power counts against no task") {
   CheckOtherCause([](Simulation& simulation, FakeWorker& worker) {
     simulation.PowerOff(worker);
