Run numbers with room for a long term; no use of a term after its end

By reading in the review: a lasting task that ends at once has over 1,000 runs in some eight minutes; the next owner began below them, and the worker refused its starts as old. An owner now has 1,000,000 numbers.

SendStart and RelayStart used the scheduler after an answer without asking whether the term had ended, when it may be gone.

Test: 'run numbers of the next owner exceed those of a long term', which failed with the old distance. The use after the end has no test.

--- a/filbertspar/node/src/worker_connections_starts.cc
+++ b/filbertspar/node/src/worker_connections_starts.cc
@@ -64,7 +64,7 @@
     co_return attempt;
   }
   attempt.m_outcome = reply->m_outcome;
-  if (reply->m_outcome == RelayOutcome::kNoPayload) {
+  if (reply->m_outcome == RelayOutcome::kNoPayload && m_running) {
     scheduler::SetPayloadHolder(m_scheduler, job, VmName());
   }
   if (reply->m_outcome == RelayOutcome::kAnswered) {
@@ -106,6 +106,10 @@
       attempt =
           co_await SendStartDirectly(index, order, deadline - now, unanswered);
     }
+    if (!m_running) {
+      // The scheduler may be gone with its term.
+      co_return;
+    }
     answer = attempt.m_response;
     if (attempt.m_outcome == RelayOutcome::kNotSent && !unanswered) {
       answer.m_result = OrderResult::kNotDelivered;
--- a/filbertspar/scheduler/src/eligibility.cc
+++ b/filbertspar/scheduler/src/eligibility.cc
@@ -7,8 +7,9 @@
 
 /// Each owner's run numbers start at this multiple of the number of owners
 /// before it, so that they exceed those of previous owners without a store
-/// write per start.
-constexpr std::uint64_t kRunsPerOwner = 1000;
+/// write per start. A task that ends at once is restarted a few times a second
+/// for as long as a term lasts.
+constexpr std::uint64_t kRunsPerOwner = 1'000'000;
 
 }  // namespace
 
--- a/tests/scheduler_takeover_test.cc
+++ b/tests/scheduler_takeover_test.cc
@@ -150,5 +150,27 @@
   }
 }
 
+// Guards against starts that workers refuse as old: a task that ends at once
+// had more runs in one term than the numbers set apart for an owner.
+TEST_CASE("run numbers of the next owner exceed those of a long term") {
+  Simulation simulation;
+  FakeWorker& worker = simulation.AddWorker("w1", "p", 8);
+  simulation.RunFor(Seconds(1));
+  JobSpec job = Simulation::MakeJob("lasting", "p", 1, Seconds(1));
+  job.m_steps[0].m_long_running = true;
+  REQUIRE(simulation.Submit(job));
+  simulation.RunFor(Seconds(1));
+  REQUIRE(worker.m_running.size() == 1);
+  // Five restarts a second for a day.
+  constexpr std::uint64_t kRuns = 5 * 24 * 3600;
+  const TaskId task{JobId("lasting"), 0, 0, 0};
+  scheduler::FindTask(*simulation.m_owner, task).GetTask().m_run = kRuns;
+  worker.m_running.clear();
+  simulation.TakeOver();
+  simulation.RunFor(Seconds(8));
+  REQUIRE(worker.m_running.size() == 1);
+  CHECK(worker.m_running.begin()->second.m_run > kRuns);
+}
+
 }  // namespace
 }  // namespace filbertspar::scheduler
