--- a/tests/node_operations_page_test.cc
+++ b/tests/node_operations_page_test.cc
@@ -44,6 +44,7 @@
                            "filbertspar/node/src/job_api.cc",
                            "filbertspar/node/src/owner_watch.cc",
                            "filbertspar/node/src/journal.cc",
+                           "filbertspar/node/src/journal_batch.cc",
                            "filbertspar/node/src/event_log.cc",
                            "filbertspar/node/src/vm_manager.cc",
                            "filbertspar/node/src/link_client.cc",
@@ -56,6 +57,7 @@
                            "filbertspar/scheduler/src/jobs.cc",
                            "filbertspar/scheduler/src/crashes.cc",
                            "filbertspar/scheduler/src/leases.cc",
+                           "filbertspar/scheduler/src/superseded.cc",
                            "filbertspar/scheduler/src/workers.cc",
                            "filbertspar/scheduler/src/dispatch.cc"}) {
     sources += ReadFile(file);
