A VM whose worker was replaced is not taken for empty

Cause: the list of VMs lags behind. It named a worker that had crashed and had no tasks, so that upkeep was ordered; the worker that had taken its place at the same address was running an isolated task, and its end counted as that task's third crash.

Ruled out: the verdict on the other two crashes, each of which was of a worker with a crashing task of another job.

Change: a VM is empty only if the worker that the list names answers, or no worker at its address has tasks.

Test: 'a machine whose worker was replaced is not empty'; the condition before, that the named worker has no tasks, is asserted in it and holds.

--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -231,8 +231,9 @@
     return load;
   }
   const scheduler::Worker& worker = scheduler.m_workers[found->second];
-  load.m_is_empty = worker.m_tasks.empty() &&
-                    (worker.m_has_responded || scheduler.m_inherited_resolved);
+  load.m_is_empty =
+      scheduler::IsMachineEmpty(scheduler, BootNow(), found->second) &&
+      (worker.m_has_responded || scheduler.m_inherited_resolved);
   load.m_long_running = static_cast<std::size_t>(
       std::count_if(worker.m_tasks.begin(), worker.m_tasks.end(),
                     [](const auto& ref) { return ref.Spec().m_long_running; }));
@@ -324,7 +325,7 @@
     const bool is_empty =
         standby ||
         (worker != scheduler.m_worker_index.end() &&
-         scheduler.m_workers[worker->second].m_tasks.empty() &&
+         scheduler::IsMachineEmpty(scheduler, BootNow(), worker->second) &&
          scheduler::IsSchedulable(
              scheduler, scheduler.m_workers[worker->second], BootNow()));
     view.m_is_serving =
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -446,6 +446,28 @@
          task.m_order_confirmed_at != TimePoint::max();
 }
 
+bool IsMachineEmpty(const Scheduler& scheduler, TimePoint now,
+                    WorkerIndex index) {
+  const Worker& worker = scheduler.m_workers[index];
+  const auto has_runs = [](const Worker& other) {
+    return !other.m_tasks.empty() || !other.m_superseded_runs.empty();
+  };
+  if (has_runs(worker)) {
+    return false;
+  }
+  if (worker.m_registered && IsResponsive(worker, now)) {
+    // It has not been replaced.
+    return true;
+  }
+  return std::none_of(scheduler.m_workers.begin(), scheduler.m_workers.end(),
+                      [&](const Worker& other) {
+                        return !other.m_record.m_endpoint.m_address.empty() &&
+                               other.m_record.m_endpoint ==
+                                   worker.m_record.m_endpoint &&
+                               has_runs(other);
+                      });
+}
+
 void AcknowledgeStoredRuns(Scheduler& scheduler) {
   for (Worker& worker : scheduler.m_workers) {
     AcknowledgeStored(scheduler, worker);
--- a/filbertspar/scheduler/src/workers.h
+++ b/filbertspar/scheduler/src/workers.h
@@ -43,6 +43,11 @@
 bool IsStopAnswered(Scheduler& scheduler, WorkerIndex index,
                     const StopOrder& order);
 
+/// \brief Whether no task is placed on the worker, nor on one that has taken
+/// its place at the same address since the list of VMs was read.
+bool IsMachineEmpty(const Scheduler& scheduler, TimePoint now,
+                    WorkerIndex index);
+
 /// \brief Advances, for every worker, the number up to which it may discard
 /// finished runs because their effects are stored.
 void AcknowledgeStoredRuns(Scheduler& scheduler);
--- a/tests/scheduler_worker_test.cc
+++ b/tests/scheduler_worker_test.cc
@@ -264,5 +264,28 @@
   CHECK_FALSE(GrantLease(owner, later, 0).has_value());
 }
 
+// Guards against upkeep that ends a task: the list of VMs still named the
+// worker that had crashed, and the one that had taken its place was at work
+// (soak, seed 531: a sound job failed).
+TEST_CASE("a machine whose worker was replaced is not empty") {
+  Simulation simulation;
+  FakeWorker& worker = simulation.AddWorker("w1", "p", 8);
+  worker.m_record.m_endpoint = {"10.0.0.1", 80};
+  RegisterWorker(*simulation.m_owner, simulation.m_now, worker.m_record);
+  simulation.RunFor(Seconds(1));
+  REQUIRE(simulation.Submit(Simulation::MakeJob("j", "p", 1, Seconds(60))));
+  simulation.RunFor(Seconds(1));
+  CHECK_FALSE(IsMachineEmpty(*simulation.m_owner, simulation.m_now, 0));
+  simulation.Crash(worker);
+  simulation.RunFor(Seconds(10));
+  REQUIRE(simulation.m_owner->m_workers.size() == 2);
+  REQUIRE(simulation.m_owner->m_workers[0].m_tasks.empty());
+  REQUIRE_FALSE(simulation.m_owner->m_workers[1].m_tasks.empty());
+  CHECK_FALSE(IsMachineEmpty(*simulation.m_owner, simulation.m_now, 0));
+  CancelJob(*simulation.m_owner, simulation.m_now, JobId("j"));
+  simulation.RunFor(Seconds(2));
+  CHECK(IsMachineEmpty(*simulation.m_owner, simulation.m_now, 0));
+}
+
 }  // namespace
 }  // namespace filbertspar::scheduler
