--- a/tests/journal_rows_test.cc
+++ b/tests/journal_rows_test.cc
@@ -1,4 +1,7 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
+#include <numeric>
 #include <set>
 
 #include "filbertspar/journal/journal.h"
@@ -87,17 +90,15 @@
 /// Stores items through batches of which the store takes all or none.
 SearchResult StoreItems(int count, const std::set<int>& bad,
                         int all_rejected_batches) {
-  std::vector<int> pending;
-  for (int i = 0; i < count; ++i) {
-    pending.push_back(i);
-  }
+  std::deque<int> pending(static_cast<std::size_t>(count));
+  std::iota(pending.begin(), pending.end(), 0);
   RejectionSearch search;
   SearchResult result;
   while (!pending.empty() && result.m_batches < 2000) {
     const std::size_t size =
         std::min({pending.size(), search.m_max_items, std::size_t{48}});
-    const std::vector<int> batch(pending.begin(),
-                                 pending.begin() + static_cast<long>(size));
+    const auto batch_end = pending.begin() + static_cast<std::ptrdiff_t>(size);
+    const std::vector<int> batch(pending.begin(), batch_end);
     const bool rejected =
         result.m_batches++ < all_rejected_batches ||
         std::any_of(batch.begin(), batch.end(),
@@ -112,7 +113,7 @@
     }
     (dropped ? result.m_dropped : result.m_stored)
         .insert(batch.begin(), batch.end());
-    pending.erase(pending.begin(), pending.begin() + static_cast<long>(size));
+    pending.erase(pending.begin(), batch_end);
   }
   return result;
 }
--- a/tests/platform/node_odd_workers_test.cc
+++ b/tests/platform/node_odd_workers_test.cc
@@ -1,12 +1,12 @@
 #include <catch2/catch.hpp>
 
+#include "absl/strings/str_cat.h"
 #include "platform/platform.h"
 #include "tests/scheduler_simulation.h"
 
 namespace filbertspar {
 namespace {
 
-using scheduler::FakeWorker;
 using scheduler::Simulation;
 
 const std::string kGood =
@@ -118,10 +118,10 @@
     result.m_end = CallEnd::kAnswered;
     result.m_response.result(200);
     const std::string task = "\"00000000000000aa.0.0.0\"";
-    result.m_response.body() = R"({"clock_ms":5,"running":[[)" + task + "," +
-                               odd + R"(,"",100]],"finished":[[)" + odd + "," +
-                               task + R"(,1,"done",""],[1,)" + task + "," +
-                               odd + R"(,"done",""]]})";
+    result.m_response.body() = absl::StrCat(
+        R"({"clock_ms":5,"running":[[)", task, ",", odd,
+        R"(,"",100]],"finished":[[)", odd, ",", task, R"(,1,"done",""],[1,)",
+        task, ",", odd, R"(,"done",""]]})");
     const auto status = adapter::DecodeWorkerStatus(result, damaged);
     if (!status) {
       continue;
@@ -146,11 +146,12 @@
     }
     std::vector<std::string> invalid;
     const auto config = adapter::DecodeDeploymentConfig(
-        R"({"version":1,"routes":[{"name":"q","host":"h","path_prefix":"/q/",
-            "service":"p","timeout_ms":)" +
-            odd + R"(,"stretch":)" + odd + R"(,"target_latency_ms":)" + odd +
-            R"(}],"services":[],"tenants":[{"name":"t","api_keys":[],"weight":)" +
-            odd + R"(,"ceiling":{"cpu":)" + odd + "}}]}",
+        absl::StrCat(
+            R"({"version":1,"routes":[{"name":"q","host":"h",)",
+            R"("path_prefix":"/q/","service":"p","timeout_ms":)", odd,
+            R"(,"stretch":)", odd, R"(,"target_latency_ms":)", odd,
+            R"(}],"services":[],"tenants":[{"name":"t","api_keys":[],)",
+            R"("weight":)", odd, R"(,"ceiling":{"cpu":)", odd, "}}]}"),
         invalid);
     if (config.ok() && !config->m_queues.empty()) {
       CHECK(config->m_queues[0].m_policy.m_stretch <= 100);
