Split the fair shares and the pool traces by duty

Code moved only; the functions that several sources need stand in headers that the library does not export.

Measured: the tests of share and queue pass as before.

--- a/bench/queue_nearness_bench.cc
+++ b/bench/queue_nearness_bench.cc
@@ -5,7 +5,8 @@
 #include <cstdlib>
 #include <string>
 
-#include "bench/pool_trace.h"
+#include "bench/pool_fluid.h"
+#include "bench/pool_play.h"
 
 namespace filbertspar::bench {
 namespace {
