--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,14 +22,18 @@
     rng = random.Random(seed)
     site = Site(seed, folder, slot, nodes, vms, link_mbps)
     plants.before(plant, site)
-    await site.start()
-    await asyncio.sleep(2)
-    until = time.monotonic() + seconds
-    callers = [Caller(site, workspace, rng.random()).run(until, 4) for workspace in sorted(site.config.keys)]
-    injected, *_ = await asyncio.gather(faults.inject(site, rng, until, 1.5), plants.during(plant, site), *callers)
-    await asyncio.sleep(6)
-    await site.settle()
-    await site.stop()
+    try:
+        await site.start()
+        await asyncio.sleep(2)
+        until = time.monotonic() + seconds
+        callers = [Caller(site, workspace, rng.random()).run(until, 4) for workspace in sorted(site.config.keys)]
+        injected, *_ = await asyncio.gather(faults.inject(site, rng, until, 1.5), plants.during(plant, site), *callers)
+        await asyncio.sleep(6)
+        await site.settle()
+        await site.stop()
+    finally:
+        # Also after an error of the soak itself no process stays.
+        site.kill_nodes()
     return site, injected
 
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -207,10 +207,17 @@
         for job in left.values():
             self.promises.check(False, "recovery", f"{job.id} has not ended {SETTLE_S:.0f} s after the last fault")
 
+    def kill_nodes(self):
+        for node in self.nodes:
+            node.kill()
+
     async def stop(self):
         for node in self.nodes:
             self.promises.check(await node.stop(), "graceful-stop", f"{node.name} did not end at the end")
             await node.store_path.stop()
+        await self.stop_stand_ins()
+
+    async def stop_stand_ins(self):
         self.fleet.new_worker = None
         for vm in self.fleet.vms.values():
             vm.worker.end()
--- a/soak/store.py
+++ b/soak/store.py
@@ -106,6 +106,11 @@
         self.write([((table, part, key), text)])
         return True
 
+    @staticmethod
+    def decoded(value):
+        """Content of a row whose value is JSON."""
+        return json.loads(base64.b64decode(value))
+
     def _shown(self, place):
         value, version = self.rows[place]
         return {"table": place[0], "part": place[1], "key": place[2], "value": value, "schema_version": version}
