--- a/tests/node_link_test.cc
+++ b/tests/node_link_test.cc
@@ -13,7 +13,7 @@
 using tcp = asio::ip::tcp;
 
 // Guards against a call that reaches the owner after its sender closed the link
-// and was refused on another one (fleetbench day review/5/day.toml, seed 3).
+// and was refused on another one.
 TEST_CASE("a link that is closed delivers nothing more") {
   asio::io_context context;
   tcp::acceptor acceptor(context,
