Bound what clients can make a process hold

Cause: Beast takes a head field by field and bounds only the rest in its buffer; chunk headers and trailers wait in a buffer without a bound; nothing bounds all connections together; callers and links to other VMs could take every descriptor. Ruled out: the body's limit, which holds; a limit an address, since callers of a zone may share one. Change: a read loop of its own with a bounded buffer, a budget of memory over all requests being read, a least rate, a share of the descriptors, idle and stalled connections closed for new clients, unidentified links bounded; the same buffer bound in the client.

--- a/filbertspar/http/src/client.cc
+++ b/filbertspar/http/src/client.cc
@@ -25,10 +25,14 @@
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 
+/// Bounds the parts of an answer that are read whole: its head, a chunk header,
+/// the trailers.
+constexpr std::size_t kMaxBufferBytes = 64U << 10U;
+
 struct Connection {
   explicit Connection(asio::io_context& context) : m_stream(context) {}
   Stream m_stream;
-  beast::flat_buffer m_buffer;
+  beast::flat_buffer m_buffer{kMaxBufferBytes};
   TimePoint m_idle_since;
 };
 using ConnectionPtr = std::unique_ptr<Connection>;
--- a/filbertspar/http/src/server.cc
+++ b/filbertspar/http/src/server.cc
@@ -1,11 +1,13 @@
 #include "filbertspar/http/src/server.h"
 
+#include <algorithm>
 #include <array>
 #include <exception>
 #include <optional>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "boost/asio/as_tuple.hpp"
@@ -28,11 +30,34 @@
 using tcp = asio::ip::tcp;
 using Socket = asio::basic_stream_socket<tcp, asio::io_context::executor_type>;
 
+using Parser = http::request_parser<http::string_body>;
+
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
-/// Pause after accept failed, usually for want of file descriptors.
+/// Pause after accept failed, usually for want of file descriptors, or while
+/// all connections are in use.
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
+/// Connections given up when descriptors run out, so that the process can open
+/// connections of its own.
+constexpr std::size_t kDescriptorReserve = 32;
 /// A client that sends more than this after a refusal is cut off.
-constexpr std::size_t kMaxDrainedBytes = 64U << 20U;
+constexpr std::size_t kMaxDrainedBytes = 4U << 20U;
+/// Room in a connection's buffer beside the head. Chunk headers and trailers
+/// must fit into the buffer whole.
+constexpr std::size_t kBufferSlack = 16U << 10U;
+/// First read of a connection; most requests fit. An idle connection keeps no
+/// more than this.
+constexpr std::size_t kFirstReadBytes = 2U << 10U;
+constexpr std::size_t kBodyReadBytes = 16U << 10U;
+/// The shortest field of a head has 4 bytes and takes about 64 in memory.
+constexpr std::size_t kBytesPerHeadByte = 16;
+/// With this much time without a new shortage of descriptors, a server takes as
+/// many connections as before.
+constexpr Duration kDescriptorRecoveryTime = Seconds(10);
+/// A request that has been arriving for this long may be cut off for a new
+/// client when no connection is idle.
+constexpr Duration kMinReadingAge = Seconds(1);
+/// Budget of a server without a shared one.
+constexpr std::size_t kDefaultMaxHeldBytes = 64U << 20U;
 /// One sweep over all connections costs less than a timer for every read and
 /// write, and cancels without closing, so that a slow client can be answered.
 constexpr auto kSweepPeriod = std::chrono::milliseconds(100);
@@ -43,24 +68,52 @@
   struct Connection {
     explicit Connection(Socket socket) : m_socket(std::move(socket)) {}
     Socket m_socket;
+    ConnectionUse m_use;
     TimePoint m_deadline = TimePoint::max();
-    bool m_expired = false;
-    bool m_busy = false;
+    /// Bytes of the head of the request that is being read.
+    std::size_t m_head_bytes = 0;
+    /// Why the connection was cancelled.
+    std::optional<ClientFault> m_fault;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
-  State(asio::io_context& context, HttpServerLimits limits, HttpHandler handler)
+  State(asio::io_context& context, HttpServerLimits limits, HttpHandler handler,
+        ClientGuard guard)
       : m_context(context),
         m_acceptor(context),
         m_sweep_timer(context),
         m_limits(limits),
-        m_handler(std::move(handler)) {}
+        m_handler(std::move(handler)),
+        m_guard(std::move(guard)) {
+    if (m_guard.m_uses == nullptr) {
+      m_guard.m_uses = std::make_shared<ConnectionUses>(kDefaultMaxHeldBytes);
+    }
+  }
 
   asio::awaitable<void> Accept();
+  /// False: the client was refused, since all connections are in use.
+  bool Admit(Socket socket);
+  /// Closes a connection for a new client; false when none can be.
+  bool CloseForNewClient();
+  void ReportFault(const Connection& connection, ClientFault fault) const;
   asio::awaitable<void> Sweep();
   asio::awaitable<void> Serve(ConnectionPtr connection);
   asio::awaitable<bool> ServeOne(Connection& connection,
                                  beast::flat_buffer& buffer);
+  /// Parses what is in the buffer; need_more when the request is not complete.
+  boost::system::error_code Parse(Connection& connection,
+                                  beast::flat_buffer& buffer,
+                                  Parser& parser) const;
+  /// Counts the memory of the request; over the budget the largest request is
+  /// cut off. False when it is this one.
+  bool HoldBytes(Connection& connection, const beast::flat_buffer& buffer,
+                 const Parser& parser);
+  /// Reads a request in full, within its bounds of size and time and the memory
+  /// that all connections share.
+  asio::awaitable<boost::system::error_code> Read(Connection& connection,
+                                                  beast::flat_buffer& buffer,
+                                                  Parser& parser);
+  void EndRead(Connection& connection) const;
   asio::awaitable<void> Refuse(Connection& connection,
                                boost::system::error_code error);
   asio::awaitable<void> Drain(Connection& connection);
@@ -72,7 +125,11 @@
   TcpAcceptor m_acceptor;
   asio::steady_timer m_sweep_timer;
   HttpServerLimits m_limits;
+  /// Below m_limits.m_connections after descriptors ran out.
+  std::size_t m_connection_limit = m_limits.m_connections;
+  TimePoint m_limited_until = TimePoint::min();
   HttpHandler m_handler;
+  ClientGuard m_guard;
   std::set<ConnectionPtr> m_connections;
   bool m_stopping = false;
 };
@@ -84,24 +141,82 @@
     if (error == asio::error::operation_aborted) {
       co_return;
     }
-    if (error) {
+    bool is_refused = error.failed();
+    if (!error) {
+      is_refused = !Admit(std::move(socket));
+    } else if (error == asio::error::no_descriptors) {
+      // Fewer connections leave the process descriptors of its own.
+      m_connection_limit =
+          std::min(m_limits.m_connections,
+                   std::max(m_connections.size(), 2 * kDescriptorReserve) -
+                       kDescriptorReserve);
+      m_limited_until = SteadyNow() + kDescriptorRecoveryTime;
+      for (std::size_t i = 0; i < kDescriptorReserve && CloseForNewClient();
+           ++i) {
+      }
+    }
+    if (is_refused) {
       asio::steady_timer timer(m_context, kAcceptPause);
       co_await timer.async_wait(kTuple);
-      continue;
     }
-    if (m_connections.size() >= m_limits.m_connections) {
-      continue;
+  }
+}
+
+bool HttpServer::State::Admit(Socket socket) {
+  if (m_connections.size() >= m_connection_limit && !CloseForNewClient()) {
+    // All others are in use; closing the socket refuses the client.
+    if (m_guard.m_on_fault) {
+      m_guard.m_on_fault(ClientFault::kTooManyConnections, "");
     }
-    boost::system::error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    auto connection = std::make_shared<Connection>(std::move(socket));
-    m_connections.insert(connection);
-    asio::co_spawn(m_context, Serve(connection), asio::detached);
+    return false;
+  }
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  auto connection = std::make_shared<Connection>(std::move(socket));
+  ConnectionUse& use = connection->m_use;
+  use.m_address =
+      connection->m_socket.remote_endpoint(ignored).address().to_string();
+  use.m_last_progress_at = SteadyNow();
+  use.m_cancel = [raw = connection.get()](ClientFault fault) {
+    raw->m_fault = fault;
+    raw->m_deadline = TimePoint::max();
+    boost::system::error_code error;
+    raw->m_socket.cancel(error);
+  };
+  m_guard.m_uses->Add(use);
+  m_connections.insert(connection);
+  asio::co_spawn(m_context, Serve(connection), asio::detached);
+  return true;
+}
+
+bool HttpServer::State::CloseForNewClient() {
+  std::vector<ConnectionUse*> uses;
+  for (const ConnectionPtr& connection : m_connections) {
+    if (!connection->m_fault) {
+      uses.push_back(&connection->m_use);
+    }
+  }
+  ConnectionUse* use = ChooseIdle(uses);
+  if (use == nullptr) {
+    use = ChooseReading(uses, SteadyNow() - kMinReadingAge);
+  }
+  if (use != nullptr) {
+    use->m_cancel(ClientFault::kTooManyConnections);
+  }
+  return use != nullptr;
+}
+
+void HttpServer::State::ReportFault(const Connection& connection,
+                                    ClientFault fault) const {
+  if (m_guard.m_on_fault) {
+    m_guard.m_on_fault(fault, connection.m_use.m_address);
   }
 }
 
 asio::awaitable<void> HttpServer::State::Sweep() {
   auto self = shared_from_this();
+  const RequestPace pace{m_limits.m_read_time, m_limits.m_min_bytes_per_s,
+                         m_limits.m_rate_grace};
   while (!m_stopping || !m_connections.empty()) {
     m_sweep_timer.expires_after(kSweepPeriod);
     auto [error] = co_await m_sweep_timer.async_wait(kTuple);
@@ -109,12 +224,16 @@
       co_return;
     }
     const TimePoint now = SteadyNow();
+    if (now > m_limited_until) {
+      m_connection_limit = m_limits.m_connections;
+    }
     for (const ConnectionPtr& connection : m_connections) {
-      if (connection->m_deadline < now) {
-        connection->m_expired = true;
-        connection->m_deadline = TimePoint::max();
-        boost::system::error_code ignored;
-        connection->m_socket.cancel(ignored);
+      if (connection->m_fault) {
+        // A cancellation that came between two operations had no effect.
+        connection->m_use.m_cancel(*connection->m_fault);
+      } else if (connection->m_deadline < now ||
+                 IsTooSlow(pace, connection->m_use, now)) {
+        connection->m_use.m_cancel(ClientFault::kTooSlow);
       }
     }
   }
@@ -122,7 +241,7 @@
 
 asio::awaitable<void> HttpServer::State::Serve(ConnectionPtr connection) {
   auto self = shared_from_this();
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(m_limits.m_header_bytes + kBufferSlack);
   try {
     while (!m_stopping && co_await ServeOne(*connection, buffer)) {
     }
@@ -132,59 +251,185 @@
   boost::system::error_code ignored;
   connection->m_socket.shutdown(tcp::socket::shutdown_both, ignored);
   connection->m_socket.close(ignored);
+  m_guard.m_uses->Remove(connection->m_use);
   m_connections.erase(connection);
 }
 
+boost::system::error_code HttpServer::State::Parse(Connection& connection,
+                                                   beast::flat_buffer& buffer,
+                                                   Parser& parser) const {
+  boost::system::error_code error;
+  const bool was_in_head = !parser.is_header_done();
+  const std::size_t used = parser.put(buffer.data(), error);
+  buffer.consume(used);
+  if (was_in_head) {
+    connection.m_head_bytes += used;
+  }
+  if (error && error != http::error::need_more) {
+    return error;
+  }
+  // The parser takes a head field by field and bounds only what is left of it.
+  if (!parser.is_header_done() &&
+      connection.m_head_bytes + buffer.size() > m_limits.m_header_bytes) {
+    return http::error::header_limit;
+  }
+  // Two hosts could be routed differently by a proxy in front; the second one
+  // may be among the trailers.
+  if ((was_in_head || parser.is_done()) &&
+      parser.get().count(http::field::host) > 1) {
+    return http::error::bad_value;
+  }
+  return error;
+}
+
+asio::awaitable<boost::system::error_code> HttpServer::State::Read(
+    Connection& connection, beast::flat_buffer& buffer, Parser& parser) {
+  ConnectionUse& use = connection.m_use;
+  use.m_is_reading = true;
+  use.m_request_began_at = SteadyNow();
+  use.m_received_bytes = buffer.size();
+  connection.m_head_bytes = 0;
+  boost::system::error_code error = http::error::need_more;
+  while (true) {
+    if (buffer.size() > 0) {
+      error = Parse(connection, buffer, parser);
+    }
+    if (parser.is_done() || (error && error != http::error::need_more)) {
+      break;
+    }
+    if (!error && buffer.size() > 0) {
+      continue;
+    }
+    if (!HoldBytes(connection, buffer, parser)) {
+      error = asio::error::no_memory;
+      break;
+    }
+    const std::size_t room = buffer.max_size() - buffer.size();
+    if (room == 0) {
+      error = http::error::buffer_overflow;
+      break;
+    }
+    const std::size_t wanted =
+        parser.is_header_done() ? kBodyReadBytes : kFirstReadBytes;
+    auto [read_error, bytes] = co_await connection.m_socket.async_read_some(
+        buffer.prepare(std::min(wanted, room)), kTuple);
+    buffer.commit(bytes);
+    use.m_received_bytes += bytes;
+    use.m_last_progress_at = SteadyNow();
+    if (connection.m_fault) {
+      // Also when the cancellation came after the read had succeeded.
+      error = asio::error::operation_aborted;
+      break;
+    }
+    if (read_error == asio::error::eof && parser.got_some()) {
+      parser.put_eof(error);
+      break;
+    }
+    if (read_error) {
+      error = read_error == asio::error::eof ? http::error::end_of_stream
+                                             : read_error;
+      break;
+    }
+  }
+  EndRead(connection);
+  co_return error == http::error::need_more ? boost::system::error_code()
+                                            : error;
+}
+
+bool HttpServer::State::HoldBytes(Connection& connection,
+                                  const beast::flat_buffer& buffer,
+                                  const Parser& parser) {
+  m_guard.m_uses->SetHeld(connection.m_use,
+                          buffer.capacity() + parser.get().body().capacity() +
+                              kBytesPerHeadByte * connection.m_head_bytes);
+  while (m_guard.m_uses->IsOverBudget()) {
+    ConnectionUse* largest = m_guard.m_uses->LargestReading();
+    if (largest == nullptr) {
+      break;
+    }
+    largest->m_is_reading = false;
+    m_guard.m_uses->SetHeld(*largest, 0);
+    largest->m_cancel(ClientFault::kMemoryPressure);
+  }
+  return !connection.m_fault;
+}
+
+void HttpServer::State::EndRead(Connection& connection) const {
+  connection.m_use.m_is_reading = false;
+  m_guard.m_uses->SetHeld(connection.m_use, 0);
+}
+
 asio::awaitable<bool> HttpServer::State::ServeOne(Connection& connection,
                                                   beast::flat_buffer& buffer) {
-  http::request_parser<http::string_body> parser;
+  Parser parser;
+  parser.eager(true);
   parser.body_limit(m_limits.m_body_bytes);
   parser.header_limit(static_cast<std::uint32_t>(m_limits.m_header_bytes));
 
   // The first byte may be long in coming, the rest of the request may not.
   if (buffer.size() == 0) {
+    if (buffer.capacity() > kFirstReadBytes) {
+      buffer.shrink_to_fit();
+    }
     connection.m_deadline = SteadyNow() + m_limits.m_idle_time;
     auto [error, bytes] = co_await connection.m_socket.async_read_some(
-        buffer.prepare(m_limits.m_header_bytes), kTuple);
-    if (error) {
+        buffer.prepare(kFirstReadBytes), kTuple);
+    if (connection.m_fault == ClientFault::kTooManyConnections) {
+      ReportFault(connection, *connection.m_fault);
+    }
+    if (error || connection.m_fault) {
       co_return false;
     }
     buffer.commit(bytes);
   }
-  connection.m_deadline = SteadyNow() + m_limits.m_read_time;
-  auto [error, bytes] =
-      co_await http::async_read(connection.m_socket, buffer, parser, kTuple);
-  static_cast<void>(bytes);
+  connection.m_deadline = TimePoint::max();
+  const boost::system::error_code error =
+      co_await Read(connection, buffer, parser);
   if (error) {
     co_await Refuse(connection, error);
     co_return false;
   }
   const HttpRequest request = parser.release();
   const bool keep_alive = request.keep_alive();
-  connection.m_deadline = TimePoint::max();
-  connection.m_busy = true;
+  connection.m_use.m_is_busy = true;
   HttpResponse response = co_await Handle(request);
   const bool written = co_await Write(connection, std::move(response),
                                       keep_alive && !m_stopping);
-  connection.m_busy = false;
+  connection.m_use.m_is_busy = false;
+  connection.m_use.m_last_progress_at = SteadyNow();
   co_return written&& keep_alive;
 }
 
 asio::awaitable<void> HttpServer::State::Refuse(
     Connection& connection, boost::system::error_code error) {
-  if (connection.m_expired) {
-    connection.m_expired = false;
-    co_await Write(connection, CodeResponse(Code::kSlowClient, ""), false);
+  const bool is_unreadable =
+      error.category() ==
+          make_error_code(http::error::bad_version).category() &&
+      error != http::error::end_of_stream;
+  if (connection.m_fault) {
+    const ClientFault fault = *connection.m_fault;
+    connection.m_fault.reset();
+    ReportFault(connection, fault);
+    if (fault == ClientFault::kTooSlow) {
+      co_await Write(connection, CodeResponse(Code::kSlowClient, ""), false);
+    }
   } else if (error == http::error::body_limit) {
+    ReportFault(connection, ClientFault::kBodyTooLarge);
     co_await Write(
         connection,
         CodeResponse(Code::kBodyTooLarge,
                      absl::StrCat("at most ", m_limits.m_body_bytes, " bytes")),
         false);
     co_await Drain(connection);
-  } else if (error.category() ==
-                 make_error_code(http::error::bad_version).category() &&
-             error != http::error::end_of_stream) {
+  } else if (error == http::error::buffer_overflow ||
+             error == http::error::header_limit) {
+    ReportFault(connection, ClientFault::kHeadTooLarge);
+    co_await Write(connection,
+                   CodeResponse(Code::kBadField,
+                                "head, chunk header or trailers too large"),
+                   false);
+  } else if (is_unreadable) {
+    ReportFault(connection, ClientFault::kUnreadable);
     co_await Write(connection, CodeResponse(Code::kBadField, error.message()),
                    false);
   }
@@ -197,7 +442,8 @@
   connection.m_socket.shutdown(tcp::socket::shutdown_send, error);
   connection.m_deadline = SteadyNow() + m_limits.m_read_time;
   std::array<char, 16384> discarded;
-  for (std::size_t total = 0; !error && total < kMaxDrainedBytes;) {
+  for (std::size_t total = 0;
+       !error && !connection.m_fault && total < kMaxDrainedBytes;) {
     auto [read_error, bytes] = co_await connection.m_socket.async_read_some(
         asio::buffer(discarded), kTuple);
     error = read_error;
@@ -226,12 +472,19 @@
   auto [error, bytes] =
       co_await http::async_write(connection.m_socket, response, kTuple);
   static_cast<void>(bytes);
+  connection.m_deadline = TimePoint::max();
+  if (error && connection.m_fault) {
+    ReportFault(connection, ClientFault::kAnswerNotRead);
+  } else if (!error) {
+    connection.m_fault.reset();
+  }
   co_return !error;
 }
 
 HttpServer::HttpServer(asio::io_context& context, HttpServerLimits limits,
-                       HttpHandler handler)
-    : m_state(std::make_shared<State>(context, limits, std::move(handler))) {}
+                       HttpHandler handler, ClientGuard guard)
+    : m_state(std::make_shared<State>(context, limits, std::move(handler),
+                                      std::move(guard))) {}
 
 HttpServer::~HttpServer() { Close(); }
 
@@ -252,7 +505,7 @@
   boost::system::error_code ignored;
   m_state->m_acceptor.close(ignored);
   for (const auto& connection : m_state->m_connections) {
-    if (!connection->m_busy) {
+    if (!connection->m_use.m_is_busy) {
       connection->m_socket.cancel(ignored);
     }
   }
--- a/filbertspar/node/src/link_server.cc
+++ b/filbertspar/node/src/link_server.cc
@@ -1,8 +1,10 @@
 #include "filbertspar/node/src/link_server.h"
 
+#include <algorithm>
 #include <array>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "boost/asio/co_spawn.hpp"
@@ -22,6 +24,10 @@
 constexpr Duration kAcceptRetryDelay = Milliseconds(50);
 /// Bytes queued for a peer that does not read; beyond them its link is closed.
 constexpr std::size_t kMaxQueuedBytes = 8 << 20;
+/// Time in which a VM that connects must have identified itself, and number of
+/// connections that have not: anybody may connect to the port.
+constexpr Duration kHelloTimeout = Seconds(2);
+constexpr std::size_t kMaxUnidentifiedLinks = 64;
 /// VMs ping four times a second; one that is this late is paused or cut off.
 constexpr Duration kRelayPingAge = Milliseconds(600);
 /// Starts that one VM is asked to send at the same time.
@@ -35,6 +41,7 @@
     LinkSocket m_socket;
     std::unique_ptr<Session> m_session;
     VmName m_peer;
+    TimePoint m_accepted_at = BootNow();
     FrameQueue m_queue;
     std::size_t m_relays = 0;
     bool m_closed = false;
@@ -68,6 +75,9 @@
   void Close(const LinkPtr& link);
 
   LinkPtr LinkTo(const VmName& vm) const;
+  /// Closes links whose VM has not identified itself in time, and the oldest
+  /// such link while there are too many.
+  void CloseUnidentified();
 
   asio::io_context& m_context;
   EventLog& m_log;
@@ -101,6 +111,7 @@
     socket.set_option(tcp::no_delay(true), ignored);
     auto link = std::make_shared<Link>(std::move(socket));
     m_links.insert(link);
+    CloseUnidentified();
     asio::co_spawn(m_context, Serve(link), asio::detached);
   }
 }
@@ -210,6 +221,26 @@
   }
 }
 
+void LinkServer::State::CloseUnidentified() {
+  std::vector<LinkPtr> unidentified;
+  for (const LinkPtr& link : m_links) {
+    if (link->m_peer.Empty()) {
+      unidentified.push_back(link);
+    }
+  }
+  std::sort(unidentified.begin(), unidentified.end(),
+            [](const LinkPtr& a, const LinkPtr& b) {
+              return a->m_accepted_at < b->m_accepted_at;
+            });
+  const TimePoint latest = BootNow() - kHelloTimeout;
+  for (std::size_t i = 0; i < unidentified.size(); ++i) {
+    if (unidentified[i]->m_accepted_at < latest ||
+        unidentified.size() - i > kMaxUnidentifiedLinks) {
+      Close(unidentified[i]);
+    }
+  }
+}
+
 LinkServer::State::LinkPtr LinkServer::State::LinkTo(const VmName& vm) const {
   for (const LinkPtr& link : m_links) {
     if (link->m_peer == vm && !link->m_closed && link->m_session->CanSend()) {
--- a/filbertspar/node/src/metric_names.h
+++ b/filbertspar/node/src/metric_names.h
@@ -59,13 +59,18 @@
 inline constexpr MetricFamily kWorkers{
     "filbertspar_workers", "Workers that answer, at the owner, by pool.",
     "pool"};
+inline constexpr MetricFamily kClientFaults{
+    "filbertspar_client_faults_total",
+    "Connections closed and requests refused because of the client, by reason.",
+    "reason"};
 inline constexpr MetricFamily kLogDropped{"filbertspar_log_dropped_total",
                                           "Log lines that were not kept.", ""};
 
 inline constexpr std::array kAll = {
-    kCalls,        kCallSeconds,   kJobs,          kJobSeconds, kOrders,
-    kOrderSeconds, kEnds,          kWorkerCrashes, kStoreCalls, kStoreSeconds,
-    kSentBytes,    kReceivedBytes, kVmOrders,      kOwner,      kConfigVersion,
-    kConfigAge,    kActiveJobs,    kWorkers,       kLogDropped};
+    kCalls,      kCallSeconds,  kJobs,          kJobSeconds,
+    kOrders,     kOrderSeconds, kEnds,          kWorkerCrashes,
+    kStoreCalls, kStoreSeconds, kSentBytes,     kReceivedBytes,
+    kVmOrders,   kOwner,        kConfigVersion, kConfigAge,
+    kActiveJobs, kWorkers,      kClientFaults,  kLogDropped};
 
 }  // namespace filbertspar::metric
--- a/filbertspar/node/src/node.cc
+++ b/filbertspar/node/src/node.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
+#include <string_view>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -32,6 +34,12 @@
 constexpr Duration kConnectTime = Milliseconds(400);
 constexpr std::size_t kBodyBytes = 1 << 20;
 constexpr std::size_t kHeaderBytes = 16 << 10;
+constexpr std::size_t kProbeBodyBytes = 4 << 10;
+constexpr std::size_t kProbeConnections = 64;
+constexpr Duration kProbeReadTime = Seconds(2);
+/// Log lines about one reason for which clients are cut off; the counter has
+/// them all.
+constexpr Duration kClientFaultLogPeriod = Seconds(1);
 
 std::string RandomSecret() {
   std::string secret;
@@ -48,10 +56,23 @@
   return limits;
 }
 
-HttpServerLimits ServerLimits() {
+HttpServerLimits CallerLimits(const NodeOptions& options) {
   HttpServerLimits limits;
   limits.m_body_bytes = kBodyBytes;
   limits.m_header_bytes = kHeaderBytes;
+  limits.m_connections = options.m_max_client_connections;
+  limits.m_read_time = options.m_client_read_time;
+  limits.m_min_bytes_per_s = options.m_client_min_bytes_per_s;
+  return limits;
+}
+
+/// Limits of the ready and the metrics address, which take requests without a
+/// body from few clients.
+HttpServerLimits ProbeLimits(const NodeOptions& options) {
+  HttpServerLimits limits = CallerLimits(options);
+  limits.m_body_bytes = kProbeBodyBytes;
+  limits.m_connections = kProbeConnections;
+  limits.m_read_time = kProbeReadTime;
   return limits;
 }
 
@@ -108,18 +129,28 @@
         m_router(m_watch, m_link_client, [this] { return m_owner_term; }),
         m_job_api(m_configuration, m_router, m_relay, m_metrics, m_log,
                   m_options.m_max_row_bytes),
-        m_callers(context, ServerLimits(),
-                  [this](const HttpRequest& request) {
-                    return m_job_api.Handle(request);
-                  }),
-        m_ready(context, ServerLimits(),
-                [this](const HttpRequest& request) { return Ready(request); }),
+        m_guard{std::make_shared<ConnectionUses>(m_options.m_max_client_bytes),
+                [this](ClientFault fault, std::string_view address) {
+                  HandleClientFault(fault, address);
+                }},
+        m_callers(
+            context, CallerLimits(m_options),
+            [this](const HttpRequest& request) {
+              return m_job_api.Handle(request);
+            },
+            m_guard),
+        m_ready(
+            context, ProbeLimits(m_options),
+            [this](const HttpRequest& request) { return Ready(request); },
+            m_guard),
         m_metrics_server(
-            context, ServerLimits(),
-            [this](const HttpRequest& request) { return Metrics(request); }) {}
+            context, ProbeLimits(m_options),
+            [this](const HttpRequest& request) { return Metrics(request); },
+            m_guard) {}
 
   asio::awaitable<HttpResponse> Ready(const HttpRequest& request);
   asio::awaitable<HttpResponse> Metrics(const HttpRequest& request);
+  void HandleClientFault(ClientFault fault, std::string_view address);
   void HandleOwnershipGained(OwnerWatch::WonClaim won);
   void HandleOwnershipLost();
   asio::awaitable<void> HandOver();
@@ -143,6 +174,8 @@
   std::shared_ptr<OwnerTerm> m_owner_term;
   Router m_router;
   JobApi m_job_api;
+  ClientGuard m_guard;
+  std::map<ClientFault, TimePoint> m_fault_logged_at;
   HttpServer m_callers;
   HttpServer m_ready;
   HttpServer m_metrics_server;
@@ -188,6 +221,22 @@
   co_return TextResponse(200, RenderMetrics(m_metrics, metric::kAll));
 }
 
+void Node::Parts::HandleClientFault(ClientFault fault,
+                                    std::string_view address) {
+  Count(m_metrics, metric::kClientFaults, ClientFaultName(fault));
+  TimePoint& logged_at =
+      m_fault_logged_at.try_emplace(fault, TimePoint::min()).first->second;
+  if (BootNow() < logged_at + kClientFaultLogPeriod) {
+    return;
+  }
+  logged_at = BootNow();
+  m_log.Warn("call", "client_cut_off",
+             absl::StrCat("reason=", std::string(ClientFaultName(fault)),
+                          " address=", std::string(address),
+                          " held_bytes=", m_guard.m_uses->HeldBytes(),
+                          " connections=", m_callers.Connections()));
+}
+
 void Node::Parts::HandleOwnershipGained(OwnerWatch::WonClaim won) {
   const OwnerTermParts parts{m_context, m_options,       m_store,
                              m_client,  m_configuration, m_link_server,
--- a/filbertspar/node/src/options.cc
+++ b/filbertspar/node/src/options.cc
@@ -1,5 +1,10 @@
 #include "filbertspar/node/src/options.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <limits>
+
 namespace filbertspar {
 namespace {
 
@@ -10,6 +15,45 @@
   return Duration(static_cast<std::int64_t>(seconds * 1e6));
 }
 
+/// Part of the process's descriptors that callers may take; the rest is for
+/// workers, the store and other VMs. An owner has about one connection a
+/// worker.
+constexpr std::size_t kClientDescriptorDivisor = 2;
+/// Part of the process's memory that half-read requests may take; jobs take a
+/// third, and the rest covers rows, orders and answers.
+constexpr std::size_t kClientMemoryDivisor = 4;
+
+constexpr std::size_t kMinClientConnections = 16;
+
+std::size_t DescriptorLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+    return std::numeric_limits<std::size_t>::max();
+  }
+  return limit.rlim_cur;
+}
+
+void ReadClientLimits(Settings& settings, NodeOptions& options) {
+  // 0 stands for a value that follows from the machine.
+  const auto read = [&settings](std::string_view key, std::size_t automatic) {
+    const auto value = static_cast<std::size_t>(
+        settings.GetInt(key, 0, 0, std::int64_t{1} << 30));
+    return value == 0 ? automatic : value;
+  };
+  options.m_max_descriptors = std::min(
+      read("node.max_descriptors", DescriptorLimit()), DescriptorLimit());
+  options.m_max_client_connections =
+      read("node.max_client_connections",
+           std::max(options.m_max_descriptors / kClientDescriptorDivisor,
+                    kMinClientConnections));
+  options.m_max_client_bytes = read(
+      "node.max_client_bytes", options.m_memory_bytes / kClientMemoryDivisor);
+  options.m_client_read_time = settings.GetMilliseconds(
+      "node.client_read_ms", Seconds(10), Milliseconds(100), Seconds(600));
+  options.m_client_min_bytes_per_s =
+      settings.GetDouble("node.client_min_bytes_per_s", 256, 0, 1e9);
+}
+
 }  // namespace
 
 NodeOptions ReadNodeOptions(Settings& settings) {
@@ -34,6 +78,7 @@
                                "node.memory_mb", 256, 1, 1 << 30))
                            << 20;
   settings.GetBool("node.first_start", false);
+  ReadClientLimits(settings, options);
   options.m_store = settings.GetEndpoint("store.address");
   options.m_store_writes_per_s =
       settings.GetDouble("store.writes_per_s", 600, 0, 1e9);
--- a/filbertspar/node/src/options.h
+++ b/filbertspar/node/src/options.h
@@ -20,6 +20,15 @@
   /// Processor capacity of this VM: its CPU share times its CPU speed.
   Millicores m_cpu_capacity;
   std::size_t m_memory_bytes = 0;
+  /// Open files that the process may have.
+  std::size_t m_max_descriptors = 0;
+  /// Connections that callers may hold, and memory that requests which are
+  /// being read may take together.
+  std::size_t m_max_client_connections = 0;
+  std::size_t m_max_client_bytes = 0;
+  /// Time in which a request must arrive, and its least mean rate.
+  Duration m_client_read_time{0};
+  double m_client_min_bytes_per_s = 0;
   /// Bandwidth of this VM's link in megabits per second.
   double m_link_mbps = 0;
   Endpoint m_store;
