Expect the work of jobs from sums of run times

Cause: the ratio of run time to estimate was a mean of ratios. Where estimates scatter it is above the ratio of the means, and the expected work came out at about twice the real one, so that pools called twice the VMs and did not release them. Change: decayed sums of run times and of estimates.

--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -17,8 +17,9 @@
 constexpr Duration kEarlyExitTime = Seconds(1);
 constexpr Duration kMinRestartDelay = Milliseconds(50);
 constexpr Duration kMaxRestartDelay = Milliseconds(400);
-/// Smoothing weight of a new sample of run time over estimate.
-constexpr double kRatioWeight = 0.05;
+/// Decay of the sums of run times and estimates with each sample. A job has
+/// tens of tasks, which are alike, so that the sums must span many jobs.
+constexpr double kRatioWeight = 0.01;
 /// Samples are clamped to these bounds so that one outlier does not distort the
 /// estimate.
 constexpr double kMinRatio = 0.2;
@@ -205,13 +206,14 @@
     return;
   }
   QueueHistory& history = scheduler.m_history[ref.m_job->m_spec->m_queue];
-  const double ratio =
-      std::clamp(ToSeconds(now - task.m_since) / ToSeconds(spec.m_estimate),
-                 kMinRatio, kMaxRatio);
-  ++history.m_samples;
-  const double weight =
-      std::max(kRatioWeight, 1.0 / static_cast<double>(history.m_samples));
-  history.m_ratio += (ratio - history.m_ratio) * weight;
+  const double estimate = ToSeconds(spec.m_estimate);
+  const double run_time =
+      std::clamp(ToSeconds(now - task.m_since), estimate * kMinRatio,
+                 estimate * kMaxRatio);
+  history.m_run_seconds = history.m_run_seconds * (1 - kRatioWeight) + run_time;
+  history.m_estimated_seconds =
+      history.m_estimated_seconds * (1 - kRatioWeight) + estimate;
+  history.m_ratio = history.m_run_seconds / history.m_estimated_seconds;
 }
 
 void CompleteTask(Scheduler& scheduler, TimePoint now, const TaskRef& ref) {
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -49,6 +49,8 @@
   WorkerIndex m_last_failed_on = kNoWorker;
   /// Crashes of workers that may be this task's fault; see crashes.h.
   std::vector<CrashRecord> m_crashes;
+  /// When the task last left a worker because that was due for upkeep.
+  TimePoint m_left_due_worker_at = TimePoint::min();
   /// When the last start was sent; min() for a run of a previous owner.
   TimePoint m_run_began_at = TimePoint::min();
   /// The last start went to a worker that is isolated for it.
@@ -80,6 +82,9 @@
   /// Numbers of tasks that are done, and that wait for a start.
   std::uint32_t m_done = 0;
   std::uint32_t m_waiting = 0;
+  /// Tasks of a long-running step that could start and fit on no worker at the
+  /// last dispatch.
+  std::uint32_t m_unplaced = 0;
   /// When all steps it depends on were done; max() before that.
   TimePoint m_ready_at = TimePoint::max();
   /// Latest checkpoint of any member of a gang.
@@ -224,8 +229,8 @@
   TimePoint m_avoid_until = TimePoint::min();
   /// No task is started while the VM is being evacuated.
   bool m_cordoned = false;
-  /// The VM is due for upkeep: long-running tasks are placed elsewhere if
-  /// possible.
+  /// The VM is due for upkeep or is being emptied for it: long-running tasks
+  /// are placed elsewhere if possible, and those with a limit begin to leave.
   bool m_upkeep_due = false;
   /// Last throttle order to a best-effort task on this worker.
   TimePoint m_throttled_at = TimePoint::min();
@@ -296,9 +301,11 @@
 
 /// \brief Observed run times of a queue's tasks.
 struct QueueHistory {
-  /// Run time divided by estimate, exponentially smoothed.
+  /// Run time of recent tasks divided by their estimates, as sums.
   double m_ratio = 1;
-  std::uint64_t m_samples = 0;
+  /// Decayed sums of run times and of their estimates.
+  double m_run_seconds = 0;
+  double m_estimated_seconds = 0;
 };
 
 /// \brief A start that is sent once the store has recorded it.
@@ -322,6 +329,9 @@
   /// Core-seconds of all jobs submitted within shares, including refused ones.
   double m_arrived_work = 0;
   std::uint64_t m_arrived_jobs = 0;
+  /// Demand of one task of each long-running step whose tasks may leave their
+  /// workers and fit on no other one, counted once for each reason to leave.
+  ResourceVector m_blocked_evacuations;
 };
 
 /// \brief Token bucket that limits a workspace to its share of jobs.
--- a/tests/scheduler_surge_test.cc
+++ b/tests/scheduler_surge_test.cc
@@ -113,5 +113,29 @@
   CHECK(refused.m_retry_after <= Seconds(10));
 }
 
+// Guards against VMs called for twice the work that arrives. The ratio of two
+// means differs from the mean of the ratios: where estimates scatter by 2.5 in
+// both directions around runs of one second, the mean ratio is 1.45, and the
+// mean estimate is 1.45 s.
+TEST_CASE("estimates that scatter do not inflate the expected work") {
+  Simulation simulation;
+  simulation.AddWorker("w1", "p", 8);
+  for (int i = 0; i < 100; ++i) {
+    const double estimate_s = i % 2 == 0 ? 0.4 : 2.5;
+    simulation.m_ratio = 1 / estimate_s;
+    const Duration estimate(static_cast<std::int64_t>(estimate_s * 1e6));
+    REQUIRE(simulation.Submit(
+        Simulation::MakeJob("job" + std::to_string(i), "p", 4, estimate)));
+    simulation.RunFor(Milliseconds(1500));
+  }
+  const auto work_of = [&simulation](Duration estimate) {
+    return EstimatedWork(*simulation.m_owner,
+                         Simulation::MakeJob("next", "p", 1, estimate));
+  };
+  const double work = work_of(Milliseconds(400)) + work_of(Milliseconds(2500));
+  CHECK(work > 2 * 0.85);
+  CHECK(work < 2 * 1.15);
+}
+
 }  // namespace
 }  // namespace filbertspar::scheduler
