--- a/filbertspar/capacity/src/moves.cc
+++ b/filbertspar/capacity/src/moves.cc
@@ -19,24 +19,26 @@
 /// A pool keeps the capacity for its highest demand in this window before it
 /// releases VMs.
 constexpr Duration kDemandWindow = Milliseconds(1500);
-/// Capacity kept relative to the demand, because tasks do not fill workers
+/// Least reserve relative to the demand, because tasks do not fill workers
 /// evenly.
-constexpr double kHeadroom = 1.1;
-/// Capacity kept relative to the highest recent demand before a VM is released.
-constexpr double kReleaseHeadroom = 1.15;
+constexpr double kHeadroom = 0.1;
+/// The same relative to the highest recent demand before a VM is released.
+constexpr double kReleaseHeadroom = 0.15;
 /// Largest rise of the rate that is extrapolated, as a share of the most recent
 /// rate. Surges level off, and a few large jobs look like a surge.
 constexpr double kMaxRise = 0.35;
 /// Ready work may wait for this share of its slack before VMs are requested.
 constexpr double kSlackShare = 0.5;
 constexpr double kMinSlackSeconds = 0.4;
-/// Shortage reported for unplaced long-running tasks. It exceeds half a VM, so
-/// that a VM is moved, and applies only while none is incoming, so that VMs
-/// come one at a time.
-constexpr double kCoresForUnplaced = 1e3;
 /// A VM moves to the standby pool only after it was idle for this long. A move
 /// costs about as much as running a VM for this time.
 constexpr Duration kMinIdleTime = Milliseconds(1000);
+/// The pools of the configuration are kept for this long after the first job
+/// that ends by itself arrived: before that nothing is known about which of
+/// them will be needed.
+constexpr Duration kLoadObservationTime = Milliseconds(1500);
+/// The same without any such job. Bounds the cost of VMs that nobody uses.
+constexpr Duration kMaxObservationTime = Seconds(60);
 /// A VM list that is requested this long after a move shows the move.
 constexpr Duration kListLag = Seconds(1);
 /// A move that the VM list does not show within this time is dropped.
@@ -103,6 +105,15 @@
   /// When a move that is ordered now completes.
   double m_forecast = 0;
   double m_recent_max = 0;
+  /// Mean core-seconds of a job; 0 before the first.
+  double m_work_of_job = 0;
+
+  /// Cores to keep beyond a mean demand. Demand is made of jobs that come at
+  /// random, so that its deviation is the root of their number times their
+  /// size: a small pool needs a larger part of its demand as a reserve.
+  double Reserve(double cores, double headroom) const {
+    return std::max(cores * headroom, std::sqrt(cores * m_work_of_job));
+  }
 };
 
 PoolDemand UpdateDemand(State::LoadHistory& history, const Policy& policy,
@@ -115,6 +126,10 @@
   }
   PoolDemand demand;
   demand.m_current = load.m_running_cores + load.m_ready_cores;
+  demand.m_work_of_job =
+      load.m_arrived_jobs == 0
+          ? 0
+          : load.m_arrived_work / static_cast<double>(load.m_arrived_jobs);
   demand.m_forecast = ForecastWorkRate(history, policy, now, load);
   history.m_demand_cores.emplace_back(
       now, std::max(load.m_running_cores, demand.m_forecast));
@@ -132,6 +147,8 @@
   const PoolLoad* m_load = nullptr;
   PoolDemand m_demand;
   double m_incoming_cores = 0;
+  /// Cores of the pool's largest VM.
+  double m_vm_cores = 0;
 
   double Available() const {
     return std::max(1.0, m_load->m_cores + m_incoming_cores);
@@ -140,28 +157,65 @@
   /// Cores needed in addition to serve the ready work and the forecast demand
   /// in time.
   double Shortage() const {
-    const double forecast = m_demand.m_forecast * kHeadroom - Available();
+    const double forecast = m_demand.m_forecast +
+                            m_demand.Reserve(m_demand.m_forecast, kHeadroom) -
+                            Available();
     const double slack =
         std::max(kMinSlackSeconds, kSlackShare * ToSeconds(m_load->m_slack));
     double ready = 0;
     if (m_load->m_ready_work > slack * Available()) {
       ready = std::min(m_load->m_ready_work / slack,
-                       m_demand.m_current * kHeadroom - Available());
+                       m_demand.m_current * (1 + kHeadroom) - Available());
     }
-    const double unplaced =
-        m_load->m_unplaced_tasks > 0 && m_incoming_cores <= 0
-            ? kCoresForUnplaced
-            : 0;
-    return std::max({0.0, forecast, ready, unplaced});
+    return std::max({0.0, forecast, ready});
   }
   double Surplus() const {
-    return m_load->m_ready_work > kMinSlackSeconds * Available() ||
-                   m_load->m_unplaced_tasks > 0
+    return m_load->m_ready_work > kMinSlackSeconds * Available()
                ? 0
-               : Available() - m_demand.m_recent_max * kReleaseHeadroom;
+               : Available() - m_demand.m_recent_max -
+                     m_demand.Reserve(m_demand.m_recent_max, kReleaseHeadroom) -
+                     m_load->m_unplaced_vms * m_vm_cores;
   }
 };
 
+/// Where a VM may come from, in order of preference.
+enum class Source : std::uint8_t {
+  kStandby,
+  /// A pool that has more than it needs.
+  kSurplus,
+  /// Any pool without unplaced tasks of its own.
+  kAny,
+};
+
+double CountIncoming(const State& state, const PoolName& pool) {
+  return static_cast<double>(std::count_if(
+      state.m_pending.begin(), state.m_pending.end(),
+      [&pool](const auto& entry) { return entry.second.m_to == pool; }));
+}
+
+/// Whether jobs have arrived for long enough to show which pools they need.
+bool HasObservedLoad(State& state, TimePoint now,
+                     const std::vector<PoolLoad>& pools) {
+  state.m_first_plan_at = std::min(state.m_first_plan_at, now);
+  if (state.m_load_seen_at == TimePoint::max() &&
+      std::any_of(pools.begin(), pools.end(), [](const PoolLoad& load) {
+        return load.m_arrived_work > 0 || load.m_ready_work > 0 ||
+               load.m_running_cores > 0;
+      })) {
+    state.m_load_seen_at = now;
+  }
+  return now - state.m_first_plan_at >= kMaxObservationTime ||
+         (state.m_load_seen_at != TimePoint::max() &&
+          now - state.m_load_seen_at >= kLoadObservationTime);
+}
+
+double CountEmpty(const std::vector<VmView>& vms, const PoolName& pool) {
+  return static_cast<double>(
+      std::count_if(vms.begin(), vms.end(), [&pool](const VmView& vm) {
+        return vm.m_pool == pool && vm.m_movable && vm.m_is_serving;
+      }));
+}
+
 void RefreshState(State& state, TimePoint now, const std::vector<VmView>& vms) {
   std::map<VmName, TimePoint> idle;
   for (const VmView& vm : vms) {
@@ -203,6 +257,12 @@
     balance.m_demand =
         UpdateDemand(state.m_histories[load.m_name], policy, now, load);
   }
+  for (const VmView& vm : vms) {
+    const auto found = balances.find(vm.m_pool);
+    if (found != balances.end()) {
+      found->second.m_vm_cores = std::max(found->second.m_vm_cores, vm.m_cores);
+    }
+  }
   for (const auto& [vm, pending] : state.m_pending) {
     const auto found = balances.find(pending.m_to);
     if (found != balances.end()) {
@@ -221,6 +281,47 @@
            !state.m_pending.contains(vm.m_name) &&
            !state.m_incompatible.contains({vm.m_kind, to});
   };
+  const auto is_from = [&](const VmView& vm, Source source) {
+    const auto donor = balances.find(vm.m_pool);
+    switch (source) {
+      case Source::kStandby:
+        return vm.m_pool == standby;
+      case Source::kSurplus:
+        return donor != balances.end() && donor->second.Surplus() >= vm.m_cores;
+      case Source::kAny:
+        return donor == balances.end() ||
+               donor->second.m_load->m_unplaced_vms <= 0;
+    }
+    return false;
+  };
+  const auto take_from_donor = [&](const VmView& vm) {
+    const auto donor = balances.find(vm.m_pool);
+    if (donor != balances.end()) {
+      donor->second.m_incoming_cores -= vm.m_cores;
+    }
+  };
+  // Long-running tasks that fit nowhere come before a surge: they need few VMs,
+  // and none would be left for them while the surge lasts.
+  for (auto& [name, balance] : balances) {
+    // Where an empty VM is there already, another one would not help.
+    double missing = balance.m_load->m_unplaced_vms -
+                     CountIncoming(state, name) - CountEmpty(vms, name);
+    for (const Source source :
+         {Source::kStandby, Source::kSurplus, Source::kAny}) {
+      for (const VmView& vm : vms) {
+        if (missing <= 0) {
+          break;
+        }
+        if (!is_available(vm, name) || !is_from(vm, source)) {
+          continue;
+        }
+        take_from_donor(vm);
+        add_move(vm, name);
+        balance.m_incoming_cores += vm.m_cores;
+        missing -= 1;
+      }
+    }
+  }
   std::vector<Balance*> short_pools;
   for (auto& [name, balance] : balances) {
     if (balance.Shortage() > 0) {
@@ -240,19 +341,16 @@
         if (!is_available(vm, to) || (vm.m_pool == standby) != from_standby) {
           continue;
         }
-        const auto donor = balances.find(vm.m_pool);
-        if (donor != balances.end()) {
-          if (donor->second.Surplus() < vm.m_cores) {
-            continue;
-          }
-          donor->second.m_incoming_cores -= vm.m_cores;
+        if (!from_standby && !is_from(vm, Source::kSurplus)) {
+          continue;
         }
+        take_from_donor(vm);
         add_move(vm, to);
         balance->m_incoming_cores += vm.m_cores;
       }
     }
   }
-  if (standby.Empty()) {
+  if (standby.Empty() || !HasObservedLoad(state, now, pools)) {
     return moves;
   }
   for (const VmView& vm : vms) {
--- a/filbertspar/capacity/src/moves.h
+++ b/filbertspar/capacity/src/moves.h
@@ -28,8 +28,8 @@
   double m_ready_work = 0;
   /// How long the ready work can wait on average without missing its targets.
   Duration m_slack{0};
-  /// Number of long-running tasks that wait for a worker.
-  std::size_t m_unplaced_tasks = 0;
+  /// VMs that the pool needs for long-running tasks that fit on no worker.
+  double m_unplaced_vms = 0;
   /// Total work and number of all jobs that ever arrived, including rejected
   /// ones.
   double m_arrived_work = 0;
@@ -78,6 +78,10 @@
     TimePoint m_since{};
   };
   std::map<PoolName, LoadHistory> m_histories;
+  /// When the first plan was made.
+  TimePoint m_first_plan_at = TimePoint::max();
+  /// When the first job arrived that is not long-running.
+  TimePoint m_load_seen_at = TimePoint::max();
   std::map<VmName, TimePoint> m_idle_since;
   std::map<VmName, PendingMove> m_pending;
   /// Kinds of VM and pools that rejected them.
@@ -89,7 +93,9 @@
 /// Designed for load surges in which one pool at a time gets several times its
 /// mean load for some seconds. Idle VMs move to pools where work waits, or will
 /// wait by the time the move completes, and to the standby pool when no other
-/// pool needs them.
+/// pool needs them. No VM moves to the standby pool before jobs have shown
+/// which pools they need: the first surge of a deployment comes without
+/// warning.
 std::vector<Move> PlanMoves(State& state, const Policy& policy, TimePoint now,
                             const std::vector<PoolLoad>& pools,
                             const std::vector<VmView>& vms);
--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -296,7 +296,7 @@
       load.m_ready_cores = use.m_ready_cores_within_share;
       load.m_ready_work = use.m_ready_work;
       load.m_slack = use.m_slack;
-      load.m_unplaced_tasks = use.m_unplaced_tasks;
+      load.m_unplaced_vms = use.m_unplaced_vms;
       load.m_arrived_work = pool->second.m_arrived_work;
       load.m_arrived_jobs = pool->second.m_arrived_jobs;
     }
@@ -391,11 +391,12 @@
     m_parts.m_log.Info(
         "vm", "pool_load",
         absl::StrFormat("pool=%s vms=%d movable=%d cores=%.0f running=%.0f "
-                        "ready=%.0f ready_work=%.0f slack_ms=%d jobs=%d",
+                        "ready=%.0f ready_work=%.0f slack_ms=%d jobs=%d "
+                        "unplaced_vms=%.0f",
                         load.m_name.Value(), vms, movable, load.m_cores,
                         load.m_running_cores, load.m_ready_cores,
                         load.m_ready_work, ToMilliseconds(load.m_slack),
-                        load.m_arrived_jobs));
+                        load.m_arrived_jobs, load.m_unplaced_vms));
   }
 }
 
--- a/filbertspar/scheduler/src/dispatch.cc
+++ b/filbertspar/scheduler/src/dispatch.cc
@@ -139,11 +139,28 @@
   }
 }
 
+/// Tasks of a long-running step that could start if there were a worker for
+/// them.
+std::uint32_t CountUnplaced(const Scheduler& scheduler, TimePoint now,
+                            const TaskRef& first) {
+  const StepSpec& spec = first.Spec();
+  if (!spec.m_long_running || !scheduler.m_inherited_resolved ||
+      !IsWithinQuota(scheduler, first.m_job->m_spec->m_workspace,
+                     spec.m_demand)) {
+    return 0;
+  }
+  const std::vector<Task>& tasks = first.GetStep().m_tasks;
+  return static_cast<std::uint32_t>(std::count_if(
+      tasks.begin(), tasks.end(),
+      [now](const Task& task) { return IsStartable(task, now); }));
+}
+
 /// Starts up to `limit` tasks of the step, or all members of a gang.
 void StartStep(Scheduler& scheduler, TimePoint now,
                std::vector<FreeCapacity>& capacities, const TaskRef& first,
                std::uint32_t limit) {
   const StepSpec& spec = first.Spec();
+  first.GetStep().m_unplaced = 0;
   if (spec.m_gang) {
     if (!WaitsForIsolation(first, now)) {
       StartGang(scheduler, now, capacities, first);
@@ -166,6 +183,7 @@
     const WorkerIndex worker =
         ChooseWorker(scheduler, now, capacities, ref, spread);
     if (worker == kNoWorker) {
+      first.GetStep().m_unplaced = CountUnplaced(scheduler, now, first);
       break;
     }
     PlanStart(scheduler, now, ref, worker, NextRun(scheduler, task));
@@ -214,9 +232,6 @@
     }
     StartSuspects(scheduler, now, name);
     std::vector<FreeCapacity> capacities = FreeCapacities(scheduler, now, pool);
-    if (capacities.empty()) {
-      continue;
-    }
     // With a long backlog most steps fit on no worker; this check avoids
     // scanning all workers for each of them.
     ResourceVector largest = LargestFreeCapacity(capacities);
@@ -231,8 +246,13 @@
         const StepSpec& spec = candidate.m_job->m_spec->m_steps[s];
         Step& step = candidate.m_occurrence->m_steps[s];
         if (step.m_waiting == 0 ||
-            !IsReady(*candidate.m_job, *candidate.m_occurrence, s, now) ||
-            !FitsIn(ReservedDemand(spec), largest)) {
+            !IsReady(*candidate.m_job, *candidate.m_occurrence, s, now)) {
+          step.m_unplaced = 0;
+          continue;
+        }
+        if (!FitsIn(ReservedDemand(spec), largest)) {
+          step.m_unplaced = CountUnplaced(
+              scheduler, now, {candidate.m_job, candidate.m_occurrence, s, 0});
           continue;
         }
         const std::uint32_t waiting = step.m_waiting;
--- a/filbertspar/scheduler/src/evacuate.h
+++ b/filbertspar/scheduler/src/evacuate.h
@@ -10,6 +10,8 @@
 void Evacuate(Scheduler& scheduler, TimePoint now);
 
 /// \brief Whether one more task of a long-running step may become unavailable.
-bool IsDisruptionAllowed(const TaskRef& ref);
+/// A task on a worker that does not respond is not known to be available.
+bool IsDisruptionAllowed(const Scheduler& scheduler, TimePoint now,
+                         const TaskRef& ref);
 
 }  // namespace filbertspar::scheduler
--- a/filbertspar/scheduler/src/load.cc
+++ b/filbertspar/scheduler/src/load.cc
@@ -1,6 +1,7 @@
 #include "filbertspar/scheduler/src/load.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "filbertspar/scheduler/src/admit.h"
 #include "filbertspar/scheduler/src/jobs.h"
@@ -32,6 +33,57 @@
       cores_per_megabyte * static_cast<double>(demand.m_memory.Count()));
 }
 
+/// Long-running tasks that fit on no worker.
+struct UnplacedDemand {
+  ResourceVector m_demand;
+  /// Most workers that one step needs because of its limit of tasks a worker.
+  double m_spread = 0;
+
+  void Add(const StepSpec& step, std::uint32_t tasks) {
+    const ResourceVector demand = ReservedDemand(step);
+    for (std::uint32_t i = 0; i < tasks; ++i) {
+      m_demand += demand;
+    }
+    if (step.m_max_per_worker > 0) {
+      m_spread = std::max(m_spread, std::ceil(static_cast<double>(tasks) /
+                                              step.m_max_per_worker));
+    }
+  }
+};
+
+/// Largest amount of each resource on any worker of the pool. With VMs of
+/// different shapes the count of VMs is low, and more are called later.
+ResourceVector CapacityOfVm(const Scheduler& scheduler, const Pool& pool) {
+  ResourceVector largest;
+  for (const WorkerIndex index : pool.m_workers) {
+    const ResourceVector& capacity =
+        scheduler.m_workers[index].m_record.m_capacity;
+    largest.m_cpu = std::max(largest.m_cpu, capacity.m_cpu);
+    largest.m_memory = std::max(largest.m_memory, capacity.m_memory);
+    largest.m_accelerators =
+        std::max(largest.m_accelerators, capacity.m_accelerators);
+  }
+  return largest;
+}
+
+/// Steps can share VMs, so the widest one counts, not their sum. Any demand
+/// needs one VM, also in a pool that has none yet and whose capacity is
+/// unknown.
+double CountVms(const UnplacedDemand& unplaced, const ResourceVector& vm) {
+  const auto share = [](auto demand, auto capacity) {
+    return capacity.Count() <= 0 ? 0
+                                 : static_cast<double>(demand.Count()) /
+                                       static_cast<double>(capacity.Count());
+  };
+  const double share_of_vm =
+      std::max({share(unplaced.m_demand.m_cpu, vm.m_cpu),
+                share(unplaced.m_demand.m_memory, vm.m_memory),
+                share(unplaced.m_demand.m_accelerators, vm.m_accelerators)});
+  const bool is_any = unplaced.m_demand != ResourceVector();
+  return std::max(unplaced.m_spread,
+                  std::ceil(std::max(share_of_vm, is_any ? 1.0 : 0.0)));
+}
+
 bool IsReady(const Job& job, const Occurrence& occurrence, std::size_t step) {
   const auto& dependencies = job.m_spec->m_steps[step].m_depends_on;
   return std::all_of(
@@ -82,6 +134,8 @@
   }
   const double cores_per_megabyte = CoresPerMegabyte(scheduler, pool);
   double slack_by_work = 0;
+  const ResourceVector vm = CapacityOfVm(scheduler, pool);
+  UnplacedDemand unplaced;
   for (const Job* job : pool.m_jobs) {
     const double ratio = RunTimeRatio(scheduler, job->m_spec->m_queue);
     const double backlog_before = workload.m_backlog;
@@ -94,7 +148,10 @@
           workload.m_cores -=
               CoreEquivalent(ReservedDemand(spec), cores_per_megabyte) *
               spec.m_count;
-          workload.m_unplaced_tasks += occurrence->m_steps[s].m_waiting;
+          const Step& step = occurrence->m_steps[s];
+          if ((vm == ResourceVector() || FitsIn(ReservedDemand(spec), vm))) {
+            unplaced.Add(spec, std::min(step.m_unplaced, step.m_waiting));
+          }
         } else {
           AddStep(workload, now, *job, *occurrence, s, ratio,
                   cores_per_megabyte);
@@ -124,6 +181,8 @@
     }
   }
   workload.m_cores = std::max(0.0, workload.m_cores);
+  unplaced.m_demand += pool.m_blocked_evacuations;
+  workload.m_unplaced_vms = CountVms(unplaced, vm);
   if (workload.m_backlog > 0) {
     workload.m_slack = Duration(
         static_cast<std::int64_t>(slack_by_work / workload.m_backlog * 1e6));
--- a/filbertspar/scheduler/src/load.h
+++ b/filbertspar/scheduler/src/load.h
@@ -32,8 +32,8 @@
   /// Average time that waiting tasks can still wait and meet their objective,
   /// weighted by work; negative slack counts as 0.
   Duration m_slack{0};
-  /// Long-running tasks that wait for a worker.
-  std::size_t m_unplaced_tasks = 0;
+  /// VMs that the pool needs for long-running tasks that fit on no worker.
+  double m_unplaced_vms = 0;
 };
 
 /// \brief Sums up the workload of a pool over its workers and jobs.
--- a/filbertspar/scheduler/src/placement.cc
+++ b/filbertspar/scheduler/src/placement.cc
@@ -18,7 +18,10 @@
 /// first one costs extra.
 constexpr double kFirstLongRunningPenalty = 1.5;
 constexpr double kFarFromDataPenalty = 2;
-constexpr double kUpkeepDuePenalty = 3;
+/// A task that is placed on a worker due for upkeep has to move again. That is
+/// worse than a second task of the step on one worker, and better than a worker
+/// where the task failed.
+constexpr double kUpkeepDuePenalty = 7;
 constexpr double kInterferencePenalty = 2;
 
 /// A task waits for a worker near its data for up to this fraction of its
--- a/tests/capacity_moves_test.cc
+++ b/tests/capacity_moves_test.cc
@@ -70,11 +70,24 @@
   Fleet fleet;
   fleet.AddPool("p", 9);
   fleet.AddPool("standby", 0, true);
+  fleet.m_loads[PoolName("p")].m_arrived_work = 1;
   fleet.Run(Seconds(6));
   CHECK(fleet.Size("p") >= 1);
   CHECK(fleet.Size("p") <= 3);
 }
 
+// Guards against a first surge that meets pools which were emptied before any
+// job had arrived, and against VMs that stay on when none ever does.
+TEST_CASE("pools are kept until jobs have shown what they need") {
+  Fleet fleet;
+  fleet.AddPool("p", 9);
+  fleet.AddPool("standby", 0, true);
+  fleet.Run(Seconds(20));
+  CHECK(fleet.Size("p") == 9);
+  fleet.Run(Seconds(60));
+  CHECK(fleet.Size("p") <= 3);
+}
+
 // Guards against a surge that is served by its own pool alone while VMs of
 // other pools are idle. The load is five times the capacity of the pool.
 TEST_CASE("VMs move to a pool during a surge and leave it afterwards") {
@@ -126,6 +139,16 @@
   CHECK(fleet.Size("p") >= needed * 9 / 10);
 }
 
+// Guards against a small pool that is short whenever a few jobs come together:
+// its mean load needs 4 VMs, and the number of jobs varies by a third.
+TEST_CASE("a pool of few large jobs keeps a reserve") {
+  Fleet fleet;
+  fleet.AddPool("p", 1);
+  fleet.AddPool("standby", 60, true);
+  CHECK(LargestPool(fleet, 8, {8.0}, Seconds(10)) <= 8);
+  CHECK(fleet.Size("p") >= 5);
+}
+
 // Guards against reacting to a surge a second too late: within half a second of
 // its start most of the VMs that it needs must have been ordered.
 TEST_CASE("a surge of many small jobs is detected within half a second") {
@@ -156,10 +179,30 @@
   Fleet fleet;
   fleet.AddPool("p", 1);
   fleet.AddPool("standby", 4, true);
-  fleet.m_loads[PoolName("p")].m_unplaced_tasks = 2;
+  fleet.m_loads[PoolName("p")].m_unplaced_vms = 2;
   fleet.m_vms[0].m_movable = false;
   fleet.Run(Seconds(3));
-  CHECK(fleet.Size("p") >= 2);
+  CHECK(fleet.Size("p") >= 3);
+}
+
+// Guards against long-running tasks that wait for as long as a surge elsewhere
+// takes all VMs.
+TEST_CASE("unplaced long-running tasks get VMs before a surge does") {
+  Fleet fleet;
+  fleet.AddPool("p", 1);
+  fleet.AddPool("q", 1);
+  fleet.AddPool("standby", 6, true);
+  fleet.m_vms[0].m_movable = fleet.m_vms[1].m_movable = false;
+  PoolLoad& surge = fleet.m_loads[PoolName("p")];
+  surge.m_running_cores = 16;
+  surge.m_ready_cores = surge.m_ready_work = 1000;
+  fleet.m_loads[PoolName("q")].m_unplaced_vms = 3;
+  fleet.Run(Milliseconds(250));
+  CHECK(fleet.Size("q") == 4);
+  CHECK(fleet.Size("p") == 4);
+  fleet.m_loads[PoolName("q")].m_unplaced_vms = 0;
+  fleet.Run(Seconds(1));
+  CHECK(fleet.Size("q") == 4);
 }
 
 // Guards against ordering a move repeatedly that the pool rejects.
--- a/tests/scheduler_evacuate_test.cc
+++ b/tests/scheduler_evacuate_test.cc
@@ -105,5 +105,94 @@
         "c1");
 }
 
+// Guards against waves that are late because the tasks of a step with a limit
+// begin to leave only when their workers are cordoned, a few at a time.
+TEST_CASE("tasks with a limit leave workers that are due before the cordon") {
+  Simulation simulation;
+  for (const char* name : {"w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"}) {
+    simulation.AddWorker(name, "p", 8);
+  }
+  REQUIRE(simulation.Submit(JobWithMaxUnavailable(4)));
+  simulation.RunFor(Seconds(1));
+  std::vector<std::size_t> due;
+  for (std::size_t i = 0; i < simulation.m_workers.size(); ++i) {
+    if (!simulation.m_workers[i]->m_running.empty()) {
+      simulation.m_owner->m_workers[i].m_upkeep_due = true;
+      due.push_back(i);
+    }
+  }
+  for (int i = 0; i < 150; ++i) {
+    simulation.RunFor(Milliseconds(20));
+    CHECK(CountRunningTasks(simulation) >= 3);
+  }
+  for (const std::size_t i : due) {
+    CHECK(simulation.m_workers[i]->m_running.empty());
+  }
+  CHECK(CountRunningTasks(simulation) == 4);
+}
+
+// Guards against a second task of a guarded step that goes down while another
+// one's worker is silent and its lease has not ended.
+TEST_CASE("no guarded task moves while another one's worker is silent") {
+  Simulation simulation;
+  for (const char* name : {"w1", "w2", "w3", "w4", "w5", "w6"}) {
+    simulation.AddWorker(name, "p", 8);
+  }
+  REQUIRE(simulation.Submit(JobWithMaxUnavailable(4)));
+  simulation.RunFor(Seconds(1));
+  bool is_first = true;
+  for (std::size_t i = 0; i < simulation.m_workers.size(); ++i) {
+    if (simulation.m_workers[i]->m_running.empty()) {
+      continue;
+    }
+    simulation.m_workers[i]->m_is_unreachable = is_first;
+    simulation.m_owner->m_workers[i].m_upkeep_due = !is_first;
+    is_first = false;
+  }
+  for (int i = 0; i < 100; ++i) {
+    simulation.RunFor(Milliseconds(20));
+    CHECK(CountRunningTasks(simulation) >= 4);
+  }
+}
+
+// Guards against tasks that move twice, or for nothing: all other workers are
+// due as well.
+TEST_CASE("tasks do not move from one due worker to another") {
+  Simulation simulation;
+  for (const char* name : {"w1", "w2", "w3", "w4", "w5", "w6"}) {
+    simulation.AddWorker(name, "p", 8);
+  }
+  REQUIRE(simulation.Submit(JobWithMaxUnavailable(4)));
+  simulation.RunFor(Seconds(1));
+  for (Worker& worker : simulation.m_owner->m_workers) {
+    worker.m_upkeep_due = true;
+  }
+  const auto starts = simulation.m_starts;
+  simulation.RunFor(Seconds(3));
+  CHECK(simulation.m_starts == starts);
+  const Pool& pool = simulation.m_owner->m_pools[PoolName("p")];
+  CHECK(pool.m_blocked_evacuations.m_cpu == Millicores(1000));
+}
+
+// Guards against long-running tasks that wait while the plan of moves does not
+// know how many VMs they need.
+TEST_CASE("the workload counts the VMs that unplaced tasks need") {
+  Simulation simulation;
+  simulation.AddWorker("w1", "p", 8);
+  REQUIRE(simulation.Submit(JobWithMaxUnavailable(4)));
+  simulation.RunFor(Seconds(1));
+  const auto unplaced_vms = [&simulation] {
+    return ComputeWorkload(*simulation.m_owner, simulation.m_now,
+                           simulation.m_owner->m_pools[PoolName("p")])
+        .m_unplaced_vms;
+  };
+  CHECK(unplaced_vms() == 3);
+  simulation.AddWorker("w2", "p", 8);
+  simulation.AddWorker("w3", "p", 8);
+  simulation.AddWorker("w4", "p", 8);
+  simulation.RunFor(Seconds(1));
+  CHECK(unplaced_vms() == 0);
+}
+
 }  // namespace
 }  // namespace filbertspar::scheduler
