Log what the length of a queue is made of; details go first when lines are dropped

queue_length and job_begun are new, with metrics beside them. Lines about single runs leave half of the burst to other lines. Dropped lines are reported by event, at most once a second.

Tests: 'lines about calls are logged while details are dropped' and 'dropped lines are reported by event, at most once a period'; neither the method nor the setting exists before this change.

--- a/filbertspar/node/src/event_log.cc
+++ b/filbertspar/node/src/event_log.cc
@@ -5,9 +5,12 @@
 
 #include <algorithm>
 #include <climits>
+#include <map>
 #include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "boost/asio/steady_timer.hpp"
 #include "filbertspar/node/src/clock.h"
 #include "spdlog/pattern_formatter.h"
@@ -25,6 +28,10 @@
 /// Share of the burst that only warnings may use, so that a busy process does
 /// not drop them.
 constexpr double kWarningShare = 0.1;
+/// Share of the burst that details leave to lines about calls and jobs.
+constexpr double kDetailReserveShare = 0.5;
+/// Events named in a report of dropped lines, most frequent first.
+constexpr std::size_t kMaxReportedEvents = 8;
 
 std::string_view FirstLine(std::string_view text) {
   return text.substr(0, text.find('\n'));
@@ -40,36 +47,30 @@
     m_tokens = limits.m_burst_lines;
   }
 
-  /// Leaves `reserve` tokens for others.
-  bool TryTakeToken(double reserve) {
+  /// Leaves this share of the burst for others.
+  bool TryTakeToken(double reserved_share) {
     const TimePoint now = BootNow();
     m_tokens = std::min(
         m_limits.m_burst_lines,
         m_tokens + ToSeconds(now - m_refilled) * m_limits.m_lines_per_s);
     m_refilled = now;
-    if (m_tokens < 1 + reserve ||
+    if (m_tokens < 1 + reserved_share * m_limits.m_burst_lines ||
         m_buffer.size() >= m_limits.m_buffered_bytes) {
-      ++m_dropped;
-      ++m_dropped_unreported;
       return false;
     }
     m_tokens -= 1;
     return true;
   }
 
-  void Log(spdlog::level::level_enum level, std::string_view component,
-           std::string_view event, std::string_view fields) {
-    const bool is_warning = level == spdlog::level::warn;
-    if (!TryTakeToken(is_warning ? 0
-                                 : m_limits.m_burst_lines * kWarningShare)) {
+  void Log(spdlog::level::level_enum level, double reserved_share,
+           std::string_view component, std::string_view event,
+           std::string_view fields) {
+    if (!TryTakeToken(reserved_share)) {
+      ++m_dropped;
+      ++m_unreported[std::string(event)];
       return;
     }
-    if (m_dropped_unreported > 0) {
-      WriteLine(
-          "log", spdlog::level::warn,
-          absl::StrCat("event=lines_dropped count=", m_dropped_unreported));
-      m_dropped_unreported = 0;
-    }
+    ReportDropped();
     WriteLine(
         component, level,
         absl::StrCat("event=", std::string(event), fields.empty() ? "" : " ",
@@ -77,6 +78,31 @@
     ScheduleFlush();
   }
 
+  void ReportDropped() {
+    const TimePoint now = BootNow();
+    if (m_unreported.empty() ||
+        now < m_reported_at + m_limits.m_report_period) {
+      return;
+    }
+    std::uint64_t total = 0;
+    std::vector<std::pair<std::uint64_t, std::string>> events;
+    for (const auto& [event, count] : m_unreported) {
+      total += count;
+      events.emplace_back(count, event);
+    }
+    std::sort(events.rbegin(), events.rend());
+    events.resize(std::min(events.size(), kMaxReportedEvents));
+    WriteLine(
+        "log", spdlog::level::warn,
+        absl::StrCat(
+            "event=lines_dropped count=", total, " by=",
+            absl::StrJoin(events, ",", [](std::string* out, const auto& entry) {
+              absl::StrAppend(out, entry.second, ":", entry.first);
+            })));
+    m_unreported.clear();
+    m_reported_at = now;
+  }
+
   void WriteLine(std::string_view component, spdlog::level::level_enum level,
                  const std::string& text) {
     log(spdlog::details::log_msg(
@@ -133,7 +159,9 @@
   double m_tokens = 0;
   TimePoint m_refilled{};
   std::uint64_t m_dropped = 0;
-  std::uint64_t m_dropped_unreported = 0;
+  /// Lines dropped since the last report, by event.
+  std::map<std::string, std::uint64_t> m_unreported;
+  TimePoint m_reported_at = TimePoint::min();
   bool m_scheduled = false;
   std::shared_ptr<spdlog::logger> m_logger;
 };
@@ -147,14 +175,20 @@
   m_state->m_timer.cancel();
 }
 
+void EventLog::Detail(std::string_view component, std::string_view event,
+                      std::string_view fields) {
+  m_state->Log(spdlog::level::info, kDetailReserveShare, component, event,
+               fields);
+}
+
 void EventLog::Info(std::string_view component, std::string_view event,
                     std::string_view fields) {
-  m_state->Log(spdlog::level::info, component, event, fields);
+  m_state->Log(spdlog::level::info, kWarningShare, component, event, fields);
 }
 
 void EventLog::Warn(std::string_view component, std::string_view event,
                     std::string_view fields) {
-  m_state->Log(spdlog::level::warn, component, event, fields);
+  m_state->Log(spdlog::level::warn, 0, component, event, fields);
 }
 
 void EventLog::Flush() { m_state->Write(); }
--- a/filbertspar/node/src/event_log.h
+++ b/filbertspar/node/src/event_log.h
@@ -20,11 +20,14 @@
   /// Token bucket: average rate in lines per second, and burst size in lines.
   double m_lines_per_s = 400;
   double m_burst_lines = 2000;
+  /// Shortest time between two lines that report dropped lines.
+  Duration m_report_period = Seconds(1);
 };
 
 /// \brief Structured log: one line per event, as key=value fields after a fixed
 /// prefix. Never blocks: lines beyond the limits are dropped and counted, and a
-/// later line reports the count.
+/// later line reports the counts by event. Details are dropped first, warnings
+/// last.
 class EventLog {
  public:
   EventLog(asio::io_context& context, EventLogLimits limits, int descriptor);
@@ -33,6 +36,8 @@
   EventLog& operator=(const EventLog&) = delete;
 
   /// \brief `fields` is "key=value ..."; values contain no spaces.
+  void Detail(std::string_view component, std::string_view event,
+              std::string_view fields = "");
   void Info(std::string_view component, std::string_view event,
             std::string_view fields = "");
   void Warn(std::string_view component, std::string_view event,
--- a/filbertspar/node/src/metric_names.h
+++ b/filbertspar/node/src/metric_names.h
@@ -11,9 +11,9 @@
     "verb_code"};
 inline constexpr MetricFamily kCallSeconds{
     "filbertspar_call_seconds", "Time to answer a call, by verb.", "verb"};
-inline constexpr MetricFamily kJobs{"filbertspar_jobs_total",
-                                    "Jobs by how they were taken in or ended.",
-                                    "event"};
+inline constexpr MetricFamily kJobs{
+    "filbertspar_jobs_total", "Jobs by how they were taken in, begun or ended.",
+    "event"};
 inline constexpr MetricFamily kJobSeconds{
     "filbertspar_job_seconds", "Time from acceptance to the end, by state.",
     "state"};
@@ -56,6 +56,13 @@
     "Time since the configuration was last confirmed.", ""};
 inline constexpr MetricFamily kActiveJobs{
     "filbertspar_active_jobs", "Jobs that are not final, at the owner.", ""};
+inline constexpr MetricFamily kQueuedJobs{
+    "filbertspar_queued_jobs",
+    "Jobs of which no worker has confirmed a run, at the owner, by queue.",
+    "queue"};
+inline constexpr MetricFamily kOldestQueuedAge{
+    "filbertspar_oldest_queued_job_seconds",
+    "Time since the oldest of these jobs was accepted, by queue.", "queue"};
 inline constexpr MetricFamily kWorkers{
     "filbertspar_workers", "Workers that answer, at the owner, by pool.",
     "pool"};
@@ -66,11 +73,27 @@
 inline constexpr MetricFamily kLogDropped{"filbertspar_log_dropped_total",
                                           "Log lines that were not kept.", ""};
 
-inline constexpr std::array kAll = {
-    kCalls,      kCallSeconds,  kJobs,          kJobSeconds,
-    kOrders,     kOrderSeconds, kEnds,          kWorkerCrashes,
-    kStoreCalls, kStoreSeconds, kSentBytes,     kReceivedBytes,
-    kVmOrders,   kOwner,        kConfigVersion, kConfigAge,
-    kActiveJobs, kWorkers,      kClientFaults,  kLogDropped};
+inline constexpr std::array kAll = {kCalls,
+                                    kCallSeconds,
+                                    kJobs,
+                                    kJobSeconds,
+                                    kOrders,
+                                    kOrderSeconds,
+                                    kEnds,
+                                    kWorkerCrashes,
+                                    kStoreCalls,
+                                    kStoreSeconds,
+                                    kSentBytes,
+                                    kReceivedBytes,
+                                    kVmOrders,
+                                    kOwner,
+                                    kConfigVersion,
+                                    kConfigAge,
+                                    kActiveJobs,
+                                    kQueuedJobs,
+                                    kOldestQueuedAge,
+                                    kWorkers,
+                                    kClientFaults,
+                                    kLogDropped};
 
 }  // namespace filbertspar::metric
--- a/filbertspar/node/src/node.cc
+++ b/filbertspar/node/src/node.cc
@@ -150,6 +150,7 @@
 
   asio::awaitable<HttpResponse> Ready(const HttpRequest& request);
   asio::awaitable<HttpResponse> Metrics(const HttpRequest& request);
+  void RecordQueues();
   void HandleClientFault(ClientFault fault, std::string_view address);
   void HandleOwnershipGained(OwnerWatch::WonClaim won);
   void HandleOwnershipLost();
@@ -218,9 +219,30 @@
     }
     SetGauge(m_metrics, metric::kActiveJobs, "", static_cast<double>(active));
   }
+  RecordQueues();
   co_return TextResponse(200, RenderMetrics(m_metrics, metric::kAll));
 }
 
+void Node::Parts::RecordQueues() {
+  // Also without a term: a former owner's figures must not stay.
+  for (const MetricFamily& family :
+       {metric::kQueuedJobs, metric::kOldestQueuedAge}) {
+    m_metrics.m_gauges.erase(std::string(family.m_name));
+  }
+  if (m_owner_term == nullptr) {
+    return;
+  }
+  const TimePoint now = BootNow();
+  for (const auto& [queue, length] :
+       scheduler::MeasureQueues(m_owner_term->State())) {
+    const bool is_empty = length.m_not_begun == 0;
+    SetGauge(m_metrics, metric::kQueuedJobs, queue.Value(),
+             static_cast<double>(length.m_not_begun));
+    SetGauge(m_metrics, metric::kOldestQueuedAge, queue.Value(),
+             is_empty ? 0 : ToSeconds(now - length.m_oldest_at));
+  }
+}
+
 void Node::Parts::HandleClientFault(ClientFault fault,
                                     std::string_view address) {
   Count(m_metrics, metric::kClientFaults, ClientFaultName(fault));
--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -379,7 +379,10 @@
   const std::string state = event.m_event.substr(kJobPrefix.size());
   Count(m_parts.m_metrics, metric::kJobs, state);
   std::int64_t age_ms = 0;
-  if (absl::SimpleAtoi(event.m_detail.substr(kAgePrefix.size()), &age_ms)) {
+  const std::string age =
+      event.m_detail.substr(0, event.m_detail.find(' '))
+          .substr(std::min(kAgePrefix.size(), event.m_detail.size()));
+  if (absl::SimpleAtoi(age, &age_ms)) {
     RecordLatency(m_parts.m_metrics, metric::kJobSeconds, state,
                   Milliseconds(age_ms));
   }
@@ -409,10 +412,17 @@
         m_scheduler.m_workers[event.m_worker].m_record.m_name.Value());
   }
   absl::StrAppend(&fields, " ", event.m_detail);
-  if (event.m_is_warning) {
-    m_parts.m_log.Warn("scheduler", event.m_event, fields);
-  } else {
-    m_parts.m_log.Info("scheduler", event.m_event, fields);
+  using LogLevel = scheduler::Effects::LogLevel;
+  switch (event.m_level) {
+    case LogLevel::kDetail:
+      m_parts.m_log.Detail("scheduler", event.m_event, fields);
+      break;
+    case LogLevel::kInfo:
+      m_parts.m_log.Info("scheduler", event.m_event, fields);
+      break;
+    case LogLevel::kWarning:
+      m_parts.m_log.Warn("scheduler", event.m_event, fields);
+      break;
   }
 }
 
--- a/filbertspar/node/src/owner_term.h
+++ b/filbertspar/node/src/owner_term.h
@@ -84,6 +84,7 @@
   asio::awaitable<void> CancelWhileStoring(const JobId& id, TimePoint deadline);
   asio::awaitable<JobReply> Cancel(const JobCall& call);
   JobReply StateReply(const JobCall& call) const;
+  JobReply QueueLengthReply(const VmName& from, const JobCall& call);
   void ApplyWorkerRow(const StoreRow& row);
   void ScheduleUnregister(const std::string& name);
   void UnregisterDue(TimePoint now);
--- a/filbertspar/node/src/owner_term_calls.cc
+++ b/filbertspar/node/src/owner_term_calls.cc
@@ -52,13 +52,31 @@
     case JobVerb::kState:
       co_return StateReply(call);
     case JobVerb::kQueueLength:
-      reply.m_count =
-          scheduler::CountQueuedJobs(m_scheduler, QueueName(call.m_queue));
-      co_return reply;
+      co_return QueueLengthReply(from, call);
   }
   co_return reply;
 }
 
+JobReply OwnerTerm::QueueLengthReply(const VmName& from, const JobCall& call) {
+  const TimePoint now = BootNow();
+  const scheduler::QueueLength length =
+      scheduler::MeasureQueues(m_scheduler)[QueueName(call.m_queue)];
+  JobReply reply;
+  reply.m_count = length.m_queued;
+  m_parts.m_log.Info(
+      "call", "queue_length",
+      absl::StrCat(
+          "queue=", call.m_queue, " peer=", from.Value(), " ", m_log_epoch,
+          " queued=", length.m_queued, " not_begun=", length.m_not_begun,
+          " reserved=", length.m_reserved,
+          " with_lost_start=", length.m_with_lost_start, " oldest_ms=",
+          length.m_not_begun == 0 ? 0
+                                  : ToMilliseconds(now - length.m_oldest_at),
+          " confirmed_ms_ago=",
+          ToMilliseconds(now - m_journal->ConfirmedAt())));
+  return reply;
+}
+
 JobReply OwnerTerm::StateReply(const JobCall& call) const {
   JobReply reply;
   const std::optional<JobState> state =
--- a/filbertspar/node/src/worker_connections_starts.cc
+++ b/filbertspar/node/src/worker_connections_starts.cc
@@ -141,7 +141,7 @@
     answer.m_result = OrderResult::kDeadlinePassed;
   }
   if (answer.m_result != OrderResult::kAccepted) {
-    m_log.Info(
+    m_log.Detail(
         "worker", "start_not_accepted",
         absl::StrCat(
             "job=", order.m_task.m_job.Value(), " step=", order.m_task.m_step,
--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -378,14 +378,39 @@
   return job.m_has_started ? JobState::kRunning : JobState::kQueued;
 }
 
+void MarkBegun(Scheduler& scheduler, TimePoint now, Job& job,
+               WorkerIndex worker) {
+  if (job.m_has_begun) {
+    return;
+  }
+  job.m_has_begun = true;
+  AddLogEvent(scheduler, "job_begun", {job.m_spec->m_id}, worker,
+              absl::StrCat("after_ms=", ToMilliseconds(now - job.m_accepted_at),
+                           " starts=", job.m_planned_starts,
+                           " lost_starts=", job.m_lost_starts));
+}
+
 std::int64_t CountQueuedJobs(const Scheduler& scheduler,
                              const QueueName& queue) {
-  std::int64_t count = 0;
-  for (const auto& [id, job] : scheduler.m_jobs) {
-    count += !IsFinal(job->m_state) && !job->m_has_started &&
-             job->m_spec->m_queue == queue;
+  return MeasureQueues(scheduler)[queue].m_queued;
+}
+
+absl::flat_hash_map<QueueName, QueueLength> MeasureQueues(
+    const Scheduler& scheduler) {
+  absl::flat_hash_map<QueueName, QueueLength> lengths;
+  for (const auto& [name, pool] : scheduler.m_pools) {
+    for (const Job* job : pool.m_jobs) {
+      QueueLength& length = lengths[job->m_spec->m_queue];
+      length.m_queued += !job->m_has_started;
+      if (!job->m_has_begun) {
+        ++length.m_not_begun;
+        length.m_reserved += job->m_placed_tasks > 0;
+        length.m_with_lost_start += job->m_lost_starts > 0;
+        length.m_oldest_at = std::min(length.m_oldest_at, job->m_accepted_at);
+      }
+    }
   }
-  return count;
+  return lengths;
 }
 
 void AdvanceOccurrences(Scheduler& scheduler, TimePoint now) {
@@ -452,11 +477,12 @@
                      std::string_view reason) {
   const WorkerIndex worker = ref.GetTask().m_worker;
   const Task& task = ref.GetTask();
-  AddLogEvent(scheduler, "task_lost", ref.Id(), worker,
-              absl::StrCat("reason=", std::string(reason), " run=", task.m_run,
-                           " sent=", MayRun(task), " confirmed=",
-                           task.m_order_confirmed_at != TimePoint::max(),
-                           " age_ms=", ToMilliseconds(now - task.m_since)));
+  ref.m_job->m_lost_starts += task.m_phase == TaskPhase::kStarting;
+  AddLogDetail(scheduler, "task_lost", ref.Id(), worker,
+               absl::StrCat("reason=", std::string(reason), " run=", task.m_run,
+                            " sent=", MayRun(task), " confirmed=",
+                            task.m_order_confirmed_at != TimePoint::max(),
+                            " age_ms=", ToMilliseconds(now - task.m_since)));
   SetWaiting(scheduler, now, ref);
 }
 
@@ -469,7 +495,7 @@
   task.m_phase = TaskPhase::kStopping;
   task.m_since = now;
   task.m_order_confirmed_at = TimePoint::max();
-  AddLogEvent(
+  AddLogDetail(
       scheduler, "task_stop", ref.Id(), task.m_worker,
       absl::StrCat("reason=", std::string(reason), " run=", task.m_run));
 }
--- a/filbertspar/scheduler/src/jobs.h
+++ b/filbertspar/scheduler/src/jobs.h
@@ -32,10 +32,31 @@
 std::optional<JobState> ReportedState(const Scheduler& scheduler,
                                       const JobId& id);
 
+/// \brief Notes that a worker has confirmed a run of the job's tasks.
+void MarkBegun(Scheduler& scheduler, TimePoint now, Job& job,
+               WorkerIndex worker);
+
 /// \brief Number of a queue's jobs of which no task was started.
 std::int64_t CountQueuedJobs(const Scheduler& scheduler,
                              const QueueName& queue);
 
+/// \brief What the length of a queue is made of.
+struct QueueLength {
+  /// As reported to callers.
+  std::int64_t m_queued = 0;
+  /// Jobs of which no worker has confirmed a run.
+  std::int64_t m_not_begun = 0;
+  /// Those among them that have room reserved, and that have lost a start.
+  std::int64_t m_reserved = 0;
+  std::int64_t m_with_lost_start = 0;
+  /// When the oldest of them was accepted; max() when there is none.
+  TimePoint m_oldest_at = TimePoint::max();
+};
+
+/// \brief Of each queue with jobs that are not final.
+absl::flat_hash_map<QueueName, QueueLength> MeasureQueues(
+    const Scheduler& scheduler);
+
 /// \brief A job's progress in the form that is stored.
 JobProgress ProgressOf(const Scheduler& scheduler, const Job& job);
 
--- a/filbertspar/scheduler/src/starts.cc
+++ b/filbertspar/scheduler/src/starts.cc
@@ -97,6 +97,7 @@
                WorkerIndex worker, std::uint64_t run) {
   Task& task = ref.GetTask();
   ReserveResources(scheduler, ref, worker);
+  ++ref.m_job->m_planned_starts;
   --ref.GetStep().m_waiting;
   task.m_phase = TaskPhase::kStarting;
   task.m_run = run;
--- a/filbertspar/scheduler/src/state.cc
+++ b/filbertspar/scheduler/src/state.cc
@@ -107,10 +107,18 @@
       {std::move(event), task, worker, std::move(detail)});
 }
 
+void AddLogDetail(Scheduler& scheduler, std::string event, const TaskId& task,
+                  WorkerIndex worker, std::string detail) {
+  scheduler.m_effects.m_log_events.push_back({std::move(event), task, worker,
+                                              std::move(detail),
+                                              Effects::LogLevel::kDetail});
+}
+
 void AddWarning(Scheduler& scheduler, std::string event, const TaskId& task,
                 WorkerIndex worker, std::string detail) {
-  scheduler.m_effects.m_log_events.push_back(
-      {std::move(event), task, worker, std::move(detail), true});
+  scheduler.m_effects.m_log_events.push_back({std::move(event), task, worker,
+                                              std::move(detail),
+                                              Effects::LogLevel::kWarning});
 }
 
 }  // namespace filbertspar::scheduler
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -110,6 +110,11 @@
   std::size_t m_tasks_per_occurrence = 0;
   std::vector<std::unique_ptr<Occurrence>> m_occurrences;
   bool m_has_started = false;
+  /// A worker has confirmed a run of one of its tasks.
+  bool m_has_begun = false;
+  /// Starts planned so far, and those of which no run came or was lost.
+  std::uint32_t m_planned_starts = 0;
+  std::uint32_t m_lost_starts = 0;
   /// Restored after a takeover: a task that was not found yet may still run on
   /// a worker that has not responded.
   bool m_inherited = false;
@@ -259,6 +264,12 @@
     WorkerIndex m_worker = kNoWorker;
     ThrottleOrder m_order;
   };
+  enum class LogLevel : std::uint8_t {
+    /// About one run of a task; the first to be dropped under load.
+    kDetail,
+    kInfo,
+    kWarning,
+  };
   /// A scheduling decision, to be logged.
   struct LogEvent {
     std::string m_event;
@@ -266,7 +277,7 @@
     WorkerIndex m_worker = kNoWorker;
     /// Further `key=value` pairs; may be empty.
     std::string m_detail;
-    bool m_is_warning = false;
+    LogLevel m_level = LogLevel::kInfo;
   };
   std::vector<Start> m_starts;
   std::vector<Stop> m_stops;
@@ -437,6 +448,11 @@
 void AddLogEvent(Scheduler& scheduler, std::string event, const TaskId& task,
                  WorkerIndex worker, std::string detail = "");
 
+/// \brief The same for an event about one run of a task, of which there may be
+/// thousands in a second.
+void AddLogDetail(Scheduler& scheduler, std::string event, const TaskId& task,
+                  WorkerIndex worker, std::string detail);
+
 /// \brief The same for an event that is logged as a warning.
 void AddWarning(Scheduler& scheduler, std::string event, const TaskId& task,
                 WorkerIndex worker, std::string detail);
--- a/filbertspar/scheduler/src/superseded.cc
+++ b/filbertspar/scheduler/src/superseded.cc
@@ -31,7 +31,7 @@
   run.m_stopped_at = now;
   scheduler.m_effects.m_stops.push_back(
       {index, {run.m_task, run.m_run, scheduler.m_options.m_fencing}});
-  AddLogEvent(
+  AddLogDetail(
       scheduler, "task_stop", run.m_task, index,
       absl::StrCat("reason=", std::string(reason), " run=", run.m_run.Value()));
 }
--- a/filbertspar/scheduler/src/throttle.cc
+++ b/filbertspar/scheduler/src/throttle.cc
@@ -70,7 +70,7 @@
           {i,
            {ref.Id(), RunNumber(task.m_run), speed_percent,
             scheduler.m_options.m_fencing}});
-      AddLogEvent(
+      AddLogDetail(
           scheduler, "task_pace", ref.Id(), i,
           absl::StrCat("percent=", speed_percent, " tail_share=", tail_share));
     }
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -116,13 +116,14 @@
     const TaskRef ref = FindTask(scheduler, finished.m_task);
     const bool has_stored_effect = ref && !ref.Spec().m_long_running;
     if (ref) {
+      MarkBegun(scheduler, now, *ref.m_job, index);
       HandleRunFinished(scheduler, now, ref, finished, index);
     }
     // A finished run that changed nothing may still depend on a change that is
     // not stored yet.
     const std::uint64_t change =
         has_stored_effect ? scheduler.m_last_change : 0;
-    AddLogEvent(
+    AddLogDetail(
         scheduler, "task_end", finished.m_task, index,
         absl::StrCat("how=", std::string(RunOutcomeName(finished.m_outcome)),
                      " run=", finished.m_run.Value()));
@@ -146,8 +147,8 @@
   worker.m_unwanted_stops[key] = now;
   scheduler.m_effects.m_stops.push_back(
       {index, {run.m_task, run.m_run, scheduler.m_options.m_fencing}});
-  AddLogEvent(scheduler, "unwanted_run_stop", run.m_task, index,
-              absl::StrCat("run=", run.m_run.Value()));
+  AddLogDetail(scheduler, "unwanted_run_stop", run.m_task, index,
+               absl::StrCat("run=", run.m_run.Value()));
 }
 
 void AdoptRun(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
@@ -173,6 +174,9 @@
 void ReadActiveRun(Scheduler& scheduler, TimePoint now, WorkerIndex index,
                    const ActiveRun& run) {
   const TaskRef ref = FindTask(scheduler, run.m_task);
+  if (ref) {
+    MarkBegun(scheduler, now, *ref.m_job, index);
+  }
   if (!ref || ref.GetTask().m_phase == TaskPhase::kDone) {
     StopUnwantedRun(scheduler, now, index, run);
     return;
@@ -377,6 +381,9 @@
                          bool earlier_unanswered) {
   Worker& worker = scheduler.m_workers[index];
   const TaskRef ref = FindTask(scheduler, order.m_task);
+  if (ref && response.m_result == OrderResult::kAccepted) {
+    MarkBegun(scheduler, now, *ref.m_job, index);
+  }
   if (response.m_result == OrderResult::kUnhealthy) {
     worker.m_avoid_until =
         std::max(worker.m_avoid_until, now + kUnhealthyPause);
--- a/tests/node_event_log_test.cc
+++ b/tests/node_event_log_test.cc
@@ -94,5 +94,64 @@
   close(ends[1]);
 }
 
+// Guards against thousands of lines about single runs that crowd out the lines
+// about the calls and jobs of the same second.
+TEST_CASE("lines about calls are logged while details are dropped") {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  REQUIRE(fcntl(ends[0], F_SETFL, O_NONBLOCK) == 0);
+  asio::io_context context;
+  EventLogLimits limits;
+  limits.m_lines_per_s = 1;
+  limits.m_burst_lines = 50;
+  {
+    EventLog log(context, limits, ends[1]);
+    for (int i = 0; i < 100; ++i) {
+      log.Detail("test", "task_end");
+    }
+    const std::uint64_t dropped = log.Dropped();
+    REQUIRE(dropped > 0);
+    for (int i = 0; i < 15; ++i) {
+      log.Info("test", "queue_length", "number=" + std::to_string(i));
+    }
+    CHECK(log.Dropped() == dropped);
+    log.Flush();
+    CHECK(ReadAll(ends[0]).find("event=queue_length number=14\n") !=
+          std::string::npos);
+  }
+  close(ends[0]);
+  close(ends[1]);
+}
+
+// Guards against reports of dropped lines that take the place of other lines,
+// and against reports that do not tell what is missing.
+TEST_CASE("dropped lines are reported by event, at most once a period") {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  REQUIRE(fcntl(ends[0], F_SETFL, O_NONBLOCK) == 0);
+  asio::io_context context;
+  EventLogLimits limits;
+  limits.m_lines_per_s = 1;
+  limits.m_burst_lines = 20;
+  limits.m_report_period = Seconds(3600);
+  {
+    EventLog log(context, limits, ends[1]);
+    for (int round = 0; round < 2; ++round) {
+      for (int i = 0; i < 30; ++i) {
+        log.Detail("test", "task_end");
+      }
+      log.Info("test", "queue_length");
+    }
+    log.Flush();
+    const std::string text = ReadAll(ends[0]);
+    const std::size_t report = text.find("event=lines_dropped count=20 ");
+    REQUIRE(report != std::string::npos);
+    CHECK(text.find("by=task_end:20\n", report) != std::string::npos);
+    CHECK(text.find("event=lines_dropped", report + 1) == std::string::npos);
+  }
+  close(ends[0]);
+  close(ends[1]);
+}
+
 }  // namespace
 }  // namespace filbertspar
