--- a/filbertspar/node/src/event_log.cc
+++ b/filbertspar/node/src/event_log.cc
@@ -42,32 +42,39 @@
 struct EventLog::State : spdlog::sinks::base_sink<spdlog::details::null_mutex>,
                          std::enable_shared_from_this<EventLog::State> {
   State(asio::io_context& context, EventLogLimits limits, int descriptor)
-      : m_timer(context), m_limits(limits), m_descriptor(descriptor) {
+      : m_timer(context),
+        m_limits(limits),
+        m_descriptor(descriptor),
+        m_lines(
+            MakeBucket(limits.m_lines_per_s, limits.m_burst_lines, BootNow())),
+        m_details(MakeBucket(limits.m_details_per_s, limits.m_burst_details,
+                             BootNow())) {
     set_pattern("%Y-%m-%dT%H:%M:%S.%e %^%l%$ %n: %v");
-    m_tokens = limits.m_burst_lines;
   }
 
   /// Leaves this share of the burst for others.
   bool TryTakeToken(double reserved_share) {
     const TimePoint now = BootNow();
-    m_tokens = std::min(
-        m_limits.m_burst_lines,
-        m_tokens + ToSeconds(now - m_refilled) * m_limits.m_lines_per_s);
-    m_refilled = now;
-    if (m_tokens < 1 + reserved_share * m_limits.m_burst_lines ||
-        m_buffer.size() >= m_limits.m_buffered_bytes) {
-      return false;
+    Refill(m_lines, now);
+    return m_buffer.size() < m_limits.m_buffered_bytes &&
+           m_lines.m_tokens >= 1 + reserved_share * m_lines.m_burst &&
+           TakeToken(m_lines, now);
+  }
+
+  void LogDetail(std::string_view component, std::string_view event,
+                 std::string_view fields) {
+    if (TakeToken(m_details, BootNow())) {
+      Log(spdlog::level::info, kDetailReserveShare, component, event, fields);
+    } else {
+      Drop(event);
     }
-    m_tokens -= 1;
-    return true;
   }
 
   void Log(spdlog::level::level_enum level, double reserved_share,
            std::string_view component, std::string_view event,
            std::string_view fields) {
     if (!TryTakeToken(reserved_share)) {
-      ++m_dropped;
-      ++m_unreported[std::string(event)];
+      Drop(event);
       return;
     }
     ReportDropped();
@@ -78,6 +85,11 @@
     ScheduleFlush();
   }
 
+  void Drop(std::string_view event) {
+    ++m_dropped;
+    ++m_unreported[std::string(event)];
+  }
+
   void ReportDropped() {
     const TimePoint now = BootNow();
     if (m_unreported.empty() ||
@@ -156,8 +168,8 @@
   EventLogLimits m_limits;
   int m_descriptor;
   std::string m_buffer;
-  double m_tokens = 0;
-  TimePoint m_refilled{};
+  TokenBucket m_lines;
+  TokenBucket m_details;
   std::uint64_t m_dropped = 0;
   /// Lines dropped since the last report, by event.
   std::map<std::string, std::uint64_t> m_unreported;
@@ -177,8 +189,7 @@
 
 void EventLog::Detail(std::string_view component, std::string_view event,
                       std::string_view fields) {
-  m_state->Log(spdlog::level::info, kDetailReserveShare, component, event,
-               fields);
+  m_state->LogDetail(component, event, fields);
 }
 
 void EventLog::Info(std::string_view component, std::string_view event,
--- a/filbertspar/node/src/event_log.h
+++ b/filbertspar/node/src/event_log.h
@@ -18,8 +18,11 @@
   /// up, new lines are dropped.
   std::size_t m_buffered_bytes = 256 << 10;
   /// Token bucket: average rate in lines per second, and burst size in lines.
-  double m_lines_per_s = 400;
+  double m_lines_per_s = 800;
   double m_burst_lines = 2000;
+  /// The same for details, which also count against the limits above.
+  double m_details_per_s = 200;
+  double m_burst_details = 1000;
   /// Shortest time between two lines that report dropped lines.
   Duration m_report_period = Seconds(1);
 };
--- a/filbertspar/scheduler/src/dispatch.cc
+++ b/filbertspar/scheduler/src/dispatch.cc
@@ -192,7 +192,7 @@
     ++started;
   }
   if (started > 0) {
-    AddLogEvent(scheduler, "step_start", first.Id(), kNoWorker,
+    AddLogDetail(scheduler, "step_start", first.Id(), kNoWorker,
                 absl::StrCat("tasks=", started,
                              " waiting=", first.GetStep().m_waiting, " age_ms=",
                              ToMilliseconds(now - first.m_job->m_accepted_at)));
--- a/tests/node_event_log_test.cc
+++ b/tests/node_event_log_test.cc
@@ -123,6 +123,24 @@
   close(ends[1]);
 }
 
+// Guards against a log in which details alone use up the processor time that
+// lines may take.
+TEST_CASE("details have a rate of their own") {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  asio::io_context context;
+  EventLogLimits limits;
+  limits.m_details_per_s = 1;
+  limits.m_burst_details = 10;
+  EventLog log(context, limits, ends[1]);
+  for (int i = 0; i < 100; ++i) {
+    log.Detail("test", "task_end");
+  }
+  CHECK(log.Dropped() >= 85);
+  close(ends[0]);
+  close(ends[1]);
+}
+
 // Guards against reports of dropped lines that take the place of other lines,
 // and against reports that do not tell what is missing.
 TEST_CASE("dropped lines are reported by event, at most once a period") {
