--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -36,6 +36,8 @@
   bool m_is_unreachable = false;
   /// Connections to it are refused; its tasks keep running.
   bool m_refuses = false;
+  /// Answers polls, but rejects every start.
+  bool m_rejects_starts = false;
   /// Carries out starts, but the answers are lost.
   bool m_drops_responses = false;
   /// Every run on it fails.
@@ -453,6 +455,11 @@
     if (worker == nullptr || worker->m_is_unreachable) {
       return;
     }
+    if (worker->m_rejects_starts) {
+      HandleStartResponse(*m_owner, m_now, start.m_worker, order,
+                          {OrderResult::kUnhealthy, ClockOf(*worker)}, false);
+      return;
+    }
     const JobSpec& job = *m_owner->m_jobs.at(order.m_task.m_job)->m_spec;
     const StepSpec& step = job.m_steps[order.m_task.m_step];
     FakeWorker::Run run;
