A job is queued until a worker has confirmed a run of its tasks

Cause: a job counted as started from the moment that room was reserved for one of its tasks. Its start then waits to be recorded in the store, is sent, and may be rejected, withdrawn or lost; the flag stayed. The state 'running' had the same cause.

Why it works: the flag is set by evidence only, an accepted start, a listed run or an end. It goes into the row with the job's next write, as the state running, so that no write is added; a new owner learns the rest from its first polls.

--- a/filbertspar/node/src/owner_term_calls.cc
+++ b/filbertspar/node/src/owner_term_calls.cc
@@ -67,11 +67,9 @@
       "call", "queue_length",
       absl::StrCat(
           "queue=", call.m_queue, " peer=", from.Value(), " ", m_log_epoch,
-          " queued=", length.m_queued, " not_begun=", length.m_not_begun,
-          " reserved=", length.m_reserved,
+          " queued=", length.m_queued, " reserved=", length.m_reserved,
           " with_lost_start=", length.m_with_lost_start, " oldest_ms=",
-          length.m_not_begun == 0 ? 0
-                                  : ToMilliseconds(now - length.m_oldest_at),
+          length.m_queued == 0 ? 0 : ToMilliseconds(now - length.m_oldest_at),
           " confirmed_ms_ago=",
           ToMilliseconds(now - m_journal->ConfirmedAt())));
   return reply;
--- a/filbertspar/scheduler/src/admit.cc
+++ b/filbertspar/scheduler/src/admit.cc
@@ -40,7 +40,7 @@
 Duration RemainingCriticalPath(const Scheduler& scheduler, TimePoint now,
                                const Job& job, const Occurrence& occurrence) {
   const double ratio = RunTimeRatio(scheduler, job.m_spec->m_queue);
-  if (!job.m_has_started) {
+  if (!job.m_has_begun) {
     return Scaled(job.m_critical_path, ratio);
   }
   Duration longest{0};
--- a/filbertspar/scheduler/src/job_writes.cc
+++ b/filbertspar/scheduler/src/job_writes.cc
@@ -74,6 +74,9 @@
 JobProgress ProgressOf(const Scheduler& scheduler, const Job& job) {
   JobProgress progress;
   progress.m_state = job.m_state;
+  if (!IsFinal(job.m_state) && job.m_has_begun) {
+    progress.m_state = JobState::kRunning;
+  }
   progress.m_ended_ms = job.m_ended_ms;
   progress.m_next_occurrence = job.m_next_occurrence;
   for (const auto& occurrence : job.m_occurrences) {
--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -287,6 +287,7 @@
   job.m_state = progress.m_state;
   job.m_stored_state = progress.m_state;
   job.m_next_occurrence = progress.m_next_occurrence;
+  job.m_has_begun = progress.m_state == JobState::kRunning;
   for (const OccurrenceProgress& stored : progress.m_occurrences) {
     Occurrence& occurrence = AddOccurrence(job, stored.m_number);
     for (std::size_t s = 0;
@@ -297,6 +298,8 @@
           Task& task = step.m_tasks[stored_task.m_index];
           task.m_failed_runs = stored_task.m_failed_runs;
           task.m_crashes = stored_task.m_crashes;
+          job.m_has_begun = job.m_has_begun || !task.m_failed_runs.empty() ||
+                            !stored_task.m_checkpoint.empty();
           task.m_since = now;
           if (!task.m_crashes.empty()) {
             scheduler.m_crash_suspects.insert(
@@ -325,7 +328,7 @@
       if (step.m_done == step.m_tasks.size()) {
         --occurrence.m_unfinished_steps;
       }
-      job.m_has_started = job.m_has_started || step.m_done > 0;
+      job.m_has_begun = job.m_has_begun || step.m_done > 0;
     }
   }
   if (IsFinal(job.m_state)) {
@@ -375,7 +378,7 @@
   if (IsFinal(job.m_stored_state)) {
     return job.m_stored_state;
   }
-  return job.m_has_started ? JobState::kRunning : JobState::kQueued;
+  return job.m_has_begun ? JobState::kRunning : JobState::kQueued;
 }
 
 void MarkBegun(Scheduler& scheduler, TimePoint now, Job& job,
@@ -401,9 +404,8 @@
   for (const auto& [name, pool] : scheduler.m_pools) {
     for (const Job* job : pool.m_jobs) {
       QueueLength& length = lengths[job->m_spec->m_queue];
-      length.m_queued += !job->m_has_started;
       if (!job->m_has_begun) {
-        ++length.m_not_begun;
+        ++length.m_queued;
         length.m_reserved += job->m_placed_tasks > 0;
         length.m_with_lost_start += job->m_lost_starts > 0;
         length.m_oldest_at = std::min(length.m_oldest_at, job->m_accepted_at);
--- a/filbertspar/scheduler/src/jobs.h
+++ b/filbertspar/scheduler/src/jobs.h
@@ -36,16 +36,14 @@
 void MarkBegun(Scheduler& scheduler, TimePoint now, Job& job,
                WorkerIndex worker);
 
-/// \brief Number of a queue's jobs of which no task was started.
+/// \brief Number of a queue's jobs of which no worker has confirmed a run. A
+/// task that has room reserved, or whose start is under way, has not begun.
 std::int64_t CountQueuedJobs(const Scheduler& scheduler,
                              const QueueName& queue);
 
 /// \brief What the length of a queue is made of.
 struct QueueLength {
-  /// As reported to callers.
   std::int64_t m_queued = 0;
-  /// Jobs of which no worker has confirmed a run.
-  std::int64_t m_not_begun = 0;
   /// Those among them that have room reserved, and that have lost a start.
   std::int64_t m_reserved = 0;
   std::int64_t m_with_lost_start = 0;
--- a/filbertspar/scheduler/src/state.cc
+++ b/filbertspar/scheduler/src/state.cc
@@ -75,7 +75,6 @@
             "a task reserves resources on one worker only");
   task.m_worker = worker;
   ++ref.m_job->m_placed_tasks;
-  ref.m_job->m_has_started = true;
   scheduler.m_workers[worker].m_used += ReservedDemand(ref.Spec());
   std::vector<TaskRef>& tasks = scheduler.m_workers[worker].m_tasks;
   task.m_position_on_worker = static_cast<std::uint32_t>(tasks.size());
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -109,8 +109,8 @@
   std::uint32_t m_next_occurrence = 0;
   std::size_t m_tasks_per_occurrence = 0;
   std::vector<std::unique_ptr<Occurrence>> m_occurrences;
-  bool m_has_started = false;
-  /// A worker has confirmed a run of one of its tasks.
+  /// A worker has confirmed a run of one of its tasks. Stored with the job's
+  /// next write; a new owner learns the rest from its first polls.
   bool m_has_begun = false;
   /// Starts planned so far, and those of which no run came or was lost.
   std::uint32_t m_planned_starts = 0;
