A server that stops cuts the last answer of a client that has sent more

What callers saw: on a VM that stops, a client that had already sent its next request, and was slow to read, got an answer that ends in the middle, followed by a reset.

Cause: after the last answer the server closes the socket at once. Requests that lie unread in the kernel turn this close into a reset, and what the client has not received of its answer is discarded.

Change: a stopping server closes its sending side and waits until the client has acknowledged all, at most m_write_time; TCP's own state tells (FIN_WAIT2 or closed). Then nothing of an answer is left to discard.

--- a/filbertspar/http/src/server.cc
+++ b/filbertspar/http/src/server.cc
@@ -20,6 +20,7 @@
 #include "boost/beast/http/parser.hpp"
 #include "boost/beast/http/read.hpp"
 #include "boost/beast/http/write.hpp"
+#include "filbertspar/http/src/delivery.h"
 #include "filbertspar/http/src/listen.h"
 
 namespace filbertspar {
@@ -132,6 +133,7 @@
   ClientGuard m_guard;
   std::set<ConnectionPtr> m_connections;
   bool m_stopping = false;
+  bool m_closed = false;
 };
 
 asio::awaitable<void> HttpServer::State::Accept() {
@@ -245,6 +247,13 @@
   try {
     while (!m_stopping && co_await ServeOne(*connection, buffer)) {
     }
+    if (m_stopping && !connection->m_fault) {
+      // Closing while requests of the client are unread resets the connection
+      // and discards what it has not received of its answers.
+      connection->m_use.m_is_busy = true;
+      co_await FinishSending(connection->m_socket, m_limits.m_write_time,
+                             m_closed);
+    }
   } catch (const std::exception&) {
     // Only this connection is affected; it is closed below.
   }
@@ -512,6 +521,7 @@
 }
 
 void HttpServer::Close() {
+  m_state->m_closed = true;
   StopAccepting();
   m_state->m_sweep_timer.cancel();
   boost::system::error_code ignored;
--- a/filbertspar/http/src/server.h
+++ b/filbertspar/http/src/server.h
@@ -66,7 +66,7 @@
   std::uint16_t Port() const;
 
   /// \brief Accepts no more; idle connections close, busy ones after their
-  /// answer.
+  /// answer, each once its client has received what was sent.
   void StopAccepting();
 
   /// \brief Closes every connection.
