An answer to HEAD carried a body, which its client reads as the next answer

What callers saw: HEAD of a job, or of any other path, was answered like GET, with the body. A client does not expect one: what it reads next on the connection begins with the body of the answer before.

Cause: the server wrote each answer with its body, whatever the method of the request.

Change: the answer to HEAD is its head, with the length that the body would have.

--- a/filbertspar/http/src/server.cc
+++ b/filbertspar/http/src/server.cc
@@ -119,8 +119,9 @@
                                boost::system::error_code error);
   asio::awaitable<void> Drain(Connection& connection);
   asio::awaitable<HttpResponse> Handle(const HttpRequest& request);
+  /// The answer to HEAD has the head alone.
   asio::awaitable<bool> Write(Connection& connection, HttpResponse response,
-                              bool keep_alive);
+                              bool keep_alive, bool is_head_only = false);
 
   asio::io_context& m_context;
   TcpAcceptor m_acceptor;
@@ -400,10 +401,11 @@
   }
   const HttpRequest request = parser.release();
   const bool keep_alive = request.keep_alive();
+  const bool is_head_only = request.method() == HttpVerb::head;
   connection.m_use.m_is_busy = true;
   HttpResponse response = co_await Handle(request);
   const bool written = co_await Write(connection, std::move(response),
-                                      keep_alive && !m_stopping);
+                                      keep_alive && !m_stopping, is_head_only);
   connection.m_use.m_is_busy = false;
   connection.m_use.m_last_progress_at = SteadyNow();
   co_return written&& keep_alive;
@@ -473,11 +475,16 @@
 
 asio::awaitable<bool> HttpServer::State::Write(Connection& connection,
                                                HttpResponse response,
-                                               bool keep_alive) {
+                                               bool keep_alive,
+                                               bool is_head_only) {
   response.version(11);
   response.keep_alive(keep_alive);
   response.prepare_payload();
   connection.m_deadline = SteadyNow() + m_limits.m_write_time;
+  if (is_head_only) {
+    // After prepare_payload: the length stays that of the body left out.
+    response.body().clear();
+  }
   auto [error, bytes] =
       co_await http::async_write(connection.m_socket, response, kTuple);
   static_cast<void>(bytes);
--- a/tests/http_answers_test.cc
+++ b/tests/http_answers_test.cc
@@ -310,6 +310,38 @@
   CHECK(server.Connections() == 0);
 }
 
+// Guards against the body of an answer to HEAD, which its client reads as the
+// beginning of the next answer.
+TEST_CASE("an answer to HEAD has no body, and the next answer is its own") {
+  asio::io_context context;
+  HttpServer server(context, HttpServerLimits(),
+                    [&context](const HttpRequest& request) {
+                      return AnswerLate(context, request);
+                    });
+  REQUIRE(server.Listen({"127.0.0.1", 0}).ok());
+  auto client = std::make_shared<Client>();
+  client->m_pieces = {
+      "HEAD /a/100/0 HTTP/1.1\r\nHost: x\r\n\r\n"
+      "GET /b/100/0 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"};
+  client->m_pauses = {0};
+  client->m_read_bytes = 4096;
+  const tcp::endpoint remote(asio::ip::make_address("127.0.0.1"),
+                             server.Port());
+  asio::co_spawn(context, RunClient(context, client, remote),
+                 [&server](const std::exception_ptr&) { server.Close(); });
+  context.run_for(std::chrono::seconds(5));
+  client->m_socket.reset();
+  const std::string& received = client->m_received;
+  const std::string length =
+      absl::StrCat("Content-Length: ", AnswerTo("a", 100, "").size(), "\r\n");
+  CHECK(received.find(length) < received.find("\r\n\r\n"));
+  const std::size_t end_of_head = received.find("\r\n\r\n");
+  REQUIRE(end_of_head != std::string::npos);
+  const Answers next = SplitAnswers(received.substr(end_of_head + 4));
+  CHECK_FALSE(next.m_is_cut);
+  CHECK(next.m_whole == std::vector{AnswerTo("b", 100, "")});
+}
+
 // Guards against a connection that is given up for a new client while its last
 // answer is on the way.
 TEST_CASE("a connection closed for a new client has its answers whole") {
