An interim answer shifted the answers of all later calls of a connection

What callers saw: after a server sent an interim answer (1xx) the client gave it as the answer of the call and kept the connection. If the answer came later, the next call over the connection got it as its own.

Cause: HttpClient read one message a call, whatever its status. The check of an idle connection finds bytes that have arrived, not those still on the way.

Evidence: "an interim answer does not shift the answers of later calls" (103, then the answer 20 ms later) failed before in four runs: the three calls got "", "/first" and "".

Change: messages with a status below 200 are passed over, within the time of the call. After: three runs of the whole test program pass.

Ruled out with "after calls that time out each answer is that of its call" (8 callers, 480 calls, timeouts and answers of 1 to 8 ms, connections kept): a late answer is not read as that of the next call; it passed before the change, too.

Our own server sends none.

--- a/filbertspar/http/src/client.cc
+++ b/filbertspar/http/src/client.cc
@@ -29,6 +29,9 @@
 /// the trailers.
 constexpr std::size_t kMaxBufferBytes = 64U << 10U;
 
+/// A response of a smaller status is interim; another one follows.
+constexpr unsigned kFirstFinalStatus = 200;
+
 struct Connection {
   explicit Connection(asio::io_context& context) : m_stream(context) {}
   Stream m_stream;
@@ -185,19 +188,22 @@
     result.m_failure = FailureOf(write_error);
     co_return result;
   }
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(state->m_limits.m_body_bytes);
-  auto [read_error, bytes] =
-      co_await http::async_read(stream, connection->m_buffer, parser, kTuple);
-  static_cast<void>(bytes);
-  if (read_error) {
-    result.m_end = CallEnd::kLost;
-    result.m_failure = FailureOf(read_error);
-    co_return result;
-  }
+  do {
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(state->m_limits.m_body_bytes);
+    auto [read_error, bytes] =
+        co_await http::async_read(stream, connection->m_buffer, parser, kTuple);
+    static_cast<void>(bytes);
+    if (read_error) {
+      result.m_end = CallEnd::kLost;
+      result.m_failure = FailureOf(read_error);
+      co_return result;
+    }
+    result.m_response = parser.release();
+    // The answer follows; left unread it would be that of the next call.
+  } while (result.m_response.result_int() < kFirstFinalStatus);
   result.m_end = CallEnd::kAnswered;
   result.m_failure = CallFailure::kNone;
-  result.m_response = parser.release();
   if (result.m_response.keep_alive() && connection->m_buffer.size() == 0) {
     state->PutIdle(endpoint, std::move(connection));
   }
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -1,12 +1,19 @@
 #include <catch2/catch.hpp>
 #include <optional>
+#include <random>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "boost/asio/co_spawn.hpp"
 #include "boost/asio/detached.hpp"
 #include "boost/asio/io_context.hpp"
 #include "boost/asio/ip/tcp.hpp"
 #include "boost/asio/read.hpp"
+#include "boost/asio/read_until.hpp"
+#include "boost/asio/steady_timer.hpp"
+#include "boost/asio/use_awaitable.hpp"
+#include "boost/asio/write.hpp"
 #include "filbertspar/http/http.h"
 
 namespace filbertspar {
@@ -44,5 +51,105 @@
   CHECK(error == asio::error::connection_reset);
 }
 
+// Guards against a late answer to a call that was given up, read as that of the
+// next call.
+TEST_CASE("after calls that time out each answer is that of its call") {
+  constexpr int kCallers = 8;
+  constexpr int kCalls = 60;
+  asio::io_context context;
+  std::mt19937 random(1);
+  const auto draw_ms = [&random] {
+    return Milliseconds(std::uniform_int_distribution<int>(1, 8)(random));
+  };
+  HttpServer server(
+      context, HttpServerLimits(),
+      [&](const HttpRequest& request) -> asio::awaitable<HttpResponse> {
+        asio::steady_timer timer(context, draw_ms());
+        co_await timer.async_wait(asio::use_awaitable);
+        co_return TextResponse(200, std::string(request.target()));
+      });
+  REQUIRE(server.Listen({"127.0.0.1", 0}).ok());
+  const Endpoint endpoint{"127.0.0.1", server.Port()};
+  HttpClientLimits limits;
+  limits.m_idle_per_endpoint = kCallers / 2;
+  HttpClient client(context, limits);
+  int answered = 0;
+  int given_up = 0;
+  int wrong = 0;
+  int done = 0;
+  const auto call = [&](int caller) -> asio::awaitable<void> {
+    for (int i = 0; i < kCalls; ++i) {
+      const std::string target =
+          "/" + std::to_string(caller) + "/" + std::to_string(i);
+      HttpRequest request = MakeRequest(HttpVerb::get, target);
+      const CallResult result =
+          co_await client.Call(endpoint, std::move(request), draw_ms());
+      if (result.m_end == CallEnd::kAnswered) {
+        ++answered;
+        wrong += result.m_response.body() == target ? 0 : 1;
+      } else {
+        ++given_up;
+      }
+    }
+    if (++done == kCallers) {
+      server.Close();
+    }
+  };
+  for (int caller = 0; caller < kCallers; ++caller) {
+    asio::co_spawn(context, call(caller), asio::detached);
+  }
+  context.run_for(std::chrono::seconds(20));
+  REQUIRE(done == kCallers);
+  CHECK(wrong == 0);
+  CHECK(answered > 0);
+  CHECK(given_up > 0);
+}
+
+// Guards against an interim answer that is taken for the answer, so that each
+// later call of the connection gets the answer of the one before it.
+TEST_CASE("an interim answer does not shift the answers of later calls") {
+  asio::io_context context;
+  tcp::acceptor acceptor(context,
+                         tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  const Endpoint endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
+  const auto serve = [&]() -> asio::awaitable<void> {
+    tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+    std::string received;
+    while (true) {
+      const std::size_t length = co_await asio::async_read_until(
+          socket, asio::dynamic_buffer(received), "\r\n\r\n",
+          asio::use_awaitable);
+      const std::string target =
+          received.substr(4, received.find(" HTTP/1.1") - 4);
+      received.erase(0, length);
+      const std::string interim = "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n";
+      co_await asio::async_write(socket, asio::buffer(interim),
+                                 asio::use_awaitable);
+      asio::steady_timer timer(context, Milliseconds(20));
+      co_await timer.async_wait(asio::use_awaitable);
+      const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                 std::to_string(target.size()) + "\r\n\r\n" +
+                                 target;
+      co_await asio::async_write(socket, asio::buffer(answer),
+                                 asio::use_awaitable);
+    }
+  };
+  HttpClient client(context, HttpClientLimits());
+  std::vector<std::string> bodies;
+  const auto call = [&]() -> asio::awaitable<void> {
+    for (const char* target : {"/first", "/second", "/third"}) {
+      HttpRequest request = MakeRequest(HttpVerb::get, target);
+      const CallResult result =
+          co_await client.Call(endpoint, std::move(request), Seconds(2));
+      bodies.push_back(result.m_response.body());
+    }
+    context.stop();
+  };
+  asio::co_spawn(context, serve(), asio::detached);
+  asio::co_spawn(context, call(), asio::detached);
+  context.run_for(std::chrono::seconds(10));
+  CHECK(bodies == std::vector<std::string>{"/first", "/second", "/third"});
+}
+
 }  // namespace
 }  // namespace filbertspar
