Tests: over changing links each reply is that of its call

The test runs a LinkClient against two LinkServers on loopback, seeded: 8 callers make 480 calls with timeouts of 1 to 8 ms and replies after 0 to 8 ms, while the owner changes every 5 to 40 ms, also to the same VM again, and servers close all links half of the times. Each reply names its call and its owner.

It shows no fault: numbers are never used twice in a process, a link that closes takes its replies with it, and a call that was given up is forgotten. It stays as a guard.

--- a/tests/node_link_test.cc
+++ b/tests/node_link_test.cc
@@ -1,11 +1,20 @@
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
+#include <random>
 #include <string>
+#include <utility>
+#include <vector>
 
+#include "boost/asio/co_spawn.hpp"
+#include "boost/asio/detached.hpp"
 #include "boost/asio/ip/tcp.hpp"
 #include "boost/asio/read.hpp"
+#include "filbertspar/node/src/clock.h"
 #include "filbertspar/node/src/link_client.h"
+#include "filbertspar/node/src/link_server.h"
 
 namespace filbertspar {
 namespace {
@@ -41,5 +50,124 @@
   CHECK(error == asio::error::connection_reset);
 }
 
+Duration DrawMs(std::mt19937& random, int min, int max) {
+  return Milliseconds(std::uniform_int_distribution<int>(min, max)(random));
+}
+
+// Guards against the reply to a call that timed out, was sent over a link that
+// has closed, or to an earlier owner, that is taken for that of a later call.
+TEST_CASE("over changing links each reply is that of its call") {
+  constexpr std::uint8_t kOwners = 2;
+  constexpr int kCallers = 8;
+  constexpr int kCalls = 60;
+  asio::io_context context;
+  std::mt19937 random(1);
+  EventLog log(context, EventLogLimits(), STDERR_FILENO);
+  MetricsBook metrics;
+  TrafficMeter traffic(metrics, 1000);
+  const std::string secret(32, 's');
+  const auto hello_of = [](const std::string& vm) {
+    Hello hello;
+    hello.m_node = MakeNodeName(VmName(vm), 1);
+    return hello;
+  };
+  std::vector<std::unique_ptr<LinkServer>> servers(kOwners);
+  std::vector<OwnerRecord> owners(kOwners);
+  for (std::uint8_t i = 0; i < kOwners; ++i) {
+    const std::string vm = "owner-" + std::to_string(i);
+    owners[i].m_vm = VmName(vm);
+    owners[i].m_link_secret = secret;
+    // Another process may take the port that was free a moment ago.
+    for (int attempt = 0; attempt < 10; ++attempt) {
+      tcp::acceptor finder(
+          context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+      owners[i].m_link = {"127.0.0.1", finder.local_endpoint().port()};
+      finder.close();
+      servers[i] = std::make_unique<LinkServer>(context, log, traffic,
+                                                hello_of(vm), secret);
+      if (servers[i]->Listen(owners[i].m_link).ok()) {
+        break;
+      }
+    }
+  }
+  LinkClient link(context, log, traffic, hello_of("caller"),
+                  [](RelayedStart) -> asio::awaitable<RelayedStartReply> {
+                    co_return RelayedStartReply();
+                  });
+  const auto answer = [&](std::uint8_t owner,
+                          JobCall call) -> asio::awaitable<JobReply> {
+    const Duration delay = DrawMs(random, 0, 8);
+    co_await SleepFor(delay);
+    JobReply reply;
+    reply.m_state = owner;
+    reply.m_count = std::stoi(call.m_job);
+    co_return reply;
+  };
+  const auto serve = [&](std::uint8_t owner) {
+    servers[owner]->SetHandler(
+        [&answer, owner](const VmName&, JobCall call) {
+          return answer(owner, std::move(call));
+        },
+        [] { return true; });
+  };
+  std::uint8_t current = 0;
+  int done = 0;
+  const auto change_owner = [&]() -> asio::awaitable<void> {
+    std::uint64_t incarnation = 0;
+    while (done < kCallers) {
+      // The earlier owner goes on; its replies are late.
+      current = static_cast<std::uint8_t>(random() % kOwners);
+      OwnerRecord owner = owners[current];
+      owner.m_incarnation = ++incarnation;
+      if (random() % 2 == 0) {
+        servers[current]->Disable();
+      }
+      serve(current);
+      link.SetOwner(owner);
+      const Duration term = DrawMs(random, 5, 40);
+      co_await SleepFor(term);
+    }
+    link.SetOwner(std::nullopt);
+    context.stop();
+  };
+  int answered = 0;
+  int given_up = 0;
+  int wrong = 0;
+  const auto call = [&](int caller) -> asio::awaitable<void> {
+    for (int i = 0; i < kCalls;) {
+      if (!link.IsReady()) {
+        co_await SleepFor(Milliseconds(1));
+        continue;
+      }
+      const int number = caller * kCalls + i++;
+      const std::uint8_t owner = current;
+      JobCall job_call;
+      job_call.m_job = std::to_string(number);
+      const Duration wait = DrawMs(random, 1, 8);
+      const LinkClient::Result result =
+          co_await link.Call(std::move(job_call), BootNow(), wait);
+      if (result.m_reply) {
+        ++answered;
+        wrong += result.m_reply->m_count == number &&
+                         result.m_reply->m_state == owner
+                     ? 0
+                     : 1;
+      } else {
+        ++given_up;
+      }
+    }
+    ++done;
+  };
+  asio::co_spawn(context, change_owner(), asio::detached);
+  for (int caller = 0; caller < kCallers; ++caller) {
+    asio::co_spawn(context, call(caller), asio::detached);
+  }
+  context.run_for(std::chrono::seconds(20));
+  REQUIRE(done == kCallers);
+  CHECK(wrong == 0);
+  CHECK(answered > 0);
+  CHECK(given_up > 0);
+}
+
 }  // namespace
 }  // namespace filbertspar
