--- a/tests/http_answers_test.cc
+++ b/tests/http_answers_test.cc
@@ -273,6 +273,35 @@
   }
 }
 
+// Guards against the sweep over all connections that cancels a handler at work,
+// or an answer that takes several sweeps to write.
+TEST_CASE("a sweep cuts no answer that is slow to make or to read") {
+  asio::io_context context;
+  HttpServer server(context, HttpServerLimits(),
+                    [&context](const HttpRequest& request) {
+                      return AnswerLate(context, request);
+                    });
+  REQUIRE(server.Listen({"127.0.0.1", 0}).ok());
+  auto client = std::make_shared<Client>();
+  client->m_pieces = {
+      "GET /a/8000000/120000 HTTP/1.1\r\nHost: x\r\n\r\n"
+      "GET /b/100/120000 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"};
+  client->m_pauses = {0};
+  client->m_receive_buffer = 64 << 10;
+  client->m_read_bytes = 64 << 10;
+  client->m_read_pause = 3000;
+  const tcp::endpoint remote(asio::ip::make_address("127.0.0.1"),
+                             server.Port());
+  asio::co_spawn(context, RunClient(context, client, remote),
+                 [&server](const std::exception_ptr&) { server.Close(); });
+  context.run_for(std::chrono::seconds(20));
+  client->m_socket.reset();
+  const Answers answers = SplitAnswers(client->m_received);
+  CHECK_FALSE(answers.m_is_cut);
+  CHECK((answers.m_whole ==
+         std::vector{AnswerTo("a", 8'000'000, ""), AnswerTo("b", 100, "")}));
+}
+
 // Guards against a server that stops while clients still send and are slow to
 // read, and cuts the last answer.
 TEST_CASE("a server that stops cuts no answer") {
