Test that fails: a client that still receives its answer is closed as idle

What callers saw: at a server without a free connection, a client that is slow to read and sends its next request meanwhile gets an answer that ends in the middle, though another connection is idle.

Cause: a connection counts as idle once its answer is written, not once it is received. Closed for a new client, it is reset by the next request, and the rest of the answer is discarded.

Not changed here: to prefer clients that have received all would spare hostile clients that never read, at the cost of idle honest ones; that is to be weighed with the tests of hostile clients, which were not run in this part.

--- a/tests/http_answers_test.cc
+++ b/tests/http_answers_test.cc
@@ -371,6 +371,45 @@
   CHECK(next.m_whole == std::vector{AnswerTo("b", 100, "")});
 }
 
+// Guards against a client whose answer is on the way, taken for idle and closed
+// for a new client although another one is idle.
+TEST_CASE("a client that still receives its answer is not closed as idle") {
+  asio::io_context context;
+  HttpServerLimits limits;
+  limits.m_connections = 2;
+  HttpServer server(context, limits, [&context](const HttpRequest& request) {
+    return AnswerLate(context, request);
+  });
+  REQUIRE(server.Listen({"127.0.0.1", 0}).ok());
+  const tcp::endpoint remote(asio::ip::make_address("127.0.0.1"),
+                             server.Port());
+  auto client = std::make_shared<Client>();
+  client->m_pieces = {
+      "GET /a/200000/0 HTTP/1.1\r\nHost: x\r\n\r\n",
+      "GET /b/100/0 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"};
+  client->m_pauses = {60'000, 0};
+  client->m_receive_buffer = 4096;
+  client->m_read_bytes = 500;
+  client->m_read_pause = 500;
+  tcp::socket idle(context);
+  tcp::socket fresh(context);
+  const auto connect_others = [&]() -> asio::awaitable<void> {
+    co_await Pause(context, 15'000);
+    co_await idle.async_connect(remote, kTuple);
+    co_await Pause(context, 15'000);
+    co_await fresh.async_connect(remote, kTuple);
+  };
+  asio::co_spawn(context, connect_others(), asio::detached);
+  asio::co_spawn(context, RunClient(context, client, remote),
+                 [&server](const std::exception_ptr&) { server.Close(); });
+  context.run_for(std::chrono::seconds(20));
+  client->m_socket.reset();
+  const Answers answers = SplitAnswers(client->m_received);
+  CHECK_FALSE(answers.m_is_cut);
+  CHECK((answers.m_whole ==
+         std::vector{AnswerTo("a", 200'000, ""), AnswerTo("b", 100, "")}));
+}
+
 // Guards against a connection that is given up for a new client while its last
 // answer is on the way.
 TEST_CASE("a connection closed for a new client has its answers whole") {
