--- a/filbertspar/scheduler/src/dispatch.cc
+++ b/filbertspar/scheduler/src/dispatch.cc
@@ -192,10 +192,11 @@
     ++started;
   }
   if (started > 0) {
-    AddLogDetail(scheduler, "step_start", first.Id(), kNoWorker,
-                absl::StrCat("tasks=", started,
-                             " waiting=", first.GetStep().m_waiting, " age_ms=",
-                             ToMilliseconds(now - first.m_job->m_accepted_at)));
+    AddLogDetail(
+        scheduler, "step_start", first.Id(), kNoWorker,
+        absl::StrCat(
+            "tasks=", started, " waiting=", first.GetStep().m_waiting,
+            " age_ms=", ToMilliseconds(now - first.m_job->m_accepted_at)));
   }
 }
 
