Decide a wave's status in the upkeep library

What VmManager::WriteWaveStatus decided is now StatusToStore, a function over plain state that a test can call without a network.

--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -103,7 +103,9 @@
                         m_parts.m_configuration.Waves());
     const bool busy = std::any_of(
         m_upkeep_state.m_waves.begin(), m_upkeep_state.m_waves.end(),
-        [](const auto& entry) { return !entry.second.m_completed; });
+        [](const auto& entry) {
+          return entry.second.m_stored_status != upkeep::WaveStatus::kCompleted;
+        });
     const bool moving = !m_capacity_state.m_pending.empty();
     if (BootNow() >= next_list) {
       const bool read = co_await ReadVmList();
@@ -458,11 +460,12 @@
 
 asio::awaitable<void> VmManager::WriteWaveStatus() {
   for (auto& [number, wave] : m_upkeep_state.m_waves) {
-    const bool complete = upkeep::IsComplete(m_upkeep_state, wave, BootNow());
-    if (!wave.m_is_defined || wave.m_completed_stored ||
-        !m_hooks.m_is_confirmed() || (!complete && wave.m_running_stored)) {
+    const std::optional<upkeep::WaveStatus> status =
+        upkeep::StatusToStore(m_upkeep_state, wave, BootNow());
+    if (!status || !m_hooks.m_is_confirmed()) {
       continue;
     }
+    const bool complete = *status == upkeep::WaveStatus::kCompleted;
     StoreTransaction change;
     change.m_writes.push_back(
         {{std::string(adapter::kStatusTable), "",
@@ -471,9 +474,7 @@
     const StoreResponse answer =
         co_await m_parts.m_store.Change(change, kStatusTimeout);
     if (answer.m_result == StoreResult::kDone) {
-      wave.m_running_stored = true;
-      wave.m_completed_stored = complete;
-      wave.m_completed = complete;
+      wave.m_stored_status = status;
       m_parts.m_log.Info("vm", complete ? "wave_completed" : "wave_running",
                          absl::StrCat("wave=", number));
     }
--- a/filbertspar/upkeep/src/plan.cc
+++ b/filbertspar/upkeep/src/plan.cc
@@ -146,6 +146,17 @@
                      });
 }
 
+std::optional<WaveStatus> StatusToStore(const State& state, const Wave& wave,
+                                        TimePoint now) {
+  if (!wave.m_is_defined || wave.m_stored_status == WaveStatus::kCompleted) {
+    return std::nullopt;
+  }
+  const WaveStatus status = IsComplete(state, wave, now)
+                                ? WaveStatus::kCompleted
+                                : WaveStatus::kRunning;
+  return wave.m_stored_status == status ? std::nullopt : std::optional(status);
+}
+
 Plan MakePlan(State& state, TimePoint now,
               const std::function<VmLoad(const VmRecord&)>& load_of) {
   Plan plan;
--- a/filbertspar/upkeep/src/plan.h
+++ b/filbertspar/upkeep/src/plan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include "filbertspar/upkeep/src/state.h"
@@ -51,4 +52,9 @@
 /// begun. False while the definition of the wave was not read.
 bool IsComplete(const State& state, const Wave& wave, TimePoint now);
 
+/// \brief Status to store for the operators now; std::nullopt when the stored
+/// one holds.
+std::optional<WaveStatus> StatusToStore(const State& state, const Wave& wave,
+                                        TimePoint now);
+
 }  // namespace filbertspar::upkeep
--- a/filbertspar/upkeep/src/state.h
+++ b/filbertspar/upkeep/src/state.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -33,6 +34,9 @@
   bool m_order_in_flight = false;
 };
 
+/// \brief Status of a wave, as the operators read it.
+enum class WaveStatus : std::uint8_t { kRunning, kCompleted };
+
 struct Wave {
   /// Whether m_spec was read. Before that only some of its VMs are known, from
   /// the stored progress.
@@ -42,10 +46,9 @@
   /// When this owner first planned the wave.
   TimePoint m_started_at{};
   std::map<VmName, VmProgress> m_vms;
-  bool m_completed = false;
-  /// Which statuses of the wave were stored for the operators to read.
-  bool m_running_stored = false;
-  bool m_completed_stored = false;
+  /// Status that the operators read; std::nullopt when this owner has stored
+  /// none.
+  std::optional<WaveStatus> m_stored_status;
 };
 
 /// \brief Load of a VM, as known to the owner.
