A VM that was absent for a while is still due for its upkeep

Cause: RefreshProgress turned an absence of more than 5 s into Phase::kDone. The VM stayed done when it was listed again, and EncodeDoneVms passed it on to the next owner as done. The absence is now only looked up (IsRemoved), each time that the wave is judged; kDone means that an accepted order was followed by a list that shows the VM up.

Evidence: 'a VM that is listed again is still due for its upkeep' failed before on 3 of 4 assertions: stored { m0, m1 } instead of { m0 }, complete with m1 listed, no order for m1. A wave whose VM really is gone still ends (first assertion, and 'a wave is complete when all VMs that still exist have begun'). upkeep_test: 42 assertions in 9 test cases pass.

--- a/filbertspar/upkeep/src/plan.cc
+++ b/filbertspar/upkeep/src/plan.cc
@@ -52,10 +52,6 @@
       progress.m_phase = Phase::kDone;
       progress.m_since = now;
     }
-    if (progress.m_phase != Phase::kDone && IsRemoved(state, vm, now)) {
-      progress.m_phase = Phase::kDone;
-      progress.m_since = now;
-    }
   }
 }
 
--- a/filbertspar/upkeep/src/state.h
+++ b/filbertspar/upkeep/src/state.h
@@ -22,7 +22,7 @@
   kOrdered,
   /// Down for its upkeep.
   kDown,
-  /// Nothing is left to do for it in this wave.
+  /// It is up again after its upkeep.
   kDone,
 };
 
--- a/tests/upkeep_plan_test.cc
+++ b/tests/upkeep_plan_test.cc
@@ -36,6 +36,25 @@
     UpdateList();
   }
   void UpdateList() { UpdateVms(m_state, m_now, m_now, m_vms); }
+  void UpdateListWithout(const std::string& name) {
+    std::vector<VmRecord> listed = m_vms;
+    std::erase_if(listed, [&name](const VmRecord& vm) {
+      return vm.m_name == VmName(name);
+    });
+    UpdateVms(m_state, m_now, m_now, listed);
+  }
+  Wave& TheWave() { return m_state.m_waves[1]; }
+  bool Complete() { return IsComplete(m_state, TheWave(), m_now); }
+  /// Result of every order until the given time.
+  void AnswerOrders(VmOrderResult result, Duration how_long) {
+    for (const TimePoint end = m_now + how_long; m_now < end;
+         m_now += Milliseconds(250)) {
+      UpdateList();
+      for (const Plan::Order& order : NextPlan().m_orders) {
+        HandleOrderResult(m_state, m_now, order.m_wave, order.m_vm, result);
+      }
+    }
+  }
   Plan NextPlan() {
     return MakePlan(m_state, m_now,
                     [this](const VmRecord& vm) { return m_loads[vm.m_name]; });
@@ -178,5 +197,24 @@
   CHECK_FALSE(times.contains(VmName("m1")));
 }
 
+// Guards against upkeep that a VM never has because it was absent for a while.
+TEST_CASE("a VM that is listed again is still due for its upkeep") {
+  Fleet fleet(2, 2);
+  HandleOrderResult(fleet.m_state, fleet.m_now, 1, VmName("m0"),
+                    VmOrderResult::kAccepted);
+  for (int i = 0; i < 14; ++i) {
+    fleet.m_now += Milliseconds(500);
+    fleet.UpdateListWithout("m1");
+    fleet.NextPlan();
+  }
+  CHECK(fleet.Complete());
+  CHECK(*DecodeDoneVms(EncodeDoneVms(fleet.TheWave())) ==
+        std::vector<VmName>{VmName("m0")});
+  fleet.UpdateList();
+  CHECK_FALSE(fleet.Complete());
+  fleet.NextPlan();
+  CHECK(fleet.NextPlan().m_orders.size() == 1);
+}
+
 }  // namespace
 }  // namespace filbertspar::upkeep
