A damaged list does not show that a VM is gone

Cause: DecodeVmPage dropped entries with a missing or unknown field and only counted them, so that their VMs were missing from the list, and after 5 s counted as removed. The names of such VMs are now kept: they are listed. An entry that does not even show its VM may be that of any, so a list with one proves no absence; one without decides again. The line list_damaged tells both apart. While the platform goes on listing a nameless entry, waves with VMs that are gone stay 'running'.

--- a/filbertspar/fleetview/src/vm.h
+++ b/filbertspar/fleetview/src/vm.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -25,6 +26,16 @@
   WorkerName m_worker;
 };
 
+/// \brief A reading of the whole list of VMs.
+struct VmList {
+  TimePoint m_requested_at{};
+  std::vector<VmRecord> m_vms;
+  /// VMs that are listed with an entry that is invalid otherwise.
+  std::vector<VmName> m_invalid_vms;
+  /// Number of entries that do not even show which VM they describe.
+  std::size_t m_nameless_count = 0;
+};
+
 /// \brief Operators' request to perform upkeep on a set of VMs within a time.
 struct UpkeepWave {
   std::uint64_t m_number = 0;
--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -174,28 +174,33 @@
 }
 
 asio::awaitable<bool> VmManager::ReadVmList() {
-  std::vector<VmRecord> vms;
+  VmList list;
+  list.m_requested_at = BootNow();
   std::string page;
-  std::size_t damaged = 0;
-  const TimePoint asked = BootNow();
   do {
     const CallResult result = co_await m_parts.m_client.Call(
         *m_parts.m_options.m_fleet, adapter::MakeVmListRequest(page),
         kListTimeout);
-    std::optional<adapter::VmPage> read =
-        adapter::DecodeVmPage(result, damaged);
+    std::optional<adapter::VmPage> read = adapter::DecodeVmPage(result);
     Count(m_parts.m_metrics, metric::kVmOrders,
           read ? "list_accepted" : "list_unknown");
     if (!read || !m_running) {
       co_return false;
     }
-    vms.insert(vms.end(), read->m_vms.begin(), read->m_vms.end());
+    list.m_vms.insert(list.m_vms.end(), read->m_vms.begin(), read->m_vms.end());
+    list.m_invalid_vms.insert(list.m_invalid_vms.end(),
+                              read->m_invalid_vms.begin(),
+                              read->m_invalid_vms.end());
+    list.m_nameless_count += read->m_nameless_count;
     page = read->m_next;
   } while (!page.empty());
-  if (damaged > 0) {
-    m_parts.m_log.Warn("vm", "list_damaged", absl::StrCat("rows=", damaged));
+  if (!list.m_invalid_vms.empty() || list.m_nameless_count > 0) {
+    m_parts.m_log.Warn(
+        "vm", "list_damaged",
+        absl::StrCat("rows=", list.m_invalid_vms.size() + list.m_nameless_count,
+                     " nameless=", list.m_nameless_count));
   }
-  upkeep::UpdateVms(m_upkeep_state, asked, vms);
+  upkeep::UpdateVms(m_upkeep_state, list);
   UpdateExpectedWorkers();
   co_return true;
 }
--- a/filbertspar/upkeep/src/plan.cc
+++ b/filbertspar/upkeep/src/plan.cc
@@ -8,7 +8,8 @@
 
 /// A VM counts as removed when it is missing from a VM list and from all that
 /// were read after it, the last of them requested this much later. The platform
-/// gives no bound; lists lag about 1 s. A gap between lists shows nothing.
+/// gives no bound; lists lag about 1 s. A gap between lists shows nothing, nor
+/// does a list with entries that do not show their VM.
 constexpr Duration kMissingTimeout = Seconds(5);
 /// Largest share of a pool's VMs that may be draining or down at a time while
 /// the wave is on schedule.
@@ -30,7 +31,7 @@
 bool IsRemoved(const State& state, const VmName& vm) {
   const auto missing = state.m_missing_since.find(vm);
   return missing != state.m_missing_since.end() &&
-         state.m_list_requested_at - missing->second > kMissingTimeout;
+         state.m_whole_list_requested_at - missing->second > kMissingTimeout;
 }
 
 std::size_t CountDownVms(const State& state, const Wave& wave) {
@@ -87,22 +88,32 @@
   }
 }
 
-void UpdateVms(State& state, TimePoint requested_at,
-               const std::vector<VmRecord>& vms) {
+void UpdateVms(State& state, const VmList& list) {
   std::map<VmName, VmRecord> listed;
-  for (const VmRecord& vm : vms) {
+  for (const VmRecord& vm : list.m_vms) {
     listed[vm.m_name] = vm;
     state.m_missing_since.erase(vm.m_name);
   }
+  for (const VmName& vm : list.m_invalid_vms) {
+    state.m_missing_since.erase(vm);
+  }
+  state.m_list_requested_at = list.m_requested_at;
+  if (list.m_nameless_count > 0) {
+    // Such an entry may be that of any VM.
+    state.m_vms = std::move(listed);
+    return;
+  }
+  const std::set<VmName> invalid(list.m_invalid_vms.begin(),
+                                 list.m_invalid_vms.end());
   for (const auto& [number, wave] : state.m_waves) {
     for (const auto& [vm, progress] : wave.m_vms) {
-      if (!listed.contains(vm)) {
-        state.m_missing_since.try_emplace(vm, requested_at);
+      if (!listed.contains(vm) && !invalid.contains(vm)) {
+        state.m_missing_since.try_emplace(vm, list.m_requested_at);
       }
     }
   }
   state.m_vms = std::move(listed);
-  state.m_list_requested_at = requested_at;
+  state.m_whole_list_requested_at = list.m_requested_at;
 }
 
 void HandleOrderResult(State& state, TimePoint now, std::uint64_t wave,
--- a/filbertspar/upkeep/src/plan.h
+++ b/filbertspar/upkeep/src/plan.h
@@ -16,10 +16,8 @@
 /// \brief Marks VMs of a wave as done, as read from the row of the wave.
 void MarkDone(State& state, std::uint64_t wave, const std::vector<VmName>& vms);
 
-/// \brief Replaces the VM records by a list that was requested at
-/// `requested_at`.
-void UpdateVms(State& state, TimePoint requested_at,
-               const std::vector<VmRecord>& vms);
+/// \brief Replaces the VM records by those of a newer list.
+void UpdateVms(State& state, const VmList& list);
 
 /// \brief Records the result of an upkeep order.
 void HandleOrderResult(State& state, TimePoint now, std::uint64_t wave,
--- a/filbertspar/upkeep/src/state.h
+++ b/filbertspar/upkeep/src/state.h
@@ -67,8 +67,10 @@
   std::map<VmName, VmRecord> m_vms;
   /// When the VM list that m_vms comes from was requested.
   TimePoint m_list_requested_at = TimePoint::min();
-  /// VMs of waves that are missing from the VM list, and when the first list
-  /// without them was requested.
+  /// The same for the last list in which each entry showed its VM.
+  TimePoint m_whole_list_requested_at = TimePoint::min();
+  /// VMs of waves that are missing from the VM list, and when the first whole
+  /// list without them was requested.
   std::map<VmName, TimePoint> m_missing_since;
 };
 
--- a/tests/platform/adapter_codec_test.cc
+++ b/tests/platform/adapter_codec_test.cc
@@ -208,16 +208,16 @@
 
 // Guards against VMs, waves and results of VM orders that are decoded wrongly.
 TEST_CASE("VMs and waves are decoded, invalid ones are skipped") {
-  std::size_t invalid_count = 0;
   const auto page = DecodeVmPage(
       MakeResult(200,
                  R"({"machines":[{"machine":"m-1","pool":"s","state":"up",
                    "labels":["a","r1"],"capacity":{"cpu":16000},"id":"i-1"},
-                  {"machine":"m-2","pool":"s","state":"asleep"}],
-                 "next_token":"t"})"),
-      invalid_count);
+                  {"machine":"m-2","pool":"s","state":"asleep"},
+                  {"pool":"s","state":"up"},7],
+                 "next_token":"t"})"));
   REQUIRE(page);
-  CHECK(invalid_count == 1);
+  CHECK(page->m_invalid_vms == std::vector<VmName>{VmName("m-2")});
+  CHECK(page->m_nameless_count == 2);
   REQUIRE(page->m_vms.size() == 1);
   CHECK(page->m_vms[0].m_worker == WorkerName("i-1"));
   CHECK(page->m_next == "t");
--- a/tests/upkeep_plan_test.cc
+++ b/tests/upkeep_plan_test.cc
@@ -16,6 +16,13 @@
   return vm;
 }
 
+VmList MakeList(TimePoint requested_at, const std::vector<VmRecord>& vms) {
+  VmList list;
+  list.m_requested_at = requested_at;
+  list.m_vms = vms;
+  return list;
+}
+
 struct Fleet {
   State m_state;
   std::vector<VmRecord> m_vms;
@@ -35,13 +42,13 @@
     UpdateWaves(m_state, m_now, {{1, wave}});
     UpdateList();
   }
-  void UpdateList() { UpdateVms(m_state, m_now, m_vms); }
+  void UpdateList() { UpdateVms(m_state, MakeList(m_now, m_vms)); }
   void UpdateListWithout(const std::string& name) {
     std::vector<VmRecord> listed = m_vms;
     std::erase_if(listed, [&name](const VmRecord& vm) {
       return vm.m_name == VmName(name);
     });
-    UpdateVms(m_state, m_now, listed);
+    UpdateVms(m_state, MakeList(m_now, listed));
   }
   Wave& TheWave() { return m_state.m_waves[1]; }
   bool Complete() { return IsComplete(m_state, TheWave()); }
@@ -157,7 +164,7 @@
 TEST_CASE("a wave of which only the progress is known is not complete") {
   State state;
   MarkDone(state, 1, {VmName("m0"), VmName("m1")});
-  UpdateVms(state, kStart, {MakeVm("m0", "p"), MakeVm("m2", "p")});
+  UpdateVms(state, MakeList(kStart, {MakeVm("m0", "p"), MakeVm("m2", "p")}));
   CHECK_FALSE(IsComplete(state, state.m_waves[1]));
   const Plan plan =
       MakePlan(state, kStart, [](const VmRecord&) { return VmLoad(); });
@@ -228,5 +235,32 @@
   CHECK(fleet.Complete());
 }
 
+// Guards against VMs that are taken for removed because a row is unreadable.
+TEST_CASE("a damaged list does not show that a VM is gone") {
+  const bool has_name = GENERATE(true, false);
+  Fleet fleet(2, 2);
+  HandleOrderResult(fleet.m_state, fleet.m_now, 1, VmName("m0"),
+                    VmOrderResult::kAccepted);
+  VmList damaged = MakeList(fleet.m_now, {fleet.m_vms[0]});
+  if (has_name) {
+    damaged.m_invalid_vms.emplace_back("m1");
+  } else {
+    damaged.m_nameless_count = 1;
+  }
+  for (int i = 0; i < 20; ++i) {
+    fleet.m_now += Milliseconds(500);
+    damaged.m_requested_at = fleet.m_now;
+    UpdateVms(fleet.m_state, damaged);
+    fleet.NextPlan();
+  }
+  CHECK_FALSE(fleet.Complete());
+  // Whole lists decide, also about a VM that was once in a damaged one.
+  for (int i = 0; i < 14; ++i) {
+    fleet.m_now += Milliseconds(500);
+    fleet.UpdateListWithout("m1");
+  }
+  CHECK(fleet.Complete());
+}
+
 }  // namespace
 }  // namespace filbertspar::upkeep
