A list of VMs ends only where the page says so

Cause: DecodeVmPage read a next_token of another type than text as no token, so that a list that went on was taken for whole. Absent, null and empty still end the list.

--- a/tests/platform/adapter_codec_test.cc
+++ b/tests/platform/adapter_codec_test.cc
@@ -233,6 +233,21 @@
   CHECK(DecodeVmOrderResult(MakeResult(500, "")) == VmOrderResult::kUnknown);
 }
 
+// Guards against a list that is taken for whole though a page is missing.
+TEST_CASE("a list of VMs ends only where the page says so") {
+  const auto next = [](const std::string& rest) {
+    const auto page =
+        DecodeVmPage(MakeResult(200, R"({"machines":[])" + rest + "}"));
+    return page ? page->m_next : "unusable";
+  };
+  CHECK(next("").empty());
+  CHECK(next(R"(,"next_token":"")").empty());
+  CHECK(next(R"(,"next_token":null)").empty());
+  CHECK(next(R"(,"next_token":"t")") == "t");
+  CHECK(next(R"(,"next_token":7)") == "unusable");
+  CHECK(next(R"(,"next_token":["t"])") == "unusable");
+}
+
 // Guards against a deployment on which nothing is served and no line says why.
 TEST_CASE("only workers that are called can be ordered") {
   CHECK(IsSupportedOrderMode(""));
