A refused order does not stand for an upkeep

Cause: the results kNotInWave (409 wave) and kMalformed (400) set Phase::kDone at once and for good, whatever the platform knew at that moment, and EncodeDoneVms stored them as done. A refusal is now recorded with its reason and time and the order is repeated after 1 s. Refusals as 'not of that wave' that have gone on for 5 s take the VM out of the wave's completion as long as no order is accepted, so a wave still ends; a malformed order proves nothing about a VM that is listed. Neither is stored. Refusals that stand give back the VM and its place in the wave's limit.

--- a/filbertspar/upkeep/src/plan.cc
+++ b/filbertspar/upkeep/src/plan.cc
@@ -19,6 +19,14 @@
 constexpr double kLateShare = 0.7;
 /// An order whose response was lost is repeated after this time.
 constexpr Duration kOrderRetryDelay = Milliseconds(600);
+/// The platform may learn of a wave, or of a VM, later than this owner, so that
+/// a refused order is repeated after this time.
+constexpr Duration kRefusalRetryDelay = Seconds(1);
+/// Refusals stand once they have gone on for this long, as an absence does. The
+/// VM then takes tasks again and holds up no others.
+constexpr Duration kRefusalTimeout = Seconds(5);
+/// The platform is asked again this long after refusals that stand.
+constexpr Duration kStandingRefusalRetryDelay = Seconds(30);
 /// The VM list lags behind. A VM that was down counts as up again only when a
 /// list shows it that was requested this long after the order was accepted.
 constexpr Duration kListLag = Seconds(1);
@@ -34,6 +42,39 @@
          state.m_whole_list_requested_at - missing->second > kMissingTimeout;
 }
 
+bool HasStandingRefusal(const VmProgress& progress) {
+  return progress.m_refusals &&
+         progress.m_refusals->m_last - progress.m_refusals->m_first >=
+             kRefusalTimeout;
+}
+
+/// The platform maintains that the VM is not part of the wave. That a VM does
+/// not exist is shown by the list alone.
+bool IsKeptOut(const VmProgress& progress) {
+  return HasStandingRefusal(progress) &&
+         progress.m_refusals->m_reason == VmOrderResult::kNotInWave;
+}
+
+bool MayBeOrdered(const VmProgress& progress, TimePoint now) {
+  if (!progress.m_refusals) {
+    return true;
+  }
+  const Duration delay = HasStandingRefusal(progress)
+                             ? kStandingRefusalRetryDelay
+                             : kRefusalRetryDelay;
+  return now - progress.m_refusals->m_last >= delay;
+}
+
+void RecordRefusal(VmProgress& progress, TimePoint now, VmOrderResult reason) {
+  if (!progress.m_refusals || progress.m_refusals->m_reason != reason) {
+    progress.m_refusals = Refusals{reason, now, now};
+  }
+  progress.m_refusals->m_last = now;
+  progress.m_phase =
+      HasStandingRefusal(progress) ? Phase::kPending : Phase::kDraining;
+  progress.m_since = now;
+}
+
 std::size_t CountDownVms(const State& state, const Wave& wave) {
   std::size_t down = 0;
   for (const auto& [vm, progress] : wave.m_vms) {
@@ -124,12 +165,11 @@
     case VmOrderResult::kAccepted:
       progress.m_phase = Phase::kDown;
       progress.m_since = now;
+      progress.m_refusals.reset();
       break;
     case VmOrderResult::kMalformed:
     case VmOrderResult::kNotInWave:
-      // The VM does not exist or is not part of the wave, so nothing is left to
-      // do for it.
-      progress.m_phase = Phase::kDone;
+      RecordRefusal(progress, now, result);
       break;
     case VmOrderResult::kUnknown:
       // The VM may be down. The order will be repeated, which is harmless.
@@ -146,12 +186,12 @@
 
 bool IsComplete(const State& state, const Wave& wave) {
   return wave.m_is_defined &&
-         std::all_of(wave.m_vms.begin(), wave.m_vms.end(),
-                     [&](const auto& entry) {
-                       return entry.second.m_phase == Phase::kDown ||
-                              entry.second.m_phase == Phase::kDone ||
-                              IsRemoved(state, entry.first);
-                     });
+         std::all_of(
+             wave.m_vms.begin(), wave.m_vms.end(), [&](const auto& entry) {
+               return entry.second.m_phase == Phase::kDown ||
+                      entry.second.m_phase == Phase::kDone ||
+                      IsKeptOut(entry.second) || IsRemoved(state, entry.first);
+             });
 }
 
 std::optional<WaveStatus> StatusToStore(const State& state, const Wave& wave) {
@@ -187,8 +227,14 @@
       }
       const VmLoad vm_load = load_of(record->second);
       if (progress.m_phase == Phase::kPending) {
-        plan.m_pending.push_back(name);
-        if (record->second.m_state == VmStatus::kUp) {
+        const bool is_kept_out = IsKeptOut(progress);
+        if (!is_kept_out) {
+          plan.m_pending.push_back(name);
+        }
+        // No work is moved for a VM that is not part of the wave.
+        if (record->second.m_state == VmStatus::kUp &&
+            MayBeOrdered(progress, now) &&
+            (!is_kept_out || vm_load.m_is_empty)) {
           candidates.emplace_back(
               vm_load.m_used_share +
                   static_cast<double>(vm_load.m_long_running),
@@ -202,7 +248,7 @@
         ++draining;
         plan.m_draining.push_back(name);
         if (vm_load.m_is_empty && record->second.m_state == VmStatus::kUp &&
-            down < wave.m_spec.m_max_down) {
+            down < wave.m_spec.m_max_down && MayBeOrdered(progress, now)) {
           progress.m_phase = Phase::kOrdered;
           progress.m_since = now;
           progress.m_order_in_flight = true;
--- a/filbertspar/upkeep/src/plan.h
+++ b/filbertspar/upkeep/src/plan.h
@@ -46,8 +46,9 @@
 Plan MakePlan(State& state, TimePoint now,
               const std::function<VmLoad(const VmRecord&)>& load_of);
 
-/// \brief Whether the upkeep of every VM of the wave that still exists has
-/// begun. False while the definition of the wave was not read.
+/// \brief Whether the upkeep of every VM of the wave has begun, except for VMs
+/// that were removed and those that the platform keeps out of the wave. False
+/// while the definition of the wave was not read.
 bool IsComplete(const State& state, const Wave& wave);
 
 /// \brief Status to store for the operators now; std::nullopt when the stored
--- a/filbertspar/upkeep/src/state.h
+++ b/filbertspar/upkeep/src/state.h
@@ -26,12 +26,21 @@
   kDone,
 };
 
+/// \brief Refusals of upkeep orders for one reason, without an accepted order
+/// since.
+struct Refusals {
+  VmOrderResult m_reason = VmOrderResult::kNotInWave;
+  TimePoint m_first{};
+  TimePoint m_last{};
+};
+
 /// \brief Progress of one VM in one wave.
 struct VmProgress {
   Phase m_phase = Phase::kPending;
   /// When the phase began, or when its order last went without a response.
   TimePoint m_since{};
   bool m_order_in_flight = false;
+  std::optional<Refusals> m_refusals;
 };
 
 /// \brief Status of a wave, as the operators read it.
--- a/tests/upkeep_plan_test.cc
+++ b/tests/upkeep_plan_test.cc
@@ -262,5 +262,37 @@
   CHECK(fleet.Complete());
 }
 
+// Guards against completion while the platform does not know the wave yet.
+TEST_CASE("a refused order does not stand for an upkeep") {
+  const VmOrderResult result =
+      GENERATE(VmOrderResult::kNotInWave, VmOrderResult::kMalformed);
+  Fleet fleet(3, 2);
+  fleet.AnswerOrders(result, Seconds(4));
+  CHECK_FALSE(fleet.Complete());
+  CHECK(DecodeDoneVms(EncodeDoneVms(fleet.TheWave()))->empty());
+  fleet.AnswerOrders(VmOrderResult::kAccepted, Seconds(10));
+  CHECK(fleet.Complete());
+  CHECK(DecodeDoneVms(EncodeDoneVms(fleet.TheWave()))->size() == 3);
+}
+
+// Guards against a wave that never ends because of VMs that are not in it.
+TEST_CASE("a VM that is refused for long does not hold the wave up") {
+  Fleet fleet(5, 1);
+  fleet.AnswerOrders(VmOrderResult::kNotInWave, Seconds(40));
+  CHECK(fleet.Complete());
+  CHECK(DecodeDoneVms(EncodeDoneVms(fleet.TheWave()))->empty());
+  // The next owner asks again.
+  CHECK_FALSE(Fleet(5, 1).Complete());
+}
+
+// Guards against completion while a listed VM is refused as unknown.
+TEST_CASE("a VM that is listed is not gone, whatever an order says") {
+  Fleet fleet(2, 1);
+  fleet.AnswerOrders(VmOrderResult::kMalformed, Seconds(60));
+  CHECK_FALSE(fleet.Complete());
+  fleet.AnswerOrders(VmOrderResult::kAccepted, Seconds(30));
+  CHECK(fleet.Complete());
+}
+
 }  // namespace
 }  // namespace filbertspar::upkeep
