A completed wave with more VMs is running again

Cause: a status 'completed' that was stored was never looked at again. It is now compared with the evidence in every round, in both directions. While a write of the status is under way, and when its answer is lost, the stored status counts as unknown, so that 'running' is written again after a 'completed' that may have been stored.

Evidence: 'a completed wave with more VMs is running again' failed before (no status to store, {?} == kRunning). upkeep_test: 65 assertions in 15 test cases pass. The line about unanswered writes is in the shell and has no test.

--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -476,6 +476,8 @@
         {{std::string(adapter::kStatusTable), "",
           absl::StrCat(std::string(adapter::kWavePrefix), number)},
          adapter::EncodeWaveStatus(complete)});
+    // Until the answer it is unknown which status the operators read.
+    wave.m_stored_status.reset();
     const StoreResponse answer =
         co_await m_parts.m_store.Change(change, kStatusTimeout);
     if (answer.m_result == StoreResult::kDone) {
--- a/filbertspar/upkeep/src/plan.cc
+++ b/filbertspar/upkeep/src/plan.cc
@@ -195,7 +195,7 @@
 }
 
 std::optional<WaveStatus> StatusToStore(const State& state, const Wave& wave) {
-  if (!wave.m_is_defined || wave.m_stored_status == WaveStatus::kCompleted) {
+  if (!wave.m_is_defined) {
     return std::nullopt;
   }
   const WaveStatus status =
--- a/tests/upkeep_plan_test.cc
+++ b/tests/upkeep_plan_test.cc
@@ -294,5 +294,26 @@
   CHECK(fleet.Complete());
 }
 
+// Guards against a wave that stays completed when VMs are added to it.
+TEST_CASE("a completed wave with more VMs is running again") {
+  Fleet fleet(2, 2);
+  UpkeepWave smaller = fleet.TheWave().m_spec;
+  const UpkeepWave larger = smaller;
+  smaller.m_vms.pop_back();
+  fleet.m_state.m_waves.clear();
+  UpdateWaves(fleet.m_state, fleet.m_now, {{1, smaller}});
+  fleet.AnswerOrders(VmOrderResult::kAccepted, Seconds(3));
+  REQUIRE(StatusToStore(fleet.m_state, fleet.TheWave()) ==
+          WaveStatus::kCompleted);
+  fleet.TheWave().m_stored_status = WaveStatus::kCompleted;
+  CHECK_FALSE(StatusToStore(fleet.m_state, fleet.TheWave()));
+  UpdateWaves(fleet.m_state, fleet.m_now, {{1, larger}});
+  CHECK(StatusToStore(fleet.m_state, fleet.TheWave()) == WaveStatus::kRunning);
+  fleet.TheWave().m_stored_status = WaveStatus::kRunning;
+  fleet.AnswerOrders(VmOrderResult::kAccepted, Seconds(3));
+  CHECK(StatusToStore(fleet.m_state, fleet.TheWave()) ==
+        WaveStatus::kCompleted);
+}
+
 }  // namespace
 }  // namespace filbertspar::upkeep
