A VM that left the definition is no part of its wave

Cause: UpdateWaves only added VMs. A change of the definition now says for each VM whether it is a member, and drops refusals. VMs that are no members are forgotten, except those that are or may be down for the wave: they count against its limit until a current list shows them up, and are stored as done.

--- a/filbertspar/upkeep/src/plan.cc
+++ b/filbertspar/upkeep/src/plan.cc
@@ -86,7 +86,47 @@
   return down;
 }
 
+void Define(Wave& wave, const UpkeepWave& spec) {
+  wave.m_is_defined = true;
+  wave.m_spec = spec;
+  for (auto& [vm, progress] : wave.m_vms) {
+    progress.m_is_member = false;
+    progress.m_refusals.reset();
+  }
+  for (const VmName& vm : spec.m_vms) {
+    wave.m_vms[vm].m_is_member = true;
+  }
+}
+
+/// Whether nothing is left to remember of a VM that is not part of the wave.
+/// An order that is under way, or whose answer was lost, may still take it
+/// down.
+bool IsForgettable(const State& state, const VmName& vm,
+                   const VmProgress& progress) {
+  if (progress.m_is_member || progress.m_order_in_flight) {
+    return false;
+  }
+  switch (progress.m_phase) {
+    case Phase::kPending:
+    case Phase::kDraining:
+      return true;
+    case Phase::kOrdered: {
+      const auto record = state.m_vms.find(vm);
+      return state.m_list_requested_at > progress.m_since + kListLag &&
+             (record == state.m_vms.end() ||
+              record->second.m_state == VmStatus::kUp);
+    }
+    case Phase::kDown:
+    case Phase::kDone:
+      break;
+  }
+  return false;
+}
+
 void RefreshProgress(State& state, Wave& wave, TimePoint now) {
+  std::erase_if(wave.m_vms, [&state](const auto& entry) {
+    return IsForgettable(state, entry.first, entry.second);
+  });
   for (auto& [vm, progress] : wave.m_vms) {
     const auto record = state.m_vms.find(vm);
     if (progress.m_phase == Phase::kDown && record != state.m_vms.end() &&
@@ -114,10 +154,8 @@
     if (wave.m_started_at == TimePoint{}) {
       wave.m_started_at = now;
     }
-    wave.m_is_defined = true;
-    wave.m_spec = spec;
-    for (const VmName& vm : spec.m_vms) {
-      wave.m_vms.try_emplace(vm);
+    if (!wave.m_is_defined || wave.m_spec != spec) {
+      Define(wave, spec);
     }
   }
 }
@@ -188,7 +226,8 @@
   return wave.m_is_defined &&
          std::all_of(
              wave.m_vms.begin(), wave.m_vms.end(), [&](const auto& entry) {
-               return entry.second.m_phase == Phase::kDown ||
+               return !entry.second.m_is_member ||
+                      entry.second.m_phase == Phase::kDown ||
                       entry.second.m_phase == Phase::kDone ||
                       IsKeptOut(entry.second) || IsRemoved(state, entry.first);
              });
@@ -259,7 +298,7 @@
         // A lagging list still shows the worker that the upkeep has shut down.
         plan.m_draining.push_back(name);
         if (progress.m_phase == Phase::kOrdered &&
-            !progress.m_order_in_flight &&
+            !progress.m_order_in_flight && progress.m_is_member &&
             now - progress.m_since > kOrderRetryDelay) {
           progress.m_order_in_flight = true;
           plan.m_orders.push_back({number, name});
--- a/tests/upkeep_plan_test.cc
+++ b/tests/upkeep_plan_test.cc
@@ -315,5 +315,39 @@
         WaveStatus::kCompleted);
 }
 
+// Guards against waits for, and orders to, VMs that were taken out of a wave.
+TEST_CASE("a VM that left the definition is no part of the wave") {
+  Fleet fleet(3, 1);
+  fleet.NextPlan();
+  const Plan plan = fleet.NextPlan();
+  REQUIRE(plan.m_orders.size() == 1);
+  UpkeepWave smaller = fleet.TheWave().m_spec;
+  smaller.m_vms = {VmName("m1")};
+  UpdateWaves(fleet.m_state, fleet.m_now, {{1, smaller}});
+  // The order to m0 may be carried out.
+  CHECK(fleet.NextPlan().m_orders.empty());
+  HandleOrderResult(fleet.m_state, fleet.m_now, 1, VmName("m0"),
+                    VmOrderResult::kAccepted);
+  CHECK(fleet.NextPlan().m_orders.empty());
+  fleet.m_now += Seconds(3);
+  fleet.AnswerOrders(VmOrderResult::kAccepted, Seconds(3));
+  CHECK(fleet.Complete());
+  CHECK(*DecodeDoneVms(EncodeDoneVms(fleet.TheWave())) ==
+        std::vector<VmName>{VmName("m0"), VmName("m1")});
+}
+
+// Guards against refusals that count for a definition they did not know.
+TEST_CASE("a refusal does not outlive the definition of the wave") {
+  Fleet fleet(1, 1);
+  fleet.AnswerOrders(VmOrderResult::kNotInWave, Seconds(20));
+  REQUIRE(fleet.Complete());
+  UpkeepWave changed = fleet.TheWave().m_spec;
+  changed.m_duration += Seconds(1);
+  UpdateWaves(fleet.m_state, fleet.m_now, {{1, changed}});
+  CHECK_FALSE(fleet.Complete());
+  fleet.AnswerOrders(VmOrderResult::kAccepted, Seconds(3));
+  CHECK(fleet.Complete());
+}
+
 }  // namespace
 }  // namespace filbertspar::upkeep
