Log why a wave is running or completed

wave_running and wave_completed named the wave alone: a VM that was taken for removed, or refused, could not be told from one that had its upkeep. Both lines now have the numbers of VMs by evidence, the first names and the age of the list.

No process has been run with these lines yet.

--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -168,6 +168,9 @@
     std::uint64_t wave = 0;
     if (done.ok() && absl::SimpleAtoi(row.m_key.m_key, &wave)) {
       upkeep::MarkDone(m_upkeep_state, wave, *done);
+    } else {
+      m_parts.m_log.Warn("vm", "wave_row_unreadable",
+                         absl::StrCat("key=", row.m_key.m_key));
     }
   }
   co_return true;
@@ -470,6 +473,9 @@
     if (!status || !m_hooks.m_is_confirmed()) {
       continue;
     }
+    const std::string evidence = absl::StrCat(
+        upkeep::DescribeEvidence(m_upkeep_state, wave), " list_ms_ago=",
+        ToMilliseconds(BootNow() - m_upkeep_state.m_list_requested_at));
     const bool complete = *status == upkeep::WaveStatus::kCompleted;
     StoreTransaction change;
     change.m_writes.push_back(
@@ -483,7 +489,7 @@
     if (answer.m_result == StoreResult::kDone) {
       wave.m_stored_status = status;
       m_parts.m_log.Info("vm", complete ? "wave_completed" : "wave_running",
-                         absl::StrCat("wave=", number));
+                         absl::StrCat("wave=", number, " ", evidence));
     }
   }
 }
--- a/filbertspar/upkeep/src/plan.cc
+++ b/filbertspar/upkeep/src/plan.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <cmath>
 
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
 namespace filbertspar::upkeep {
 namespace {
 
@@ -31,6 +34,9 @@
 /// list shows it that was requested this long after the order was accepted.
 constexpr Duration kListLag = Seconds(1);
 
+/// Most names of VMs of a kind in a log line.
+constexpr std::size_t kMaxNames = 8;
+
 bool IsOrderedOrDown(const VmProgress& progress) {
   return progress.m_phase == Phase::kOrdered ||
          progress.m_phase == Phase::kDown;
@@ -55,6 +61,20 @@
          progress.m_refusals->m_reason == VmOrderResult::kNotInWave;
 }
 
+/// Why a VM does not hold up the completion of its wave.
+enum class Evidence : std::uint8_t { kNone, kBegun, kRemoved, kKeptOut };
+
+Evidence FindEvidence(const State& state, const VmName& vm,
+                      const VmProgress& progress) {
+  if (progress.m_phase == Phase::kDown || progress.m_phase == Phase::kDone) {
+    return Evidence::kBegun;
+  }
+  if (IsRemoved(state, vm)) {
+    return Evidence::kRemoved;
+  }
+  return IsKeptOut(progress) ? Evidence::kKeptOut : Evidence::kNone;
+}
+
 bool MayBeOrdered(const VmProgress& progress, TimePoint now) {
   if (!progress.m_refusals) {
     return true;
@@ -224,13 +244,34 @@
 
 bool IsComplete(const State& state, const Wave& wave) {
   return wave.m_is_defined &&
-         std::all_of(
-             wave.m_vms.begin(), wave.m_vms.end(), [&](const auto& entry) {
-               return !entry.second.m_is_member ||
-                      entry.second.m_phase == Phase::kDown ||
-                      entry.second.m_phase == Phase::kDone ||
-                      IsKeptOut(entry.second) || IsRemoved(state, entry.first);
-             });
+         std::all_of(wave.m_vms.begin(), wave.m_vms.end(),
+                     [&state](const auto& entry) {
+                       return !entry.second.m_is_member ||
+                              FindEvidence(state, entry.first, entry.second) !=
+                                  Evidence::kNone;
+                     });
+}
+
+std::string DescribeEvidence(const State& state, const Wave& wave) {
+  std::map<Evidence, std::vector<std::string>> vms;
+  for (const auto& [vm, progress] : wave.m_vms) {
+    if (progress.m_is_member) {
+      vms[FindEvidence(state, vm, progress)].push_back(vm.Value());
+    }
+  }
+  const auto names = [&vms](Evidence evidence) {
+    std::vector<std::string>& found = vms[evidence];
+    found.resize(std::min(found.size(), kMaxNames));
+    return absl::StrJoin(found, ",");
+  };
+  const auto count = [&vms](Evidence evidence) { return vms[evidence].size(); };
+  const std::string counts = absl::StrCat(
+      "begun=", count(Evidence::kBegun), " removed=", count(Evidence::kRemoved),
+      " kept_out=", count(Evidence::kKeptOut),
+      " open=", count(Evidence::kNone));
+  return absl::StrCat(counts, " removed_vms=", names(Evidence::kRemoved),
+                      " kept_out_vms=", names(Evidence::kKeptOut),
+                      " open_vms=", names(Evidence::kNone));
 }
 
 std::optional<WaveStatus> StatusToStore(const State& state, const Wave& wave) {
--- a/filbertspar/upkeep/src/plan.h
+++ b/filbertspar/upkeep/src/plan.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "filbertspar/upkeep/src/state.h"
@@ -51,6 +52,10 @@
 /// while the definition of the wave was not read.
 bool IsComplete(const State& state, const Wave& wave);
 
+/// \brief Numbers and names of the wave's VMs by the evidence for them, for a
+/// log line.
+std::string DescribeEvidence(const State& state, const Wave& wave);
+
 /// \brief Status to store for the operators now; std::nullopt when the stored
 /// one holds.
 std::optional<WaveStatus> StatusToStore(const State& state, const Wave& wave);
--- a/tests/upkeep_plan_test.cc
+++ b/tests/upkeep_plan_test.cc
@@ -349,5 +349,30 @@
   CHECK(fleet.Complete());
 }
 
+// Guards against a completed wave of which no line says why.
+TEST_CASE("the evidence for the status of a wave is described") {
+  Fleet fleet(12, 2);
+  CHECK(DescribeEvidence(fleet.m_state, fleet.TheWave()) ==
+        "begun=0 removed=0 kept_out=0 open=12 removed_vms= kept_out_vms= "
+        "open_vms=m0,m1,m10,m11,m2,m3,m4,m5");
+  HandleOrderResult(fleet.m_state, fleet.m_now, 1, VmName("m3"),
+                    VmOrderResult::kNotInWave);
+  fleet.UpdateListWithout("m7");
+  fleet.m_now += Seconds(6);
+  fleet.UpdateListWithout("m7");
+  HandleOrderResult(fleet.m_state, fleet.m_now, 1, VmName("m3"),
+                    VmOrderResult::kNotInWave);
+  for (const VmName& vm : fleet.TheWave().m_spec.m_vms) {
+    if (vm != VmName("m3") && vm != VmName("m7")) {
+      HandleOrderResult(fleet.m_state, fleet.m_now, 1, vm,
+                        VmOrderResult::kAccepted);
+    }
+  }
+  CHECK(DescribeEvidence(fleet.m_state, fleet.TheWave()) ==
+        "begun=10 removed=1 kept_out=1 open=0 removed_vms=m7 kept_out_vms=m3 "
+        "open_vms=");
+  CHECK(fleet.Complete());
+}
+
 }  // namespace
 }  // namespace filbertspar::upkeep
