A VM that is removed while it is down frees its place

What the operators would see: a wave that stays 'running' when a VM of it is gone for good after its order, until the next owner (with a limit of one VM: for all that remain).

It now counts until it is removed.

Evidence: 'a VM that is removed while it is down frees its place' failed with the order accepted and with its answer lost.

--- a/filbertspar/upkeep/src/plan.cc
+++ b/filbertspar/upkeep/src/plan.cc
@@ -101,7 +101,7 @@
     const auto record = state.m_vms.find(vm);
     const bool listed_down = record != state.m_vms.end() &&
                              record->second.m_state == VmStatus::kUpkeep;
-    down += IsOrderedOrDown(progress) || listed_down;
+    down += (IsOrderedOrDown(progress) && !IsRemoved(state, vm)) || listed_down;
   }
   return down;
 }
--- a/tests/upkeep_plan_test.cc
+++ b/tests/upkeep_plan_test.cc
@@ -374,5 +374,20 @@
   CHECK(fleet.Complete());
 }
 
+// Guards against a wave that waits for good for a VM that was down and is gone.
+TEST_CASE("a VM that is removed while it is down frees its place") {
+  const VmOrderResult result =
+      GENERATE(VmOrderResult::kAccepted, VmOrderResult::kUnknown);
+  Fleet fleet(2, 1);
+  fleet.NextPlan();
+  REQUIRE(fleet.NextPlan().m_orders.size() == 1);
+  HandleOrderResult(fleet.m_state, fleet.m_now, 1, VmName("m0"), result);
+  fleet.m_vms.erase(fleet.m_vms.begin());
+  fleet.AnswerOrders(VmOrderResult::kAccepted, Seconds(4));
+  CHECK_FALSE(fleet.Complete());
+  fleet.AnswerOrders(VmOrderResult::kAccepted, Seconds(4));
+  CHECK(fleet.Complete());
+}
+
 }  // namespace
 }  // namespace filbertspar::upkeep
