An order that may have been carried out counts until it is known

Cause: an order without an answer keeps the VM in kOrdered, which counts against the limit. Such a VM stays kOrdered until an order is accepted or refused.

--- a/filbertspar/upkeep/src/plan.cc
+++ b/filbertspar/upkeep/src/plan.cc
@@ -224,6 +224,7 @@
       progress.m_phase = Phase::kDown;
       progress.m_since = now;
       progress.m_refusals.reset();
+      progress.m_may_be_down = false;
       break;
     case VmOrderResult::kMalformed:
     case VmOrderResult::kNotInWave:
@@ -231,12 +232,15 @@
       break;
     case VmOrderResult::kUnknown:
       // The VM may be down. The order will be repeated, which is harmless.
+      progress.m_may_be_down = true;
       progress.m_since = now;
       break;
     case VmOrderResult::kBusy:
     case VmOrderResult::kFenced:
     case VmOrderResult::kTryLater:
-      progress.m_phase = Phase::kDraining;
+      // What this order did not do, one before it may have done.
+      progress.m_phase =
+          progress.m_may_be_down ? Phase::kOrdered : Phase::kDraining;
       progress.m_since = now;
       break;
   }
--- a/filbertspar/upkeep/src/state.h
+++ b/filbertspar/upkeep/src/state.h
@@ -40,6 +40,8 @@
   /// When the phase began, or when its order last went without a response.
   TimePoint m_since{};
   bool m_order_in_flight = false;
+  /// Whether an order without an answer may have been carried out.
+  bool m_may_be_down = false;
   /// Whether the definition of the wave names the VM.
   bool m_is_member = false;
   std::optional<Refusals> m_refusals;
--- a/tests/upkeep_plan_test.cc
+++ b/tests/upkeep_plan_test.cc
@@ -389,5 +389,26 @@
   CHECK(fleet.Complete());
 }
 
+// Guards against more VMs down than allowed after a lost answer and a refusal.
+TEST_CASE("an order that may have been carried out counts until it is known") {
+  const VmOrderResult later =
+      GENERATE(VmOrderResult::kTryLater, VmOrderResult::kBusy);
+  Fleet fleet(2, 1);
+  fleet.NextPlan();
+  REQUIRE(fleet.NextPlan().m_orders.size() == 1);
+  HandleOrderResult(fleet.m_state, fleet.m_now, 1, VmName("m0"),
+                    VmOrderResult::kUnknown);
+  fleet.m_now += Seconds(1);
+  REQUIRE(fleet.NextPlan().m_orders.size() == 1);
+  HandleOrderResult(fleet.m_state, fleet.m_now, 1, VmName("m0"), later);
+  for (int i = 0; i < 6; ++i) {
+    fleet.m_now += Milliseconds(500);
+    fleet.UpdateListWithout("m0");
+    CHECK(fleet.NextPlan().m_orders.empty());
+  }
+  fleet.AnswerOrders(VmOrderResult::kAccepted, Seconds(10));
+  CHECK(fleet.Complete());
+}
+
 }  // namespace
 }  // namespace filbertspar::upkeep
