A job is shown, and cancelled, under its own queue only

A GET or DELETE under another queue, and with another workspace's key, showed or cancelled a job that nobody had submitted there. A POST of an id that another queue's job has was answered as accepted, and its job never ran.

Cause: the owner finds jobs by id alone; StateReply, Cancel, Submit and AnswerOffer did not look at the queue of the call, neither for stored jobs nor for jobs being stored.

Change: IsOfQueue() decides without a network. Under another queue a state query or a cancel finds no such job (confirmed as before, and no refusal is recorded, which would also hold for the owner of the id). A submission of a used id gets already_claimed (409): it was not accepted, and the job of that id runs, so neither 2xx nor 429 or 503 would be true. Each is logged.

A caller must not lose an accepted job: only names of queues are compared, and a name that the owner's configuration does not have, or a missing configuration, matches, so that renames seen by one VM first hide nothing.

Not covered: another workspace's key on the same queue; a job of which only the final state is stored, whose row names no queue.

Evidence: with IsOfQueue() always true, as the code was, 'a job is found under its own queue only' fails 3 of 8 checks (fresh, after a take-over, trimmed). Now it passes, as does 'a job stays known to its caller whatever becomes of its queue'. The calls of the node are compiled and not played.

--- a/filbertspar/node/src/journal.cc
+++ b/filbertspar/node/src/journal.cc
@@ -284,6 +284,11 @@
   co_return job->m_code;
 }
 
+const JobSpec* Journal::FindStoring(const JobId& id) const {
+  const auto found = m_pending_jobs.find(id);
+  return found == m_pending_jobs.end() ? nullptr : &found->second->m_spec;
+}
+
 void Journal::Finish(const std::shared_ptr<PendingJob>& job, Code code) {
   job->m_code = code;
   job->m_is_over = true;
--- a/filbertspar/node/src/journal.h
+++ b/filbertspar/node/src/journal.h
@@ -83,6 +83,10 @@
   /// \brief Whether a job is being stored.
   bool IsStoring(const JobId& id) const { return m_pending_jobs.contains(id); }
 
+  /// \brief The job that is being stored under this id, until the next
+  /// suspension; nullptr when there is none.
+  const JobSpec* FindStoring(const JobId& id) const;
+
   /// \brief Writes pending rows and marks the owner's row as released, within 2
   /// s.
   asio::awaitable<void> Release();
--- a/filbertspar/node/src/owner_term_calls.cc
+++ b/filbertspar/node/src/owner_term_calls.cc
@@ -75,17 +75,50 @@
   return reply;
 }
 
-JobReply OwnerTerm::StateReply(const JobCall& call) const {
+bool OwnerTerm::IsOfOtherQueue(const JobCall& call) const {
+  const JobId id(call.m_job);
+  const QueueName queue(call.m_queue);
+  const JobSpec* storing = m_journal->FindStoring(id);
+  const bool is_other =
+      storing == nullptr ? !scheduler::IsOfQueue(m_scheduler, id, queue)
+                         : !scheduler::IsOfQueue(m_scheduler, *storing, queue);
+  if (is_other) {
+    m_parts.m_log.Warn(
+        "call", "job_of_other_queue",
+        absl::StrCat(JobField(id), " verb=", static_cast<int>(call.m_verb),
+                     " queue=", call.m_queue, " workspace=", call.m_workspace,
+                     " is_stored=", storing == nullptr));
+  }
+  return is_other;
+}
+
+JobReply OwnerTerm::RefuseUsedId(const JobCall& call) {
+  // Not kept as a refusal: the id is also that of the other queue's job.
+  Count(m_parts.m_metrics, metric::kJobs, "refused");
+  m_parts.m_log.Info("call", "submit_refused",
+                     absl::StrCat(JobField(JobId(call.m_job)), " queue=",
+                                  call.m_queue, " reason=id_in_use"));
   JobReply reply;
+  reply.m_code = Code::kAlreadyClaimed;
+  return reply;
+}
+
+JobReply OwnerTerm::UnknownJobReply() const {
+  JobReply reply;
+  // An owner that is disconnected from the store cannot know jobs that another
+  // owner accepted in the meantime.
+  reply.m_code = IsConfirmed() ? Code::kRequestUnknown : Code::kNoOwner;
+  return reply;
+}
+
+JobReply OwnerTerm::StateReply(const JobCall& call) const {
   const std::optional<JobState> state =
       scheduler::ReportedState(m_scheduler, JobId(call.m_job));
-  if (state) {
-    reply.m_state = static_cast<std::uint8_t>(*state);
-  } else {
-    // An owner that is disconnected from the store cannot know jobs that
-    // another owner accepted in the meantime.
-    reply.m_code = IsConfirmed() ? Code::kRequestUnknown : Code::kNoOwner;
+  if (!state || IsOfOtherQueue(call)) {
+    return UnknownJobReply();
   }
+  JobReply reply;
+  reply.m_state = static_cast<std::uint8_t>(*state);
   return reply;
 }
 
@@ -162,6 +195,9 @@
 }
 
 JobReply OwnerTerm::AnswerOffer(const JobCall& call) {
+  if (IsOfOtherQueue(call)) {
+    return RefuseUsedId(call);
+  }
   JobReply reply;
   const JobId id(call.m_job);
   if (scheduler::ReportedState(m_scheduler, id)) {
@@ -181,6 +217,9 @@
 
 asio::awaitable<JobReply> OwnerTerm::Submit(const VmName& from,
                                             const JobCall& call) {
+  if (IsOfOtherQueue(call)) {
+    co_return RefuseUsedId(call);
+  }
   JobReply reply;
   const JobId id(call.m_job);
   if (scheduler::ReportedState(m_scheduler, id)) {
@@ -225,6 +264,9 @@
 }
 
 asio::awaitable<JobReply> OwnerTerm::Cancel(const JobCall& call) {
+  if (IsOfOtherQueue(call)) {
+    co_return UnknownJobReply();
+  }
   JobReply reply;
   const JobId id(call.m_job);
   const TimePoint deadline = BootNow() + call.m_wait;
@@ -241,7 +283,7 @@
   }
   if (!scheduler::ReportedState(m_scheduler, id)) {
     scheduler::ForgetEarlyCancel(m_scheduler, id);
-    reply.m_code = IsConfirmed() ? Code::kRequestUnknown : Code::kNoOwner;
+    reply = UnknownJobReply();
     if (reply.m_code == Code::kRequestUnknown) {
       // A submission that was received before the cancel may still be under
       // way; its job must not run after this reply.
--- a/filbertspar/scheduler/src/jobs.h
+++ b/filbertspar/scheduler/src/jobs.h
@@ -32,6 +32,16 @@
 std::optional<JobState> ReportedState(const Scheduler& scheduler,
                                       const JobId& id);
 
+/// \brief Whether a call on `queue` may see and change a job of `spec`. A queue
+/// that the configuration does not name, as after a rename, may be the same.
+bool IsOfQueue(const Scheduler& scheduler, const JobSpec& spec,
+               const QueueName& queue);
+
+/// \brief The same by the job's id; true for a job that is not known, or of
+/// which only the final state is stored.
+bool IsOfQueue(const Scheduler& scheduler, const JobId& id,
+               const QueueName& queue);
+
 /// \brief Notes that a worker has confirmed a run of the job's tasks.
 void MarkBegun(Scheduler& scheduler, TimePoint now, Job& job,
                WorkerIndex worker);
