A final state is forgotten only after the row of its job is removed

A job was shown as cancelled (or completed), forgotten after bounds.state_kept_s, and shown as queued and run again by the owner after the next.

Cause: the row of a job whose runs may go on outlives its final state; it is removed by the write after the last run was found or ruled out. A new owner restores such a job with no placed task and no change to store, so that the retention could end before that write. The removal deletes only the progress; the next owner then reads the job's row without it, as a job that has done nothing. It takes a state_kept_s shorter than the inherited leases (0 to 86400 is allowed, 120 is the default) and two changes of owner. Also possible with any retention, by reading only: the removing write is rejected after the job was forgotten.

Change: a job knows whether its row is stored, and neither is forgotten nor trimmed before the row is gone. A restored final job writes once more, which removes a row that nothing else would.

--- a/filbertspar/scheduler/src/job_writes.cc
+++ b/filbertspar/scheduler/src/job_writes.cc
@@ -163,6 +163,8 @@
     const auto found = scheduler.m_jobs.find(write.m_id);
     if (found != scheduler.m_jobs.end()) {
       found->second->m_stored_state = write.m_state;
+      found->second->m_has_stored_row =
+          !IsFinal(write.m_state) || write.m_has_runs;
       found->second->m_is_rejected = false;
     }
   }
--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -334,6 +334,8 @@
   if (IsFinal(job.m_state)) {
     job.m_ended_ms = progress.m_ended_ms;
     job.m_ended_at = now;
+    // The next write removes the job's row, unless runs of it may go on.
+    MarkChanged(scheduler, job);
   } else {
     ActivateJob(scheduler, now, job);
   }
@@ -349,6 +351,7 @@
   Job& job = InsertJob(scheduler, now, std::move(spec));
   job.m_state = progress.m_state;
   job.m_stored_state = progress.m_state;
+  job.m_has_stored_row = false;
   job.m_ended_ms = progress.m_ended_ms;
   job.m_ended_at = now;
 }
--- a/filbertspar/scheduler/src/retention.cc
+++ b/filbertspar/scheduler/src/retention.cc
@@ -17,9 +17,9 @@
   /// Longer than a start may be late, so that no run of the job can show up.
   constexpr Duration kTrimAfter = Seconds(10);
   for (const auto& [id, job] : scheduler.m_jobs) {
-    if (!IsFinal(job->m_stored_state) || job->m_placed_tasks > 0 ||
-        job->m_first_unstored != 0 || job->m_occurrences.empty() ||
-        now - job->m_ended_at < kTrimAfter) {
+    if (!IsFinal(job->m_stored_state) || job->m_has_stored_row ||
+        job->m_placed_tasks > 0 || job->m_first_unstored != 0 ||
+        job->m_occurrences.empty() || now - job->m_ended_at < kTrimAfter) {
       continue;
     }
     auto spec = std::make_shared<JobSpec>();
@@ -60,8 +60,9 @@
     if (forgotten.size() >= limit) {
       break;
     }
-    if (IsFinal(job->m_stored_state) && job->m_placed_tasks == 0 &&
-        job->m_first_unstored == 0 &&
+    // A row that is left without its progress would run the job again.
+    if (IsFinal(job->m_stored_state) && !job->m_has_stored_row &&
+        job->m_placed_tasks == 0 && job->m_first_unstored == 0 &&
         now - job->m_ended_at > scheduler.m_options.m_state_retention) {
       forgotten.push_back(id);
     }
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -102,6 +102,8 @@
   JobState m_state = JobState::kQueued;
   /// State in the stored row; callers learn of a final state only from here.
   JobState m_stored_state = JobState::kQueued;
+  /// Whether the row of the job is stored, beside that of its progress.
+  bool m_has_stored_row = true;
   /// Unix milliseconds; 0 while the job is not final.
   std::int64_t m_ended_ms = 0;
   TimePoint m_ended_at{};
--- a/tests/scheduler_restore_test.cc
+++ b/tests/scheduler_restore_test.cc
@@ -85,5 +85,33 @@
   }
 }
 
+// Guards against a cancelled job that runs again: its state was forgotten while
+// its row was still stored.
+TEST_CASE("a job that ended before a take-over is not run again") {
+  Simulation simulation;
+  FakeWorker& worker = simulation.AddWorker("w1", "p", 8);
+  simulation.AddWorker("w2", "p", 8);
+  simulation.RunFor(Milliseconds(100));
+  const JobId id("job");
+  REQUIRE(simulation.Submit(Simulation::MakeJob("job", "p", 12, Seconds(20))));
+  simulation.RunFor(Milliseconds(200));
+  worker.m_is_unreachable = true;
+  CancelJob(*simulation.m_owner, simulation.m_now, id);
+  simulation.RunFor(Milliseconds(200));
+  REQUIRE(simulation.StateOfJob("job") == JobState::kCancelled);
+  simulation.m_owner->m_options.m_state_retention = Milliseconds(500);
+  simulation.TakeOver();
+  for (int i = 0; i < 100; ++i) {
+    simulation.RunFor(Milliseconds(100));
+    simulation.RemoveExpired();
+  }
+  REQUIRE_FALSE(ReportedState(*simulation.m_owner, id));
+  const std::map<TaskId, int> starts = simulation.m_starts;
+  simulation.TakeOver();
+  simulation.RunFor(Seconds(8));
+  CHECK_FALSE(ReportedState(*simulation.m_owner, id));
+  CHECK(simulation.m_starts == starts);
+}
+
 }  // namespace
 }  // namespace filbertspar::scheduler
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -9,45 +9,10 @@
 #include <utility>
 #include <vector>
 
-#include "filbertspar/scheduler/scheduler.h"
+#include "tests/scheduler_simulation_parts.h"
 
 namespace filbertspar::scheduler {
 
-/// \brief A worker that carries out orders immediately, in virtual time.
-struct FakeWorker {
-  struct Run {
-    std::uint64_t m_run = 0;
-    TimePoint m_began_at{};
-    TimePoint m_ends_at{};
-    RunOutcome m_outcome = RunOutcome::kDone;
-    std::string m_checkpoint;
-    std::int64_t m_speed_percent = 100;
-    std::int64_t m_load = -1;
-  };
-  WorkerRecord m_record;
-  std::int64_t m_incarnation = 1;
-  TimePoint m_booted_at{};
-  std::map<TaskId, Run> m_running;
-  std::vector<FinishedRun> m_finished;
-  std::uint64_t m_next_finished_number = 1;
-  FencingNumber m_fencing;
-  TimePoint m_lease_until{};
-  /// Polls and orders get no answer; its tasks keep running.
-  bool m_is_unreachable = false;
-  /// Connections to it are refused; its tasks keep running.
-  bool m_refuses = false;
-  /// Answers polls, but rejects every start.
-  bool m_rejects_starts = false;
-  /// Carries out starts, but the answers are lost.
-  bool m_drops_responses = false;
-  /// Every run on it fails.
-  bool m_fails_all = false;
-  /// When its process ended by itself; max() while it runs.
-  TimePoint m_crashed_at = TimePoint::max();
-  /// Its successor at the same address has started.
-  bool m_is_replaced = false;
-};
-
 /// \brief One owner with its workers and stored rows, in virtual time.
 class Simulation {
  public:
@@ -136,22 +101,21 @@
     }
   }
 
-  /// Replaces the owner by a new one that starts from the stored rows.
-  void TakeOver() {
+  /// Replaces the owner by a new one that starts from the stored rows. It reads
+  /// the jobs first and their progress later.
+  void TakeOver(const std::function<void()>& between_reads = [] {}) {
+    const auto jobs = StoredJobs();
+    between_reads();
     const std::uint64_t epoch = m_owner->m_options.m_fencing.Value() + 1;
+    const Duration retention = m_owner->m_options.m_state_retention;
     m_owner = std::make_unique<Scheduler>();
     m_owner->m_options.m_fencing = FencingNumber(epoch);
+    m_owner->m_options.m_state_retention = retention;
     m_owner->m_options.m_inherited_leases_until = m_now + Seconds(6);
     m_owner->m_options.m_disruption_allowed_from = m_now + Seconds(2);
     m_owner->m_options.m_runs_are_recorded = m_runs_are_recorded;
     m_owner->m_deployment = m_deployment;
-    for (const auto& [id, row] : m_jobs) {
-      const auto known = m_progress.find(id);
-      const JobProgress progress = known == m_progress.end()
-                                       ? JobProgress()
-                                       : *DecodeProgress(known->second);
-      RestoreJob(*m_owner, m_now, *DecodeJob(row), progress);
-    }
+    RestoreRows(*m_owner, m_now, jobs, m_progress);
     m_owner->m_expected_workers.emplace();
     for (const auto& worker : m_workers) {
       if (worker->m_is_replaced) {
@@ -162,6 +126,18 @@
     }
   }
 
+  /// Stores the next write of the owner, which does not learn of it.
+  void StoreWithoutAnswer() { Store(TakePendingWrites(*m_owner, m_now, 100)); }
+
+  /// Removes the jobs whose retention time is over; returns their number.
+  std::size_t RemoveExpired() {
+    const std::vector<JobId> expired = RemoveExpiredJobs(*m_owner, m_now, 100);
+    for (const JobId& id : expired) {
+      m_progress.erase(id);
+    }
+    return expired.size();
+  }
+
   /// Starts a new incarnation of the worker, without runs or finished runs.
   void Restart(FakeWorker& worker) {
     ++worker.m_incarnation;
@@ -213,6 +189,12 @@
   std::vector<std::unique_ptr<FakeWorker>> m_workers;
   std::map<JobId, std::string> m_jobs;
   std::map<JobId, std::string> m_progress;
+  /// Jobs of which only the progress is still stored.
+  std::set<JobId> m_removed_rows;
+  /// Tasks of which a run has ended as done on a worker, and the runs that have
+  /// failed there.
+  std::set<TaskId> m_done;
+  std::map<TaskId, std::set<std::uint64_t>> m_failed_runs;
   /// Number of starts carried out, by task.
   std::map<TaskId, int> m_starts;
   /// Run time divided by estimate.
@@ -274,6 +256,25 @@
     }
   }
 
+  std::map<JobId, std::string> StoredJobs() const {
+    std::map<JobId, std::string> jobs = m_jobs;
+    std::erase_if(jobs, [this](const auto& job) {
+      return m_removed_rows.contains(job.first);
+    });
+    return jobs;
+  }
+
+  /// The row of a job is removed with the write after which nothing of it may
+  /// run.
+  void Store(const std::vector<JobWrite>& writes) {
+    for (const JobWrite& write : writes) {
+      m_progress[write.m_id] = write.m_progress;
+      if (IsFinal(write.m_state) && !write.m_has_runs) {
+        m_removed_rows.insert(write.m_id);
+      }
+    }
+  }
+
   /// Sends what was rejected again in smaller batches.
   void StoreWrites() {
     constexpr std::size_t kMaxWrites = 100;
@@ -288,9 +289,7 @@
       return;
     }
     m_max_writes = kMaxWrites;
-    for (const JobWrite& write : writes) {
-      m_progress[write.m_id] = write.m_progress;
-    }
+    Store(writes);
     HandleWriteCompleted(*m_owner, m_now, writes);
   }
 
@@ -346,6 +345,12 @@
 
   void Finish(FakeWorker& worker, const TaskId& task,
               const FakeWorker::Run& run, RunOutcome outcome) {
+    if (outcome == RunOutcome::kDone) {
+      m_done.insert(task);
+    }
+    if (outcome == RunOutcome::kFailed) {
+      m_failed_runs[task].insert(run.m_run);
+    }
     worker.m_finished.push_back({worker.m_next_finished_number++, task,
                                  RunNumber(run.m_run), outcome,
                                  run.m_checkpoint});
--- /dev/null
+++ b/tests/scheduler_simulation_parts.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "filbertspar/scheduler/scheduler.h"
+
+namespace filbertspar::scheduler {
+
+/// \brief A worker that carries out orders immediately, in virtual time.
+struct FakeWorker {
+  struct Run {
+    std::uint64_t m_run = 0;
+    TimePoint m_began_at{};
+    TimePoint m_ends_at{};
+    RunOutcome m_outcome = RunOutcome::kDone;
+    std::string m_checkpoint;
+    std::int64_t m_speed_percent = 100;
+    std::int64_t m_load = -1;
+  };
+  WorkerRecord m_record;
+  std::int64_t m_incarnation = 1;
+  TimePoint m_booted_at{};
+  std::map<TaskId, Run> m_running;
+  std::vector<FinishedRun> m_finished;
+  std::uint64_t m_next_finished_number = 1;
+  FencingNumber m_fencing;
+  TimePoint m_lease_until{};
+  /// Polls and orders get no answer; its tasks keep running.
+  bool m_is_unreachable = false;
+  /// Connections to it are refused; its tasks keep running.
+  bool m_refuses = false;
+  /// Answers polls, but rejects every start.
+  bool m_rejects_starts = false;
+  /// Carries out starts, but the answers are lost.
+  bool m_drops_responses = false;
+  /// Every run on it fails.
+  bool m_fails_all = false;
+  /// When its process ended by itself; max() while it runs.
+  TimePoint m_crashed_at = TimePoint::max();
+  /// Its successor at the same address has started.
+  bool m_is_replaced = false;
+};
+
+/// \brief Restores what a new owner reads: the rows of jobs, and those of
+/// progress, by job.
+inline void RestoreRows(Scheduler& scheduler, TimePoint now,
+                        const std::map<JobId, std::string>& jobs,
+                        const std::map<JobId, std::string>& progress_rows) {
+  for (const auto& [id, row] : jobs) {
+    const auto known = progress_rows.find(id);
+    const JobProgress progress = known == progress_rows.end()
+                                     ? JobProgress()
+                                     : *DecodeProgress(known->second);
+    RestoreJob(scheduler, now, *DecodeJob(row), progress);
+  }
+  for (const auto& [id, row] : progress_rows) {
+    const JobProgress progress = *DecodeProgress(row);
+    if (IsFinal(progress.m_state)) {
+      RestoreFinalJob(scheduler, now, id, progress);
+    }
+  }
+}
+
+}  // namespace filbertspar::scheduler
