--- a/tests/scheduler_answers_test.cc
+++ b/tests/scheduler_answers_test.cc
@@ -193,8 +193,10 @@
 
   void Submit() {
     const std::string id = "job" + std::to_string(m_answers.m_submitted.size());
-    JobSpec job = Simulation::MakeJob(id, "p", 1 + m_random() % 6,
-                                      Milliseconds(100 + m_random() % 700));
+    // Longer than a lease, or much shorter.
+    const Duration estimate =
+        Milliseconds(100 + m_random() % (Chance(20) ? 5000 : 700));
+    JobSpec job = Simulation::MakeJob(id, "p", 1 + m_random() % 6, estimate);
     job.m_received_ms = ToMilliseconds(m_simulation.m_now.time_since_epoch());
     if (Chance(40)) {
       job.m_steps.push_back(job.m_steps.front());
