An occurrence is not used after the end of its gang

What callers saw: none reported this; found by reading.

Cause: when a gang's run ends, its members are set done one by one. If the last of them was done before, the one before it ends the occurrence, which frees it, and the loop goes on. Only a row that no owner writes says that a part of a gang is done, so that it takes an odd row, which would stop each owner that reads it.

Change: the members that are not done are found first.

--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -222,12 +222,18 @@
     SetDone(scheduler, now, ref);
     return;
   }
-  // When one member of a gang is done, all are.
-  Occurrence* occurrence = ref.m_occurrence;
-  const std::uint32_t step = ref.m_step;
+  // When one member of a gang is done, all are. The last one may end the
+  // occurrence, after which it can't be looked at.
+  std::vector<TaskRef> unfinished;
   const auto count = static_cast<std::uint32_t>(ref.GetStep().m_tasks.size());
   for (std::uint32_t i = 0; i < count; ++i) {
-    SetDone(scheduler, now, {ref.m_job, occurrence, step, i});
+    const TaskRef member{ref.m_job, ref.m_occurrence, ref.m_step, i};
+    if (member.GetTask().m_phase != TaskPhase::kDone) {
+      unfinished.push_back(member);
+    }
+  }
+  for (const TaskRef& member : unfinished) {
+    SetDone(scheduler, now, member);
   }
 }
 
--- a/tests/scheduler_restore_test.cc
+++ b/tests/scheduler_restore_test.cc
@@ -113,5 +113,28 @@
   CHECK(simulation.m_starts == starts);
 }
 
+// Guards against an occurrence that is used after it has ended: its row said
+// that only the last member of a gang is done.
+TEST_CASE("a gang of which one member is done ends once") {
+  Simulation simulation;
+  FakeWorker& worker = simulation.AddWorker("w1", "p", 8);
+  JobSpec job = Simulation::MakeJob("job", "p", 3, Milliseconds(300));
+  job.m_steps[0].m_gang = true;
+  job.m_occurrence_count = 2;
+  simulation.m_jobs[job.m_id] = EncodeJob(job);
+  OccurrenceProgress occurrence;
+  occurrence.m_steps.emplace_back().m_done = std::string(1, '\x04');
+  JobProgress progress;
+  progress.m_next_occurrence = 1;
+  progress.m_occurrences.push_back(occurrence);
+  simulation.m_progress[job.m_id] = EncodeProgress(progress);
+  worker.m_finished.push_back(
+      {1, TaskId{job.m_id}, RunNumber(1), RunOutcome::kDone, ""});
+  worker.m_next_finished_number = 2;
+  simulation.TakeOver();
+  simulation.RunFor(Seconds(9));
+  CHECK(simulation.StateOfJob("job") == JobState::kCompleted);
+}
+
 }  // namespace
 }  // namespace filbertspar::scheduler
