--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -225,8 +225,7 @@
   // When one member of a gang is done, all are. The last one may end the
   // occurrence, after which it can't be looked at.
   std::vector<TaskRef> unfinished;
-  const auto count = static_cast<std::uint32_t>(ref.GetStep().m_tasks.size());
-  for (std::uint32_t i = 0; i < count; ++i) {
+  for (std::uint32_t i = 0; i < ref.GetStep().m_tasks.size(); ++i) {
     const TaskRef member{ref.m_job, ref.m_occurrence, ref.m_step, i};
     if (member.GetTask().m_phase != TaskPhase::kDone) {
       unfinished.push_back(member);
@@ -402,28 +401,6 @@
                            " lost_starts=", job.m_lost_starts));
 }
 
-std::int64_t CountQueuedJobs(const Scheduler& scheduler,
-                             const QueueName& queue) {
-  return MeasureQueues(scheduler)[queue].m_queued;
-}
-
-absl::flat_hash_map<QueueName, QueueLength> MeasureQueues(
-    const Scheduler& scheduler) {
-  absl::flat_hash_map<QueueName, QueueLength> lengths;
-  for (const auto& [name, pool] : scheduler.m_pools) {
-    for (const Job* job : pool.m_jobs) {
-      QueueLength& length = lengths[job->m_spec->m_queue];
-      if (!job->m_has_begun) {
-        ++length.m_queued;
-        length.m_reserved += job->m_placed_tasks > 0;
-        length.m_with_lost_start += job->m_lost_starts > 0;
-        length.m_oldest_at = std::min(length.m_oldest_at, job->m_accepted_at);
-      }
-    }
-  }
-  return lengths;
-}
-
 void AdvanceOccurrences(Scheduler& scheduler, TimePoint now) {
   const std::int64_t unix_ms = UnixMs(scheduler, now);
   for (auto& [name, pool] : scheduler.m_pools) {
