A job whose cancel is not stored is queued

What callers saw: after a cancel that the store had not taken, the length of the queue left the job out, while GET on the job said queued; after a change of owner the job was queued again.

Cause: the length counted the jobs of a pool, which a job leaves when its end is decided. The length now counts by the state that is stored, as the answer about a job does.

--- a/filbertspar/node/src/node.cc
+++ b/filbertspar/node/src/node.cc
@@ -235,11 +235,10 @@
   const TimePoint now = BootNow();
   for (const auto& [queue, length] :
        scheduler::MeasureQueues(m_owner_term->State())) {
-    const bool is_empty = length.m_queued == 0;
     SetGauge(m_metrics, metric::kQueuedJobs, queue.Value(),
              static_cast<double>(length.m_queued));
     SetGauge(m_metrics, metric::kOldestQueuedAge, queue.Value(),
-             is_empty ? 0 : ToSeconds(now - length.m_oldest_at));
+             ToSeconds(now - length.m_oldest_at));
   }
 }
 
--- a/filbertspar/scheduler/src/jobs.h
+++ b/filbertspar/scheduler/src/jobs.h
@@ -54,14 +54,15 @@
 /// \brief What the length of a queue is made of.
 struct QueueLength {
   std::int64_t m_queued = 0;
-  /// Those among them that have room reserved, and that have lost a start.
+  /// Those among them that have room reserved on a worker.
   std::int64_t m_reserved = 0;
+  /// Those among them that have lost a planned start.
   std::int64_t m_with_lost_start = 0;
   /// When the oldest of them was accepted; max() when there is none.
   TimePoint m_oldest_at = TimePoint::max();
 };
 
-/// \brief Of each queue with jobs that are not final.
+/// \brief Of each queue with jobs that have not begun.
 absl::flat_hash_map<QueueName, QueueLength> MeasureQueues(
     const Scheduler& scheduler);
 
--- a/filbertspar/scheduler/src/queues.cc
+++ b/filbertspar/scheduler/src/queues.cc
@@ -30,16 +30,15 @@
 absl::flat_hash_map<QueueName, QueueLength> MeasureQueues(
     const Scheduler& scheduler) {
   absl::flat_hash_map<QueueName, QueueLength> lengths;
-  for (const auto& [name, pool] : scheduler.m_pools) {
-    for (const Job* job : pool.m_jobs) {
-      QueueLength& length = lengths[job->m_spec->m_queue];
-      if (!job->m_has_begun) {
-        ++length.m_queued;
-        length.m_reserved += job->m_placed_tasks > 0;
-        length.m_with_lost_start += job->m_lost_starts > 0;
-        length.m_oldest_at = std::min(length.m_oldest_at, job->m_accepted_at);
-      }
+  for (const auto& [id, job] : scheduler.m_jobs) {
+    if (IsFinal(job->m_stored_state) || job->m_has_begun) {
+      continue;
     }
+    QueueLength& length = lengths[job->m_spec->m_queue];
+    ++length.m_queued;
+    length.m_reserved += job->m_placed_tasks > 0;
+    length.m_with_lost_start += job->m_lost_starts > 0;
+    length.m_oldest_at = std::min(length.m_oldest_at, job->m_accepted_at);
   }
   return lengths;
 }
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -114,8 +114,8 @@
   /// A worker has confirmed a run of one of its tasks. Stored with the job's
   /// next write; a new owner learns the rest from its first polls.
   bool m_has_begun = false;
-  /// Starts planned so far, and those of which no run came or was lost.
   std::uint32_t m_planned_starts = 0;
+  /// Planned starts that were rejected, withdrawn or not answered in time.
   std::uint32_t m_lost_starts = 0;
   /// Restored after a takeover: a task that was not found yet may still run on
   /// a worker that has not responded.
--- a/tests/scheduler_queue_length_test.cc
+++ b/tests/scheduler_queue_length_test.cc
@@ -83,6 +83,23 @@
   CHECK(QueuedJobs(simulation) == 0);
 }
 
+// Guards against a queue that is shorter by a cancel that may yet be undone.
+TEST_CASE("a job whose cancel is not stored is queued") {
+  Simulation simulation;
+  simulation.RunFor(Milliseconds(100));
+  REQUIRE(simulation.Submit(Simulation::MakeJob("job", "p", 4, Seconds(2))));
+  simulation.RunFor(Milliseconds(100));
+  simulation.m_store_is_down = true;
+  CancelJob(*simulation.m_owner, simulation.m_now, JobId("job"));
+  simulation.RunFor(Milliseconds(100));
+  CHECK(simulation.StateOfJob("job") == JobState::kQueued);
+  CHECK(QueuedJobs(simulation) == 1);
+  simulation.m_store_is_down = false;
+  simulation.RunFor(Milliseconds(100));
+  CHECK(simulation.StateOfJob("job") == JobState::kCancelled);
+  CHECK(QueuedJobs(simulation) == 0);
+}
+
 // Guards against any order of faults after which a queue is reported as shorter
 // than it is.
 TEST_CASE("a queue is never reported as shorter than it is") {
