The soak checks the answers of GET

Each workspace's caller now asks ten times a second, and the soak checks that states are whole, own, final for good, and completed only when all tasks have ended done; that lengths are whole, not under the jobs that were accepted over 2 s before and of which no worker has begun a run, and not over those that may wait.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,10 @@
 from soak.site import Site
 
 
+# A caller of each workspace asks so often.
+ASKS_PER_S = 10
+
+
 async def play(seed, seconds, slot, folder, plant, nodes, vms, link_mbps):
     rng = random.Random(seed)
     site = Site(seed, folder, slot, nodes, vms, link_mbps)
@@ -27,6 +31,9 @@
         await asyncio.sleep(2)
         until = time.monotonic() + seconds
         callers = [Caller(site, workspace, rng.random()).run(until, 4) for workspace in sorted(site.config.keys)]
+        # Numbers of their own: what the seed draws for faults and jobs stays as it was.
+        callers += [Caller(site, workspace, f"{seed} {workspace}").ask(until, ASKS_PER_S)
+                    for workspace in sorted(site.config.keys)]
         injected, *_ = await asyncio.gather(faults.inject(site, rng, until, 1.5), plants.during(plant, site), *callers)
         await asyncio.sleep(6)
         await site.settle()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers: submit jobs, repeat unanswered ones, ask for states, cancel some."""
+"""Callers: submit jobs, repeat unanswered ones, ask for states and lengths of queues, cancel some."""
 
 import asyncio
 import random
@@ -9,6 +9,8 @@
 CALL_S = 4.0
 ATTEMPTS = 6
 WIDE_SHARE, OVERDUE_SHARE = 0.01, 0.02
+# Of what is asked: lengths of queues, and states of jobs that nobody sent.
+LENGTH_SHARE, NEVER_SENT_SHARE = 0.5, 0.05
 
 
 class Job:
@@ -42,6 +44,10 @@
             self.width, self.steps, self.times = 1, 1, rng.randint(50, 1500)
             self.seconds, self.cpu = 0.1, 50
 
+    def tasks(self):
+        steps = 1 if self.lasts else self.steps
+        return self.width * steps * max(1, self.times)
+
     def body(self):
         steps = []
         for number in range(1 if self.lasts else self.steps):
@@ -147,5 +153,37 @@
             await asyncio.sleep(0.5)
 
     async def state(self, job, key):
+        sent_at = time.monotonic()
         status, answer = await self.call(self._node(), "GET", job.queue.prefix + job.id, job.queue.host, key)
-        return answer["state"] if status == 200 else status
+        return self._site.answers.state(job, sent_at, status, answer)
+
+    async def length(self, node, queue, key):
+        """Asks a node for the length of a queue; the status."""
+        sent_at = time.monotonic()
+        status, answer = await self.call(node, "GET", queue.prefix, queue.host, key)
+        self._site.answers.length(queue, node, sent_at, status, answer)
+        if status == 200:
+            took_ms = (time.monotonic() - sent_at) * 1000
+            self._site.note(f"length {queue.name} {node.name} {answer} {took_ms:.0f} ms")
+        return status
+
+    async def ask(self, until, calls_per_s):
+        while time.monotonic() < until:
+            await asyncio.sleep(self._rng.expovariate(calls_per_s))
+            asyncio.ensure_future(self._ask_once())
+
+    async def _ask_once(self):
+        site = self._site
+        queue, kind = self._rng.choice(site.config.queues), self._rng.random()
+        key = site.config.keys[self._workspace][-1]
+        jobs = [job for job in site.jobs.by_id.values() if job.workspace == self._workspace]
+        if kind < LENGTH_SHARE:
+            # Callers cannot know that a node is paused: it may answer late, from what it knew before.
+            reached = [node for node in site.nodes if node.is_alive() and not node.is_stopping]
+            await self.length(self._rng.choice(reached or site.nodes), queue, key)
+        elif kind < LENGTH_SHARE + NEVER_SENT_SHARE or not jobs:
+            number = f"{site.next_number():016x}"
+            status, answer = await self.call(self._node(), "GET", queue.prefix + number, queue.host, key)
+            site.answers.never_sent(number, status, answer)
+        else:
+            await self.state(self._rng.choice(jobs), key)
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -7,7 +7,9 @@
 
 BREAKS = {"copy": "one-run", "refusal": "true-refusal", "ceiling": "ceiling", "revoked": "revocation",
           "route": "configuration", "attempts": "attempts", "lost": "kept", "holder": "one-holder",
-          "cut": "graceful-stop", "payload": "payload", "crashes": "crashes", "capacity": "capacity", "limits": "store-limits"}
+          "cut": "graceful-stop", "payload": "payload", "crashes": "crashes", "capacity": "capacity", "limits": "store-limits",
+          "torn-state": "state-whole", "phantom": "state-own", "early": "state-completed",
+          "changed": "state-final", "torn-length": "length-whole", "short": "length-low", "long": "length-high"}
 NAMES = sorted(BREAKS)
 
 
@@ -24,6 +26,30 @@
         submitted = site.promises.submitted
         site.promises.submitted = lambda job, outcome: submitted(job, "refused" if outcome == "accepted" else outcome)
 
+    elif plant in REWRITES:
+        rewrite_answers(site.answers, REWRITES[plant])
+
+
+# Answers as a caller could have got them: the call whose answers are changed, and how.
+REWRITES = {
+    # Half of the time, so that the run can see its jobs end.
+    "torn-state": ("state", lambda status, answer: (
+        status, {"stat": "running"} if time.monotonic() % 1 < 0.5 else answer)),
+    "phantom": ("never_sent", lambda status, answer: (200, {"state": "running"})),
+    "early": ("state", lambda status, answer: (status, {"state": "completed"})),
+    "changed": ("state", lambda status, answer: (
+        status, {"state": "cancelled" if time.monotonic() % 2 < 1 else "failed"})),
+    "torn-length": ("length", lambda status, answer: (status, {"pending": -1})),
+    "short": ("length", lambda status, answer: (status, {"pending": 0})),
+    "long": ("length", lambda status, answer: (status, {"pending": 100_000})),
+}
+
+
+def rewrite_answers(answers, rewrite):
+    name, changed = rewrite
+    checked = getattr(answers, name)
+    setattr(answers, name, lambda *seen: checked(*seen[:-2], *changed(*seen[-2:])))
+
 
 async def during(plant, site):
     if plant is None:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -19,6 +19,10 @@
         self._done_noted = set()
         self._failed_noted = defaultdict(set)
         self.failed_runs = defaultdict(set)
+        # By job: its first run, its tasks that ended as done, the first such end that an owner noted.
+        self.began_at = {}
+        self.done_tasks = defaultdict(set)
+        self.first_noted_at = {}
         self._vm_orders = {}
         self._submits = {}
         self.jobs = None
@@ -34,6 +38,7 @@
 
     def run_started(self, task, number, worker, pool, spec):
         job = self.jobs.of_task(task)
+        self.began_at.setdefault(job.id, time.monotonic())
         if (worker, number) not in self._running[task]:
             self._held[job.workspace] += job.cpu
         self._running[task][(worker, number)] = time.monotonic()
@@ -66,6 +71,8 @@
     def run_ended(self, task, number, worker, how):
         if how == "failed":
             self.failed_runs[task].add(number)
+        elif how == "done":
+            self.done_tasks[self.jobs.of_task(task).id].add(task)
         if self._running[task].pop((worker, number), None) is not None:
             job = self.jobs.of_task(task)
             self._held[job.workspace] -= job.cpu
@@ -73,6 +80,7 @@
     def end_noted(self, task, number, how):
         if how == "done":
             self._done_noted.add(task)
+            self.first_noted_at.setdefault(self.jobs.of_task(task).id, time.monotonic())
         elif how == "failed":
             self._failed_noted[task].add(number)
 
@@ -92,5 +100,8 @@
             return
         self._submits[job_id] = outcome
 
+    def was_refused(self, job_id):
+        return self._submits.get(job_id) == "refused"
+
     def copies(self):
         return sum(len(runs) for runs in self._running.values())
--- a/soak/site.py
+++ b/soak/site.py
@@ -4,6 +4,7 @@
 import random
 import time
 
+from soak.answers import Answers
 from soak.callers import Caller, Jobs
 from soak.nodes import Node
 from soak.promises import Promises
@@ -60,6 +61,7 @@
         self.promises = Promises()
         self.jobs = Jobs()
         self.promises.jobs = self.jobs
+        self.answers = Answers(self.promises, self.jobs)
         self.config = Config()
         self.promises.ceilings = self.config.ceiling_cpu
         self.store = Store(self._rng)
@@ -141,7 +143,7 @@
         queue = self.config.queues[0]
         for node in self.nodes:
             if node.is_listening():
-                status, _ = await caller.call(node, "GET", queue.prefix, queue.host, key)
+                status = await caller.length(node, queue, key)
                 self.promises.check(status != 200, "revocation", f"{node.name} took {key}, which was taken away")
 
     async def add_queue(self):
@@ -162,7 +164,7 @@
             sent = time.monotonic()
             if self.is_in_touch(node, acknowledged):
                 key = self.config.keys["team-1"][0]
-                status, _ = await caller.call(node, "GET", queue.prefix, queue.host, key)
+                status = await caller.length(node, queue, key)
                 self.promises.check(status != 404 or not self.is_in_touch(node, acknowledged), "configuration",
                                     f"{node.name} does not know {queue.name} {sent - acknowledged:.1f} s later")
 
