An owner that may have been replaced answers no lengths and no running states

Cause: the age of the ownership was asked only where a job is unknown. On queues with keys the age of the configuration bounds the answers by chance.

Why it works: a length and a state that is not final are given only while the store has confirmed the ownership within 1.6 s, the bound for orders, or nobody can take over because no VM reaches the store. Otherwise the router looks for the new owner until the caller's time is over. Final states do not change.

--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -19,8 +19,9 @@
 /// report intervals after its last report, by which time a lease of two
 /// intervals has expired.
 constexpr int kLeaseReportIntervals = 2;
-/// An owner stops sending orders when its writes have not been confirmed for
-/// this long, unless no peer can reach the store either.
+/// An owner stops sending orders, and answering from its memory, when its
+/// writes have not been confirmed for this long, unless no peer can reach the
+/// store either. The length of a queue may be 2 s old.
 constexpr Duration kMaxUnconfirmedTime = Milliseconds(1600);
 /// Allowance for clock error and late delivery, added to the last lease granted
 /// by the previous owner.
@@ -206,7 +207,7 @@
   m_hooks.m_hand_over();
 }
 
-bool OwnerTerm::CanSendOrders() {
+bool OwnerTerm::CanSendOrders() const {
   if (!m_running) {
     return false;
   }
--- a/filbertspar/node/src/owner_term.h
+++ b/filbertspar/node/src/owner_term.h
@@ -52,8 +52,8 @@
 
   /// \brief Executes a call, which the VM `from` forwarded or, when empty, this
   /// VM received, within its wait. kNotLeaseHolder: the term has
-  /// ended. kNoOwner: the stored jobs are not read yet, or the job is unknown
-  /// and the store has not confirmed the ownership lately. kRequestUnknown: no
+  /// ended. kNoOwner: the stored jobs are not read yet, or the answer may have
+  /// changed since the store confirmed the ownership. kRequestUnknown: no
   /// such job.
   asio::awaitable<JobReply> Execute(VmName from, JobCall call);
 
@@ -103,7 +103,10 @@
       scheduler::RecommendationRequest request);
   void CountLogEvent(const scheduler::Effects::LogEvent& event);
   void WriteLogEvent(const scheduler::Effects::LogEvent& event);
-  bool CanSendOrders();
+  bool CanSendOrders() const;
+  /// \brief Whether no other owner can have changed what this one knows, but
+  /// for the time that a claim takes.
+  bool HasCurrentState() const { return CanSendOrders(); }
   /// \brief Whether all peers are connected and report that the store has not
   /// responded to them for at least `min_age`. False without peers.
   bool AllPeersLackStore(TimePoint now, Duration min_age) const;
--- a/filbertspar/node/src/owner_term_calls.cc
+++ b/filbertspar/node/src/owner_term_calls.cc
@@ -58,10 +58,14 @@
 }
 
 JobReply OwnerTerm::QueueLengthReply(const VmName& from, const JobCall& call) {
+  JobReply reply;
+  if (!HasCurrentState()) {
+    reply.m_code = Code::kNoOwner;
+    return reply;
+  }
   const TimePoint now = BootNow();
   const scheduler::QueueLength length =
       scheduler::MeasureQueues(m_scheduler)[QueueName(call.m_queue)];
-  JobReply reply;
   reply.m_count = length.m_queued;
   m_parts.m_log.Info(
       "call", "queue_length",
@@ -118,6 +122,10 @@
     return UnknownJobReply();
   }
   JobReply reply;
+  if (!IsFinal(*state) && !HasCurrentState()) {
+    reply.m_code = Code::kNoOwner;
+    return reply;
+  }
   reply.m_state = static_cast<std::uint8_t>(*state);
   return reply;
 }
--- a/soak/site.py
+++ b/soak/site.py
@@ -56,7 +56,7 @@
 class Site:
     def __init__(self, seed, folder, slot, nodes=6, vms=12, link_mbps=1000):
         self._rng = random.Random(seed)
-        self._folder, self._net = folder, f"127.{slot}"
+        self.folder, self._net = folder, f"127.{slot}"
         self.began = time.monotonic()
         self.promises = Promises()
         self.jobs = Jobs()
