Log the incarnation, clock and lease of each start

The logs could not tell which life of a worker a start was meant for, which one answered it, nor what the owner believed of the lease. Each attempt to send a start now logs the worker's incarnation, the deadline and the owner's bound of that incarnation's clock, the rest of the lease, what carried the order, and the clock in the answer (a detail, so that it is dropped first). A lease that runs out with tasks on the worker logs how long the worker had been silent.

Behaviour is unchanged.

--- a/filbertspar/http/src/client.cc
+++ b/filbertspar/http/src/client.cc
@@ -170,6 +170,7 @@
   ConnectionPtr connection =
       fresh_connection ? nullptr : state->TakeIdle(endpoint);
   if (connection == nullptr) {
+    result.m_on_new_connection = true;
     connection = co_await state->Connect(endpoint, timeout, result.m_failure);
   }
   const Duration left = deadline - SteadyNow();
--- a/filbertspar/node/src/worker_connections.h
+++ b/filbertspar/node/src/worker_connections.h
@@ -56,6 +56,8 @@
   struct StartAttempt {
     RelayOutcome m_outcome = RelayOutcome::kNotSent;
     OrderResponse m_response;
+    /// In logs: what carried the order.
+    std::string_view m_path = "relay";
   };
 
   /// Kind of traffic of starts that this VM sends itself.
--- a/filbertspar/node/src/worker_connections_starts.cc
+++ b/filbertspar/node/src/worker_connections_starts.cc
@@ -19,6 +19,21 @@
 constexpr Duration kRelayTimeout = Milliseconds(800);
 constexpr Duration kRetryDelay = Milliseconds(80);
 
+/// Log fields of a start: the run, and the incarnation of the worker, its clock
+/// and its lease as the owner knows them when the order is sent.
+std::string StartFields(const scheduler::Worker& worker,
+                        const StartOrder& order, TimePoint now) {
+  return absl::StrCat(
+      "job=", order.m_task.m_job.Value(),
+      " occurrence=", order.m_task.m_occurrence, " step=", order.m_task.m_step,
+      " task=", order.m_task.m_index, " run=", order.m_run.Value(),
+      " worker=", worker.m_record.m_name.Value(),
+      " incarnation=", worker.m_incarnation,
+      " deadline_ms=", order.m_deadline_ms,
+      " clock_ms=", scheduler::MinWorkerClock(worker, now),
+      " lease_left_ms=", ToMilliseconds(worker.m_lease_until - now));
+}
+
 }  // namespace
 
 VmName WorkerConnections::ChooseRelay(const VmName& payload_holder) const {
@@ -35,6 +50,7 @@
       std::min(Patience(kStartTimeout), timeout), fresh_connection);
   StartAttempt attempt;
   attempt.m_response = adapter::DecodeOrderResponse(result);
+  attempt.m_path = result.m_on_new_connection ? "new_connection" : "connection";
   if (attempt.m_response.m_result != OrderResult::kUnknown) {
     attempt.m_outcome = RelayOutcome::kAnswered;
   } else if (result.m_end != CallEnd::kNotSent) {
@@ -99,6 +115,8 @@
       continue;
     }
     const bool is_relayed = route.m_path == StartPath::kRelay;
+    const std::string sent_fields =
+        StartFields(m_scheduler.m_workers[index], order, now);
     StartAttempt attempt;
     if (is_relayed) {
       attempt = co_await RelayStart(index, order, relay, deadline - now);
@@ -117,6 +135,11 @@
     Count(m_metrics, metric::kOrders,
           absl::StrCat(is_relayed ? "relayed_start_" : "start_",
                        std::string(OrderResultName(answer.m_result))));
+    m_log.Detail(
+        "worker", "start_sent",
+        absl::StrCat(sent_fields, " path=", std::string(attempt.m_path),
+                     " result=", std::string(OrderResultName(answer.m_result)),
+                     " answer_clock_ms=", answer.m_clock_ms.value_or(-1)));
     if (attempt.m_outcome == RelayOutcome::kNoPayload) {
       continue;
     }
--- a/filbertspar/scheduler/src/leases.cc
+++ b/filbertspar/scheduler/src/leases.cc
@@ -38,6 +38,17 @@
       continue;
     }
     ReleaseSupersededRuns(scheduler, worker);
+    const bool had_runs =
+        std::any_of(worker.m_tasks.begin(), worker.m_tasks.end(),
+                    [](const TaskRef& ref) { return MayRun(ref.GetTask()); });
+    if (had_runs) {
+      AddLogEvent(
+          scheduler, "lease_expired", {},
+          scheduler.m_worker_index.at(worker.m_record.m_name),
+          absl::StrCat("incarnation=", worker.m_incarnation, " silent_ms=",
+                       ToMilliseconds(now - worker.m_last_response_at),
+                       " tasks=", worker.m_tasks.size()));
+    }
     // A start that waits for the store holds no lease yet.
     const std::vector<TaskRef> tasks = worker.m_tasks;
     for (const TaskRef& ref : tasks) {
