A start reaches only the incarnation that it is meant for

No field of a start names the life, only the worker's id; its deadline is on the clock of the life before (14347, read at 13367 there), which the next life, whose clock shows 183, shortens to max_hold_ms. The worker held a lease of 6 s where the owner reckoned with 2.2 s.

The order's `born` cannot be sent: PROTOCOL.md has no field for it.

Change: a connection leads to one process. HttpClient remembers which peer has answered on a connection; a start goes only over one on which its incarnation has answered. To open one the owner polls without a lease and without an acknowledgement, so that any life may get that request; an answer of another life tells the owner of the restart at once, and polling begins anew instead of waiting for an answer that never comes. Connections are opened while the store records the starts, so that no start waits for them. Answers to starts of an incarnation that has ended no longer make the worker avoided.

Weighed and not done: reckoning with max_hold_ms for each start costs callers 3 s at each cut of a worker that did not restart; the born of the registration arrives later than the life can be reached.

--- a/filbertspar/fleetview/src/orders.h
+++ b/filbertspar/fleetview/src/orders.h
@@ -16,8 +16,10 @@
   RunNumber m_run;
   /// Filled in when the order is sent.
   std::string m_payload;
-  /// Milliseconds on the worker's clock; the worker refuses the order after
-  /// it.
+  /// Incarnation of the worker for which the order is; see WorkerStatus.
+  std::int64_t m_incarnation = 0;
+  /// Milliseconds on the clock of that incarnation; the worker refuses the
+  /// order after it.
   std::int64_t m_deadline_ms = 0;
   FencingNumber m_fencing;
   /// Checkpoint to resume from; empty to start from the beginning.
--- a/filbertspar/http/src/client.cc
+++ b/filbertspar/http/src/client.cc
@@ -1,5 +1,7 @@
 #include "filbertspar/http/src/client.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <deque>
 #include <map>
 #include <optional>
@@ -37,6 +39,8 @@
   Stream m_stream;
   beast::flat_buffer m_buffer{kMaxBufferBytes};
   TimePoint m_idle_since;
+  /// The peer that has answered on it, if it is known.
+  std::optional<PeerId> m_peer;
 };
 using ConnectionPtr = std::unique_ptr<Connection>;
 
@@ -70,7 +74,9 @@
   State(asio::io_context& context, HttpClientLimits limits)
       : m_context(context), m_limits(limits) {}
 
-  ConnectionPtr TakeIdle(const Endpoint& endpoint);
+  /// The usable connection that was used last, of those that lead to `peer` if
+  /// it is given; null when there is none.
+  ConnectionPtr TakeIdle(const Endpoint& endpoint, std::optional<PeerId> peer);
   void PutIdle(const Endpoint& endpoint, ConnectionPtr connection);
   /// Sets `failure` when it returns null.
   asio::awaitable<ConnectionPtr> Connect(Endpoint endpoint, Duration timeout,
@@ -81,16 +87,20 @@
   std::map<Endpoint, std::deque<ConnectionPtr>> m_idle;
 };
 
-ConnectionPtr HttpClient::State::TakeIdle(const Endpoint& endpoint) {
+ConnectionPtr HttpClient::State::TakeIdle(const Endpoint& endpoint,
+                                          std::optional<PeerId> peer) {
   const auto found = m_idle.find(endpoint);
   if (found == m_idle.end()) {
     return nullptr;
   }
   auto& idle = found->second;
   const TimePoint oldest = SteadyNow() - m_limits.m_idle_time;
-  while (!idle.empty()) {
-    ConnectionPtr connection = std::move(idle.back());
-    idle.pop_back();
+  for (std::size_t i = idle.size(); i-- > 0;) {
+    if (peer && idle[i]->m_peer != peer) {
+      continue;
+    }
+    ConnectionPtr connection = std::move(idle[i]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
     if (connection->m_idle_since >= oldest && IsUsable(*connection)) {
       return connection;
     }
@@ -147,6 +157,8 @@
       return "refused";
     case CallFailure::kClosed:
       return "closed";
+    case CallFailure::kNotConnected:
+      return "not_connected";
   }
   return "";
 }
@@ -160,18 +172,62 @@
   m_state->m_idle.erase(endpoint);
 }
 
+bool HttpClient::CanReach(const Endpoint& endpoint, PeerId peer) {
+  ConnectionPtr connection = m_state->TakeIdle(endpoint, peer);
+  if (connection == nullptr) {
+    return false;
+  }
+  m_state->m_idle[endpoint].push_back(std::move(connection));
+  return true;
+}
+
+std::size_t HttpClient::CountIdle(const Endpoint& endpoint, PeerId peer) const {
+  const auto found = m_state->m_idle.find(endpoint);
+  if (found == m_state->m_idle.end()) {
+    return 0;
+  }
+  const TimePoint oldest = SteadyNow() - m_state->m_limits.m_idle_time;
+  return static_cast<std::size_t>(std::count_if(
+      found->second.begin(), found->second.end(),
+      [&](const ConnectionPtr& connection) {
+        return connection->m_peer == peer && connection->m_idle_since >= oldest;
+      }));
+}
+
 asio::awaitable<CallResult> HttpClient::Call(Endpoint endpoint,
                                              HttpRequest request,
                                              Duration timeout,
                                              bool fresh_connection) {
+  CallOptions options;
+  options.m_timeout = timeout;
+  options.m_connection =
+      fresh_connection ? ConnectionChoice::kNew : ConnectionChoice::kAny;
+  return Call(std::move(endpoint), std::move(request), std::move(options));
+}
+
+asio::awaitable<CallResult> HttpClient::Call(Endpoint endpoint,
+                                             HttpRequest request,
+                                             CallOptions options) {
   const std::shared_ptr<State> state = m_state;
-  const TimePoint deadline = SteadyNow() + timeout;
+  const TimePoint deadline = SteadyNow() + options.m_timeout;
   CallResult result;
-  ConnectionPtr connection =
-      fresh_connection ? nullptr : state->TakeIdle(endpoint);
+  ConnectionPtr connection;
+  if (options.m_connection != ConnectionChoice::kNew) {
+    std::optional<PeerId> peer;
+    if (options.m_connection == ConnectionChoice::kToPeer) {
+      peer = options.m_peer;
+    }
+    connection = state->TakeIdle(endpoint, peer);
+  }
+  if (connection == nullptr &&
+      options.m_connection == ConnectionChoice::kToPeer) {
+    result.m_failure = CallFailure::kNotConnected;
+    co_return result;
+  }
   if (connection == nullptr) {
     result.m_on_new_connection = true;
-    connection = co_await state->Connect(endpoint, timeout, result.m_failure);
+    connection =
+        co_await state->Connect(endpoint, options.m_timeout, result.m_failure);
   }
   const Duration left = deadline - SteadyNow();
   if (connection == nullptr || left <= Duration(0)) {
@@ -205,6 +261,11 @@
   } while (result.m_response.result_int() < kFirstFinalStatus);
   result.m_end = CallEnd::kAnswered;
   result.m_failure = CallFailure::kNone;
+  if (options.m_identify) {
+    if (const auto answered_by = options.m_identify(result.m_response)) {
+      connection->m_peer = answered_by;
+    }
+  }
   if (result.m_response.keep_alive() && connection->m_buffer.size() == 0) {
     state->PutIdle(endpoint, std::move(connection));
   }
--- a/filbertspar/http/src/client.h
+++ b/filbertspar/http/src/client.h
@@ -2,7 +2,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "boost/asio/awaitable.hpp"
@@ -31,6 +33,8 @@
   kRefused,
   /// The peer closed or reset the established connection.
   kClosed,
+  /// No idle connection leads to the peer that the call requires.
+  kNotConnected,
 };
 
 /// \brief Text of a failure in logs; empty for kNone.
@@ -44,6 +48,31 @@
   HttpResponse m_response;
 };
 
+/// \brief Identifies one process of a server, which may be replaced by another
+/// one at the same endpoint.
+using PeerId = Id<struct PeerTag>;
+
+/// \brief Which connection a call goes over.
+enum class ConnectionChoice : std::uint8_t {
+  /// An idle connection, or a new one if there is none.
+  kAny,
+  /// A new connection.
+  kNew,
+  /// An idle connection that leads to a given peer. Without one the call ends
+  /// as not sent, with kNotConnected.
+  kToPeer,
+};
+
+struct CallOptions {
+  Duration m_timeout{0};
+  ConnectionChoice m_connection = ConnectionChoice::kAny;
+  /// With kToPeer.
+  PeerId m_peer;
+  /// Tells from a response which peer sent it; nullopt when it does not say. A
+  /// connection leads to the peer that has answered on it until it is closed.
+  std::function<std::optional<PeerId>(const HttpResponse&)> m_identify;
+};
+
 /// \brief Bounds of a client.
 struct HttpClientLimits {
   std::size_t m_body_bytes = 4 << 20;
@@ -70,6 +99,17 @@
                                    Duration timeout,
                                    bool fresh_connection = false);
 
+  /// \brief Sends a request and reads the response as the options say.
+  asio::awaitable<CallResult> Call(Endpoint endpoint, HttpRequest request,
+                                   CallOptions options);
+
+  /// \brief Whether a call to the peer would find a connection now.
+  bool CanReach(const Endpoint& endpoint, PeerId peer);
+
+  /// \brief Number of idle connections to an endpoint that lead to the peer;
+  /// some may have been closed by it since.
+  std::size_t CountIdle(const Endpoint& endpoint, PeerId peer) const;
+
   /// \brief Closes the idle connections to an endpoint, which may have gone
   /// silent together with one that timed out.
   void DropIdle(const Endpoint& endpoint);
--- a/filbertspar/node/src/worker_connections.cc
+++ b/filbertspar/node/src/worker_connections.cc
@@ -38,15 +38,13 @@
 constexpr Duration kStoreWait = Milliseconds(250);
 constexpr Duration kFirstRetryDelay = Milliseconds(80);
 constexpr Duration kMaxRetryDelay = Milliseconds(500);
-constexpr Duration kOrderTimeout = Milliseconds(350);
 constexpr int kMaxStopAttempts = 6;
-/// Connections that send orders to one worker.
-constexpr int kOrderConnections = 2;
 constexpr Duration kNotOwnerDelay = Milliseconds(100);
 
 scheduler::PollFailure PollFailureOf(const CallResult& result) {
   switch (result.m_failure) {
     case CallFailure::kNone:
+    case CallFailure::kNotConnected:
       return scheduler::PollFailure::kUnusable;
     case CallFailure::kTimedOut:
       return scheduler::PollFailure::kSilent;
@@ -93,18 +91,39 @@
 }
 
 void WorkerConnections::StartPolling(WorkerIndex index) {
-  Channel& channel = ChannelOf(index);
-  if (!channel.m_is_polled && m_running) {
-    channel.m_is_polled = true;
-    asio::co_spawn(m_context, PollLoop(index), asio::detached);
+  if (!ChannelOf(index).m_is_polled) {
+    RestartPolling(index);
   }
 }
 
+void WorkerConnections::RestartPolling(WorkerIndex index) {
+  if (!m_running) {
+    return;
+  }
+  Channel& channel = ChannelOf(index);
+  channel.m_is_polled = true;
+  ++channel.m_poll_loop;
+  asio::co_spawn(m_context, PollLoop(index, channel.m_poll_loop),
+                 asio::detached);
+}
+
+WorkerTarget WorkerConnections::TargetOf(WorkerIndex index) const {
+  const scheduler::Worker& worker = m_scheduler.m_workers[index];
+  return {worker.m_record.m_name, worker.m_record.m_endpoint,
+          worker.m_incarnation, m_scheduler.m_options.m_fencing};
+}
+
+bool WorkerConnections::CanReach(WorkerIndex index) {
+  const scheduler::Worker& worker = m_scheduler.m_workers[index];
+  return worker.m_has_responded &&
+         m_client.CanReach(worker.m_record.m_endpoint,
+                           PeerOf(worker.m_incarnation));
+}
+
 asio::awaitable<CallResult> WorkerConnections::Send(WorkerIndex index,
                                                     std::string_view kind,
                                                     HttpRequest request,
-                                                    Duration timeout,
-                                                    bool fresh_connection) {
+                                                    CallOptions options) {
   const Endpoint endpoint = m_scheduler.m_workers[index].m_record.m_endpoint;
   const TimePoint sent = BootNow();
   const std::size_t bytes =
@@ -114,26 +133,30 @@
   } else {
     m_traffic.CountSent(kind, bytes);
   }
-  CallResult result = co_await m_client.Call(endpoint, std::move(request),
-                                             timeout, fresh_connection);
+  CallResult result =
+      co_await m_client.Call(endpoint, std::move(request), std::move(options));
   if (result.m_end == CallEnd::kAnswered) {
     m_traffic.CountReceived(
         kind, result.m_response.body().size() + TrafficMeter::kHttpHeaderBytes);
   }
+  if (result.m_failure == CallFailure::kNotConnected) {
+    co_return result;
+  }
   if (result.m_end != CallEnd::kAnswered) {
     m_client.DropIdle(endpoint);
-  } else if (kind != "look") {
+  } else if (kind != kPollTraffic) {
     RecordLatency(m_metrics, metric::kOrderSeconds, kind, BootNow() - sent);
   }
   co_return result;
 }
 
-asio::awaitable<void> WorkerConnections::PollLoop(WorkerIndex index) {
+asio::awaitable<void> WorkerConnections::PollLoop(WorkerIndex index,
+                                                  std::uint64_t loop) {
   auto self = shared_from_this();
   Duration pause = kFirstRetryDelay;
   bool fresh = false;
   std::string_view failure;
-  while (m_running) {
+  while (m_running && loop == ChannelOf(index).m_poll_loop) {
     if (scheduler::IsRetired(m_scheduler.m_workers[index], BootNow())) {
       break;
     }
@@ -142,9 +165,9 @@
       continue;
     }
     const std::string_view last_failure = failure;
-    failure = co_await PollOnce(index, fresh);
-    if (!m_running) {
-      break;
+    failure = co_await PollOnce(index, loop, fresh);
+    if (!m_running || loop != ChannelOf(index).m_poll_loop) {
+      co_return;
     }
     const bool answered = failure.empty();
     if (failure != last_failure) {
@@ -177,11 +200,13 @@
         (m_traffic.IsLoaded() ? kLoadedPollInterval : kPollInterval) +
         std::min(runs * kPollIntervalPerRun, kMaxPollInterval));
   }
-  ChannelOf(index).m_is_polled = false;
+  if (loop == ChannelOf(index).m_poll_loop) {
+    ChannelOf(index).m_is_polled = false;
+  }
 }
 
 asio::awaitable<std::string_view> WorkerConnections::PollOnce(
-    WorkerIndex index, bool fresh_connection) {
+    WorkerIndex index, std::uint64_t loop, bool fresh_connection) {
   const TimePoint sent = BootNow();
   PollOrder order;
   order.m_fencing = m_scheduler.m_options.m_fencing;
@@ -195,14 +220,23 @@
   if (had_responded && !fresh_connection) {
     order.m_wait = worker.m_tasks.empty() ? kIdlePollWait : kBusyPollWait;
   }
+  CallOptions options;
+  options.m_timeout = order.m_wait > Duration(0)
+                          ? order.m_wait + Patience(kPollResponseMargin)
+                          : Patience(kFirstPollTimeout);
+  options.m_connection =
+      fresh_connection ? ConnectionChoice::kNew : ConnectionChoice::kAny;
+  options.m_identify = IdentifyWorker;
+  HttpRequest request = adapter::MakePollRequest(name, order);
+  Channel& channel = ChannelOf(index);
+  channel.m_has_open_poll = true;
   const CallResult result = co_await Send(
-      index, "look", adapter::MakePollRequest(name, order),
-      order.m_wait > Duration(0) ? order.m_wait + Patience(kPollResponseMargin)
-                                 : Patience(kFirstPollTimeout),
-      fresh_connection);
-  if (!m_running) {
+      index, kPollTraffic, std::move(request), std::move(options));
+  if (!m_running || loop != channel.m_poll_loop) {
+    // Another incarnation has answered meanwhile, or the term has ended.
     co_return "stopped";
   }
+  channel.m_has_open_poll = false;
   std::size_t damaged = 0;
   const std::optional<WorkerStatus> look =
       adapter::DecodeWorkerStatus(result, damaged);
@@ -231,6 +265,7 @@
 }
 
 void WorkerConnections::SendOrders(scheduler::Effects& effects) {
+  ConnectAhead(effects.m_planned_workers);
   for (auto& start : effects.m_starts) {
     Enqueue(start.m_worker,
             [this, index = start.m_worker, order = std::move(start.m_order)] {
@@ -283,9 +318,13 @@
         scheduler::IsStopAnswered(m_scheduler, index, order)) {
       co_return;
     }
+    CallOptions options;
+    options.m_timeout = Patience(kOrderTimeout);
+    options.m_connection =
+        attempt > 0 ? ConnectionChoice::kNew : ConnectionChoice::kAny;
     const OrderResponse answer = adapter::DecodeOrderResponse(
         co_await Send(index, "stop", adapter::MakeStopRequest(name, order),
-                      Patience(kOrderTimeout), attempt > 0));
+                      std::move(options)));
     Count(m_metrics, metric::kOrders,
           absl::StrCat("stop_", std::string(OrderResultName(answer.m_result))));
     if (!m_running) {
@@ -305,9 +344,11 @@
 asio::awaitable<void> WorkerConnections::SendPace(WorkerIndex index,
                                                   ThrottleOrder order) {
   const WorkerName name = m_scheduler.m_workers[index].m_record.m_name;
+  CallOptions options;
+  options.m_timeout = kOrderTimeout;
   const OrderResponse answer = adapter::DecodeOrderResponse(
       co_await Send(index, "pace", adapter::MakeThrottleRequest(name, order),
-                    kOrderTimeout, false));
+                    std::move(options)));
   Count(m_metrics, metric::kOrders,
         absl::StrCat("pace_", std::string(OrderResultName(answer.m_result))));
 }
--- a/filbertspar/node/src/worker_connections.h
+++ b/filbertspar/node/src/worker_connections.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -10,6 +11,7 @@
 #include "filbertspar/metrics/metrics.h"
 #include "filbertspar/node/src/async.h"
 #include "filbertspar/node/src/event_log.h"
+#include "filbertspar/node/src/incarnation.h"
 #include "filbertspar/node/src/link_server.h"
 #include "filbertspar/node/src/traffic_meter.h"
 #include "filbertspar/scheduler/scheduler.h"
@@ -50,6 +52,12 @@
     std::deque<std::function<asio::awaitable<void>()>> m_orders;
     int m_active = 0;
     bool m_is_polled = false;
+    /// Number of the poll loop in force; an earlier one ends after its poll.
+    std::uint64_t m_poll_loop = 0;
+    /// A poll holds one of the connections.
+    bool m_has_open_poll = false;
+    /// Connections that are being opened.
+    int m_connecting = 0;
   };
 
   /// How far one attempt to send a start came.
@@ -57,22 +65,45 @@
     RelayOutcome m_outcome = RelayOutcome::kNotSent;
     OrderResponse m_response;
     /// In logs: what carried the order.
-    std::string_view m_path = "relay";
+    std::string_view m_path = "connection";
   };
 
   /// Kind of traffic of starts that this VM sends itself.
   static constexpr std::string_view kStartTraffic = "start";
+  /// Kind of traffic of polls, and label of their results.
+  static constexpr std::string_view kPollTraffic = "look";
+  /// Longest time to wait for the answer to an order.
+  static constexpr Duration kOrderTimeout = Milliseconds(350);
+  /// Connections that send orders to one worker.
+  static constexpr int kOrderConnections = 2;
 
-  asio::awaitable<void> PollLoop(scheduler::WorkerIndex index);
+  /// Polls at once, whatever answer the previous loop waits for.
+  void RestartPolling(scheduler::WorkerIndex index);
+  asio::awaitable<void> PollLoop(scheduler::WorkerIndex index,
+                                 std::uint64_t loop);
   /// Returns how the poll failed; empty when it was answered.
   asio::awaitable<std::string_view> PollOnce(scheduler::WorkerIndex index,
+                                             std::uint64_t loop,
                                              bool fresh_connection);
+  WorkerTarget TargetOf(scheduler::WorkerIndex index) const;
+  /// Whether an order to the known incarnation finds a connection now.
+  bool CanReach(scheduler::WorkerIndex index);
+  /// Opens a connection for orders. Learns of another incarnation when that
+  /// answers on it.
+  asio::awaitable<Introduction> Connect(scheduler::WorkerIndex index,
+                                        Duration timeout);
+  /// A start that was not sent because no incarnation has answered.
+  static StartAttempt AttemptWithoutConnection(
+      const Introduction& introduction);
+  /// Opens connections for starts that are planned, so that these need not wait
+  /// for them.
+  void ConnectAhead(const std::vector<scheduler::WorkerIndex>& planned);
+  asio::awaitable<void> ConnectInBackground(scheduler::WorkerIndex index);
   asio::awaitable<void> SendStart(scheduler::WorkerIndex index,
                                   StartOrder order);
   asio::awaitable<StartAttempt> SendStartDirectly(scheduler::WorkerIndex index,
                                                   StartOrder order,
-                                                  Duration timeout,
-                                                  bool fresh_connection);
+                                                  Duration timeout);
   asio::awaitable<StartAttempt> RelayStart(scheduler::WorkerIndex index,
                                            StartOrder order, VmName relay,
                                            Duration timeout);
@@ -90,7 +121,7 @@
   Channel& ChannelOf(scheduler::WorkerIndex index);
   asio::awaitable<CallResult> Send(scheduler::WorkerIndex index,
                                    std::string_view kind, HttpRequest request,
-                                   Duration timeout, bool fresh_connection);
+                                   CallOptions options);
 
   asio::io_context& m_context;
   HttpClient& m_client;
--- a/filbertspar/node/src/worker_connections_starts.cc
+++ b/filbertspar/node/src/worker_connections_starts.cc
@@ -1,7 +1,10 @@
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "boost/asio/co_spawn.hpp"
+#include "boost/asio/detached.hpp"
 #include "filbertspar/node/src/clock.h"
 #include "filbertspar/node/src/metric_names.h"
 #include "filbertspar/node/src/start_relay.h"
@@ -13,11 +16,13 @@
 
 using scheduler::WorkerIndex;
 
-constexpr Duration kStartTimeout = Milliseconds(350);
 /// Longest time to wait for another VM that sends a start; it may have to wait
 /// for its own link.
 constexpr Duration kRelayTimeout = Milliseconds(800);
 constexpr Duration kRetryDelay = Milliseconds(80);
+/// Connections that a start opens before it pauses: other orders may take them,
+/// and a worker may close each one after its answer.
+constexpr int kMaxConnectsAtOnce = 3;
 
 /// Log fields of a start: the run, and the incarnation of the worker, its clock
 /// and its lease as the owner knows them when the order is sent.
@@ -41,16 +46,94 @@
                                           : m_links.LeastBusyRelay();
 }
 
+asio::awaitable<Introduction> WorkerConnections::Connect(WorkerIndex index,
+                                                         Duration timeout) {
+  const WorkerTarget target = TargetOf(index);
+  ++ChannelOf(index).m_connecting;
+  m_traffic.CountSent(kPollTraffic, TrafficMeter::kHttpHeaderBytes);
+  Introduction introduction = co_await Introduce(m_client, target, timeout);
+  --ChannelOf(index).m_connecting;
+  if (!m_running) {
+    co_return introduction;
+  }
+  const CallResult& result = introduction.m_result;
+  if (result.m_end == CallEnd::kAnswered) {
+    m_traffic.CountReceived(kPollTraffic, result.m_response.body().size() +
+                                              TrafficMeter::kHttpHeaderBytes);
+  } else {
+    m_client.DropIdle(target.m_endpoint);
+  }
+  Count(m_metrics, metric::kOrders,
+        absl::StrCat("connect_",
+                     std::string(OrderResultName(
+                         adapter::DecodeOrderResponse(result).m_result))));
+  const std::int64_t known = m_scheduler.m_workers[index].m_incarnation;
+  if (introduction.m_status && introduction.m_status->m_incarnation != known) {
+    scheduler::HandlePollResponse(m_scheduler, introduction.m_sent_at,
+                                  BootNow(), index, *introduction.m_status);
+    RestartPolling(index);
+    m_hooks.m_changed();
+  }
+  co_return introduction;
+}
+
+void WorkerConnections::ConnectAhead(const std::vector<WorkerIndex>& planned) {
+  if (planned.empty() || m_traffic.IsLoaded()) {
+    // A loaded VM lets others send its starts.
+    return;
+  }
+  std::map<WorkerIndex, int> starts;
+  for (const WorkerIndex index : planned) {
+    ++starts[index];
+  }
+  for (const auto& [index, count] : starts) {
+    const scheduler::Worker& worker = m_scheduler.m_workers[index];
+    const Channel& channel = ChannelOf(index);
+    const int polls = channel.m_has_open_poll ? 0 : 1;
+    const int present =
+        static_cast<int>(m_client.CountIdle(worker.m_record.m_endpoint,
+                                            PeerOf(worker.m_incarnation))) +
+        channel.m_connecting;
+    const int needed = std::min(count, kOrderConnections) + polls;
+    for (int i = present; i < needed; ++i) {
+      asio::co_spawn(m_context, ConnectInBackground(index), asio::detached);
+    }
+  }
+}
+
+asio::awaitable<void> WorkerConnections::ConnectInBackground(
+    WorkerIndex index) {
+  auto self = shared_from_this();
+  co_await Connect(index, Patience(kOrderTimeout));
+}
+
+WorkerConnections::StartAttempt WorkerConnections::AttemptWithoutConnection(
+    const Introduction& introduction) {
+  StartAttempt attempt;
+  attempt.m_path = "connect";
+  const OrderResponse refusal =
+      adapter::DecodeOrderResponse(introduction.m_result);
+  if (refusal.m_result != OrderResult::kUnknown &&
+      refusal.m_result != OrderResult::kAccepted) {
+    attempt.m_outcome = RelayOutcome::kAnswered;
+    attempt.m_response = refusal;
+  }
+  return attempt;
+}
+
 asio::awaitable<WorkerConnections::StartAttempt>
 WorkerConnections::SendStartDirectly(WorkerIndex index, StartOrder order,
-                                     Duration timeout, bool fresh_connection) {
+                                     Duration timeout) {
   const WorkerName name = m_scheduler.m_workers[index].m_record.m_name;
+  CallOptions options;
+  options.m_timeout = std::min(Patience(kOrderTimeout), timeout);
+  options.m_connection = ConnectionChoice::kToPeer;
+  options.m_peer = PeerOf(order.m_incarnation);
+  HttpRequest request = adapter::MakeStartRequest(name, order);
   const CallResult result = co_await Send(
-      index, kStartTraffic, adapter::MakeStartRequest(name, order),
-      std::min(Patience(kStartTimeout), timeout), fresh_connection);
+      index, kStartTraffic, std::move(request), std::move(options));
   StartAttempt attempt;
   attempt.m_response = adapter::DecodeOrderResponse(result);
-  attempt.m_path = result.m_on_new_connection ? "new_connection" : "connection";
   if (attempt.m_response.m_result != OrderResult::kUnknown) {
     attempt.m_outcome = RelayOutcome::kAnswered;
   } else if (result.m_end != CallEnd::kNotSent) {
@@ -75,6 +158,7 @@
   const std::optional<RelayedStartReply> reply =
       co_await m_links.Relay(relay, std::move(start));
   StartAttempt attempt;
+  attempt.m_path = "relay";
   if (!reply) {
     attempt.m_outcome = RelayOutcome::kUnanswered;
     co_return attempt;
@@ -97,6 +181,7 @@
   const TimePoint deadline = BootNow() + m_scheduler.m_options.m_start_window;
   bool was_tried = false;
   bool unanswered = false;
+  int connects = 0;
   OrderResponse answer;
   while (m_running && m_hooks.m_can_send_orders() && BootNow() < deadline) {
     const auto ref = scheduler::FindTask(m_scheduler, order.m_task);
@@ -104,6 +189,11 @@
         ref.GetTask().m_run != order.m_run.Value()) {
       co_return;
     }
+    if (m_scheduler.m_workers[index].m_incarnation != order.m_incarnation) {
+      answer.m_result = OrderResult::kNotDelivered;
+      was_tried = true;
+      break;
+    }
     // Orders that wait for their turn do not hold a copy each.
     order.m_payload = ref.m_job->m_spec->m_payload;
     const TimePoint now = BootNow();
@@ -120,9 +210,19 @@
     StartAttempt attempt;
     if (is_relayed) {
       attempt = co_await RelayStart(index, order, relay, deadline - now);
+    } else if (CanReach(index)) {
+      attempt = co_await SendStartDirectly(index, order, deadline - now);
     } else {
-      attempt =
-          co_await SendStartDirectly(index, order, deadline - now, unanswered);
+      const Introduction introduction = co_await Connect(
+          index, std::min(Patience(kOrderTimeout), deadline - now));
+      if (introduction.m_status && m_running) {
+        // Whether the order may still be sent is decided anew.
+        if (++connects % kMaxConnectsAtOnce == 0) {
+          co_await SleepFor(kRetryDelay);
+        }
+        continue;
+      }
+      attempt = AttemptWithoutConnection(introduction);
     }
     if (!m_running) {
       // The scheduler may be gone with its term.
--- a/filbertspar/scheduler/src/starts.cc
+++ b/filbertspar/scheduler/src/starts.cc
@@ -21,6 +21,7 @@
   StartOrder order;
   order.m_task = ref.Id();
   order.m_run = RunNumber(task.m_run);
+  order.m_incarnation = scheduler.m_workers[index].m_incarnation;
   order.m_deadline_ms = task.m_start_deadline_ms;
   order.m_fencing = scheduler.m_options.m_fencing;
   order.m_checkpoint =
@@ -107,6 +108,7 @@
   task.m_reported_speed_percent = 0;
   task.m_load = -1;
   task.m_start_deadline_ms = kStartNotSent;
+  scheduler.m_effects.m_planned_workers.push_back(worker);
   const std::uint64_t change = MarkChanged(scheduler, *ref.m_job);
   const bool must_be_recorded = !CrashUnit(ref).GetTask().m_crashes.empty();
   if (scheduler.m_record_before_start || must_be_recorded) {
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -282,6 +282,8 @@
     LogLevel m_level = LogLevel::kInfo;
   };
   std::vector<Start> m_starts;
+  /// Worker of each start that was planned; it is ordered once it is recorded.
+  std::vector<WorkerIndex> m_planned_workers;
   std::vector<Stop> m_stops;
   std::vector<Throttle> m_throttles;
   std::vector<LogEvent> m_log_events;
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -382,15 +382,16 @@
   if (ref && response.m_result == OrderResult::kAccepted) {
     MarkBegun(scheduler, now, *ref.m_job, index);
   }
-  if (response.m_result == OrderResult::kUnhealthy) {
+  const bool is_current = order.m_incarnation == worker.m_incarnation;
+  if (is_current && response.m_result == OrderResult::kUnhealthy) {
     worker.m_avoid_until =
         std::max(worker.m_avoid_until, now + kUnhealthyPause);
   }
-  if (response.m_result == OrderResult::kNoCapacity) {
+  if (is_current && response.m_result == OrderResult::kNoCapacity) {
     worker.m_no_capacity_until = now + kNoCapacityPause;
   }
-  if (response.m_result == OrderResult::kUnknown ||
-      response.m_result == OrderResult::kNotDelivered) {
+  if (is_current && (response.m_result == OrderResult::kUnknown ||
+                     response.m_result == OrderResult::kNotDelivered)) {
     worker.m_avoid_until =
         std::max(worker.m_avoid_until, now + kUnhealthyPause);
   }
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -151,5 +152,73 @@
   CHECK(bodies == std::vector<std::string>{"/first", "/second", "/third"});
 }
 
+// Guards against a call that reaches another process than the one it is for: a
+// client that opens a connection by itself reaches whatever listens there now.
+TEST_CASE("a call to a peer goes only over connections that lead to it") {
+  asio::io_context context;
+  HttpServerLimits limits;
+  std::string name = "1";
+  std::vector<std::string> received;
+  std::unique_ptr<HttpServer> server;
+  Endpoint endpoint{"127.0.0.1", 0};
+  const auto serve = [&] {
+    server = std::make_unique<HttpServer>(
+        context, limits,
+        [&, name](const HttpRequest& request) -> asio::awaitable<HttpResponse> {
+          received.push_back(name + std::string(request.target()));
+          co_return TextResponse(200, name);
+        });
+    REQUIRE(server->Listen(endpoint).ok());
+    endpoint.m_port = server->Port();
+  };
+  serve();
+  HttpClient client(context, HttpClientLimits());
+  const auto identify = [](const HttpResponse& response) {
+    return std::optional(PeerId(std::stoul(response.body())));
+  };
+  const auto call = [&](std::string target, ConnectionChoice connection,
+                        PeerId peer) -> asio::awaitable<CallResult> {
+    CallOptions options;
+    options.m_timeout = Seconds(2);
+    options.m_connection = connection;
+    options.m_peer = peer;
+    options.m_identify = identify;
+    HttpRequest request = MakeRequest(HttpVerb::get, target);
+    co_return co_await client.Call(endpoint, std::move(request),
+                                   std::move(options));
+  };
+  bool is_done = false;
+  const auto play = [&]() -> asio::awaitable<void> {
+    const PeerId first(1);
+    CallResult result = co_await call("/a", ConnectionChoice::kToPeer, first);
+    CHECK(result.m_end == CallEnd::kNotSent);
+    CHECK(result.m_failure == CallFailure::kNotConnected);
+    co_await call("/b", ConnectionChoice::kNew, PeerId());
+    CHECK(client.CanReach(endpoint, first));
+    CHECK(client.CountIdle(endpoint, first) == 1);
+    CHECK_FALSE(client.CanReach(endpoint, PeerId(2)));
+    result = co_await call("/c", ConnectionChoice::kToPeer, first);
+    CHECK(result.m_end == CallEnd::kAnswered);
+    server->Close();
+    server.reset();
+    name = "2";
+    serve();
+    result = co_await call("/d", ConnectionChoice::kToPeer, first);
+    CHECK(result.m_end != CallEnd::kAnswered);
+    // Without a peer the client opens a connection by itself.
+    result = co_await call("/e", ConnectionChoice::kAny, PeerId());
+    CHECK(result.m_end == CallEnd::kAnswered);
+    CHECK_FALSE(client.CanReach(endpoint, first));
+    CHECK(client.CanReach(endpoint, PeerId(2)));
+    is_done = true;
+    server->Close();
+    context.stop();
+  };
+  asio::co_spawn(context, play(), asio::detached);
+  context.run_for(std::chrono::seconds(10));
+  REQUIRE(is_done);
+  CHECK(received == std::vector<std::string>{"1/b", "1/c", "2/e"});
+}
+
 }  // namespace
 }  // namespace filbertspar
