A relayed start reaches only the incarnation that it is meant for

Seen by callers: the same as with starts that the owner sends itself, when its link is loaded and other VMs send its starts.

Cause: the relay's client opens a connection to whatever is at the worker's address, and the relayed form of a start does not say which incarnation it is for.

Change: a relayed start carries the incarnation; the relay sends it only over a connection on which that incarnation has answered, and replies other_instance when another one answers, upon which the owner asks the worker itself. VMs say in their pings that they do so; an owner passes starts only to those. Relays still take starts of owners of an earlier release, which name no incarnation.

Test: "a relayed start does not reach the next incarnation of its worker" (before: the start was carried out by the next incarnation).

--- a/filbertspar/node/src/link_server.cc
+++ b/filbertspar/node/src/link_server.cc
@@ -170,7 +170,7 @@
     peer.m_store_age = ping->m_store_age;
     peer.m_cpu_capacity = ping->m_cpu_capacity;
     peer.m_willing = ping->m_willing;
-    peer.m_relays_starts = ping->m_relays_starts;
+    peer.m_relays_starts = ping->m_relays_to_incarnation;
     Send(link, link->m_session->Wrap(
                    LinkPong{ping->m_number, m_confirmed && m_confirmed(),
                             ShouldAskFirst(m_traffic.Received(), BootNow()),
--- a/filbertspar/node/src/link_server.h
+++ b/filbertspar/node/src/link_server.h
@@ -22,6 +22,7 @@
   Duration m_store_age{0};
   Millicores m_cpu_capacity;
   bool m_willing = false;
+  /// Whether it can be asked to send starts to one incarnation of a worker.
   bool m_relays_starts = false;
   /// When its last link was closed.
   TimePoint m_disconnected_at = TimePoint::min();
--- a/filbertspar/node/src/node.cc
+++ b/filbertspar/node/src/node.cc
@@ -367,6 +367,7 @@
     ping.m_cpu_capacity = parts.m_options.m_cpu_capacity;
     ping.m_willing = parts.m_watch.IsWilling();
     ping.m_relays_starts = true;
+    ping.m_relays_to_incarnation = true;
     return ping;
   });
   parts.m_watch.Start([&parts](OwnerWatch::WonClaim won) {
--- a/filbertspar/node/src/start_relay.h
+++ b/filbertspar/node/src/start_relay.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "filbertspar/http/http.h"
 #include "filbertspar/node/src/async.h"
 #include "filbertspar/node/src/event_log.h"
@@ -27,6 +29,11 @@
   asio::awaitable<RelayedStartReply> Send(RelayedStart start);
 
  private:
+  /// Opens a connection to the incarnation that the start is for unless there
+  /// is one. Returns the reply to the owner when that can't be reached.
+  asio::awaitable<std::optional<RelayedStartReply>> Connect(
+      const RelayedStart& start, TimePoint deadline);
+
   HttpClient& m_client;
   TrafficMeter& m_traffic;
   EventLog& m_log;
--- a/filbertspar/node/src/worker_connections_starts.cc
+++ b/filbertspar/node/src/worker_connections_starts.cc
@@ -244,6 +244,10 @@
       continue;
     }
     was_tried = true;
+    if (is_relayed && answer.m_result == OrderResult::kOtherInstance) {
+      // The relay says that another incarnation has answered, not which.
+      asio::co_spawn(m_context, ConnectInBackground(index), asio::detached);
+    }
     if (attempt.m_outcome == RelayOutcome::kAnswered) {
       break;
     }
--- a/filbertspar/wire/src/decode.cc
+++ b/filbertspar/wire/src/decode.cc
@@ -185,6 +185,7 @@
   m.m_cpu_capacity = Millicores(t.strength());
   m.m_willing = t.willing();
   m.m_relays_starts = t.relays_starts();
+  m.m_relays_to_incarnation = t.relays_to_incarnation();
 }
 
 void Read(Reader& /*r*/, const fbs::LinkPong& t, LinkPong& m) {
@@ -210,6 +211,7 @@
   m.m_digest = r.Text(t.digest());
   m.m_payload = r.Text(t.payload());
   m.m_wait = Milliseconds(t.wait_ms());
+  m.m_incarnation = t.incarnation();
 }
 
 void Read(Reader& r, const fbs::RelayedStartReply& t, RelayedStartReply& m) {
--- a/filbertspar/wire/src/encode.cc
+++ b/filbertspar/wire/src/encode.cc
@@ -167,9 +167,10 @@
 }
 
 Offset<void> Write(Writer& w, const LinkPing& m) {
-  return fbs::CreateLinkPing(
-             w.m_builder, m.m_number, WholeMilliseconds(m.m_store_age),
-             m.m_cpu_capacity.Count(), m.m_willing, m.m_relays_starts)
+  return fbs::CreateLinkPing(w.m_builder, m.m_number,
+                             WholeMilliseconds(m.m_store_age),
+                             m.m_cpu_capacity.Count(), m.m_willing,
+                             m.m_relays_starts, m.m_relays_to_incarnation)
       .Union();
 }
 
@@ -187,11 +188,11 @@
   const auto ticket = w.Text(m.m_ticket);
   const auto digest = w.Text(m.m_digest);
   const auto payload = w.Text(m.m_payload);
-  return fbs::CreateRelayedStart(w.m_builder, m.m_number, worker, address,
-                                 m.m_endpoint.m_port, job, m.m_occurrence,
-                                 m.m_step, m.m_task, m.m_run, m.m_deadline_ms,
-                                 m.m_fencing.Value(), checkpoint, ticket,
-                                 digest, payload, WholeMilliseconds(m.m_wait))
+  return fbs::CreateRelayedStart(
+             w.m_builder, m.m_number, worker, address, m.m_endpoint.m_port, job,
+             m.m_occurrence, m.m_step, m.m_task, m.m_run, m.m_deadline_ms,
+             m.m_fencing.Value(), checkpoint, ticket, digest, payload,
+             WholeMilliseconds(m.m_wait), m.m_incarnation)
       .Union();
 }
 
--- a/filbertspar/wire/src/messages.h
+++ b/filbertspar/wire/src/messages.h
@@ -220,6 +220,9 @@
   /// Whether the sender can be asked to send starts; releases before
   /// RelayedStart close the link when they are asked.
   bool m_relays_starts = false;
+  /// Whether starts that it relays reach no other incarnation of the worker
+  /// than theirs; false from releases without it.
+  bool m_relays_to_incarnation = false;
 
   friend bool operator==(const LinkPing&, const LinkPing&) = default;
 };
@@ -258,6 +261,9 @@
   std::string m_payload;
   /// Time in which the reply is of use to the owner.
   Duration m_wait{0};
+  /// Incarnation of the worker for which the order is; 0 from releases without
+  /// it, whose starts may reach any.
+  std::int64_t m_incarnation = 0;
 
   friend bool operator==(const RelayedStart&, const RelayedStart&) = default;
 };
--- a/filbertspar/wire/src/peer_generated.h
+++ b/filbertspar/wire/src/peer_generated.h
@@ -1812,7 +1812,8 @@
     VT_STORE_AGE_MS = 6,
     VT_STRENGTH = 8,
     VT_WILLING = 10,
-    VT_RELAYS_STARTS = 12
+    VT_RELAYS_STARTS = 12,
+    VT_RELAYS_TO_INCARNATION = 14
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1829,6 +1830,9 @@
   bool relays_starts() const {
     return GetField<uint8_t>(VT_RELAYS_STARTS, 0) != 0;
   }
+  bool relays_to_incarnation() const {
+    return GetField<uint8_t>(VT_RELAYS_TO_INCARNATION, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -1836,6 +1840,7 @@
            VerifyField<int64_t>(verifier, VT_STRENGTH, 8) &&
            VerifyField<uint8_t>(verifier, VT_WILLING, 1) &&
            VerifyField<uint8_t>(verifier, VT_RELAYS_STARTS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RELAYS_TO_INCARNATION, 1) &&
            verifier.EndTable();
   }
 };
@@ -1859,6 +1864,9 @@
   void add_relays_starts(bool relays_starts) {
     fbb_.AddElement<uint8_t>(LinkPing::VT_RELAYS_STARTS, static_cast<uint8_t>(relays_starts), 0);
   }
+  void add_relays_to_incarnation(bool relays_to_incarnation) {
+    fbb_.AddElement<uint8_t>(LinkPing::VT_RELAYS_TO_INCARNATION, static_cast<uint8_t>(relays_to_incarnation), 0);
+  }
   explicit LinkPingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1876,11 +1884,13 @@
     uint32_t store_age_ms = 0,
     int64_t strength = 0,
     bool willing = false,
-    bool relays_starts = false) {
+    bool relays_starts = false,
+    bool relays_to_incarnation = false) {
   LinkPingBuilder builder_(_fbb);
   builder_.add_strength(strength);
   builder_.add_number(number);
   builder_.add_store_age_ms(store_age_ms);
+  builder_.add_relays_to_incarnation(relays_to_incarnation);
   builder_.add_relays_starts(relays_starts);
   builder_.add_willing(willing);
   return builder_.Finish();
@@ -1987,7 +1997,8 @@
     VT_TICKET = 28,
     VT_DIGEST = 30,
     VT_PAYLOAD = 32,
-    VT_WAIT_MS = 34
+    VT_WAIT_MS = 34,
+    VT_INCARNATION = 36
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -2037,6 +2048,9 @@
   uint32_t wait_ms() const {
     return GetField<uint32_t>(VT_WAIT_MS, 0);
   }
+  int64_t incarnation() const {
+    return GetField<int64_t>(VT_INCARNATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -2062,6 +2076,7 @@
            VerifyOffset(verifier, VT_PAYLOAD) &&
            verifier.VerifyString(payload()) &&
            VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
+           VerifyField<int64_t>(verifier, VT_INCARNATION, 8) &&
            verifier.EndTable();
   }
 };
@@ -2118,6 +2133,9 @@
   void add_wait_ms(uint32_t wait_ms) {
     fbb_.AddElement<uint32_t>(RelayedStart::VT_WAIT_MS, wait_ms, 0);
   }
+  void add_incarnation(int64_t incarnation) {
+    fbb_.AddElement<int64_t>(RelayedStart::VT_INCARNATION, incarnation, 0);
+  }
   explicit RelayedStartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2146,8 +2164,10 @@
     flatbuffers::Offset<flatbuffers::String> ticket = 0,
     flatbuffers::Offset<flatbuffers::String> digest = 0,
     flatbuffers::Offset<flatbuffers::String> payload = 0,
-    uint32_t wait_ms = 0) {
+    uint32_t wait_ms = 0,
+    int64_t incarnation = 0) {
   RelayedStartBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
   builder_.add_fencing(fencing);
   builder_.add_deadline_ms(deadline_ms);
   builder_.add_run(run);
@@ -2189,7 +2209,8 @@
     const char *ticket = nullptr,
     const char *digest = nullptr,
     const char *payload = nullptr,
-    uint32_t wait_ms = 0) {
+    uint32_t wait_ms = 0,
+    int64_t incarnation = 0) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto job__ = job ? _fbb.CreateString(job) : 0;
@@ -2214,7 +2235,8 @@
       ticket__,
       digest__,
       payload__,
-      wait_ms);
+      wait_ms,
+      incarnation);
 }
 
 struct RelayedStartReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/platform/node_worker_restart_test.cc
+++ b/tests/platform/node_worker_restart_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "filbertspar/node/src/start_relay.h"
 #include "tests/platform/worker_owner.h"
 
 namespace filbertspar {
@@ -41,5 +42,57 @@
   CHECK(owner.Known().m_incarnation == successor);
 }
 
+// Guards against the same through another VM, which sends starts for an owner
+// whose link is loaded: it reaches whatever is at the worker's address.
+TEST_CASE("a relayed start does not reach the next incarnation of its worker") {
+  asio::io_context context;
+  RestartingWorker worker(context);
+  EventLog log(context, EventLogLimits(), STDERR_FILENO);
+  MetricsBook metrics;
+  TrafficMeter traffic(metrics, 1000);
+  HttpClient client(context, HttpClientLimits());
+  StartRelay relay(client, traffic, log);
+  std::vector<RelayedStartReply> replies;
+  const auto send = [&](std::uint32_t task) -> asio::awaitable<void> {
+    StartOrder order;
+    order.m_task = {JobId("job"), 0, 0, task};
+    order.m_run = RunNumber(1);
+    order.m_payload = "payload";
+    order.m_incarnation = 2;
+    order.m_deadline_ms = kOldClockMs + 2000;
+    RelayedStart start =
+        MakeRelayedStart(order, WorkerName("w"), worker.Address());
+    start.m_payload = order.m_payload;
+    start.m_wait = Milliseconds(800);
+    replies.push_back(co_await relay.Send(std::move(start)));
+  };
+  bool is_done = false;
+  const auto play = [&]() -> asio::awaitable<void> {
+    worker.Restart(kOldClockMs);
+    co_await send(0);
+    co_await send(1);
+    worker.Restart(1);
+    // The first is sent on a connection to the incarnation that has ended.
+    co_await send(2);
+    co_await send(3);
+    is_done = true;
+  };
+  asio::co_spawn(context, play(), asio::detached);
+  const TimePoint deadline = SteadyNow() + Seconds(20);
+  while (!is_done && SteadyNow() < deadline) {
+    context.run_one_for(std::chrono::milliseconds(100));
+  }
+  REQUIRE(is_done);
+  const auto result = [&](std::size_t i) {
+    return OrderResultFromNumber(replies[i].m_result);
+  };
+  CHECK(result(0) == OrderResult::kAccepted);
+  CHECK(result(1) == OrderResult::kAccepted);
+  CHECK(replies[2].m_outcome == RelayOutcome::kUnanswered);
+  CHECK(replies[3].m_outcome == RelayOutcome::kAnswered);
+  CHECK(result(3) == OrderResult::kOtherInstance);
+  CHECK(worker.m_running.empty());
+}
+
 }  // namespace
 }  // namespace filbertspar
--- a/tests/wire_messages.h
+++ b/tests/wire_messages.h
@@ -128,7 +128,10 @@
     case 12:
       return LinkPing{AnyNumber(),
                       Milliseconds(*rc::gen::arbitrary<std::uint32_t>()),
-                      Millicores(AnyInt()), AnyBool(), AnyBool()};
+                      Millicores(AnyInt()),
+                      AnyBool(),
+                      AnyBool(),
+                      AnyBool()};
     case 13:
       return LinkPong{AnyNumber(), AnyBool(), AnyBool(), AnyInt()};
     case 14: {
@@ -148,6 +151,7 @@
       start.m_digest = *Bytes(40);
       start.m_payload = *Bytes(400);
       start.m_wait = Milliseconds(*rc::gen::arbitrary<std::uint32_t>());
+      start.m_incarnation = AnyInt();
       return start;
     }
     default:
