Tasks of an incarnation that has ended start again at once

Seen by callers: after a restart of a worker, tasks that were being started or stopped there waited for up to 1.8 s more, with their resources reserved: for the answer to a stop at the new incarnation and for the poll after it, while the worker was idle.

Cause: a start could reach the next incarnation, so that its run had to be stopped there first.

Change: when another incarnation of a worker answers, all tasks of the one before are placed anew.

--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -38,9 +38,8 @@
   }
 }
 
-/// A new incarnation has no runs of the previous one, and knows nothing of its
-/// stops. A start that got no answer may still reach it; stopping that run
-/// makes the worker refuse it.
+/// A new incarnation has no runs of the previous one, and none of the starts
+/// that this one got can reach it.
 void HandleNewIncarnation(Scheduler& scheduler, TimePoint now,
                           WorkerIndex index, std::int64_t incarnation) {
   Worker& worker = scheduler.m_workers[index];
@@ -59,16 +58,7 @@
   worker.m_finished_stored = 0;
   worker.m_unstored_finished.clear();
   worker.m_failure_streak = 0;
-  const std::vector<TaskRef> tasks = worker.m_tasks;
-  for (const TaskRef& ref : tasks) {
-    const Task& task = ref.GetTask();
-    if (task.m_phase == TaskPhase::kStarting ||
-        task.m_phase == TaskPhase::kStopping) {
-      StopTask(scheduler, now, ref, "worker_restarted");
-    } else {
-      RequeueLostTask(scheduler, now, ref, "worker_restarted");
-    }
-  }
+  RequeueTasksOf(scheduler, now, worker, "worker_restarted");
   AddLogEvent(scheduler, "worker_restarted", {}, index,
               absl::StrCat("incarnation=", incarnation));
 }
--- /dev/null
+++ b/tests/scheduler_incarnation_test.cc
@@ -0,0 +1,64 @@
+#include <catch2/catch.hpp>
+
+#include "tests/scheduler_simulation.h"
+
+namespace filbertspar::scheduler {
+namespace {
+
+WorkerStatus StatusOf(std::int64_t incarnation, std::int64_t clock_ms) {
+  WorkerStatus status;
+  status.m_incarnation = incarnation;
+  status.m_clock_ms = clock_ms;
+  return status;
+}
+
+/// An owner of one worker, whose incarnation 1 has answered.
+struct OneWorker {
+  OneWorker() {
+    m_simulation.AddWorker("w1", "p", 8);
+    Poll(1, 500'000);
+  }
+
+  void Poll(std::int64_t incarnation, std::int64_t clock_ms) {
+    HandlePollResponse(Owner(), Now(), Now(), 0,
+                       StatusOf(incarnation, clock_ms));
+  }
+
+  /// Plans the starts of a job's tasks and sends them.
+  void Start(const std::string& job, std::uint32_t tasks) {
+    AddJob(Owner(), Now(), Simulation::MakeJob(job, "p", tasks, Seconds(2)));
+    Owner().m_record_before_start = false;
+    Dispatch(Owner(), Now());
+  }
+
+  Scheduler& Owner() { return *m_simulation.m_owner; }
+  TimePoint Now() const { return m_simulation.m_now; }
+  const Worker& Known() { return Owner().m_workers[0]; }
+  const Task& TaskOf(const std::string& job, std::uint32_t index) {
+    return FindTask(Owner(), {JobId(job), 0, 0, index}).GetTask();
+  }
+
+  Simulation m_simulation;
+};
+
+// Guards against tasks that wait, with their resources reserved, until the next
+// incarnation has answered stops of runs that it never had.
+TEST_CASE("tasks that were starting or stopping wait for no new incarnation") {
+  OneWorker one;
+  one.Start("starting", 2);
+  one.Start("stopping", 2);
+  CancelJob(one.Owner(), one.Now(), JobId("stopping"));
+  REQUIRE(one.TaskOf("starting", 0).m_phase == TaskPhase::kStarting);
+  REQUIRE(one.TaskOf("stopping", 0).m_phase == TaskPhase::kStopping);
+  one.Owner().m_effects = Effects();
+  one.Poll(2, 10);
+  for (std::uint32_t i = 0; i < 2; ++i) {
+    CHECK(one.TaskOf("starting", i).m_phase == TaskPhase::kWaiting);
+    CHECK(one.TaskOf("stopping", i).m_worker == kNoWorker);
+  }
+  CHECK(one.Owner().m_effects.m_stops.empty());
+  CHECK(one.Known().m_used == ResourceVector());
+}
+
+}  // namespace
+}  // namespace filbertspar::scheduler
