Late answers of an incarnation that has ended are ignored

Seen by callers: not yet; polls of one worker followed each other until orders began to open connections of their own, so that two answers could not overtake each other. PROTOCOL.md says that answers on different connections may.

Fault: an answer that names another incarnation than the known one counted as the next one, whenever its poll was sent. A late answer of the incarnation before gave up the sound runs of the one in force, which then ran twice, and set the clock back to the other's.

Change: an answer to a poll that was sent before the latest answered one is ignored whatever it names, and so is one of the last eight incarnations before.

Test: "a late answer of an incarnation that has ended changes nothing" (before: incarnation 1 instead of 2, clock 500520, 3 of 3 tasks given up).

--- a/filbertspar/node/src/worker_connections_starts.cc
+++ b/filbertspar/node/src/worker_connections_starts.cc
@@ -71,7 +71,9 @@
   if (introduction.m_status && introduction.m_status->m_incarnation != known) {
     scheduler::HandlePollResponse(m_scheduler, introduction.m_sent_at,
                                   BootNow(), index, *introduction.m_status);
-    RestartPolling(index);
+    if (m_scheduler.m_workers[index].m_incarnation != known) {
+      RestartPolling(index);
+    }
     m_hooks.m_changed();
   }
   co_return introduction;
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -209,6 +209,9 @@
   TimePoint m_clock_at{};
   /// As last reported, Unix milliseconds; 0 before the first answer.
   std::int64_t m_incarnation = 0;
+  /// Incarnations before that one, the latest last; a few suffice, since no
+  /// answer is waited for longer than some seconds.
+  std::deque<std::int64_t> m_ended_incarnations;
   /// No run ordered so far outlives this time.
   TimePoint m_lease_until = TimePoint::min();
   /// Resources reserved by m_tasks and m_superseded_runs.
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -22,6 +22,14 @@
 constexpr Duration kUnhealthyPause = Milliseconds(700);
 constexpr Duration kNoCapacityPause = Milliseconds(150);
 
+/// Incarnations of one worker of which late answers are recognized.
+constexpr std::size_t kMaxEndedIncarnations = 8;
+
+bool HasEnded(const Worker& worker, std::int64_t incarnation) {
+  const auto& ended = worker.m_ended_incarnations;
+  return std::find(ended.begin(), ended.end(), incarnation) != ended.end();
+}
+
 /// Keeps the reading that gives the highest lower bound of the clock.
 void UpdateClock(Worker& worker, TimePoint now, std::int64_t clock_ms) {
   if (clock_ms >= MinWorkerClock(worker, now) || !worker.m_has_responded) {
@@ -46,6 +54,10 @@
   const bool is_first = worker.m_incarnation == 0;
   if (!is_first) {
     HandleWorkerReplaced(scheduler, now, index);
+    worker.m_ended_incarnations.push_back(worker.m_incarnation);
+    if (worker.m_ended_incarnations.size() > kMaxEndedIncarnations) {
+      worker.m_ended_incarnations.pop_front();
+    }
   }
   worker.m_end = WorkerEnd();
   worker.m_incarnation = incarnation;
@@ -316,11 +328,13 @@
 void HandlePollResponse(Scheduler& scheduler, TimePoint sent, TimePoint now,
                         WorkerIndex index, const WorkerStatus& status) {
   Worker& worker = scheduler.m_workers[index];
+  if (sent < worker.m_answered_poll_sent_at ||
+      HasEnded(worker, status.m_incarnation)) {
+    // A later poll, or a later incarnation, has answered first.
+    return;
+  }
   if (status.m_incarnation != worker.m_incarnation) {
     HandleNewIncarnation(scheduler, now, index, status.m_incarnation);
-  } else if (sent < worker.m_answered_poll_sent_at) {
-    // A later poll was answered first.
-    return;
   }
   HandleWorkerAlive(scheduler, index);
   worker.m_answered_poll_sent_at = sent;
--- a/tests/scheduler_incarnation_test.cc
+++ b/tests/scheduler_incarnation_test.cc
@@ -60,5 +60,25 @@
   CHECK(one.Known().m_used == ResourceVector());
 }
 
+// Guards against sound runs that are given up, and run twice, because an answer
+// of the incarnation before comes after one of the next.
+TEST_CASE("a late answer of an incarnation that has ended changes nothing") {
+  OneWorker one;
+  const TimePoint early = one.Now();
+  one.m_simulation.m_now += Milliseconds(500);
+  one.Poll(2, 10);
+  one.Start("job", 3);
+  one.m_simulation.m_now += Milliseconds(20);
+  const TimePoint granted = one.Known().m_lease_until;
+  HandlePollResponse(one.Owner(), early, one.Now(), 0, StatusOf(1, 500'500));
+  // Its poll may also have been sent after that of the next incarnation.
+  HandlePollResponse(one.Owner(), one.Now(), one.Now(), 0,
+                     StatusOf(1, 500'520));
+  CHECK(one.Known().m_incarnation == 2);
+  CHECK(MinWorkerClock(one.Known(), one.Now()) < 1000);
+  CHECK(one.Known().m_lease_until == granted);
+  CHECK(one.Known().m_tasks.size() == 3);
+}
+
 }  // namespace
 }  // namespace filbertspar::scheduler
