A worker waits for the registration of its incarnation

Cause: the incarnation in the registration was decoded and not used.

Change: tasks are placed only on a worker whose registration is of the incarnation that answers (or states none). It is written at the start of the incarnation, so that a restarted worker waits for some milliseconds; while the store is away it waits for its return, since nothing else tells its kind. The other way round, a registration of an incarnation that has not answered makes the owner ask at once, instead of waiting for the poll of the one before, which takes up to 2.2 s to be given up.

Tests: "a worker waits for the registration of its incarnation" (before: placed in both orders of events), "the registration of another incarnation makes the owner ask" (without the question the poll runs into its time-out first).

--- a/filbertspar/node/src/owner_term_workers.cc
+++ b/filbertspar/node/src/owner_term_workers.cc
@@ -93,8 +93,12 @@
     return;
   }
   m_unregistered_at.erase(name);
-  m_workers->StartPolling(
-      scheduler::RegisterWorker(m_scheduler, BootNow(), *record));
+  const scheduler::WorkerIndex index =
+      scheduler::RegisterWorker(m_scheduler, BootNow(), *record);
+  m_workers->StartPolling(index);
+  if (scheduler::MayHaveRestarted(m_scheduler.m_workers[index])) {
+    m_workers->CheckIncarnation(index);
+  }
 }
 
 void OwnerTerm::ScheduleUnregister(const std::string& name) {
--- a/filbertspar/node/src/worker_connections.h
+++ b/filbertspar/node/src/worker_connections.h
@@ -37,6 +37,9 @@
 
   /// \brief Polls a worker periodically until it is retired.
   void StartPolling(scheduler::WorkerIndex index);
+  /// \brief Asks the worker which incarnation it is, while a poll of the known
+  /// one may still wait for its answer.
+  void CheckIncarnation(scheduler::WorkerIndex index);
   /// \brief Queues the start, stop and throttle orders in `effects` for
   /// sending.
   void SendOrders(scheduler::Effects& effects);
--- a/filbertspar/node/src/worker_connections_starts.cc
+++ b/filbertspar/node/src/worker_connections_starts.cc
@@ -79,6 +79,12 @@
   co_return introduction;
 }
 
+void WorkerConnections::CheckIncarnation(WorkerIndex index) {
+  if (m_running && m_hooks.m_can_send_orders()) {
+    asio::co_spawn(m_context, ConnectInBackground(index), asio::detached);
+  }
+}
+
 void WorkerConnections::ConnectAhead(const std::vector<WorkerIndex>& planned) {
   if (planned.empty() || m_traffic.IsLoaded()) {
     // A loaded VM lets others send its starts.
@@ -248,7 +254,7 @@
     was_tried = true;
     if (is_relayed && answer.m_result == OrderResult::kOtherInstance) {
       // The relay says that another incarnation has answered, not which.
-      asio::co_spawn(m_context, ConnectInBackground(index), asio::detached);
+      CheckIncarnation(index);
     }
     if (attempt.m_outcome == RelayOutcome::kAnswered) {
       break;
--- a/filbertspar/scheduler/src/workers.h
+++ b/filbertspar/scheduler/src/workers.h
@@ -78,6 +78,10 @@
 /// \brief Whether the worker answered a poll recently enough to get tasks.
 bool IsResponsive(const Worker& worker, TimePoint now);
 
+/// \brief Whether the registration is of an incarnation that has not answered
+/// yet.
+bool MayHaveRestarted(const Worker& worker);
+
 /// \brief Whether the worker is unregistered, without tasks and without a
 /// lease, so that it need not be polled any more.
 bool IsRetired(const Worker& worker, TimePoint now);
--- a/tests/platform/node_worker_restart_test.cc
+++ b/tests/platform/node_worker_restart_test.cc
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "filbertspar/node/src/metric_names.h"
 #include "filbertspar/node/src/start_relay.h"
 #include "tests/platform/worker_owner.h"
 
@@ -124,5 +126,40 @@
   }
 }
 
+// Guards against a restarted worker that stays idle until the poll of the
+// incarnation before is given up, although its registration tells of it.
+TEST_CASE("the registration of another incarnation makes the owner ask") {
+  asio::io_context context;
+  RestartingWorker worker(context);
+  WorkerOwner owner(context);
+  owner.Follow(worker);
+  REQUIRE(owner.RunUntil([&] { return owner.Known().m_has_responded; }));
+  const auto open_polls = [&] {
+    return std::count_if(worker.m_requests.begin(), worker.m_requests.end(),
+                         [](const RestartingWorker::Request& request) {
+                           return request.m_body.contains("wait_ms");
+                         });
+  };
+  REQUIRE(owner.RunUntil([&] { return open_polls() == 1; }));
+  worker.Restart(1);
+  WorkerRecord record = WorkerOwner::RecordOf(worker);
+  record.m_incarnation = worker.m_incarnation;
+  const scheduler::WorkerIndex index =
+      scheduler::RegisterWorker(owner.m_scheduler, BootNow(), record);
+  REQUIRE(scheduler::MayHaveRestarted(owner.Known()));
+  owner.m_connections->CheckIncarnation(index);
+  REQUIRE(owner.RunUntil(
+      [&] { return owner.Known().m_incarnation == worker.m_incarnation; }));
+  // The poll of the incarnation before still waits for its answer.
+  CHECK_FALSE(
+      owner.m_metrics.m_counters[std::string(metric::kOrders.m_name)].contains(
+          "look_unknown"));
+  CHECK_FALSE(scheduler::MayHaveRestarted(owner.Known()));
+  // An entry of the incarnation before, from a list that is read late.
+  record.m_incarnation = worker.m_incarnation - 1;
+  scheduler::RegisterWorker(owner.m_scheduler, BootNow(), record);
+  CHECK_FALSE(scheduler::MayHaveRestarted(owner.Known()));
+}
+
 }  // namespace
 }  // namespace filbertspar
--- a/tests/scheduler_incarnation_test.cc
+++ b/tests/scheduler_incarnation_test.cc
@@ -80,5 +80,27 @@
   CHECK(one.Known().m_tasks.size() == 3);
 }
 
+// Guards against a start on a worker of another kind (ROUTE) or size (LIMIT):
+// the next incarnation may be another one at the same address, and its
+// registration may come later than its first answer.
+TEST_CASE("a worker waits for the registration of its incarnation") {
+  OneWorker one;
+  WorkerRecord record = one.Known().m_record;
+  record.m_incarnation = 1;
+  RegisterWorker(one.Owner(), one.Now(), record);
+  CHECK(IsSchedulable(one.Owner(), one.Known(), one.Now()));
+  one.Poll(2, 10);
+  CHECK_FALSE(IsSchedulable(one.Owner(), one.Known(), one.Now()));
+  record.m_incarnation = 2;
+  RegisterWorker(one.Owner(), one.Now(), record);
+  CHECK(IsSchedulable(one.Owner(), one.Known(), one.Now()));
+  // The registration of a restart may also come before its first answer.
+  record.m_incarnation = 3;
+  RegisterWorker(one.Owner(), one.Now(), record);
+  CHECK_FALSE(IsSchedulable(one.Owner(), one.Known(), one.Now()));
+  one.Poll(3, 10);
+  CHECK(IsSchedulable(one.Owner(), one.Known(), one.Now()));
+}
+
 }  // namespace
 }  // namespace filbertspar::scheduler
