A new incarnation is not avoided for the one before

Seen by callers: a restarted worker got no work for up to 5 s if runs had failed on it before it restarted, and for 0.7 s after each start that its earlier incarnation had left unanswered.

Cause: pauses after failed runs, unanswered starts and starts without room are kept by worker, and the count of failures only was reset.

Change: they end with the incarnation, as do the times of stops of its runs.

Test: "a new incarnation is not avoided for the one before" (before: not schedulable).

--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -70,6 +70,9 @@
   worker.m_finished_stored = 0;
   worker.m_unstored_finished.clear();
   worker.m_failure_streak = 0;
+  worker.m_avoid_until = TimePoint::min();
+  worker.m_no_capacity_until = TimePoint::min();
+  worker.m_unwanted_stops.clear();
   RequeueTasksOf(scheduler, now, worker, "worker_restarted");
   AddLogEvent(scheduler, "worker_restarted", {}, index,
               absl::StrCat("incarnation=", incarnation));
--- a/tests/scheduler_incarnation_test.cc
+++ b/tests/scheduler_incarnation_test.cc
@@ -102,5 +102,27 @@
   CHECK(IsSchedulable(one.Owner(), one.Known(), one.Now()));
 }
 
+// Guards against a restarted worker that is idle for what was observed of the
+// incarnation before: its failures, its lack of capacity, a start without an
+// answer.
+TEST_CASE("a new incarnation is not avoided for the one before") {
+  OneWorker one;
+  one.Start("job", 1);
+  const StartOrder order = one.Owner().m_effects.m_starts[0].m_order;
+  const auto answer = [&](OrderResult result) {
+    HandleStartResponse(one.Owner(), one.Now(), 0, order,
+                        {result, std::nullopt}, true);
+  };
+  answer(OrderResult::kUnhealthy);
+  answer(OrderResult::kNoCapacity);
+  REQUIRE_FALSE(IsSchedulable(one.Owner(), one.Known(), one.Now()));
+  one.Poll(2, 10);
+  CHECK(IsSchedulable(one.Owner(), one.Known(), one.Now()));
+  // Answers to orders of the incarnation before may come after that.
+  answer(OrderResult::kUnknown);
+  answer(OrderResult::kNoCapacity);
+  CHECK(IsSchedulable(one.Owner(), one.Known(), one.Now()));
+}
+
 }  // namespace
 }  // namespace filbertspar::scheduler
