Tickets end with the incarnation of their worker

Seen by callers: after a restart of a worker, the first start of each step with a ticket for it was rejected, and a worker that was the only one with a ticket got a new one only after that.

Cause: tickets are kept by the worker's name until they expire; PROTOCOL.md says that they hold during one life of the worker.

Change: a new incarnation drops the tickets for its worker. One that is being asked for meanwhile may still be of the life before; the worker rejects it once.

Test: "a ticket is not used for the next incarnation of its worker" (before: the ticket is used and no new one asked for).

--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -73,6 +73,9 @@
   worker.m_avoid_until = TimePoint::min();
   worker.m_no_capacity_until = TimePoint::min();
   worker.m_unwanted_stops.clear();
+  for (auto& [step, approvals] : scheduler.m_approvals) {
+    approvals.m_tickets.erase(worker.m_record.m_name);
+  }
   RequeueTasksOf(scheduler, now, worker, "worker_restarted");
   AddLogEvent(scheduler, "worker_restarted", {}, index,
               absl::StrCat("incarnation=", incarnation));
--- a/tests/scheduler_incarnation_test.cc
+++ b/tests/scheduler_incarnation_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "filbertspar/scheduler/src/placement.h"
 #include "tests/scheduler_simulation.h"
 
 namespace filbertspar::scheduler {
@@ -124,5 +125,23 @@
   CHECK(IsSchedulable(one.Owner(), one.Known(), one.Now()));
 }
 
+// Guards against starts with a ticket that is refused: tickets hold during one
+// incarnation of the worker.
+TEST_CASE("a ticket is not used for the next incarnation of its worker") {
+  OneWorker one;
+  JobSpec job = Simulation::MakeJob("job", "p", 1, Seconds(2));
+  job.m_policy.m_needs_recommendation = true;
+  AddJob(one.Owner(), one.Now(), job);
+  REQUIRE(CollectRecommendationRequests(one.Owner(), one.Now()).size() == 1);
+  const TaskId task{JobId("job"), 0, 0, 0};
+  const Recommendation approval{{{WorkerName("w1"), "ticket"}}, Seconds(60)};
+  HandleRecommendation(one.Owner(), one.Now(), task, &approval);
+  REQUIRE(FindTicket(one.Owner(), one.Now(), task, WorkerName("w1")) !=
+          nullptr);
+  one.Poll(2, 10);
+  CHECK(FindTicket(one.Owner(), one.Now(), task, WorkerName("w1")) == nullptr);
+  CHECK(CollectRecommendationRequests(one.Owner(), one.Now()).size() == 1);
+}
+
 }  // namespace
 }  // namespace filbertspar::scheduler
