An answer at an earlier address does not end the worker

Seen by callers: not yet; by reading, for the table of what crosses from one incarnation to the next.

Fault: a worker that starts again under its id at another address is registered there, while a poll is still open at the address before. When another worker has taken that address, it answers that poll with other_instance, and the owner took the worker for gone: not registered, and not polled any more until its entry changes again.

Change: such an answer counts only while the worker is registered at the address that gave it. Also, a poll that repeats an unanswered one over another connection, under load, asks for its answer at once, as one over a new connection does.

Test: "an answer at an earlier address does not end the worker" (before: the next incarnation is never polled).

--- a/filbertspar/node/src/worker_connections.cc
+++ b/filbertspar/node/src/worker_connections.cc
@@ -218,21 +218,25 @@
       m_traffic.IsLoaded() ? kLoadedRenewals : 0;
   const auto& worker = m_scheduler.m_workers[index];
   const WorkerName name = worker.m_record.m_name;
+  const Endpoint endpoint = worker.m_record.m_endpoint;
   CallOptions options;
   if (!fresh_connection && CanReach(index)) {
     options.m_connection = ConnectionChoice::kToPeer;
     options.m_peer = PeerOf(worker.m_incarnation);
     order.m_deadline_ms = scheduler::GrantLease(m_scheduler, sent, index);
     order.m_acknowledged = worker.m_finished_stored;
-    order.m_wait = worker.m_tasks.empty() ? kIdlePollWait : kBusyPollWait;
-    options.m_timeout = order.m_wait + Patience(kPollResponseMargin);
+    if (worker.m_failed_polls == 0) {
+      order.m_wait = worker.m_tasks.empty() ? kIdlePollWait : kBusyPollWait;
+    }
   } else {
     // Whatever incarnation answers, this poll must grant it no lease and have
     // it discard nothing.
     options.m_connection = ConnectionChoice::kNew;
     options.m_identify = IdentifyWorker;
-    options.m_timeout = Patience(kFirstPollTimeout);
   }
+  options.m_timeout = order.m_wait > Duration(0)
+                          ? order.m_wait + Patience(kPollResponseMargin)
+                          : Patience(kFirstPollTimeout);
   HttpRequest request = adapter::MakePollRequest(name, order);
   Channel& channel = ChannelOf(index);
   channel.m_has_open_poll = true;
@@ -261,7 +265,11 @@
   const OrderResult refusal = adapter::DecodeOrderResponse(result).m_result;
   Count(m_metrics, metric::kOrders,
         absl::StrCat("look_", std::string(OrderResultName(refusal))));
-  if (refusal == OrderResult::kOtherInstance) {
+  // What answers at an earlier address of the worker says nothing about its
+  // next incarnation.
+  const bool has_moved =
+      m_scheduler.m_workers[index].m_record.m_endpoint != endpoint;
+  if (refusal == OrderResult::kOtherInstance && !has_moved) {
     scheduler::HandleInstanceReplaced(m_scheduler, BootNow(), index);
     m_hooks.m_changed();
   }
--- a/tests/platform/node_worker_restart_test.cc
+++ b/tests/platform/node_worker_restart_test.cc
@@ -161,5 +161,28 @@
   CHECK_FALSE(scheduler::MayHaveRestarted(owner.Known()));
 }
 
+// Guards against a worker that is taken for gone, and left idle until its entry
+// changes again, because another worker answers at the address of its earlier
+// incarnation.
+TEST_CASE("an answer at an earlier address does not end the worker") {
+  asio::io_context context;
+  RestartingWorker before(context);
+  before.m_longest_wait = Milliseconds(50);
+  RestartingWorker after(context);
+  after.Restart(1);
+  WorkerOwner owner(context);
+  owner.Follow(before);
+  REQUIRE(owner.RunUntil([&] { return owner.Known().m_has_responded; }));
+  const std::size_t answered = before.m_requests.size();
+  REQUIRE(owner.RunUntil([&] { return before.m_requests.size() > answered; }));
+  // The poll that is open now is answered by the other worker.
+  before.m_is_other_worker = true;
+  owner.Follow(after);
+  REQUIRE(owner.RunUntil(
+      [&] { return owner.Known().m_incarnation == after.m_incarnation; }));
+  CHECK(owner.Known().m_registered);
+  CHECK(scheduler::IsSchedulable(owner.m_scheduler, owner.Known(), BootNow()));
+}
+
 }  // namespace
 }  // namespace filbertspar
--- a/tests/platform/restarting_worker.h
+++ b/tests/platform/restarting_worker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -84,6 +85,10 @@
   }
 
   std::int64_t m_incarnation = 1;
+  /// Another worker has taken the address: orders to this one are rejected.
+  bool m_is_other_worker = false;
+  /// Polls are held for no longer than this, whatever they allow.
+  Duration m_longest_wait = Seconds(2);
   /// Runs by task.
   std::map<std::string, std::int64_t> m_running;
   std::vector<Request> m_requests;
@@ -124,13 +129,15 @@
       if (const auto* wait = body.if_contains("wait_ms")) {
         // Held until the end of the wait, or of the incarnation.
         asio::steady_timer timer(
-            m_context, std::chrono::milliseconds(wait->to_number<int>()));
+            m_context,
+            std::min(m_longest_wait, Milliseconds(wait->to_number<int>())));
         co_await timer.async_wait(kTuple);
         if (incarnation != m_incarnation) {
           continue;
         }
       }
-      HttpResponse response = JsonResponse(200, Answer(path, body));
+      HttpResponse response =
+          JsonResponse(m_is_other_worker ? 421 : 200, Answer(path, body));
       response.keep_alive(true);
       response.prepare_payload();
       co_await http::async_write(*socket, response, kTuple);
