A history of restarted workers that are cut off

The simulation of the scheduler's tests gave the acknowledgement and the lease of a poll to whatever incarnation was there, and carried out or lost a start at once. It now holds polls and repeats starts of a silent worker for as long as the node does, gives them to the incarnation only that they are for, and shortens leases to the longest that a worker holds. With `m_reaches_any_incarnation` they reach any, as before the change.

--- a/tests/scheduler_incarnation_test.cc
+++ b/tests/scheduler_incarnation_test.cc
@@ -143,5 +143,77 @@
   CHECK(CollectRecommendationRequests(one.Owner(), one.Now()).size() == 1);
 }
 
+/// Lets workers lose their power, start again under their names some time
+/// later, and be cut off from the owner soon after. All figures are drawn.
+void PlayRestarts(Simulation& simulation, std::uint64_t seed) {
+  Rng rng(seed);
+  const auto draw = [&rng](int max_ms) {
+    return Milliseconds(20 * (1 + rng.Below(max_ms / 20)));
+  };
+  simulation.m_poll_timeout = Milliseconds(1600);
+  for (int i = 0; i < 4; ++i) {
+    simulation.AddWorker("w" + std::to_string(i), "p", 16);
+  }
+  simulation.RunFor(Seconds(3));
+  int jobs = 0;
+  const auto run_for = [&](Duration duration) {
+    const TimePoint end = simulation.m_now + duration;
+    while (simulation.m_now < end) {
+      JobSpec job = Simulation::MakeJob("j" + std::to_string(++jobs), "p", 3,
+                                        draw(rng.Chance(0.5) ? 400 : 5000));
+      job.m_policy.m_target = Seconds(60);
+      job.m_steps[0].m_gang = rng.Chance(0.2);
+      simulation.Submit(job);
+      simulation.RunFor(std::min(draw(240), end - simulation.m_now));
+    }
+  };
+  for (int round = 0; round < 6; ++round) {
+    FakeWorker& worker = *simulation.m_workers[rng.Below(4)];
+    simulation.Restart(worker);
+    worker.m_is_unreachable = true;
+    run_for(draw(2400));
+    if (rng.Chance(0.3)) {
+      simulation.TakeOver();
+      run_for(draw(500));
+    }
+    worker.m_booted_at = simulation.m_now;
+    worker.m_is_unreachable = false;
+    run_for(draw(1200));
+    worker.m_is_unreachable = true;
+    run_for(draw(6000));
+    worker.m_is_unreachable = false;
+    run_for(draw(2000));
+  }
+}
+
+// Guards against any other order of a restart, a cut and a change of owner
+// after which a task runs twice at once, or again after its end was
+// acknowledged (review/6, review/9).
+TEST_CASE("restarted workers that are cut off run no task twice") {
+  for (std::uint64_t seed = 1; seed <= 120; ++seed) {
+    Simulation simulation;
+    PlayRestarts(simulation, seed);
+    INFO("seed " << seed);
+    REQUIRE(simulation.m_max_concurrent_runs <= 1);
+    REQUIRE(simulation.m_starts_after_end == 0);
+  }
+}
+
+// Guards against a history that would not show the fault: starts and polls that
+// reach whatever incarnation is there break it.
+TEST_CASE("the history of restarts shows orders that reach any incarnation") {
+  int concurrent = 0;
+  int after_end = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Simulation simulation;
+    simulation.m_reaches_any_incarnation = true;
+    PlayRestarts(simulation, seed);
+    concurrent += simulation.m_max_concurrent_runs > 1;
+    after_end += simulation.m_starts_after_end > 0;
+  }
+  CHECK(concurrent > 0);
+  CHECK(after_end > 0);
+}
+
 }  // namespace
 }  // namespace filbertspar::scheduler
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -116,8 +117,10 @@
     m_owner->m_options.m_runs_are_recorded = m_runs_are_recorded;
     m_owner->m_deployment = m_deployment;
     RestoreRows(*m_owner, m_now, jobs, m_progress);
+    m_unanswered_starts.clear();
     m_owner->m_expected_workers.emplace();
     for (const auto& worker : m_workers) {
+      worker->m_poll_given_up_at = TimePoint::max();
       if (worker->m_is_replaced) {
         continue;
       }
@@ -146,6 +149,7 @@
     worker.m_finished.clear();
     worker.m_next_finished_number = 1;
     worker.m_fencing = FencingNumber();
+    worker.m_lease_until = TimePoint();
   }
 
   /// Changes the capacity that the worker reports.
@@ -200,6 +204,11 @@
   /// Run time divided by estimate.
   double m_ratio = 1;
   Duration m_stop_time = Milliseconds(200);
+  /// Time after which a poll without an answer is given up. Starts to a silent
+  /// worker are repeated meanwhile.
+  Duration m_poll_timeout{0};
+  /// Planted: starts and polls reach whatever incarnation is there.
+  bool m_reaches_any_incarnation = false;
   bool m_store_is_down = false;
   /// Progress that the store rejects; it rejects all that is written with it.
   std::function<bool(const JobWrite&)> m_store_rejects = [](const JobWrite&) {
@@ -210,6 +219,8 @@
   /// Starts that brought a worker over its capacity. Workers start whatever
   /// they are ordered to.
   int m_starts_over_capacity = 0;
+  /// Starts of tasks of which a run had ended as done and was acknowledged.
+  int m_starts_after_end = 0;
   /// Highest number of simultaneous runs of one task.
   std::size_t m_max_concurrent_runs = 0;
   std::set<std::string> m_failing_jobs;
@@ -225,6 +236,8 @@
 
  private:
   static constexpr Duration kTick = Milliseconds(20);
+  /// A longer lease is shortened to this by the worker.
+  static constexpr Duration kMaxLease = Seconds(6);
 
   std::int64_t ClockOf(const FakeWorker& worker) const {
     return ToMilliseconds(m_now - worker.m_booted_at) + 1000;
@@ -248,6 +261,7 @@
     ExpireLeases(*m_owner, m_now);
     Dispatch(*m_owner, m_now);
     ApplyEffects();
+    RepeatStarts();
     for (const auto& worker : m_workers) {
       for (const auto& [task, run] : worker->m_running) {
         m_max_concurrent_runs =
@@ -378,7 +392,25 @@
       }
       return;
     }
-    const auto deadline = GrantLease(*m_owner, m_now, index);
+    if (worker.m_poll_given_up_at != TimePoint::max()) {
+      if (m_now >= worker.m_poll_given_up_at) {
+        worker.m_poll_given_up_at = TimePoint::max();
+        HandlePollFailure(*m_owner, m_now, index, PollFailure::kSilent);
+      }
+      return;
+    }
+    // Other incarnations than the known one are only asked which they are.
+    const bool is_known =
+        m_owner->m_workers[index].m_incarnation == worker.m_incarnation ||
+        m_reaches_any_incarnation;
+    std::optional<std::int64_t> deadline;
+    if (is_known || worker.m_is_unreachable) {
+      deadline = GrantLease(*m_owner, m_now, index);
+    }
+    if (worker.m_is_unreachable && m_poll_timeout > Duration(0)) {
+      worker.m_poll_given_up_at = m_now + m_poll_timeout;
+      return;
+    }
     if (worker.m_is_unreachable) {
       HandlePollFailure(*m_owner, m_now, index, PollFailure::kSilent);
       return;
@@ -393,16 +425,33 @@
     }
     worker.m_fencing = std::max(worker.m_fencing, m_owner->m_options.m_fencing);
     if (deadline) {
-      worker.m_lease_until =
-          std::max(worker.m_lease_until,
-                   m_now + Milliseconds(*deadline - ClockOf(worker)));
-    }
-    const std::uint64_t acknowledged =
-        m_owner->m_workers[index].m_finished_stored;
-    std::erase_if(worker.m_finished,
-                  [acknowledged](const FinishedRun& finished) {
-                    return finished.m_number <= acknowledged;
-                  });
+      ExtendLease(worker, *deadline);
+    }
+    if (is_known) {
+      Acknowledge(worker, m_owner->m_workers[index].m_finished_stored);
+    }
+    HandlePollResponse(*m_owner, sent, m_now, index, StatusOf(worker));
+  }
+
+  void ExtendLease(FakeWorker& worker, std::int64_t deadline_ms) const {
+    const Duration length = std::min(
+        kMaxLease, Duration(Milliseconds(deadline_ms - ClockOf(worker))));
+    worker.m_lease_until = std::max(worker.m_lease_until, m_now + length);
+  }
+
+  void Acknowledge(FakeWorker& worker, std::uint64_t number) {
+    for (const FinishedRun& finished : worker.m_finished) {
+      if (finished.m_number <= number &&
+          finished.m_outcome == RunOutcome::kDone) {
+        m_acknowledged_ends.insert(finished.m_task);
+      }
+    }
+    std::erase_if(worker.m_finished, [number](const FinishedRun& finished) {
+      return finished.m_number <= number;
+    });
+  }
+
+  WorkerStatus StatusOf(const FakeWorker& worker) const {
     WorkerStatus status;
     status.m_clock_ms = ClockOf(worker);
     status.m_incarnation = worker.m_incarnation;
@@ -411,7 +460,31 @@
       status.m_running.push_back({task, RunNumber(run.m_run), run.m_checkpoint,
                                   run.m_speed_percent, run.m_load});
     }
-    HandlePollResponse(*m_owner, sent, m_now, index, status);
+    return status;
+  }
+
+  /// Sends the starts without an answer again until their time is over.
+  void RepeatStarts() {
+    std::vector<UnansweredStart> starts;
+    std::swap(starts, m_unanswered_starts);
+    for (const UnansweredStart& unanswered : starts) {
+      const StartOrder& order = unanswered.m_start.m_order;
+      const TaskRef ref = FindTask(*m_owner, order.m_task);
+      const FakeWorker* worker =
+          Find(m_owner->m_workers[unanswered.m_start.m_worker].m_record.m_name);
+      if (!ref || ref.GetTask().m_phase != TaskPhase::kStarting ||
+          ref.GetTask().m_run != order.m_run.Value()) {
+        continue;
+      }
+      if (m_now >= unanswered.m_until) {
+        HandleStartResponse(*m_owner, m_now, unanswered.m_start.m_worker, order,
+                            {OrderResult::kUnknown, std::nullopt}, true);
+      } else if (worker->m_is_unreachable) {
+        m_unanswered_starts.push_back(unanswered);
+      } else {
+        ApplyStart(unanswered.m_start);
+      }
+    }
   }
 
   void ApplyEffects() {
@@ -457,9 +530,23 @@
                           {OrderResult::kNotDelivered, std::nullopt}, false);
       return;
     }
+    if (worker != nullptr && worker->m_is_unreachable &&
+        m_poll_timeout > Duration(0)) {
+      m_unanswered_starts.push_back(
+          {start, m_now + m_owner->m_options.m_start_window});
+    }
     if (worker == nullptr || worker->m_is_unreachable) {
       return;
     }
+    if (order.m_incarnation != worker->m_incarnation &&
+        !m_reaches_any_incarnation) {
+      // The owner learns of the incarnation that answers; the start is not
+      // sent.
+      worker->m_poll_given_up_at = TimePoint::max();
+      HandlePollResponse(*m_owner, m_now, m_now, start.m_worker,
+                         StatusOf(*worker));
+      return;
+    }
     if (worker->m_rejects_starts) {
       HandleStartResponse(*m_owner, m_now, start.m_worker, order,
                           {OrderResult::kUnhealthy, ClockOf(*worker)}, false);
@@ -480,10 +567,9 @@
             : m_now + Duration(static_cast<std::int64_t>(
                           static_cast<double>(step.m_estimate.count()) *
                           (fails ? 0.2 : m_ratio)));
-    worker->m_lease_until =
-        std::max(worker->m_lease_until,
-                 m_now + Milliseconds(order.m_deadline_ms - ClockOf(*worker)));
+    ExtendLease(*worker, order.m_deadline_ms);
     worker->m_running[order.m_task] = run;
+    m_starts_after_end += m_acknowledged_ends.contains(order.m_task) ? 1 : 0;
     m_starts_over_capacity += IsOverCapacity(*worker) ? 1 : 0;
     ++m_starts[order.m_task];
     if (!worker->m_drops_responses) {
@@ -492,8 +578,15 @@
     }
   }
 
+  struct UnansweredStart {
+    Effects::Start m_start;
+    TimePoint m_until{};
+  };
+
   DeploymentConfigPtr m_deployment;
   std::size_t m_max_writes = 100;
+  std::vector<UnansweredStart> m_unanswered_starts;
+  std::set<TaskId> m_acknowledged_ends;
 };
 
 }  // namespace filbertspar::scheduler
--- a/tests/scheduler_simulation_parts.h
+++ b/tests/scheduler_simulation_parts.h
@@ -29,6 +29,8 @@
   TimePoint m_lease_until{};
   /// Polls and orders get no answer; its tasks keep running.
   bool m_is_unreachable = false;
+  /// When the poll that waits for its answer is given up; max() without one.
+  TimePoint m_poll_given_up_at = TimePoint::max();
   /// Connections to it are refused; its tasks keep running.
   bool m_refuses = false;
   /// Answers polls, but rejects every start.
