A list of runs without an incarnation matches any registration

PROTOCOL.md says that lists of runs and registrations both state `born`. A worker whose lists do not state it, while its registration does, would have been left idle for good by the comparison of the two; nothing contradicts its registration then.

--- a/filbertspar/scheduler/src/worker_state.cc
+++ b/filbertspar/scheduler/src/worker_state.cc
@@ -9,9 +9,9 @@
 constexpr Duration kResponseTimeout = Milliseconds(2500);
 
 /// Whether the registration describes the incarnation that answers: another one
-/// may differ in kind and capacity.
+/// may differ in kind and capacity. Either may state none.
 bool IsRegistrationCurrent(const Worker& worker) {
-  return worker.m_record.m_incarnation == 0 ||
+  return worker.m_record.m_incarnation == 0 || worker.m_incarnation == 0 ||
          worker.m_record.m_incarnation == worker.m_incarnation;
 }
 
@@ -34,7 +34,7 @@
 
 bool MayHaveRestarted(const Worker& worker) {
   const auto& ended = worker.m_ended_incarnations;
-  return worker.m_incarnation != 0 && !IsRegistrationCurrent(worker) &&
+  return !IsRegistrationCurrent(worker) &&
          std::find(ended.begin(), ended.end(), worker.m_record.m_incarnation) ==
              ended.end();
 }
