The soak restarts workers under their names and cuts them off

Stand-ins tell connections of one life from those of the next; an order that a worker carries out late ends with its life.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -35,7 +35,10 @@
         # Numbers of their own: what the seed draws for faults and jobs stays as it was.
         callers += [Caller(site, workspace, f"{seed} {workspace}").ask(until, ASKS_PER_S)
                     for workspace in sorted(site.config.keys)]
-        injected, *_ = await asyncio.gather(faults.inject(site, rng, until, 1.5), plants.during(plant, site), *callers)
+        injected, restarts, *_ = await asyncio.gather(
+            faults.inject(site, rng, until, 1.5),
+            faults.restart_workers(site, random.Random(f"{seed} restarts"), until), plants.during(plant, site), *callers)
+        injected |= restarts
         await asyncio.sleep(6)
         await site.settle()
         await site.stop()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -88,6 +88,21 @@
     await site.new_worker(vm)
 
 
+async def restart_worker(site, rng):
+    """A worker loses its power, starts again under its id and is cut off soon after."""
+    worker = rng.choice([vm.worker for vm in site.fleet.vms.values()])
+    delays = [rng.uniform(0.05, longest) for longest in site.restart_delays]
+    if not worker.lose_power():
+        return
+    await asyncio.sleep(delays[0])
+    if not worker.boot(site.keeps_connections):
+        return
+    await asyncio.sleep(delays[1])
+    worker.faults.add("cut")
+    await asyncio.sleep(delays[2])
+    worker.faults.discard("cut")
+
+
 async def shrink_worker(site, rng):
     vm = rng.choice(list(site.fleet.vms.values()))
     whole = vm.capacity["cpu"]
@@ -112,6 +127,17 @@
        crash_worker, shrink_worker, revoke_key, add_queue, wave]
 
 
+async def restart_workers(site, rng, until):
+    """Restarts beside the other faults. Returns how often they came."""
+    under_way = []
+    while time.monotonic() < until:
+        await asyncio.sleep(rng.expovariate(1 / site.restart_gap_s))
+        site.note("fault restart_worker")
+        under_way.append(asyncio.ensure_future(restart_worker(site, rng)))
+    await asyncio.gather(*under_way)
+    return {"restart_worker": len(under_way)}
+
+
 async def inject(site, rng, until, mean_gap_s):
     """Starts faults at random times; each runs beside the others. Returns how often each came."""
     counts = {}
--- a/soak/http1.py
+++ b/soak/http1.py
@@ -35,12 +35,20 @@
 
 
 class Server:
-    """Serves `handle(method, path, headers, body)`, which gives a status and a JSON value."""
+    """Serves `handle(method, path, headers, body)`, which gives a status and a JSON value.
+
+    Its machine can lose its power: then it answers nothing, and when it is on again, connections of before are reset
+    by what is sent on them. `keeps_connections`, planted, hands them on to the next process instead.
+    """
 
     def __init__(self, handle):
         self._handle = handle
         self._server = None
         self._writers = set()
+        self._boots = 0
+        self._has_power = asyncio.Event()
+        self._has_power.set()
+        self.keeps_connections = False
 
     async def start(self, host, port):
         self._server = await asyncio.start_server(self._serve, host, port, limit=1 << 22)
@@ -50,10 +58,24 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def lose_power(self):
+        self._boots += 1
+        self._has_power.clear()
+
+    def boot(self):
+        self._has_power.set()
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
+        # A connection that was opened without power never reached the machine.
+        boots = self._boots if self._has_power.is_set() else None
         try:
             while (message := await read_message(reader)) is not None:
+                await self._has_power.wait()
+                if boots != self._boots:
+                    if not self.keeps_connections:
+                        break
+                    boots = self._boots
                 first, headers, body = message
                 method, path, _ = first.split(" ", 2)
                 try:
@@ -61,6 +83,9 @@
                 except Silent:
                     await asyncio.sleep(SILENCE_S)
                     break
+                if boots != self._boots:
+                    # The process that took the request has ended without an answer.
+                    continue
                 text = json.dumps(value).encode()
                 writer.write(
                     f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\n"
--- a/soak/site.py
+++ b/soak/site.py
@@ -73,6 +73,10 @@
         self.fleet = Fleet(self.promises)
         self.fleet.new_worker = self.new_worker
         self.paused_at = {}
+        # Of restarted workers: mean time between two, and longest times without power, until the cut, and of the cut.
+        self.restart_gap_s = 3.0
+        self.restart_delays = (2.6, 1.5, 6.0)
+        self.keeps_connections = False
         self._numbers = self._rng.getrandbits(40) << 16
         self._lives = 0
         self._waves = 0
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -20,7 +20,7 @@
 
 
 class Worker:
-    """One life of a VM. `faults` holds: cut, lose_answers, fail_all, late."""
+    """A worker, which may start again under its id. `faults` holds: cut, lose_answers, fail_all, late."""
 
     def __init__(self, name, vm, address, rng, store, promises, jobs, guards):
         self.name, self.vm, self.address, self._rng = name, vm, address, rng
@@ -29,8 +29,18 @@
         self._guards = guards
         self.faults = set()
         self.is_up = False
-        self._born = int(time.time() * 1000)
+        self._is_off = False
         self._rate = rng.uniform(0.98, 1.0)
+        self._server = Server(self._handle)
+        self._tasks = []
+        self._begin_life()
+        # A VM that moves joins its next pool as another worker.
+        self._pool = vm.pool
+        self.on_crash = None
+
+    def _begin_life(self):
+        """A new life holds and knows nothing of before, and its counts start anew."""
+        self._born = int(time.time() * 1000)
         self._began = time.monotonic()
         self._fence = 0
         self._lease_ms = 0
@@ -40,32 +50,54 @@
         self._next_end = 1
         self._sequence = 0
         self._woken = asyncio.Event()
-        self._server = Server(self._handle)
-        self._tasks = []
-        # A VM that moves joins its next pool as another worker.
-        self._pool = vm.pool
-        self.on_crash = None
 
     def clock_ms(self):
         return int((time.monotonic() - self._began) * 1000 * self._rate) + 1000
 
     async def start(self):
         await self._server.start(*self.address)
+        self._go()
+
+    def _go(self):
         self.is_up = True
         self._tasks = [asyncio.ensure_future(self._report()), asyncio.ensure_future(self._advance())]
 
-    def end(self):
-        """Ends the life and all that runs; the registration stays."""
-        if not self.is_up:
-            return
+    def _end_life(self):
         self.is_up = False
         for run in list(self.running.values()):
             self._promises.run_ended(run.task, run.number, self.name, "gone")
         self.running.clear()
         for task in self._tasks:
             task.cancel()
+
+    def end(self):
+        """Ends the worker and all that runs; the registration stays."""
+        if not self.is_up and not self._is_off:
+            return
+        self._is_off = False
+        self._end_life()
         asyncio.ensure_future(self._server.stop())
 
+    def lose_power(self):
+        """Ends the life without a sign to anybody. False when there is none."""
+        if not self.is_up:
+            return False
+        self._is_off = True
+        self._server.lose_power()
+        self._end_life()
+        return True
+
+    def boot(self, keeps_connections=False):
+        """Begins the next life under the same id. False when the worker has ended."""
+        if not self._is_off:
+            return False
+        self._is_off = False
+        self._begin_life()
+        self._server.keeps_connections = keeps_connections
+        self._server.boot()
+        self._go()
+        return True
+
     def unregister(self):
         self._store.put("servers", self.name, None)
 
@@ -116,7 +148,8 @@
         if headers.get("x-expected-instance") != self.name:
             return 421, {"clock_ms": self.clock_ms(), "born": self._born}
         if "late" in self.faults and path != "/hold":
-            asyncio.get_running_loop().call_later(self._rng.uniform(1, 6), self._carry_out, path, body)
+            asyncio.get_running_loop().call_later(
+                self._rng.uniform(1, 6), self._carry_out_late, self._born, path, body)
             raise Dropped
         if path == "/hold":
             status, answer = await self._hold(body)
@@ -126,6 +159,10 @@
             raise Dropped
         return status, answer | {"clock_ms": self.clock_ms(), "born": self._born}
 
+    def _carry_out_late(self, born, path, body):
+        if born == self._born:
+            self._carry_out(path, body)
+
     def _carry_out(self, path, body):
         if not self.is_up:
             return 421, {}
