A connection that is not opened in time says nothing about open ones

A poll that opens a connection ahead of a start closed the idle connections to the worker when it timed out, also those on which starts go out meanwhile. Only an answer that nothing listens there does now. A connection that was still to be opened when its term ended is no longer opened.

No caller saw it; found by reading the change again.

--- a/filbertspar/node/src/start_relay.cc
+++ b/filbertspar/node/src/start_relay.cc
@@ -96,7 +96,6 @@
     if (refusal != OrderResult::kUnknown && refusal != OrderResult::kAccepted) {
       co_return ReplyTo(start, RelayOutcome::kAnswered, refusal);
     }
-    m_client.DropIdle(start.m_endpoint);
     break;
   }
   if (m_client.CanReach(start.m_endpoint, peer)) {
--- a/filbertspar/node/src/worker_connections_starts.cc
+++ b/filbertspar/node/src/worker_connections_starts.cc
@@ -60,7 +60,9 @@
   if (result.m_end == CallEnd::kAnswered) {
     m_traffic.CountReceived(kPollTraffic, result.m_response.body().size() +
                                               TrafficMeter::kHttpHeaderBytes);
-  } else {
+  } else if (result.m_failure != CallFailure::kTimedOut) {
+    // Nothing listens there any more. A connection that is not opened in time
+    // says nothing about those that are open.
     m_client.DropIdle(target.m_endpoint);
   }
   Count(m_metrics, metric::kOrders,
@@ -112,7 +114,9 @@
 asio::awaitable<void> WorkerConnections::ConnectInBackground(
     WorkerIndex index) {
   auto self = shared_from_this();
-  co_await Connect(index, Patience(kOrderTimeout));
+  if (m_running) {
+    co_await Connect(index, Patience(kOrderTimeout));
+  }
 }
 
 WorkerConnections::StartAttempt WorkerConnections::AttemptWithoutConnection(
