--- a/filbertspar/http/src/client.cc
+++ b/filbertspar/http/src/client.cc
@@ -225,7 +225,6 @@
     co_return result;
   }
   if (connection == nullptr) {
-    result.m_on_new_connection = true;
     connection =
         co_await state->Connect(endpoint, options.m_timeout, result.m_failure);
   }
--- a/filbertspar/http/src/client.h
+++ b/filbertspar/http/src/client.h
@@ -43,8 +43,6 @@
 struct CallResult {
   CallEnd m_end = CallEnd::kNotSent;
   CallFailure m_failure = CallFailure::kTimedOut;
-  /// Whether the connection was opened for this call.
-  bool m_on_new_connection = false;
   HttpResponse m_response;
 };
 
--- a/filbertspar/node/src/incarnation.cc
+++ b/filbertspar/node/src/incarnation.cc
@@ -1,5 +1,6 @@
 #include "filbertspar/node/src/incarnation.h"
 
+#include <cstddef>
 #include <utility>
 
 #include "filbertspar/node/src/clock.h"
@@ -29,8 +30,9 @@
   HttpRequest request = adapter::MakePollRequest(target.m_name, order);
   introduction.m_result = co_await client.Call(
       target.m_endpoint, std::move(request), std::move(options));
-  introduction.m_status = adapter::DecodeWorkerStatus(
-      introduction.m_result, introduction.m_invalid_count);
+  std::size_t invalid_count = 0;
+  introduction.m_status =
+      adapter::DecodeWorkerStatus(introduction.m_result, invalid_count);
   co_return introduction;
 }
 
--- a/filbertspar/node/src/incarnation.h
+++ b/filbertspar/node/src/incarnation.h
@@ -16,17 +16,16 @@
 /// names the incarnation that it is for. But a connection leads to one process:
 /// what is sent on one where an incarnation has answered reaches no other.
 
-/// \brief A worker as the sender of an order knows it.
+/// \brief A worker that is asked which incarnation it is.
 struct WorkerTarget {
   WorkerName m_name;
   Endpoint m_endpoint;
-  /// See WorkerStatus.
-  std::int64_t m_incarnation = 0;
   /// Of the owner of the jobs.
   FencingNumber m_fencing;
 };
 
-/// \brief The peer of HttpClient that an incarnation is.
+/// \brief What HttpClient calls the process of an incarnation (see
+/// WorkerStatus).
 PeerId PeerOf(std::int64_t incarnation);
 
 /// \brief The peer that sent the answer to a poll.
@@ -39,8 +38,6 @@
   TimePoint m_sent_at{};
   /// Empty when there was no answer, or the worker refused the poll.
   std::optional<WorkerStatus> m_status;
-  /// Entries of the answer that could not be read.
-  std::size_t m_invalid_count = 0;
 };
 
 /// \brief Opens a connection to whatever incarnation of the worker is at its
--- a/filbertspar/node/src/start_relay.cc
+++ b/filbertspar/node/src/start_relay.cc
@@ -79,7 +79,7 @@
       break;
     }
     const WorkerTarget target{WorkerName(start.m_worker), start.m_endpoint,
-                              start.m_incarnation, start.m_fencing};
+                              start.m_fencing};
     m_traffic.CountSent(kRelayTraffic, TrafficMeter::kHttpHeaderBytes);
     const Introduction introduction =
         co_await Introduce(m_client, target, std::min(kCallTimeout, left));
--- a/filbertspar/node/src/worker_connections.cc
+++ b/filbertspar/node/src/worker_connections.cc
@@ -110,7 +110,7 @@
 WorkerTarget WorkerConnections::TargetOf(WorkerIndex index) const {
   const scheduler::Worker& worker = m_scheduler.m_workers[index];
   return {worker.m_record.m_name, worker.m_record.m_endpoint,
-          worker.m_incarnation, m_scheduler.m_options.m_fencing};
+          m_scheduler.m_options.m_fencing};
 }
 
 bool WorkerConnections::CanReach(WorkerIndex index) {
