The soak's large jobs tell how many tasks they have

The check of completed jobs asks a job for the number of its tasks; jobs that soak.largest hands in had no such answer, so that a run ended with an AttributeError as soon as one was shown as completed (seen with soak.restarts, which uses the same jobs).

--- a/soak/largest.py
+++ b/soak/largest.py
@@ -64,6 +64,9 @@
         self.is_poison, self.is_cancelled, self.crashes_after = False, False, None
         self.attempts, self.accepted_at = queue.attempts, None
 
+    def tasks(self):
+        return sum(step["count"] for step in self._body["steps"]) * max(1, self._body.get("times", 0))
+
     def body(self):
         return self._body
 
