--- a/soak/faults.py
+++ b/soak/faults.py
@@ -90,7 +90,7 @@
 
 async def restart_worker(site, rng):
     """A worker loses its power, starts again under its id and is cut off soon after."""
-    worker = rng.choice([vm.worker for vm in site.fleet.vms.values()])
+    worker = site.worker_to_restart(rng)
     delays = [rng.uniform(0.05, longest) for longest in site.restart_delays]
     if not worker.lose_power():
         return
--- a/soak/site.py
+++ b/soak/site.py
@@ -94,6 +94,9 @@
         self._log.write(f"{time.monotonic() - self.began:.3f} {text}\n")
         self._log.flush()
 
+    def worker_to_restart(self, rng):
+        return rng.choice([vm.worker for vm in self.fleet.vms.values()])
+
     def next_number(self):
         self._numbers += 1
         return self._numbers
