Log which incarnation lists runs and ends that it was not ordered

The logs could not tell whether the first answer of a new incarnation already lists runs or ends, on which incarnation an adopted or unwanted run was found, and which fencing number a start carried.

worker_restarted states the former incarnation, the clock, runs and ends of its first answer; task_adopted and unwanted_run_stop the incarnation; start_sent the fencing number. No change of logic.

--- a/filbertspar/node/src/worker_connections_starts.cc
+++ b/filbertspar/node/src/worker_connections_starts.cc
@@ -34,6 +34,7 @@
       " task=", order.m_task.m_index, " run=", order.m_run.Value(),
       " worker=", worker.m_record.m_name.Value(),
       " incarnation=", worker.m_incarnation,
+      " fencing=", order.m_fencing.Value(),
       " deadline_ms=", order.m_deadline_ms,
       " clock_ms=", scheduler::MinWorkerClock(worker, now),
       " lease_left_ms=", ToMilliseconds(worker.m_lease_until - now));
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -49,18 +49,19 @@
 /// A new incarnation has no runs of the previous one, and none of the starts
 /// that this one got can reach it.
 void HandleNewIncarnation(Scheduler& scheduler, TimePoint now,
-                          WorkerIndex index, std::int64_t incarnation) {
+                          WorkerIndex index, const WorkerStatus& status) {
   Worker& worker = scheduler.m_workers[index];
-  const bool is_first = worker.m_incarnation == 0;
+  const std::int64_t former = worker.m_incarnation;
+  const bool is_first = former == 0;
   if (!is_first) {
     HandleWorkerReplaced(scheduler, now, index);
-    worker.m_ended_incarnations.push_back(worker.m_incarnation);
+    worker.m_ended_incarnations.push_back(former);
     if (worker.m_ended_incarnations.size() > kMaxEndedIncarnations) {
       worker.m_ended_incarnations.pop_front();
     }
   }
   worker.m_end = WorkerEnd();
-  worker.m_incarnation = incarnation;
+  worker.m_incarnation = status.m_incarnation;
   worker.m_has_responded = false;
   if (is_first) {
     return;
@@ -77,8 +78,12 @@
     approvals.m_tickets.erase(worker.m_record.m_name);
   }
   RequeueTasksOf(scheduler, now, worker, "worker_restarted");
+  // Runs and ends in the first answer are of orders to former incarnations.
   AddLogEvent(scheduler, "worker_restarted", {}, index,
-              absl::StrCat("incarnation=", incarnation));
+              absl::StrCat("incarnation=", status.m_incarnation,
+                           " former=", former, " clock_ms=", status.m_clock_ms,
+                           " runs=", status.m_running.size(),
+                           " ends=", status.m_finished.size()));
 }
 
 void RecordOutcome(Scheduler& scheduler, TimePoint now, WorkerIndex index,
@@ -154,7 +159,8 @@
   scheduler.m_effects.m_stops.push_back(
       {index, {run.m_task, run.m_run, scheduler.m_options.m_fencing}});
   AddLogDetail(scheduler, "unwanted_run_stop", run.m_task, index,
-               absl::StrCat("run=", run.m_run.Value()));
+               absl::StrCat("run=", run.m_run.Value(),
+                            " incarnation=", worker.m_incarnation));
 }
 
 void AdoptRun(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
@@ -174,7 +180,8 @@
   task.m_since = now;
   task.m_order_confirmed_at = now;
   AddLogEvent(scheduler, "task_adopted", ref.Id(), index,
-              absl::StrCat("run=", run.m_run.Value()));
+              absl::StrCat("run=", run.m_run.Value(), " incarnation=",
+                           scheduler.m_workers[index].m_incarnation));
 }
 
 void ReadActiveRun(Scheduler& scheduler, TimePoint now, WorkerIndex index,
@@ -340,7 +347,7 @@
     return;
   }
   if (status.m_incarnation != worker.m_incarnation) {
-    HandleNewIncarnation(scheduler, now, index, status.m_incarnation);
+    HandleNewIncarnation(scheduler, now, index, status);
   }
   HandleWorkerAlive(scheduler, index);
   worker.m_answered_poll_sent_at = sent;
