Calls without a response that the next incarnation executes: failing tests

What callers see: tasks that run twice when a worker starts again under its name (TWICE).

The stand-in workers now refuse lower fencing numbers, as PROTOCOL.md says.

--- a/tests/platform/restarting_worker.h
+++ b/tests/platform/restarting_worker.h
@@ -26,7 +26,8 @@
 ///
 /// A connection leads to the incarnation that accepted it: when the worker has
 /// started again, polls that it held stay unanswered and connections are reset
-/// by what is sent on them.
+/// by what is sent on them. Requests that arrive while its machine has no power
+/// get no response; any later incarnation may execute them.
 class RestartingWorker {
  public:
   /// What reached an incarnation.
@@ -36,6 +37,10 @@
     JsonObject m_body;
     /// The incarnation's clock when it arrived.
     std::int64_t m_clock_ms = 0;
+
+    std::int64_t Fencing() const {
+      return m_body.at("fencing_token").to_number<std::int64_t>();
+    }
   };
 
   explicit RestartingWorker(asio::io_context& context)
@@ -57,6 +62,23 @@
     m_running.clear();
     m_finished.clear();
     m_next_finished = 1;
+    m_fencing = 0;
+    m_lease_ms = 0;
+    m_has_power = true;
+  }
+
+  /// Executes what arrived without power, as far as the fencing number allows;
+  /// returns the requests that were executed.
+  std::vector<Request> ExecuteUnanswered() {
+    std::vector<Request> executed;
+    for (const Request& request : m_unanswered) {
+      if (request.Fencing() >= m_fencing) {
+        Answer(request.m_path, request.m_body);
+        executed.push_back(request);
+      }
+    }
+    m_unanswered.clear();
+    return executed;
   }
 
   /// Resets the connections of the incarnations that have ended, as when their
@@ -84,7 +106,17 @@
     return m_first_clock_ms + ToMilliseconds(SteadyNow() - m_began_at);
   }
 
+  /// A longer lease is shortened to this.
+  static constexpr Duration kLongestLease = Seconds(6);
+
   std::int64_t m_incarnation = 1;
+  bool m_has_power = true;
+  /// Requests that arrived without power.
+  std::vector<Request> m_unanswered;
+  /// Highest fencing number of a request to this incarnation.
+  std::int64_t m_fencing = 0;
+  /// End of the lease on the clock of this incarnation.
+  std::int64_t m_lease_ms = 0;
   /// Another worker has taken the address: orders to this one are rejected.
   bool m_is_other_worker = false;
   /// Polls are held for no longer than this, whatever they allow.
@@ -125,6 +157,10 @@
       }
       JsonObject body = *ParseJsonObject(request.body());
       const std::string path(request.target().data(), request.target().size());
+      if (!m_has_power) {
+        m_unanswered.push_back({incarnation, path, body, ClockMs()});
+        continue;
+      }
       m_requests.push_back({incarnation, path, body, ClockMs()});
       if (const auto* wait = body.if_contains("wait_ms")) {
         // Held until the end of the wait, or of the incarnation.
@@ -136,8 +172,15 @@
           continue;
         }
       }
+      if (!m_has_power) {
+        continue;
+      }
+      const bool is_fenced = m_requests.back().Fencing() < m_fencing;
       HttpResponse response =
-          JsonResponse(m_is_other_worker ? 421 : 200, Answer(path, body));
+          is_fenced
+              ? JsonResponse(409, JsonObject{{"clock_ms", ClockMs()},
+                                             {"reason", "fence"}})
+              : JsonResponse(m_is_other_worker ? 421 : 200, Answer(path, body));
       response.keep_alive(true);
       response.prepare_payload();
       co_await http::async_write(*socket, response, kTuple);
@@ -146,6 +189,13 @@
 
   Json Answer(const std::string& path, const JsonObject& body) {
     JsonObject answer{{"clock_ms", ClockMs()}};
+    m_fencing =
+        std::max(m_fencing, body.at("fencing_token").to_number<std::int64_t>());
+    if (const auto* deadline = body.if_contains("deadline_ms")) {
+      m_lease_ms = std::max(
+          m_lease_ms, std::min(deadline->to_number<std::int64_t>(),
+                               ClockMs() + ToMilliseconds(kLongestLease)));
+    }
     if (path == "/run-start") {
       m_running[std::string(body.at("task").as_string())] =
           body.at("run").to_number<std::int64_t>();
--- a/tests/scheduler_incarnation_test.cc
+++ b/tests/scheduler_incarnation_test.cc
@@ -169,15 +169,13 @@
   };
   for (int round = 0; round < 6; ++round) {
     FakeWorker& worker = *simulation.m_workers[rng.Below(4)];
-    simulation.Restart(worker);
-    worker.m_is_unreachable = true;
+    simulation.LosePower(worker);
     run_for(draw(2400));
     if (rng.Chance(0.3)) {
       simulation.TakeOver();
       run_for(draw(500));
     }
-    worker.m_booted_at = simulation.m_now;
-    worker.m_is_unreachable = false;
+    simulation.Boot(worker);
     run_for(draw(1200));
     worker.m_is_unreachable = true;
     run_for(draw(6000));
@@ -199,6 +197,43 @@
   }
 }
 
+/// Plays restarts with calls that the next incarnation executes up to
+/// `longest_delay` after its start. Returns the number of such starts.
+int PlayLateCalls(std::uint64_t seed, Duration longest_delay) {
+  Simulation simulation;
+  Rng delays(seed + 1000);
+  simulation.m_late_call_delay = [&] {
+    return Duration(static_cast<std::int64_t>(
+        delays.Below(static_cast<std::uint64_t>(longest_delay.count()) + 1)));
+  };
+  PlayRestarts(simulation, seed);
+  INFO("seed " << seed);
+  REQUIRE(simulation.m_max_concurrent_runs <= 1);
+  REQUIRE(simulation.m_starts_after_end == 0);
+  return simulation.m_late_starts;
+}
+
+// Guards against tasks that run twice because a machine keeps its connections
+// when it loses its power, and the next incarnation reads what was sent.
+TEST_CASE(
+    "calls that the next incarnation reads at its start run no task twice") {
+  int late_starts = 0;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    late_starts += PlayLateCalls(seed, Duration(0));
+  }
+  CHECK(late_starts > 0);
+}
+
+// Guards against the same when the next incarnation executes such calls late,
+// after others that are newer.
+TEST_CASE("calls that the next incarnation executes late run no task twice") {
+  int late_starts = 0;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    late_starts += PlayLateCalls(seed, Milliseconds(600));
+  }
+  CHECK(late_starts > 0);
+}
+
 // Guards against a history that would not show the fault: starts and polls that
 // reach whatever incarnation is there break it.
 TEST_CASE("the history of restarts shows orders that reach any incarnation") {
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -141,11 +141,30 @@
     return expired.size();
   }
 
+  /// Ends the incarnation of a worker whose machine loses its power.
+  void LosePower(FakeWorker& worker) {
+    Restart(worker);
+    worker.m_is_unreachable = true;
+    worker.m_has_no_power = true;
+  }
+
+  /// Begins the next incarnation of a worker whose machine had no power. It
+  /// executes what was sent meanwhile, if m_late_call_delay is set.
+  void Boot(FakeWorker& worker) {
+    worker.m_booted_at = m_now;
+    worker.m_is_unreachable = false;
+    worker.m_has_no_power = false;
+    for (LateCall& call : worker.m_late_calls) {
+      call.m_due = m_now + m_late_call_delay();
+    }
+  }
+
   /// Starts a new incarnation of the worker, without runs or finished runs.
   void Restart(FakeWorker& worker) {
     ++worker.m_incarnation;
     worker.m_booted_at = m_now;
     worker.m_running.clear();
+    worker.m_last_run.clear();
     worker.m_finished.clear();
     worker.m_next_finished_number = 1;
     worker.m_fencing = FencingNumber();
@@ -207,6 +226,10 @@
   /// Time after which a poll without an answer is given up. Starts to a silent
   /// worker are repeated meanwhile.
   Duration m_poll_timeout{0};
+  /// Time from the start of an incarnation to its execution of a call that was
+  /// sent to the one before; empty when such calls are lost.
+  std::function<Duration()> m_late_call_delay;
+  int m_late_starts = 0;
   /// Planted: starts and polls reach whatever incarnation is there.
   bool m_reaches_any_incarnation = false;
   bool m_store_is_down = false;
@@ -253,6 +276,7 @@
       }
       FinishRuns(*worker);
       CrashIfDue(*worker);
+      ExecuteLateCalls(*worker);
       Poll(i, *worker);
     }
     if (!m_store_is_down) {
@@ -365,6 +389,7 @@
     if (outcome == RunOutcome::kFailed) {
       m_failed_runs[task].insert(run.m_run);
     }
+    worker.m_last_run[task] = std::max(worker.m_last_run[task], run.m_run);
     worker.m_finished.push_back({worker.m_next_finished_number++, task,
                                  RunNumber(run.m_run), outcome,
                                  run.m_checkpoint});
@@ -384,6 +409,45 @@
     }
   }
 
+  /// Whether calls that are sent to the worker now wait for its next
+  /// incarnation.
+  bool KeepsCalls(const FakeWorker& worker) const {
+    return worker.m_has_no_power && m_late_call_delay;
+  }
+
+  void ExecuteLateCalls(FakeWorker& worker) {
+    if (worker.m_has_no_power) {
+      return;
+    }
+    std::vector<LateCall> calls;
+    std::swap(calls, worker.m_late_calls);
+    for (const LateCall& call : calls) {
+      if (call.m_due > m_now) {
+        worker.m_late_calls.push_back(call);
+      } else if (call.m_fencing >= worker.m_fencing) {
+        worker.m_fencing = call.m_fencing;
+        Execute(worker, call);
+      }
+    }
+  }
+
+  void Execute(FakeWorker& worker, const LateCall& call) {
+    if (call.m_deadline_ms) {
+      ExtendLease(worker, *call.m_deadline_ms);
+    }
+    Acknowledge(worker, call.m_acknowledged);
+    if (!call.m_start) {
+      return;
+    }
+    const TaskId& task = call.m_start->m_task;
+    const bool is_old = worker.m_running.contains(task) ||
+                        call.m_start->m_run.Value() <= worker.m_last_run[task];
+    if (!is_old && call.m_start->m_deadline_ms >= ClockOf(worker)) {
+      ++m_late_starts;
+      StartRun(worker, *call.m_start);
+    }
+  }
+
   void Poll(WorkerIndex index, FakeWorker& worker) {
     const TimePoint sent = m_now;
     if (worker.m_is_replaced) {
@@ -407,6 +471,13 @@
     if (is_known || worker.m_is_unreachable) {
       deadline = GrantLease(*m_owner, m_now, index);
     }
+    if (KeepsCalls(worker)) {
+      LateCall call;
+      call.m_fencing = m_owner->m_options.m_fencing;
+      call.m_deadline_ms = deadline;
+      call.m_acknowledged = m_owner->m_workers[index].m_finished_stored;
+      worker.m_late_calls.push_back(call);
+    }
     if (worker.m_is_unreachable && m_poll_timeout > Duration(0)) {
       worker.m_poll_given_up_at = m_now + m_poll_timeout;
       return;
@@ -535,6 +606,12 @@
       m_unanswered_starts.push_back(
           {start, m_now + m_owner->m_options.m_start_window});
     }
+    if (worker != nullptr && KeepsCalls(*worker)) {
+      LateCall call;
+      call.m_fencing = order.m_fencing;
+      call.m_start = order;
+      worker->m_late_calls.push_back(call);
+    }
     if (worker == nullptr || worker->m_is_unreachable) {
       return;
     }
@@ -552,14 +629,22 @@
                           {OrderResult::kUnhealthy, ClockOf(*worker)}, false);
       return;
     }
-    const JobSpec& job = *m_owner->m_jobs.at(order.m_task.m_job)->m_spec;
+    StartRun(*worker, order);
+    if (!worker->m_drops_responses) {
+      HandleStartResponse(*m_owner, m_now, start.m_worker, order,
+                          {OrderResult::kAccepted, ClockOf(*worker)}, false);
+    }
+  }
+
+  void StartRun(FakeWorker& worker, const StartOrder& order) {
+    const JobSpec job = *DecodeJob(m_jobs.at(order.m_task.m_job));
     const StepSpec& step = job.m_steps[order.m_task.m_step];
     FakeWorker::Run run;
     run.m_run = order.m_run.Value();
     run.m_began_at = m_now;
     run.m_checkpoint = order.m_checkpoint;
     const bool fails =
-        worker->m_fails_all || m_failing_jobs.contains(job.m_id.Value());
+        worker.m_fails_all || m_failing_jobs.contains(job.m_id.Value());
     run.m_outcome = fails ? RunOutcome::kFailed : RunOutcome::kDone;
     run.m_ends_at =
         step.m_long_running
@@ -567,15 +652,11 @@
             : m_now + Duration(static_cast<std::int64_t>(
                           static_cast<double>(step.m_estimate.count()) *
                           (fails ? 0.2 : m_ratio)));
-    ExtendLease(*worker, order.m_deadline_ms);
-    worker->m_running[order.m_task] = run;
+    ExtendLease(worker, order.m_deadline_ms);
+    worker.m_running[order.m_task] = run;
     m_starts_after_end += m_acknowledged_ends.contains(order.m_task) ? 1 : 0;
-    m_starts_over_capacity += IsOverCapacity(*worker) ? 1 : 0;
+    m_starts_over_capacity += IsOverCapacity(worker) ? 1 : 0;
     ++m_starts[order.m_task];
-    if (!worker->m_drops_responses) {
-      HandleStartResponse(*m_owner, m_now, start.m_worker, order,
-                          {OrderResult::kAccepted, ClockOf(*worker)}, false);
-    }
   }
 
   struct UnansweredStart {
--- a/tests/scheduler_simulation_parts.h
+++ b/tests/scheduler_simulation_parts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -8,6 +9,17 @@
 
 namespace filbertspar::scheduler {
 
+/// \brief A start or a poll that was sent to a machine without power.
+struct LateCall {
+  FencingNumber m_fencing;
+  /// Of a poll.
+  std::optional<std::int64_t> m_deadline_ms;
+  std::uint64_t m_acknowledged = 0;
+  std::optional<StartOrder> m_start;
+  /// When the next incarnation executes it; max() before that has started.
+  TimePoint m_due = TimePoint::max();
+};
+
 /// \brief A worker that carries out orders immediately, in virtual time.
 struct FakeWorker {
   struct Run {
@@ -23,12 +35,18 @@
   std::int64_t m_incarnation = 1;
   TimePoint m_booted_at{};
   std::map<TaskId, Run> m_running;
+  /// Highest run of each task that has ended.
+  std::map<TaskId, std::uint64_t> m_last_run;
   std::vector<FinishedRun> m_finished;
   std::uint64_t m_next_finished_number = 1;
   FencingNumber m_fencing;
   TimePoint m_lease_until{};
   /// Polls and orders get no answer; its tasks keep running.
   bool m_is_unreachable = false;
+  /// Its machine has no power; what is sent to it may be executed by the next
+  /// incarnation.
+  bool m_has_no_power = false;
+  std::vector<LateCall> m_late_calls;
   /// When the poll that waits for its answer is given up; max() without one.
   TimePoint m_poll_given_up_at = TimePoint::max();
   /// Connections to it are refused; its tasks keep running.
