--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -19,6 +19,10 @@
 /// report intervals after its last report, by which time a lease of two
 /// intervals has expired.
 constexpr int kLeaseReportIntervals = 2;
+/// A registration is removed after this many report intervals of silence.
+constexpr int kRegistrationIntervals = 3;
+/// Until the removal is read by a feed that may wait for 2 s.
+constexpr Duration kRegistrationMargin = Milliseconds(500);
 /// An owner stops sending orders, and answering from its memory, when its
 /// writes have not been confirmed for this long, unless no peer can reach the
 /// store either. The length of a queue may be 2 s old.
@@ -79,8 +83,13 @@
       m_jobs_loaded_signal(parts.m_context),
       m_dispatch_timer(parts.m_context) {
   scheduler::Options& options = m_scheduler.m_options;
-  options.m_fencing = won.m_record.m_epoch;
+  options.m_fencing = FirstFencingNumber(won.m_record.m_epoch);
+  options.m_last_fencing = won.m_record.m_epoch;
   options.m_lease = WorkerLease(parts.m_options);
+  options.m_max_lease = parts.m_options.m_max_lease;
+  options.m_registration_expiry =
+      parts.m_options.m_worker_report_interval * kRegistrationIntervals +
+      kRegistrationMargin;
   options.m_runs_are_recorded = won.m_all_runs_recorded;
   options.m_max_job_bytes = parts.m_options.m_memory_bytes / kJobMemoryShare;
   options.m_state_retention = parts.m_options.m_state_retention;
@@ -207,6 +216,15 @@
   m_hooks.m_hand_over();
 }
 
+void OwnerTerm::BeginTermAnew() {
+  if (!m_scheduler.m_fencing_exhausted || m_handing_over || !IsConfirmed()) {
+    return;
+  }
+  m_handing_over = true;
+  m_parts.m_log.Warn("owner", "fencing_numbers_exhausted", m_log_epoch);
+  m_hooks.m_hand_over();
+}
+
 bool OwnerTerm::CanSendOrders() const {
   if (!m_running) {
     return false;
@@ -305,6 +323,7 @@
       m_parts.m_links.RemovePeer(vm);
     }
     HandOverToLargerVm();
+    BeginTermAnew();
     LogTraffic(now);
   }
 }
--- a/filbertspar/node/src/owner_term.h
+++ b/filbertspar/node/src/owner_term.h
@@ -113,6 +113,9 @@
   /// \brief Highest processor capacity among the VMs that could own the jobs.
   Millicores HighestCpuCapacity() const;
   void HandOverToLargerVm();
+  /// \brief Gives the ownership up when its fencing numbers are used up; the
+  /// next claim has new ones.
+  void BeginTermAnew();
   void LogTraffic(TimePoint now);
 
   OwnerTermParts m_parts;
--- a/filbertspar/node/src/owner_watch.cc
+++ b/filbertspar/node/src/owner_watch.cc
@@ -125,7 +125,7 @@
 asio::awaitable<void> OwnerWatch::Claim() {
   OwnerRecord claim = m_own_record;
   claim.m_epoch =
-      FencingNumber(m_view.m_record ? m_view.m_record->m_epoch.Value() + 1 : 1);
+      NextEpoch(m_view.m_record ? m_view.m_record->m_epoch : FencingNumber());
   claim.m_write_number = 0;
   claim.m_released = false;
   m_previous_silent_since = LastEvidenceOfOwner(m_view, m_store.ReachedSince());
--- a/filbertspar/node/src/worker_connections.cc
+++ b/filbertspar/node/src/worker_connections.cc
@@ -109,8 +109,7 @@
 
 WorkerTarget WorkerConnections::TargetOf(WorkerIndex index) const {
   const scheduler::Worker& worker = m_scheduler.m_workers[index];
-  return {worker.m_record.m_name, worker.m_record.m_endpoint,
-          m_scheduler.m_options.m_fencing};
+  return {worker.m_record.m_name, worker.m_record.m_endpoint, worker.m_fencing};
 }
 
 bool WorkerConnections::CanReach(WorkerIndex index) {
@@ -213,18 +212,19 @@
     WorkerIndex index, std::uint64_t loop, bool fresh_connection) {
   const TimePoint sent = BootNow();
   PollOrder order;
-  order.m_fencing = m_scheduler.m_options.m_fencing;
   m_scheduler.m_options.m_unanswered_renewals =
       m_traffic.IsLoaded() ? kLoadedRenewals : 0;
-  const auto& worker = m_scheduler.m_workers[index];
+  scheduler::Worker& worker = m_scheduler.m_workers[index];
   const WorkerName name = worker.m_record.m_name;
   const Endpoint endpoint = worker.m_record.m_endpoint;
+  order.m_fencing = worker.m_fencing;
   CallOptions options;
   if (!fresh_connection && CanReach(index)) {
     options.m_connection = ConnectionChoice::kToPeer;
     options.m_peer = PeerOf(worker.m_incarnation);
     order.m_deadline_ms = scheduler::GrantLease(m_scheduler, sent, index);
     order.m_acknowledged = worker.m_finished_stored;
+    order.m_fencing = scheduler::HandlePollSent(worker);
     if (worker.m_failed_polls == 0) {
       order.m_wait = worker.m_tasks.empty() ? kIdlePollWait : kBusyPollWait;
     }
@@ -256,13 +256,14 @@
   }
   if (look) {
     Count(m_metrics, metric::kOrders, "look_accepted");
-    scheduler::HandlePollResponse(m_scheduler, sent, BootNow(), index, *look);
+    scheduler::HandlePollResponse(m_scheduler, sent, BootNow(), index, *look,
+                                  order.m_fencing);
     m_hooks.m_changed();
     co_return "";
   }
+  const OrderResult refusal = adapter::DecodeOrderResponse(result).m_result;
   scheduler::HandlePollFailure(m_scheduler, BootNow(), index,
                                PollFailureOf(result));
-  const OrderResult refusal = adapter::DecodeOrderResponse(result).m_result;
   Count(m_metrics, metric::kOrders,
         absl::StrCat("look_", std::string(OrderResultName(refusal))));
   // What answers at an earlier address of the worker says nothing about its
@@ -332,6 +333,7 @@
         scheduler::IsStopAnswered(m_scheduler, index, order)) {
       co_return;
     }
+    order.m_fencing = m_scheduler.m_workers[index].m_fencing;
     CallOptions options;
     options.m_timeout = Patience(kOrderTimeout);
     options.m_connection =
@@ -344,7 +346,9 @@
     if (!m_running) {
       co_return;
     }
+    // A poll with a higher fencing number may have overtaken the stop.
     if (answer.m_result != OrderResult::kUnknown &&
+        answer.m_result != OrderResult::kFenced &&
         answer.m_result != OrderResult::kUnhealthy) {
       scheduler::HandleStopResponse(m_scheduler, BootNow(), index, order,
                                     answer);
@@ -358,6 +362,7 @@
 asio::awaitable<void> WorkerConnections::SendPace(WorkerIndex index,
                                                   ThrottleOrder order) {
   const WorkerName name = m_scheduler.m_workers[index].m_record.m_name;
+  order.m_fencing = m_scheduler.m_workers[index].m_fencing;
   CallOptions options;
   options.m_timeout = kOrderTimeout;
   const OrderResponse answer = adapter::DecodeOrderResponse(
--- a/filbertspar/node/src/worker_connections_starts.cc
+++ b/filbertspar/node/src/worker_connections_starts.cc
@@ -71,9 +71,12 @@
                      std::string(OrderResultName(
                          adapter::DecodeOrderResponse(result).m_result))));
   const std::int64_t known = m_scheduler.m_workers[index].m_incarnation;
-  if (introduction.m_status && introduction.m_status->m_incarnation != known) {
+  if (introduction.m_status &&
+      (introduction.m_status->m_incarnation != known ||
+       !scheduler::IsFenced(m_scheduler.m_workers[index]))) {
     scheduler::HandlePollResponse(m_scheduler, introduction.m_sent_at,
-                                  BootNow(), index, *introduction.m_status);
+                                  BootNow(), index, *introduction.m_status,
+                                  target.m_fencing);
     if (m_scheduler.m_workers[index].m_incarnation != known) {
       RestartPolling(index);
     }
@@ -193,7 +196,6 @@
                                                    StartOrder order) {
   const TimePoint deadline = BootNow() + m_scheduler.m_options.m_start_window;
   bool was_tried = false;
-  bool unanswered = false;
   int connects = 0;
   OrderResponse answer;
   while (m_running && m_hooks.m_can_send_orders() && BootNow() < deadline) {
@@ -207,6 +209,10 @@
       was_tried = true;
       break;
     }
+    if (!scheduler::IsFenced(m_scheduler.m_workers[index])) {
+      // Another call got no response; no more starts become doubtful.
+      break;
+    }
     // Orders that wait for their turn do not hold a copy each.
     order.m_payload = ref.m_job->m_spec->m_payload;
     const TimePoint now = BootNow();
@@ -218,12 +224,16 @@
       continue;
     }
     const bool is_relayed = route.m_path == StartPath::kRelay;
+    const bool is_sent = is_relayed || CanReach(index);
+    if (is_sent) {
+      order.m_fencing = scheduler::HandleStartSent(m_scheduler, order);
+    }
     const std::string sent_fields =
         StartFields(m_scheduler.m_workers[index], order, now);
     StartAttempt attempt;
     if (is_relayed) {
       attempt = co_await RelayStart(index, order, relay, deadline - now);
-    } else if (CanReach(index)) {
+    } else if (is_sent) {
       attempt = co_await SendStartDirectly(index, order, deadline - now);
     } else {
       const Introduction introduction = co_await Connect(
@@ -242,9 +252,13 @@
       co_return;
     }
     answer = attempt.m_response;
-    if (attempt.m_outcome == RelayOutcome::kNotSent && !unanswered) {
+    if (attempt.m_outcome == RelayOutcome::kNotSent) {
       answer.m_result = OrderResult::kNotDelivered;
     }
+    if (is_sent && attempt.m_outcome != RelayOutcome::kAnswered &&
+        attempt.m_outcome != RelayOutcome::kUnanswered) {
+      scheduler::HandleStartNotSent(m_scheduler, index, order);
+    }
     Count(m_metrics, metric::kOrders,
           absl::StrCat(is_relayed ? "relayed_start_" : "start_",
                        std::string(OrderResultName(answer.m_result))));
@@ -261,17 +275,11 @@
       // The relay says that another incarnation has answered, not which.
       CheckIncarnation(index);
     }
-    if (attempt.m_outcome == RelayOutcome::kAnswered) {
+    if (attempt.m_outcome != RelayOutcome::kNotSent ||
+        !scheduler::IsResponsive(m_scheduler.m_workers[index], BootNow())) {
       break;
     }
-    if (attempt.m_outcome == RelayOutcome::kNotSent) {
-      if (!scheduler::IsResponsive(m_scheduler.m_workers[index], BootNow())) {
-        break;
-      }
-      co_await SleepFor(kRetryDelay);
-    } else {
-      unanswered = true;
-    }
+    co_await SleepFor(kRetryDelay);
   }
   if (!m_running) {
     co_return;
@@ -287,11 +295,14 @@
             "job=", order.m_task.m_job.Value(), " step=", order.m_task.m_step,
             " task=", order.m_task.m_index,
             " worker=", m_scheduler.m_workers[index].m_record.m_name.Value(),
-            " result=", std::string(OrderResultName(answer.m_result)),
-            " earlier_unanswered=", unanswered));
+            " result=", std::string(OrderResultName(answer.m_result))));
+  }
+  scheduler::HandleStartResponse(m_scheduler, BootNow(), index, order, answer);
+  if (!scheduler::IsFenced(m_scheduler.m_workers[index])) {
+    // The answer to a poll with a higher fencing number tells whether the start
+    // was executed.
+    CheckIncarnation(index);
   }
-  scheduler::HandleStartResponse(m_scheduler, BootNow(), index, order, answer,
-                                 unanswered);
   m_hooks.m_changed();
 }
 
--- a/filbertspar/ownership/src/record.cc
+++ b/filbertspar/ownership/src/record.cc
@@ -4,6 +4,14 @@
 
 namespace filbertspar {
 
+FencingNumber NextEpoch(FencingNumber previous) {
+  return FencingNumber(previous.Value() + kFencingNumbersPerTerm);
+}
+
+FencingNumber FirstFencingNumber(FencingNumber epoch) {
+  return FencingNumber(epoch.Value() - kFencingNumbersPerTerm + 1);
+}
+
 std::string EncodeOwner(const OwnerRecord& record) {
   return ToText(
       JsonObject{{"vm", record.m_vm.Value()},
--- a/filbertspar/ownership/src/record.h
+++ b/filbertspar/ownership/src/record.h
@@ -10,6 +10,10 @@
 
 namespace filbertspar {
 
+/// \brief Fencing numbers of a term. The owner's calls to a worker carry a
+/// higher one after a call to it without a response.
+inline constexpr std::uint64_t kFencingNumbersPerTerm = 1'000'000;
+
 /// \brief Value of the owner row in the store. Every write of the owner updates
 /// it on condition of its version, which fences off all previous owners.
 struct OwnerRecord {
@@ -18,7 +22,9 @@
   std::uint64_t m_incarnation = 0;
   /// Address on which the owner accepts links of other VMs.
   Endpoint m_link;
-  /// Incremented by each claim; the fencing number of the owner's orders.
+  /// The highest fencing number of the owner's orders; each claim raises it by
+  /// kFencingNumbersPerTerm. Owners of earlier releases raise it by 1 and use
+  /// it for all orders.
   FencingNumber m_epoch;
   /// Secret that authenticates links to the owner; readable by everyone with
   /// access to the store.
@@ -38,6 +44,13 @@
   friend bool operator==(const OwnerRecord&, const OwnerRecord&) = default;
 };
 
+/// \brief Highest fencing number of the term that follows one with `previous`,
+/// which is none before the first.
+FencingNumber NextEpoch(FencingNumber previous);
+
+/// \brief Lowest fencing number of the term.
+FencingNumber FirstFencingNumber(FencingNumber epoch);
+
 /// \brief JSON text of the record, for its row.
 std::string EncodeOwner(const OwnerRecord& record);
 
--- a/filbertspar/scheduler/scheduler.h
+++ b/filbertspar/scheduler/scheduler.h
@@ -12,4 +12,5 @@
 #include "filbertspar/scheduler/src/load.h"        // IWYU pragma: export
 #include "filbertspar/scheduler/src/starts.h"      // IWYU pragma: export
 #include "filbertspar/scheduler/src/state.h"       // IWYU pragma: export
+#include "filbertspar/scheduler/src/unanswered.h"  // IWYU pragma: export
 #include "filbertspar/scheduler/src/workers.h"     // IWYU pragma: export
--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -479,7 +479,8 @@
   Task& task = ref.GetTask();
   scheduler.m_effects.m_stops.push_back(
       {task.m_worker,
-       {ref.Id(), RunNumber(task.m_run), scheduler.m_options.m_fencing}});
+       {ref.Id(), RunNumber(task.m_run),
+        scheduler.m_workers[task.m_worker].m_fencing}});
   task.m_phase = TaskPhase::kStopping;
   task.m_since = now;
   task.m_order_confirmed_at = TimePoint::max();
--- a/filbertspar/scheduler/src/leases.cc
+++ b/filbertspar/scheduler/src/leases.cc
@@ -4,6 +4,7 @@
 #include "filbertspar/scheduler/src/jobs.h"
 #include "filbertspar/scheduler/src/starts.h"
 #include "filbertspar/scheduler/src/superseded.h"
+#include "filbertspar/scheduler/src/unanswered.h"
 #include "filbertspar/scheduler/src/workers.h"
 
 namespace filbertspar::scheduler {
@@ -11,15 +12,6 @@
 
 /// Largest factor by which a worker's clock may run slow: 2%, rounded up.
 constexpr double kMaxClockSlowdown = 1.03;
-/// Time after the end of a lease within which a worker kills its runs.
-constexpr Duration kLeaseKillDelay = Milliseconds(200);
-/// Longest time that may pass until the worker's clock has advanced by
-/// `milliseconds`.
-Duration MaxElapsedTime(std::int64_t milliseconds) {
-  return Duration(static_cast<std::int64_t>(static_cast<double>(milliseconds) *
-                                            1000 * kMaxClockSlowdown));
-}
-
 void ExtendLease(Worker& worker, std::int64_t deadline_ms) {
   const std::int64_t remaining_ms =
       std::max<std::int64_t>(0, deadline_ms - worker.m_clock_ms);
@@ -28,8 +20,28 @@
       worker.m_clock_at + MaxElapsedTime(remaining_ms) + kLeaseKillDelay);
 }
 
+/// Tasks that no worker runs any more once the worker's lease has expired.
+std::vector<TaskRef> TasksWithoutLease(const Scheduler& scheduler,
+                                       TimePoint now, const Worker& worker) {
+  std::vector<TaskRef> tasks;
+  for (const TaskRef& ref : worker.m_tasks) {
+    // A start that waits for the store holds no lease yet.
+    const Task& task = ref.GetTask();
+    if (MayRun(task) &&
+        (!IsStartInDoubt(task) || IsDoubtOver(scheduler, now, worker, task))) {
+      tasks.push_back(ref);
+    }
+  }
+  return tasks;
+}
+
 }  // namespace
 
+Duration MaxElapsedTime(std::int64_t milliseconds) {
+  return Duration(static_cast<std::int64_t>(static_cast<double>(milliseconds) *
+                                            1000 * kMaxClockSlowdown));
+}
+
 void ExpireLeases(Scheduler& scheduler, TimePoint now) {
   JudgeEndedWorkers(scheduler, now);
   ReviewSuspects(scheduler, now);
@@ -38,23 +50,21 @@
       continue;
     }
     ReleaseSupersededRuns(scheduler, worker);
-    const bool had_runs =
-        std::any_of(worker.m_tasks.begin(), worker.m_tasks.end(),
-                    [](const TaskRef& ref) { return MayRun(ref.GetTask()); });
-    if (had_runs) {
+    const std::vector<TaskRef> tasks =
+        TasksWithoutLease(scheduler, now, worker);
+    if (!tasks.empty()) {
       AddLogEvent(
           scheduler, "lease_expired", {},
           scheduler.m_worker_index.at(worker.m_record.m_name),
           absl::StrCat("incarnation=", worker.m_incarnation, " silent_ms=",
                        ToMilliseconds(now - worker.m_last_response_at),
-                       " tasks=", worker.m_tasks.size()));
+                       " tasks=", tasks.size(),
+                       " others=", worker.m_tasks.size() - tasks.size()));
     }
-    // A start that waits for the store holds no lease yet.
-    const std::vector<TaskRef> tasks = worker.m_tasks;
     for (const TaskRef& ref : tasks) {
-      if (MayRun(ref.GetTask())) {
-        RequeueLostTask(scheduler, now, ref, "lease_ran_out");
-      }
+      RequeueLostTask(
+          scheduler, now, ref,
+          IsStartInDoubt(ref.GetTask()) ? "doubt_over" : "lease_ran_out");
     }
   }
   if (scheduler.m_inherited_resolved) {
--- a/filbertspar/scheduler/src/starts.cc
+++ b/filbertspar/scheduler/src/starts.cc
@@ -23,7 +23,7 @@
   order.m_run = RunNumber(task.m_run);
   order.m_incarnation = scheduler.m_workers[index].m_incarnation;
   order.m_deadline_ms = task.m_start_deadline_ms;
-  order.m_fencing = scheduler.m_options.m_fencing;
+  order.m_fencing = scheduler.m_workers[index].m_fencing;
   order.m_checkpoint =
       ref.Spec().m_gang ? ref.GetStep().m_gang_checkpoint : task.m_checkpoint;
   const WorkerName& name = scheduler.m_workers[index].m_record.m_name;
--- a/filbertspar/scheduler/src/state.cc
+++ b/filbertspar/scheduler/src/state.cc
@@ -97,6 +97,8 @@
   worker.m_tasks.pop_back();
   scheduler.m_reserved[ref.m_job->m_spec->m_workspace] -= ref.Spec().m_demand;
   task.m_worker = kNoWorker;
+  task.m_start_fencing = FencingNumber();
+  task.m_doubt_since = TimePoint::min();
   --ref.m_job->m_placed_tasks;
 }
 
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -62,6 +62,13 @@
   TimePoint m_not_before{};
   /// When the last order was answered; max() while it is unanswered.
   TimePoint m_order_confirmed_at = TimePoint::max();
+  /// Of the last start, from when it is sent until it is known whether it was
+  /// executed; none otherwise. See unanswered.h.
+  FencingNumber m_start_fencing;
+  /// When that start was found to get no response; min() before. It may be
+  /// executed, and its run go on, until m_doubt_until.
+  TimePoint m_doubt_since = TimePoint::min();
+  TimePoint m_doubt_until = TimePoint::min();
   /// Milliseconds on the worker's clock after which it refuses the last start;
   /// kStartNotSent while that start waits to be recorded.
   std::int64_t m_start_deadline_ms = 0;
@@ -212,8 +219,16 @@
   /// Incarnations before that one, the latest last; a few suffice, since no
   /// answer is waited for longer than some seconds.
   std::deque<std::int64_t> m_ended_incarnations;
-  /// No run ordered so far outlives this time.
+  /// No run ordered so far outlives this time, except starts in doubt.
   TimePoint m_lease_until = TimePoint::min();
+  /// Fencing number of the next call; see unanswered.h.
+  FencingNumber m_fencing;
+  /// Highest number of a call that granted, acknowledged or started something.
+  FencingNumber m_used_fencing;
+  /// Calls up to this number may have no response.
+  FencingNumber m_unanswered_fencing;
+  /// Highest number that this incarnation is known to have seen.
+  FencingNumber m_answered_fencing;
   /// Resources reserved by m_tasks and m_superseded_runs.
   ResourceVector m_used;
   /// Resources of the runs of the last status that are not in m_tasks; they are
@@ -293,9 +308,17 @@
 };
 
 struct Options {
+  /// Lowest and highest fencing number of this owner's calls to workers.
   FencingNumber m_fencing;
+  FencingNumber m_last_fencing =
+      FencingNumber(std::numeric_limits<std::int64_t>::max());
   /// Length of the lease that each poll grants.
   Duration m_lease = Seconds(3);
+  /// Workers shorten longer leases to this.
+  Duration m_max_lease = Seconds(6);
+  /// Time after which the registration of a worker that does not report is
+  /// certainly removed and its removal read.
+  Duration m_registration_expiry = Seconds(7);
   /// Number of successive unanswered polls that still renew the lease. 0 unless
   /// this VM's own link is loaded, when a poll without an answer says little
   /// about the worker.
@@ -392,6 +415,11 @@
   std::uint64_t m_last_change = 0;
   /// First change of the write in progress; 0 when there is none.
   std::uint64_t m_first_change_in_write = 0;
+  /// A worker has used up the fencing numbers of this owner.
+  bool m_fencing_exhausted = false;
+  /// When the latest request was sent that returned all registrations, or their
+  /// changes.
+  TimePoint m_registrations_read_at = TimePoint::min();
   /// Unix time minus scheduler time.
   Duration m_unix_offset{0};
   /// Workers that may run inherited tasks; nullopt until all are known.
--- a/filbertspar/scheduler/src/superseded.cc
+++ b/filbertspar/scheduler/src/superseded.cc
@@ -30,7 +30,7 @@
                SupersededRun& run, std::string_view reason) {
   run.m_stopped_at = now;
   scheduler.m_effects.m_stops.push_back(
-      {index, {run.m_task, run.m_run, scheduler.m_options.m_fencing}});
+      {index, {run.m_task, run.m_run, scheduler.m_workers[index].m_fencing}});
   AddLogDetail(
       scheduler, "task_stop", run.m_task, index,
       absl::StrCat("reason=", std::string(reason), " run=", run.m_run.Value()));
--- a/filbertspar/scheduler/src/throttle.cc
+++ b/filbertspar/scheduler/src/throttle.cc
@@ -68,8 +68,7 @@
       worker.m_throttled_at = now;
       scheduler.m_effects.m_throttles.push_back(
           {i,
-           {ref.Id(), RunNumber(task.m_run), speed_percent,
-            scheduler.m_options.m_fencing}});
+           {ref.Id(), RunNumber(task.m_run), speed_percent, worker.m_fencing}});
       AddLogDetail(
           scheduler, "task_pace", ref.Id(), i,
           absl::StrCat("percent=", speed_percent, " tail_share=", tail_share));
--- /dev/null
+++ b/filbertspar/scheduler/src/unanswered.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "filbertspar/scheduler/src/state.h"
+
+/// \file
+/// \brief Calls to workers that got no response.
+///
+/// Such a call may have been executed, or may be executed seconds later, also
+/// by an incarnation of the worker that has started since: no call names the
+/// incarnation that it is meant for. An incarnation that has seen a higher
+/// fencing number refuses it. So each worker has a fencing number of its own,
+/// which rises after a call without a response; once a poll with the new number
+/// is answered, the earlier calls have been executed or never will be, and the
+/// answer tells which.
+
+namespace filbertspar::scheduler {
+
+/// \brief Longest time from the sending of a call without a response to its
+/// execution. Workers carry out such calls up to 12 s late (the operators'
+/// list of impairments).
+inline constexpr Duration kMaxCallDelay = Seconds(12);
+
+/// \brief Longest time from the execution of a call that grants a lease to the
+/// end of the worker's runs.
+Duration MaxLeaseTime(const Scheduler& scheduler);
+
+/// \brief Called before a poll is sent that grants a lease or acknowledges
+/// ends. Returns its fencing number.
+FencingNumber HandlePollSent(Worker& worker);
+
+/// \brief Called when calls to the worker may stay without a response.
+void RaiseFencing(Scheduler& scheduler, WorkerIndex index);
+
+/// \brief Whether the worker's incarnation refuses every call that got no
+/// response.
+bool IsFenced(const Worker& worker);
+
+/// \brief Whether a start of the task was sent and is not known to have been
+/// executed.
+bool IsStartInDoubt(const Task& task);
+
+/// \brief Called before a start is sent. Returns its fencing number.
+FencingNumber HandleStartSent(Scheduler& scheduler, const StartOrder& order);
+
+/// \brief Called when the start was not sent after all.
+void HandleStartNotSent(Scheduler& scheduler, WorkerIndex index,
+                        const StartOrder& order);
+
+/// \brief Called when a start got no response.
+void HandleStartUnanswered(Scheduler& scheduler, TimePoint now,
+                           WorkerIndex index, const StartOrder& order);
+
+/// \brief Called when the incarnation of a worker has ended, for a task that is
+/// placed there. Returns whether the next one may execute a start of it.
+bool KeepsStartInDoubt(TimePoint now, Scheduler& scheduler, Task& task);
+
+/// \brief Whether the answer to a poll with `fencing` shows that a start which
+/// it does not list is never executed by the incarnation that answered.
+bool IsRefused(const Task& task, FencingNumber fencing);
+
+/// \brief Whether a start in doubt cannot be executed any more, or its run has
+/// ended, although the worker did not answer.
+///
+/// The registration tells whether the worker may have started again: one that
+/// is gone is of a worker to be treated as gone; one that still states the
+/// known incarnation, read when that of an ended incarnation would have
+/// expired, is of a worker that has not started again, and whose clock is past
+/// the deadline of the start. Otherwise time must pass.
+bool IsDoubtOver(const Scheduler& scheduler, TimePoint now,
+                 const Worker& worker, const Task& task);
+
+}  // namespace filbertspar::scheduler
--- a/filbertspar/scheduler/src/worker_state.cc
+++ b/filbertspar/scheduler/src/worker_state.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "filbertspar/scheduler/src/unanswered.h"
 #include "filbertspar/scheduler/src/workers.h"
 
 namespace filbertspar::scheduler {
@@ -27,7 +28,8 @@
   return worker.m_registered && IsRegistrationCurrent(worker) &&
          !worker.m_record.m_draining && !worker.m_cordoned &&
          !worker.m_has_unknown_run && IsResponsive(worker, now) &&
-         now >= worker.m_avoid_until && now >= worker.m_no_capacity_until &&
+         IsFenced(worker) && now >= worker.m_avoid_until &&
+         now >= worker.m_no_capacity_until &&
          (scheduler.m_deployment == nullptr ||
           scheduler.m_deployment->m_pools.contains(worker.m_record.m_pool));
 }
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -8,6 +8,7 @@
 #include "filbertspar/scheduler/src/jobs.h"
 #include "filbertspar/scheduler/src/starts.h"
 #include "filbertspar/scheduler/src/superseded.h"
+#include "filbertspar/scheduler/src/unanswered.h"
 
 namespace filbertspar::scheduler {
 namespace {
@@ -46,8 +47,8 @@
   }
 }
 
-/// A new incarnation has no runs of the previous one, and none of the starts
-/// that this one got can reach it.
+/// A new incarnation has no runs of the previous one, but may execute starts
+/// that this one has not answered.
 void HandleNewIncarnation(Scheduler& scheduler, TimePoint now,
                           WorkerIndex index, const WorkerStatus& status) {
   Worker& worker = scheduler.m_workers[index];
@@ -63,9 +64,11 @@
   worker.m_end = WorkerEnd();
   worker.m_incarnation = status.m_incarnation;
   worker.m_has_responded = false;
+  worker.m_answered_fencing = FencingNumber();
   if (is_first) {
     return;
   }
+  RaiseFencing(scheduler, index);
   ReleaseSupersededRuns(scheduler, worker);
   worker.m_finished_read = 0;
   worker.m_finished_stored = 0;
@@ -77,7 +80,12 @@
   for (auto& [step, approvals] : scheduler.m_approvals) {
     approvals.m_tickets.erase(worker.m_record.m_name);
   }
-  RequeueTasksOf(scheduler, now, worker, "worker_restarted");
+  const std::vector<TaskRef> tasks = worker.m_tasks;
+  for (const TaskRef& ref : tasks) {
+    if (!KeepsStartInDoubt(now, scheduler, ref.GetTask())) {
+      RequeueLostTask(scheduler, now, ref, "worker_restarted");
+    }
+  }
   // Runs and ends in the first answer are of orders to former incarnations.
   AddLogEvent(scheduler, "worker_restarted", {}, index,
               absl::StrCat("incarnation=", status.m_incarnation,
@@ -157,7 +165,7 @@
   }
   worker.m_unwanted_stops[key] = now;
   scheduler.m_effects.m_stops.push_back(
-      {index, {run.m_task, run.m_run, scheduler.m_options.m_fencing}});
+      {index, {run.m_task, run.m_run, worker.m_fencing}});
   AddLogDetail(scheduler, "unwanted_run_stop", run.m_task, index,
                absl::StrCat("run=", run.m_run.Value(),
                             " incarnation=", worker.m_incarnation));
@@ -212,6 +220,7 @@
     StopUnwantedRun(scheduler, now, index, run);
     return;
   }
+  task.m_start_fencing = FencingNumber();
   if (task.m_phase == TaskPhase::kStarting) {
     task.m_phase = TaskPhase::kRunning;
     task.m_since = now;
@@ -251,7 +260,8 @@
 
 /// Requeues tasks that the worker should report and does not.
 void RequeueMissingRuns(Scheduler& scheduler, TimePoint sent, TimePoint now,
-                        WorkerIndex index, const WorkerStatus& status) {
+                        WorkerIndex index, const WorkerStatus& status,
+                        FencingNumber fencing) {
   if (status.m_truncated) {
     return;
   }
@@ -267,8 +277,10 @@
     if (reported.contains({&task, task.m_run})) {
       continue;
     }
-    const bool never_ran = task.m_phase == TaskPhase::kStarting &&
-                           status.m_clock_ms > task.m_start_deadline_ms;
+    const bool never_ran =
+        IsStartInDoubt(task) ? IsRefused(task, fencing)
+                             : task.m_phase == TaskPhase::kStarting &&
+                                   status.m_clock_ms > task.m_start_deadline_ms;
     const bool has_ended = task.m_phase != TaskPhase::kStarting &&
                            task.m_order_confirmed_at < sent;
     if (never_ran || has_ended) {
@@ -317,6 +329,9 @@
         scheduler, "worker_draining", {}, index,
         absl::StrCat("remaining_ms=", ToMilliseconds(record.m_remaining)));
   }
+  if (is_new) {
+    worker.m_fencing = scheduler.m_options.m_fencing;
+  }
   worker.m_record = record;
   worker.m_registered = true;
   worker.m_drain_deadline =
@@ -339,7 +354,8 @@
 }
 
 void HandlePollResponse(Scheduler& scheduler, TimePoint sent, TimePoint now,
-                        WorkerIndex index, const WorkerStatus& status) {
+                        WorkerIndex index, const WorkerStatus& status,
+                        FencingNumber fencing) {
   Worker& worker = scheduler.m_workers[index];
   if (sent < worker.m_answered_poll_sent_at ||
       HasEnded(worker, status.m_incarnation)) {
@@ -360,6 +376,7 @@
         worker.m_lease_until, scheduler.m_options.m_inherited_leases_until);
   }
   worker.m_has_responded = true;
+  worker.m_answered_fencing = std::max(worker.m_answered_fencing, fencing);
   if (worker.m_unwanted_stops.size() > status.m_running.size() + 64) {
     worker.m_unwanted_stops.clear();
   }
@@ -369,13 +386,14 @@
   }
   ReviewSupersededRuns(scheduler, sent, now, index, status);
   CountUnwantedRuns(scheduler, index, status);
-  RequeueMissingRuns(scheduler, sent, now, index, status);
+  RequeueMissingRuns(scheduler, sent, now, index, status, fencing);
   RepeatUnansweredStops(scheduler, now, index);
 }
 
 void HandlePollFailure(Scheduler& scheduler, TimePoint now, WorkerIndex index,
                        PollFailure failure) {
   ++scheduler.m_workers[index].m_failed_polls;
+  RaiseFencing(scheduler, index);
   RecordPollFailure(scheduler.m_workers[index], now, failure);
 }
 
@@ -392,8 +410,12 @@
 }
 
 void HandleStartResponse(Scheduler& scheduler, TimePoint now, WorkerIndex index,
-                         const StartOrder& order, const OrderResponse& response,
-                         bool earlier_unanswered) {
+                         const StartOrder& order,
+                         const OrderResponse& response) {
+  if (response.m_result == OrderResult::kUnknown) {
+    HandleStartUnanswered(scheduler, now, index, order);
+    return;
+  }
   Worker& worker = scheduler.m_workers[index];
   const TaskRef ref = FindTask(scheduler, order.m_task);
   if (ref && response.m_result == OrderResult::kAccepted) {
@@ -407,17 +429,19 @@
   if (is_current && response.m_result == OrderResult::kNoCapacity) {
     worker.m_no_capacity_until = now + kNoCapacityPause;
   }
-  if (is_current && (response.m_result == OrderResult::kUnknown ||
-                     response.m_result == OrderResult::kNotDelivered)) {
+  if (is_current && response.m_result == OrderResult::kNotDelivered) {
     worker.m_avoid_until =
         std::max(worker.m_avoid_until, now + kUnhealthyPause);
   }
   if (!ref || ref.GetTask().m_worker != index ||
-      ref.GetTask().m_run != order.m_run.Value() ||
-      ref.GetTask().m_phase != TaskPhase::kStarting) {
+      ref.GetTask().m_run != order.m_run.Value()) {
     return;
   }
   Task& task = ref.GetTask();
+  task.m_start_fencing = FencingNumber();
+  if (task.m_phase != TaskPhase::kStarting) {
+    return;
+  }
   if (response.m_result == OrderResult::kAccepted) {
     task.m_phase = TaskPhase::kRunning;
     task.m_order_confirmed_at = now;
@@ -431,12 +455,10 @@
       approvals->second.m_tickets.erase(worker.m_record.m_name);
     }
   }
-  const bool refused = response.m_result != OrderResult::kUnknown &&
-                       response.m_result != OrderResult::kStaleRun;
-  if (refused && !earlier_unanswered) {
+  if (response.m_result != OrderResult::kStaleRun) {
     RequeueLostTask(scheduler, now, ref, OrderResultName(response.m_result));
   }
-  // Otherwise the run may exist; the next poll tells.
+  // Otherwise the run has ended there; the next poll tells.
 }
 
 void HandleStopResponse(Scheduler& scheduler, TimePoint now, WorkerIndex index,
--- a/filbertspar/scheduler/src/workers.h
+++ b/filbertspar/scheduler/src/workers.h
@@ -13,9 +13,10 @@
 void UnregisterWorker(Scheduler& scheduler, TimePoint now,
                       const WorkerName& name);
 
-/// \brief Applies the answer to a poll that was sent at `sent`.
+/// \brief Applies the answer to a poll that was sent at `sent` with `fencing`.
 void HandlePollResponse(Scheduler& scheduler, TimePoint sent, TimePoint now,
-                        WorkerIndex index, const WorkerStatus& status);
+                        WorkerIndex index, const WorkerStatus& status,
+                        FencingNumber fencing);
 
 /// \brief Called when a poll got no answer. Later polls renew no lease until
 /// one is answered, beyond m_unanswered_renewals, so that the worker's tasks
@@ -28,11 +29,10 @@
 void HandleInstanceReplaced(Scheduler& scheduler, TimePoint now,
                             WorkerIndex index);
 
-/// \brief Applies the answer to a start. With `earlier_unanswered`, an earlier
-/// copy of the order got no answer and may still be carried out.
+/// \brief Applies the answer to a start; kUnknown when there was none.
 void HandleStartResponse(Scheduler& scheduler, TimePoint now, WorkerIndex index,
-                         const StartOrder& order, const OrderResponse& response,
-                         bool earlier_unanswered);
+                         const StartOrder& order,
+                         const OrderResponse& response);
 
 /// \brief Applies the answer to a stop.
 void HandleStopResponse(Scheduler& scheduler, TimePoint now, WorkerIndex index,
@@ -68,6 +68,13 @@
 std::int64_t GrantStartDeadline(Scheduler& scheduler, TimePoint now,
                                 WorkerIndex index);
 
+/// \brief Time after the end of a lease within which a worker kills its runs.
+inline constexpr Duration kLeaseKillDelay = Milliseconds(200);
+
+/// \brief Longest time that may pass until a worker's clock has advanced by
+/// `milliseconds`.
+Duration MaxElapsedTime(std::int64_t milliseconds);
+
 /// \brief Lower bound of the worker's clock at `now`, in milliseconds.
 std::int64_t MinWorkerClock(const Worker& worker, TimePoint now);
 
--- a/tests/ownership_claim_test.cc
+++ b/tests/ownership_claim_test.cc
@@ -209,5 +209,17 @@
   CHECK_FALSE(IsOwnUnansweredClaim(view, kSelf, FencingNumber(2)));
 }
 
+// Guards against workers that refuse the orders of an owner because its
+// predecessor, of this release or an earlier one, had higher numbers.
+TEST_CASE("each term has fencing numbers above those of all terms before") {
+  const FencingNumber first = NextEpoch(FencingNumber());
+  CHECK(FirstFencingNumber(first) == FencingNumber(1));
+  const FencingNumber second = NextEpoch(first);
+  CHECK(FirstFencingNumber(second) > first);
+  // Owners of earlier releases raise the epoch by one and use it.
+  const FencingNumber earlier_release(second.Value() + 1);
+  CHECK(FirstFencingNumber(NextEpoch(earlier_release)) > earlier_release);
+}
+
 }  // namespace
 }  // namespace filbertspar
--- a/tests/scheduler_incarnation_test.cc
+++ b/tests/scheduler_incarnation_test.cc
@@ -16,13 +16,16 @@
 /// An owner of one worker, whose incarnation 1 has answered.
 struct OneWorker {
   OneWorker() {
-    m_simulation.AddWorker("w1", "p", 8);
+    FakeWorker& worker = m_simulation.AddWorker("w1", "p", 8);
+    // Its registrations state no incarnation.
+    worker.m_record.m_incarnation = 0;
+    RegisterWorker(Owner(), Now(), worker.m_record);
     Poll(1, 500'000);
   }
 
   void Poll(std::int64_t incarnation, std::int64_t clock_ms) {
     HandlePollResponse(Owner(), Now(), Now(), 0,
-                       StatusOf(incarnation, clock_ms));
+                       StatusOf(incarnation, clock_ms), Known().m_fencing);
   }
 
   /// Plans the starts of a job's tasks and sends them.
@@ -71,10 +74,11 @@
   one.Start("job", 3);
   one.m_simulation.m_now += Milliseconds(20);
   const TimePoint granted = one.Known().m_lease_until;
-  HandlePollResponse(one.Owner(), early, one.Now(), 0, StatusOf(1, 500'500));
+  HandlePollResponse(one.Owner(), early, one.Now(), 0, StatusOf(1, 500'500),
+                     one.Known().m_fencing);
   // Its poll may also have been sent after that of the next incarnation.
-  HandlePollResponse(one.Owner(), one.Now(), one.Now(), 0,
-                     StatusOf(1, 500'520));
+  HandlePollResponse(one.Owner(), one.Now(), one.Now(), 0, StatusOf(1, 500'520),
+                     one.Known().m_fencing);
   CHECK(one.Known().m_incarnation == 2);
   CHECK(MinWorkerClock(one.Known(), one.Now()) < 1000);
   CHECK(one.Known().m_lease_until == granted);
@@ -112,7 +116,7 @@
   const StartOrder order = one.Owner().m_effects.m_starts[0].m_order;
   const auto answer = [&](OrderResult result) {
     HandleStartResponse(one.Owner(), one.Now(), 0, order,
-                        {result, std::nullopt}, true);
+                        {result, std::nullopt});
   };
   answer(OrderResult::kUnhealthy);
   answer(OrderResult::kNoCapacity);
@@ -229,19 +233,23 @@
 TEST_CASE("calls that the next incarnation executes late run no task twice") {
   int late_starts = 0;
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
-    late_starts += PlayLateCalls(seed, Milliseconds(600));
+    late_starts += PlayLateCalls(seed, Seconds(3));
   }
   CHECK(late_starts > 0);
 }
 
-// Guards against a history that would not show the fault: starts and polls that
-// reach whatever incarnation is there break it.
-TEST_CASE("the history of restarts shows orders that reach any incarnation") {
+// Guards against a history that would not show the fault: late calls that no
+// fencing number stops break it.
+TEST_CASE("the history of restarts shows late calls that are not refused") {
   int concurrent = 0;
   int after_end = 0;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     Simulation simulation;
-    simulation.m_reaches_any_incarnation = true;
+    Rng delays(seed);
+    simulation.m_ignores_fencing = true;
+    simulation.m_late_call_delay = [&delays] {
+      return Milliseconds(20 * delays.Below(150));
+    };
     PlayRestarts(simulation, seed);
     concurrent += simulation.m_max_concurrent_runs > 1;
     after_end += simulation.m_starts_after_end > 0;
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -51,6 +51,7 @@
     worker->m_record.m_labels = {LabelName("a"), LabelName(rack)};
     worker->m_record.m_capacity = {Millicores(cores * 1000), Megabytes(32768),
                                    Accelerators(0)};
+    worker->m_record.m_incarnation = worker->m_incarnation;
     worker->m_booted_at = m_now;
     m_workers.push_back(std::move(worker));
     RegisterWorker(*m_owner, m_now, m_workers.back()->m_record);
@@ -107,7 +108,8 @@
   void TakeOver(const std::function<void()>& between_reads = [] {}) {
     const auto jobs = StoredJobs();
     between_reads();
-    const std::uint64_t epoch = m_owner->m_options.m_fencing.Value() + 1;
+    const std::uint64_t epoch =
+        m_owner->m_options.m_fencing.Value() + 1'000'000;
     const Duration retention = m_owner->m_options.m_state_retention;
     m_owner = std::make_unique<Scheduler>();
     m_owner->m_options.m_fencing = FencingNumber(epoch);
@@ -143,7 +145,16 @@
 
   /// Ends the incarnation of a worker whose machine loses its power.
   void LosePower(FakeWorker& worker) {
-    Restart(worker);
+    worker.m_running.clear();
+    worker.m_last_run.clear();
+    worker.m_finished.clear();
+    worker.m_next_finished_number = 1;
+    // What an incarnation has refused does not wait for the next one.
+    std::erase_if(worker.m_late_calls, [&worker](const LateCall& call) {
+      return call.m_fencing < worker.m_fencing;
+    });
+    worker.m_fencing = FencingNumber();
+    worker.m_lease_until = TimePoint();
     worker.m_is_unreachable = true;
     worker.m_has_no_power = true;
   }
@@ -151,9 +162,13 @@
   /// Begins the next incarnation of a worker whose machine had no power. It
   /// executes what was sent meanwhile, if m_late_call_delay is set.
   void Boot(FakeWorker& worker) {
-    worker.m_booted_at = m_now;
     worker.m_is_unreachable = false;
     worker.m_has_no_power = false;
+    worker.m_booted_at = m_now;
+    worker.m_incarnation = std::max(worker.m_incarnation + 1,
+                                    ToMilliseconds(m_now.time_since_epoch()));
+    worker.m_record.m_incarnation = worker.m_incarnation;
+    RegisterWorker(*m_owner, m_now, worker.m_record);
     for (LateCall& call : worker.m_late_calls) {
       call.m_due = m_now + m_late_call_delay();
     }
@@ -161,14 +176,10 @@
 
   /// Starts a new incarnation of the worker, without runs or finished runs.
   void Restart(FakeWorker& worker) {
-    ++worker.m_incarnation;
-    worker.m_booted_at = m_now;
-    worker.m_running.clear();
-    worker.m_last_run.clear();
-    worker.m_finished.clear();
-    worker.m_next_finished_number = 1;
-    worker.m_fencing = FencingNumber();
-    worker.m_lease_until = TimePoint();
+    const bool is_unreachable = worker.m_is_unreachable;
+    LosePower(worker);
+    Boot(worker);
+    worker.m_is_unreachable = is_unreachable;
   }
 
   /// Changes the capacity that the worker reports.
@@ -223,15 +234,17 @@
   /// Run time divided by estimate.
   double m_ratio = 1;
   Duration m_stop_time = Milliseconds(200);
-  /// Time after which a poll without an answer is given up. Starts to a silent
-  /// worker are repeated meanwhile.
+  /// Time after which a poll without an answer is given up.
   Duration m_poll_timeout{0};
   /// Time from the start of an incarnation to its execution of a call that was
   /// sent to the one before; empty when such calls are lost.
   std::function<Duration()> m_late_call_delay;
   int m_late_starts = 0;
-  /// Planted: starts and polls reach whatever incarnation is there.
+  /// Starts and polls reach whatever incarnation is there, also on connections
+  /// on which another one has answered.
   bool m_reaches_any_incarnation = false;
+  /// Planted: workers execute late calls whatever their fencing number.
+  bool m_ignores_fencing = false;
   bool m_store_is_down = false;
   /// Progress that the store rejects; it rejects all that is written with it.
   std::function<bool(const JobWrite&)> m_store_rejects = [](const JobWrite&) {
@@ -259,6 +272,8 @@
 
  private:
   static constexpr Duration kTick = Milliseconds(20);
+  /// Time after which a start without a response is given up.
+  static constexpr Duration kOrderTimeout = Milliseconds(360);
   /// A longer lease is shortened to this by the worker.
   static constexpr Duration kMaxLease = Seconds(6);
 
@@ -285,7 +300,7 @@
     ExpireLeases(*m_owner, m_now);
     Dispatch(*m_owner, m_now);
     ApplyEffects();
-    RepeatStarts();
+    GiveUpStarts();
     for (const auto& worker : m_workers) {
       for (const auto& [task, run] : worker->m_running) {
         m_max_concurrent_runs =
@@ -376,6 +391,8 @@
       worker->m_record.m_name =
           WorkerName(crashed.m_record.m_name.Value() + "+");
       worker->m_booted_at = m_now;
+      worker->m_incarnation = ToMilliseconds(m_now.time_since_epoch());
+      worker->m_record.m_incarnation = worker->m_incarnation;
       RegisterWorker(*m_owner, m_now, worker->m_record);
       m_workers.push_back(std::move(worker));
     }
@@ -424,8 +441,8 @@
     for (const LateCall& call : calls) {
       if (call.m_due > m_now) {
         worker.m_late_calls.push_back(call);
-      } else if (call.m_fencing >= worker.m_fencing) {
-        worker.m_fencing = call.m_fencing;
+      } else if (call.m_fencing >= worker.m_fencing || m_ignores_fencing) {
+        worker.m_fencing = std::max(worker.m_fencing, call.m_fencing);
         Execute(worker, call);
       }
     }
@@ -471,11 +488,18 @@
     if (is_known || worker.m_is_unreachable) {
       deadline = GrantLease(*m_owner, m_now, index);
     }
-    if (KeepsCalls(worker)) {
+    // A poll that was given up is followed by ones on new connections, which
+    // neither grant nor acknowledge anything.
+    Worker& known = m_owner->m_workers[index];
+    const bool is_plain = !deadline && !m_reaches_any_incarnation;
+    const std::uint64_t acknowledged = is_plain ? 0 : known.m_finished_stored;
+    const FencingNumber fencing =
+        is_plain ? known.m_fencing : HandlePollSent(known);
+    if (KeepsCalls(worker) && !is_plain) {
       LateCall call;
-      call.m_fencing = m_owner->m_options.m_fencing;
+      call.m_fencing = fencing;
       call.m_deadline_ms = deadline;
-      call.m_acknowledged = m_owner->m_workers[index].m_finished_stored;
+      call.m_acknowledged = acknowledged;
       worker.m_late_calls.push_back(call);
     }
     if (worker.m_is_unreachable && m_poll_timeout > Duration(0)) {
@@ -494,14 +518,12 @@
           had_poll ? PollFailure::kClosed : PollFailure::kRefused);
       return;
     }
-    worker.m_fencing = std::max(worker.m_fencing, m_owner->m_options.m_fencing);
+    worker.m_fencing = std::max(worker.m_fencing, fencing);
     if (deadline) {
       ExtendLease(worker, *deadline);
     }
-    if (is_known) {
-      Acknowledge(worker, m_owner->m_workers[index].m_finished_stored);
-    }
-    HandlePollResponse(*m_owner, sent, m_now, index, StatusOf(worker));
+    Acknowledge(worker, acknowledged);
+    HandlePollResponse(*m_owner, sent, m_now, index, StatusOf(worker), fencing);
   }
 
   void ExtendLease(FakeWorker& worker, std::int64_t deadline_ms) const {
@@ -534,26 +556,17 @@
     return status;
   }
 
-  /// Sends the starts without an answer again until their time is over.
-  void RepeatStarts() {
+  /// Gives up the starts that got no response in time.
+  void GiveUpStarts() {
     std::vector<UnansweredStart> starts;
     std::swap(starts, m_unanswered_starts);
     for (const UnansweredStart& unanswered : starts) {
-      const StartOrder& order = unanswered.m_start.m_order;
-      const TaskRef ref = FindTask(*m_owner, order.m_task);
-      const FakeWorker* worker =
-          Find(m_owner->m_workers[unanswered.m_start.m_worker].m_record.m_name);
-      if (!ref || ref.GetTask().m_phase != TaskPhase::kStarting ||
-          ref.GetTask().m_run != order.m_run.Value()) {
-        continue;
-      }
-      if (m_now >= unanswered.m_until) {
-        HandleStartResponse(*m_owner, m_now, unanswered.m_start.m_worker, order,
-                            {OrderResult::kUnknown, std::nullopt}, true);
-      } else if (worker->m_is_unreachable) {
+      if (m_now < unanswered.m_until) {
         m_unanswered_starts.push_back(unanswered);
       } else {
-        ApplyStart(unanswered.m_start);
+        HandleStartResponse(*m_owner, m_now, unanswered.m_start.m_worker,
+                            unanswered.m_start.m_order,
+                            {OrderResult::kUnknown, std::nullopt});
       }
     }
   }
@@ -591,20 +604,29 @@
     }
   }
 
-  void ApplyStart(const Effects::Start& start) {
-    FakeWorker* worker =
-        Find(m_owner->m_workers[start.m_worker].m_record.m_name);
-    const StartOrder& order = start.m_order;
+  void ApplyStart(Effects::Start start) {
+    Worker& known = m_owner->m_workers[start.m_worker];
+    FakeWorker* worker = Find(known.m_record.m_name);
+    StartOrder& order = start.m_order;
+    if (!IsFenced(known)) {
+      HandleStartResponse(*m_owner, m_now, start.m_worker, order,
+                          {OrderResult::kDeadlinePassed, std::nullopt});
+      return;
+    }
     if (worker != nullptr && !worker->m_is_unreachable &&
         (worker->m_crashed_at != TimePoint::max() || worker->m_refuses)) {
       HandleStartResponse(*m_owner, m_now, start.m_worker, order,
-                          {OrderResult::kNotDelivered, std::nullopt}, false);
+                          {OrderResult::kNotDelivered, std::nullopt});
       return;
     }
-    if (worker != nullptr && worker->m_is_unreachable &&
-        m_poll_timeout > Duration(0)) {
-      m_unanswered_starts.push_back(
-          {start, m_now + m_owner->m_options.m_start_window});
+    const bool is_known = worker == nullptr || worker->m_is_unreachable ||
+                          order.m_incarnation == worker->m_incarnation ||
+                          m_reaches_any_incarnation;
+    if (is_known) {
+      order.m_fencing = HandleStartSent(*m_owner, order);
+    }
+    if (worker == nullptr || worker->m_is_unreachable) {
+      m_unanswered_starts.push_back({start, m_now + kOrderTimeout});
     }
     if (worker != nullptr && KeepsCalls(*worker)) {
       LateCall call;
@@ -615,24 +637,25 @@
     if (worker == nullptr || worker->m_is_unreachable) {
       return;
     }
-    if (order.m_incarnation != worker->m_incarnation &&
-        !m_reaches_any_incarnation) {
+    if (!is_known) {
       // The owner learns of the incarnation that answers; the start is not
       // sent.
       worker->m_poll_given_up_at = TimePoint::max();
       HandlePollResponse(*m_owner, m_now, m_now, start.m_worker,
-                         StatusOf(*worker));
+                         StatusOf(*worker), known.m_fencing);
       return;
     }
     if (worker->m_rejects_starts) {
       HandleStartResponse(*m_owner, m_now, start.m_worker, order,
-                          {OrderResult::kUnhealthy, ClockOf(*worker)}, false);
+                          {OrderResult::kUnhealthy, ClockOf(*worker)});
       return;
     }
     StartRun(*worker, order);
     if (!worker->m_drops_responses) {
       HandleStartResponse(*m_owner, m_now, start.m_worker, order,
-                          {OrderResult::kAccepted, ClockOf(*worker)}, false);
+                          {OrderResult::kAccepted, ClockOf(*worker)});
+    } else {
+      m_unanswered_starts.push_back({start, m_now + kOrderTimeout});
     }
   }
 
--- a/tests/scheduler_starts_test.cc
+++ b/tests/scheduler_starts_test.cc
@@ -61,7 +61,7 @@
   WorkerStatus status;
   status.m_clock_ms = 1000;
   status.m_incarnation = 1;
-  HandlePollResponse(owner, now, now, 0, status);
+  HandlePollResponse(owner, now, now, 0, status, owner.m_workers[0].m_fencing);
   AddJob(owner, now, Simulation::MakeJob("job", "p", 2, Seconds(2)));
   Dispatch(owner, now);
   ExpireLeases(owner, now + Milliseconds(100));
--- /dev/null
+++ b/tests/scheduler_unanswered_test.cc
@@ -0,0 +1,109 @@
+#include <catch2/catch.hpp>
+
+#include "tests/scheduler_simulation.h"
+
+namespace filbertspar::scheduler {
+namespace {
+
+/// An owner of two workers, of which the first gets a start and answers
+/// nothing.
+struct SilentWorker {
+  SilentWorker() {
+    m_worker = &m_simulation.AddWorker("w1", "p", 8);
+    m_simulation.m_poll_timeout = Milliseconds(1600);
+    m_simulation.RunFor(Seconds(1));
+    m_worker->m_is_unreachable = true;
+    m_simulation.Submit(Simulation::MakeJob("job", "p", 1, Seconds(1)));
+    m_simulation.RunFor(Milliseconds(200));
+    m_simulation.AddWorker("w2", "p", 8);
+  }
+
+  Scheduler& Owner() { return *m_simulation.m_owner; }
+  const Worker& Known() { return Owner().m_workers[0]; }
+  const Task& GetTask() {
+    return FindTask(Owner(), {JobId("job"), 0, 0, 0}).GetTask();
+  }
+  /// How long the task waits for the silent worker; a minute if longer.
+  Duration WaitTime() {
+    const TimePoint began = m_simulation.m_now;
+    while (GetTask().m_worker == 0 &&
+           m_simulation.m_now < began + Seconds(60)) {
+      // The registrations are read all the time.
+      Owner().m_registrations_read_at = m_simulation.m_now;
+      m_simulation.RunFor(Milliseconds(20));
+    }
+    return m_simulation.m_now - began;
+  }
+
+  Simulation m_simulation;
+  FakeWorker* m_worker = nullptr;
+};
+
+// Guards against a task that is started elsewhere while a later incarnation of
+// a silent worker executes its first start, or runs it.
+TEST_CASE("a start in doubt outlasts the lease of a worker that restarted") {
+  SilentWorker silent;
+  REQUIRE(IsStartInDoubt(silent.GetTask()));
+  WorkerRecord record = silent.Known().m_record;
+  record.m_incarnation =
+      ToMilliseconds(silent.m_simulation.m_now.time_since_epoch());
+  RegisterWorker(silent.Owner(), silent.m_simulation.m_now, record);
+  const Duration longest = kMaxCallDelay + MaxLeaseTime(silent.Owner());
+  const Duration wait = silent.WaitTime();
+  CHECK(wait > longest - Seconds(1));
+  CHECK(wait < longest + Seconds(1));
+}
+
+// Guards against a task that waits for long although its worker cannot have
+// started again.
+TEST_CASE("a start in doubt waits until the registration shows no restart") {
+  SilentWorker silent;
+  const Duration expiry = silent.Owner().m_options.m_registration_expiry;
+  SECTION("the worker goes on to report") {
+    const Duration wait = silent.WaitTime();
+    CHECK(wait > expiry - Seconds(1));
+    CHECK(wait < expiry + Seconds(1));
+  }
+  SECTION("the worker is to be treated as gone") {
+    UnregisterWorker(silent.Owner(), silent.m_simulation.m_now,
+                     WorkerName("w1"));
+    CHECK(silent.WaitTime() < expiry - Seconds(1));
+  }
+}
+
+// Guards against starts that are sent, and become doubtful, one after the other
+// while a call to the worker has no response.
+TEST_CASE("a worker with an unanswered call gets no start") {
+  SilentWorker silent;
+  silent.m_simulation.RunFor(Milliseconds(400));
+  CHECK_FALSE(IsFenced(silent.Known()));
+  CHECK_FALSE(
+      IsSchedulable(silent.Owner(), silent.Known(), silent.m_simulation.m_now));
+  silent.m_worker->m_is_unreachable = false;
+  silent.m_worker->m_poll_given_up_at = TimePoint::max();
+  silent.m_simulation.RunFor(Milliseconds(40));
+  CHECK(IsFenced(silent.Known()));
+  CHECK_FALSE(IsStartInDoubt(silent.GetTask()));
+}
+
+// Guards against a worker whose earlier calls can no longer be told from its
+// next ones.
+TEST_CASE("an owner whose fencing numbers are used up must begin a new term") {
+  Simulation simulation;
+  simulation.AddWorker("w1", "p", 8);
+  simulation.RunFor(Milliseconds(100));
+  Scheduler& owner = *simulation.m_owner;
+  owner.m_options.m_last_fencing = FencingNumber(3);
+  for (int i = 0; i < 2; ++i) {
+    HandlePollSent(owner.m_workers[0]);
+    RaiseFencing(owner, 0);
+    CHECK_FALSE(owner.m_fencing_exhausted);
+  }
+  HandlePollSent(owner.m_workers[0]);
+  RaiseFencing(owner, 0);
+  CHECK(owner.m_fencing_exhausted);
+  CHECK_FALSE(IsFenced(owner.m_workers[0]));
+}
+
+}  // namespace
+}  // namespace filbertspar::scheduler
