The lease of an incarnation that restarted is reckoned at its longest

Callers saw tasks run twice when a restarted worker was cut off (TWICE).

Cause: a poll that renews the lease of one incarnation may be executed by the next. Its deadline is far ahead of the new clock, so that the worker takes its longest lease, while the owner reckons with the one that it has granted itself.

Evidence: "the owner reckons with a lease that the next incarnation took" and "calls that the next incarnation reads at its start run no task twice" fail on the commit before and pass.

Fix: once the new incarnation refuses the earlier polls, its lease is taken to last as long as one of them could have made it: the longest lease from then on, or from 12 s after its start, whichever is earlier. This matters only when the worker is cut off within that time.

--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -229,6 +229,9 @@
   FencingNumber m_unanswered_fencing;
   /// Highest number that this incarnation is known to have seen.
   FencingNumber m_answered_fencing;
+  /// Calls to former incarnations may have extended the lease of this one; its
+  /// end is known once the worker is fenced.
+  bool m_has_unknown_lease = false;
   /// Resources reserved by m_tasks and m_superseded_runs.
   ResourceVector m_used;
   /// Resources of the runs of the last status that are not in m_tasks; they are
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -26,6 +26,15 @@
 /// Incarnations of one worker of which late answers are recognized.
 constexpr std::size_t kMaxEndedIncarnations = 8;
 
+/// Until when the lease of an incarnation whose clock shows `clock_ms` may last
+/// if it has executed calls to former ones: these were sent before its start.
+TimePoint LateLeaseEnd(const Scheduler& scheduler, TimePoint now,
+                       std::int64_t clock_ms) {
+  const TimePoint latest_call =
+      std::min(now, now - Milliseconds(clock_ms) + kMaxCallDelay);
+  return latest_call + MaxLeaseTime(scheduler);
+}
+
 bool HasEnded(const Worker& worker, std::int64_t incarnation) {
   const auto& ended = worker.m_ended_incarnations;
   return std::find(ended.begin(), ended.end(), incarnation) != ended.end();
@@ -68,6 +77,7 @@
   if (is_first) {
     return;
   }
+  worker.m_has_unknown_lease = true;
   RaiseFencing(scheduler, index);
   ReleaseSupersededRuns(scheduler, worker);
   worker.m_finished_read = 0;
@@ -377,6 +387,11 @@
   }
   worker.m_has_responded = true;
   worker.m_answered_fencing = std::max(worker.m_answered_fencing, fencing);
+  if (worker.m_has_unknown_lease && IsFenced(worker)) {
+    worker.m_has_unknown_lease = false;
+    worker.m_lease_until = std::max(
+        worker.m_lease_until, LateLeaseEnd(scheduler, now, status.m_clock_ms));
+  }
   if (worker.m_unwanted_stops.size() > status.m_running.size() + 64) {
     worker.m_unwanted_stops.clear();
   }
