No poll acknowledges the end of a run that began after it was sent

Callers saw tasks run again after their end (TWICE): the next incarnation executes a start of the one before, ends its run, and then executes an earlier poll whose acknowledgement has it forget that end before anybody has read it.

Fix: a start carries a higher fencing number than polls that acknowledged ends, so that these are refused once it is executed; a poll acknowledges nothing while a start is unanswered.

--- a/filbertspar/node/src/worker_connections.cc
+++ b/filbertspar/node/src/worker_connections.cc
@@ -223,8 +223,8 @@
     options.m_connection = ConnectionChoice::kToPeer;
     options.m_peer = PeerOf(worker.m_incarnation);
     order.m_deadline_ms = scheduler::GrantLease(m_scheduler, sent, index);
-    order.m_acknowledged = worker.m_finished_stored;
-    order.m_fencing = scheduler::HandlePollSent(worker);
+    order.m_acknowledged = scheduler::EndsToAcknowledge(worker);
+    order.m_fencing = scheduler::HandlePollSent(worker, order.m_acknowledged);
     if (worker.m_failed_polls == 0) {
       order.m_wait = worker.m_tasks.empty() ? kIdlePollWait : kBusyPollWait;
     }
@@ -262,6 +262,12 @@
     co_return "";
   }
   const OrderResult refusal = adapter::DecodeOrderResponse(result).m_result;
+  if (refusal == OrderResult::kFenced &&
+      order.m_fencing < m_scheduler.m_workers[index].m_fencing) {
+    // A start with a higher number has overtaken the poll.
+    Count(m_metrics, metric::kOrders, "look_overtaken");
+    co_return "";
+  }
   scheduler::HandlePollFailure(m_scheduler, BootNow(), index,
                                PollFailureOf(result));
   Count(m_metrics, metric::kOrders,
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -223,8 +223,10 @@
   TimePoint m_lease_until = TimePoint::min();
   /// Fencing number of the next call; see unanswered.h.
   FencingNumber m_fencing;
-  /// Highest number of a call that granted, acknowledged or started something.
+  /// Highest number of a call that granted, acknowledged or started something,
+  /// and of a poll that acknowledged something.
   FencingNumber m_used_fencing;
+  FencingNumber m_acknowledging_fencing;
   /// Calls up to this number may have no response.
   FencingNumber m_unanswered_fencing;
   /// Highest number that this incarnation is known to have seen.
--- a/filbertspar/scheduler/src/unanswered.cc
+++ b/filbertspar/scheduler/src/unanswered.cc
@@ -1,5 +1,7 @@
 #include "filbertspar/scheduler/src/unanswered.h"
 
+#include <algorithm>
+
 #include "absl/strings/str_cat.h"
 #include "filbertspar/scheduler/src/workers.h"
 
@@ -36,8 +38,18 @@
          kLeaseKillDelay;
 }
 
-FencingNumber HandlePollSent(Worker& worker) {
+std::uint64_t EndsToAcknowledge(const Worker& worker) {
+  const bool has_unanswered_start = std::any_of(
+      worker.m_tasks.begin(), worker.m_tasks.end(),
+      [](const TaskRef& ref) { return IsStartInDoubt(ref.GetTask()); });
+  return has_unanswered_start ? 0 : worker.m_finished_stored;
+}
+
+FencingNumber HandlePollSent(Worker& worker, std::uint64_t acknowledged) {
   worker.m_used_fencing = worker.m_fencing;
+  if (acknowledged > 0) {
+    worker.m_acknowledging_fencing = worker.m_fencing;
+  }
   return worker.m_fencing;
 }
 
@@ -61,6 +73,9 @@
   const TaskRef ref = FindTask(scheduler, order.m_task);
   Task& task = ref.GetTask();
   Worker& worker = scheduler.m_workers[task.m_worker];
+  if (worker.m_fencing == worker.m_acknowledging_fencing) {
+    UseNextNumber(scheduler, worker);
+  }
   worker.m_used_fencing = worker.m_fencing;
   task.m_start_fencing = worker.m_fencing;
   return task.m_start_fencing;
--- a/filbertspar/scheduler/src/unanswered.h
+++ b/filbertspar/scheduler/src/unanswered.h
@@ -24,9 +24,14 @@
 /// end of the worker's runs.
 Duration MaxLeaseTime(const Scheduler& scheduler);
 
+/// \brief Numbers that a poll may acknowledge now: the ends whose effects are
+/// stored, or none while a start is unanswered. Otherwise the next incarnation
+/// could execute the start, end its run, and then forget that end.
+std::uint64_t EndsToAcknowledge(const Worker& worker);
+
 /// \brief Called before a poll is sent that grants a lease or acknowledges
 /// ends. Returns its fencing number.
-FencingNumber HandlePollSent(Worker& worker);
+FencingNumber HandlePollSent(Worker& worker, std::uint64_t acknowledged);
 
 /// \brief Called when calls to the worker may stay without a response.
 void RaiseFencing(Scheduler& scheduler, WorkerIndex index);
@@ -39,7 +44,9 @@
 /// executed.
 bool IsStartInDoubt(const Task& task);
 
-/// \brief Called before a start is sent. Returns its fencing number.
+/// \brief Called before a start is sent. Returns its fencing number, which is
+/// higher than those of polls that acknowledged ends: once the start is
+/// executed, these are refused.
 FencingNumber HandleStartSent(Scheduler& scheduler, const StartOrder& order);
 
 /// \brief Called when the start was not sent after all.
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -492,9 +492,9 @@
     // neither grant nor acknowledge anything.
     Worker& known = m_owner->m_workers[index];
     const bool is_plain = !deadline && !m_reaches_any_incarnation;
-    const std::uint64_t acknowledged = is_plain ? 0 : known.m_finished_stored;
+    const std::uint64_t acknowledged = is_plain ? 0 : EndsToAcknowledge(known);
     const FencingNumber fencing =
-        is_plain ? known.m_fencing : HandlePollSent(known);
+        is_plain ? known.m_fencing : HandlePollSent(known, acknowledged);
     if (KeepsCalls(worker) && !is_plain) {
       LateCall call;
       call.m_fencing = fencing;
--- a/tests/scheduler_unanswered_test.cc
+++ b/tests/scheduler_unanswered_test.cc
@@ -86,6 +86,31 @@
   CHECK_FALSE(IsStartInDoubt(silent.GetTask()));
 }
 
+// Guards against a poll that has the next incarnation forget the end of a run
+// that it began after the poll was sent, before anybody has read that end.
+TEST_CASE("a start is refused or executed before polls that acknowledge ends") {
+  Worker worker;
+  worker.m_fencing = FencingNumber(1);
+  worker.m_finished_stored = 3;
+  const std::uint64_t acknowledged = EndsToAcknowledge(worker);
+  REQUIRE(acknowledged == 3);
+  const FencingNumber poll = HandlePollSent(worker, acknowledged);
+  Simulation simulation;
+  simulation.AddWorker("w1", "p", 8);
+  simulation.RunFor(Milliseconds(100));
+  Scheduler& owner = *simulation.m_owner;
+  owner.m_workers[0].m_fencing = worker.m_fencing;
+  owner.m_workers[0].m_acknowledging_fencing = poll;
+  owner.m_workers[0].m_finished_stored = 3;
+  owner.m_record_before_start = false;
+  AddJob(owner, simulation.m_now,
+         Simulation::MakeJob("job", "p", 1, Seconds(1)));
+  Dispatch(owner, simulation.m_now);
+  REQUIRE(owner.m_effects.m_starts.size() == 1);
+  CHECK(HandleStartSent(owner, owner.m_effects.m_starts[0].m_order) > poll);
+  CHECK(EndsToAcknowledge(owner.m_workers[0]) == 0);
+}
+
 // Guards against a worker whose earlier calls can no longer be told from its
 // next ones.
 TEST_CASE("an owner whose fencing numbers are used up must begin a new term") {
@@ -95,11 +120,11 @@
   Scheduler& owner = *simulation.m_owner;
   owner.m_options.m_last_fencing = FencingNumber(3);
   for (int i = 0; i < 2; ++i) {
-    HandlePollSent(owner.m_workers[0]);
+    HandlePollSent(owner.m_workers[0], 0);
     RaiseFencing(owner, 0);
     CHECK_FALSE(owner.m_fencing_exhausted);
   }
-  HandlePollSent(owner.m_workers[0]);
+  HandlePollSent(owner.m_workers[0], 0);
   RaiseFencing(owner, 0);
   CHECK(owner.m_fencing_exhausted);
   CHECK_FALSE(IsFenced(owner.m_workers[0]));
