A start that the next incarnation answers stays in doubt

Callers would see tasks run again after their end (TWICE) where a connection leads to the next incarnation of a worker, which answers a start that was sent to the one before. The owner took the run for one of the incarnation it knew, and the next poll acknowledged ends by the numbers of that one.

Fix: the clock in the answer is behind the owner's lower bound for the incarnation that the start was for. Such an answer counts as none.

--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -35,6 +35,15 @@
   return latest_call + MaxLeaseTime(scheduler);
 }
 
+/// Whether another incarnation than the one that the order is for has answered
+/// it: the clock of a later one is behind.
+bool IsFromNextIncarnation(const Scheduler& scheduler, const StartOrder& order,
+                           const OrderResponse& response) {
+  const std::int64_t clock_when_issued =
+      order.m_deadline_ms - ToMilliseconds(scheduler.m_options.m_start_window);
+  return response.m_clock_ms && *response.m_clock_ms < clock_when_issued;
+}
+
 bool HasEnded(const Worker& worker, std::int64_t incarnation) {
   const auto& ended = worker.m_ended_incarnations;
   return std::find(ended.begin(), ended.end(), incarnation) != ended.end();
@@ -427,7 +436,8 @@
 void HandleStartResponse(Scheduler& scheduler, TimePoint now, WorkerIndex index,
                          const StartOrder& order,
                          const OrderResponse& response) {
-  if (response.m_result == OrderResult::kUnknown) {
+  if (response.m_result == OrderResult::kUnknown ||
+      IsFromNextIncarnation(scheduler, order, response)) {
     HandleStartUnanswered(scheduler, now, index, order);
     return;
   }
--- a/tests/scheduler_incarnation_test.cc
+++ b/tests/scheduler_incarnation_test.cc
@@ -238,6 +238,19 @@
   CHECK(late_starts > 0);
 }
 
+// Guards against the same where a connection leads to whatever incarnation is
+// there.
+TEST_CASE("orders that reach any incarnation run no task twice") {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    Simulation simulation;
+    simulation.m_reaches_any_incarnation = true;
+    PlayRestarts(simulation, seed);
+    INFO("seed " << seed);
+    REQUIRE(simulation.m_max_concurrent_runs <= 1);
+    REQUIRE(simulation.m_starts_after_end == 0);
+  }
+}
+
 // Guards against a history that would not show the fault: late calls that no
 // fencing number stops break it.
 TEST_CASE("the history of restarts shows late calls that are not refused") {
--- a/tests/scheduler_unanswered_test.cc
+++ b/tests/scheduler_unanswered_test.cc
@@ -86,6 +86,27 @@
   CHECK_FALSE(IsStartInDoubt(silent.GetTask()));
 }
 
+// Guards against a run that nobody knows of because the next incarnation has
+// answered its start on a connection of the one before.
+TEST_CASE("a start that the next incarnation answers stays in doubt") {
+  Simulation simulation;
+  FakeWorker& worker = simulation.AddWorker("w1", "p", 8);
+  simulation.RunFor(Seconds(5));
+  Scheduler& owner = *simulation.m_owner;
+  owner.m_record_before_start = false;
+  AddJob(owner, simulation.m_now,
+         Simulation::MakeJob("job", "p", 1, Seconds(1)));
+  Dispatch(owner, simulation.m_now);
+  REQUIRE(owner.m_effects.m_starts.size() == 1);
+  StartOrder order = owner.m_effects.m_starts[0].m_order;
+  order.m_fencing = HandleStartSent(owner, order);
+  HandleStartResponse(owner, simulation.m_now, 0, order,
+                      {OrderResult::kAccepted, 10});
+  CHECK(IsStartInDoubt(FindTask(owner, order.m_task).GetTask()));
+  CHECK(owner.m_workers[0].m_fencing > order.m_fencing);
+  CHECK(worker.m_running.empty());
+}
+
 // Guards against a poll that has the next incarnation forget the end of a run
 // that it began after the poll was sent, before anybody has read that end.
 TEST_CASE("a start is refused or executed before polls that acknowledge ends") {
