A new owner waits longer for a silent worker that has restarted

Callers saw tasks run twice after a take-over (TWICE): the previous owner's start, without a response, is executed by the next incarnation of its worker, which is out of reach. The new owner gave the recorded run up when the leases of the previous owner had expired.

Fix: a recorded run on a silent worker whose registration states a recent start is held until the longest delay of a call and the longest lease have passed since that start.

--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -96,6 +96,9 @@
   options.m_inherited_leases_until =
       won.m_previous_silent_since + kMaxUnconfirmedTime +
       options.m_lease * 21 / 20 + kInheritedLeaseMargin;
+  options.m_inherited_doubt_until =
+      won.m_previous_silent_since + kMaxUnconfirmedTime +
+      scheduler::kMaxCallDelay + scheduler::MaxLeaseTime(m_scheduler);
   options.m_disruption_allowed_from =
       BootNow() + parts.m_options.m_stop_time + kPreviousOwnerStopTime;
   m_scheduler.m_unix_offset = UnixNow() - BootNow().time_since_epoch();
--- a/filbertspar/scheduler/src/leases.cc
+++ b/filbertspar/scheduler/src/leases.cc
@@ -12,6 +12,9 @@
 
 /// Largest factor by which a worker's clock may run slow: 2%, rounded up.
 constexpr double kMaxClockSlowdown = 1.03;
+/// Difference between the times of day of two machines, also after a jump.
+constexpr Duration kMaxUnixDifference = Seconds(2);
+
 void ExtendLease(Worker& worker, std::int64_t deadline_ms) {
   const std::int64_t remaining_ms =
       std::max<std::int64_t>(0, deadline_ms - worker.m_clock_ms);
@@ -35,6 +38,17 @@
   return tasks;
 }
 
+/// Until when recorded runs on workers that do not answer may go on.
+TimePoint AllInheritedRunsUntil(const Scheduler& scheduler) {
+  TimePoint until = scheduler.m_options.m_inherited_leases_until;
+  for (const Worker& worker : scheduler.m_workers) {
+    if (worker.m_registered && !worker.m_has_responded) {
+      until = std::max(until, InheritedRunsUntil(scheduler, worker));
+    }
+  }
+  return until;
+}
+
 }  // namespace
 
 Duration MaxElapsedTime(std::int64_t milliseconds) {
@@ -42,6 +56,23 @@
                                             1000 * kMaxClockSlowdown));
 }
 
+TimePoint InheritedRunsUntil(const Scheduler& scheduler, const Worker& worker) {
+  const Options& options = scheduler.m_options;
+  if (!worker.m_registered) {
+    return options.m_inherited_leases_until;
+  }
+  // An incarnation may execute starts to the one before for kMaxCallDelay after
+  // its own start.
+  TimePoint until = options.m_inherited_doubt_until;
+  if (worker.m_record.m_incarnation != 0) {
+    const TimePoint started_at(Milliseconds(worker.m_record.m_incarnation) -
+                               scheduler.m_unix_offset + kMaxUnixDifference);
+    until =
+        std::min(until, started_at + kMaxCallDelay + MaxLeaseTime(scheduler));
+  }
+  return std::max(until, options.m_inherited_leases_until);
+}
+
 void ExpireLeases(Scheduler& scheduler, TimePoint now) {
   JudgeEndedWorkers(scheduler, now);
   ReviewSuspects(scheduler, now);
@@ -80,7 +111,7 @@
                     return found != scheduler.m_worker_index.end() &&
                            scheduler.m_workers[found->second].m_has_responded;
                   });
-  if (all_responded || now > scheduler.m_options.m_inherited_leases_until) {
+  if (all_responded || now > AllInheritedRunsUntil(scheduler)) {
     scheduler.m_inherited_resolved = true;
     AddLogEvent(
         scheduler, "settled", {}, kNoWorker,
--- a/filbertspar/scheduler/src/starts.cc
+++ b/filbertspar/scheduler/src/starts.cc
@@ -79,17 +79,25 @@
 }
 
 /// Whether a run on this worker was found or cannot exist: the worker has
-/// responded, or no VM and no registration has its name.
-bool IsAccountedFor(const Scheduler& scheduler, const WorkerName& worker) {
-  const auto found = scheduler.m_worker_index.find(worker);
-  if (found != scheduler.m_worker_index.end() &&
-      scheduler.m_workers[found->second].m_has_responded) {
+/// responded, its lease is over, or no VM and no registration has its name.
+bool IsAccountedFor(const Scheduler& scheduler, TimePoint now,
+                    const WorkerName& name) {
+  const auto found = scheduler.m_worker_index.find(name);
+  TimePoint until = scheduler.m_options.m_inherited_leases_until;
+  if (found != scheduler.m_worker_index.end()) {
+    const Worker& worker = scheduler.m_workers[found->second];
+    if (worker.m_has_responded) {
+      return true;
+    }
+    until = InheritedRunsUntil(scheduler, worker);
+  }
+  if (now > until) {
     return true;
   }
   return scheduler.m_expected_workers &&
          std::find(scheduler.m_expected_workers->begin(),
                    scheduler.m_expected_workers->end(),
-                   worker) == scheduler.m_expected_workers->end();
+                   name) == scheduler.m_expected_workers->end();
 }
 
 }  // namespace
@@ -189,11 +197,10 @@
 }
 
 void ResolveInheritedRuns(Scheduler& scheduler, TimePoint now) {
-  const bool resolve_all = scheduler.m_inherited_resolved ||
-                           now > scheduler.m_options.m_inherited_leases_until;
   std::vector<TaskId> resolved;
   for (const auto& [id, worker] : scheduler.m_inherited_runs) {
-    if (resolve_all || IsAccountedFor(scheduler, worker)) {
+    if (scheduler.m_inherited_resolved ||
+        IsAccountedFor(scheduler, now, worker)) {
       resolved.push_back(id);
     }
   }
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -340,6 +340,9 @@
   /// Until when runs ordered by previous owners may continue on workers that do
   /// not respond.
   TimePoint m_inherited_leases_until = TimePoint::min();
+  /// The same for workers that may have started again: when starts of previous
+  /// owners can neither be executed nor their runs go on any more.
+  TimePoint m_inherited_doubt_until = TimePoint::min();
   /// No task with a max_unavailable limit is stopped before this time: stops
   /// ordered by the previous owner have taken effect by then.
   TimePoint m_disruption_allowed_from = TimePoint::min();
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -26,6 +26,11 @@
 /// Incarnations of one worker of which late answers are recognized.
 constexpr std::size_t kMaxEndedIncarnations = 8;
 
+/// Whether another owner may have ordered runs.
+bool HasPredecessor(const Scheduler& scheduler) {
+  return scheduler.m_options.m_fencing > FencingNumber(1);
+}
+
 /// Until when the lease of an incarnation whose clock shows `clock_ms` may last
 /// if it has executed calls to former ones: these were sent before its start.
 TimePoint LateLeaseEnd(const Scheduler& scheduler, TimePoint now,
@@ -84,6 +89,7 @@
   worker.m_has_responded = false;
   worker.m_answered_fencing = FencingNumber();
   if (is_first) {
+    worker.m_has_unknown_lease = HasPredecessor(scheduler);
     return;
   }
   worker.m_has_unknown_lease = true;
--- a/filbertspar/scheduler/src/workers.h
+++ b/filbertspar/scheduler/src/workers.h
@@ -75,6 +75,10 @@
 /// `milliseconds`.
 Duration MaxElapsedTime(std::int64_t milliseconds);
 
+/// \brief Until when a run that the previous owner recorded on the worker may
+/// go on while the worker does not answer.
+TimePoint InheritedRunsUntil(const Scheduler& scheduler, const Worker& worker);
+
 /// \brief Lower bound of the worker's clock at `now`, in milliseconds.
 std::int64_t MinWorkerClock(const Worker& worker, TimePoint now);
 
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -115,6 +115,8 @@
     m_owner->m_options.m_fencing = FencingNumber(epoch);
     m_owner->m_options.m_state_retention = retention;
     m_owner->m_options.m_inherited_leases_until = m_now + Seconds(6);
+    m_owner->m_options.m_inherited_doubt_until =
+        m_now + kMaxCallDelay + MaxLeaseTime(*m_owner);
     m_owner->m_options.m_disruption_allowed_from = m_now + Seconds(2);
     m_owner->m_options.m_runs_are_recorded = m_runs_are_recorded;
     m_owner->m_deployment = m_deployment;
--- a/tests/scheduler_unanswered_test.cc
+++ b/tests/scheduler_unanswered_test.cc
@@ -132,6 +132,29 @@
   CHECK(EndsToAcknowledge(owner.m_workers[0]) == 0);
 }
 
+// Guards against a new owner that starts a recorded run elsewhere while the
+// next incarnation of its worker executes the previous owner's start.
+TEST_CASE("a new owner waits longer for a silent worker that has restarted") {
+  const bool has_restarted = GENERATE(true, false);
+  Simulation simulation;
+  FakeWorker& worker = simulation.AddWorker("w1", "p", 8);
+  simulation.RunFor(Milliseconds(100));
+  simulation.Submit(Simulation::MakeJob("job", "p", 1, Seconds(60)));
+  simulation.RunFor(Milliseconds(500));
+  if (has_restarted) {
+    simulation.LosePower(worker);
+    simulation.Boot(worker);
+  }
+  worker.m_is_unreachable = true;
+  simulation.TakeOver();
+  simulation.AddWorker("w2", "p", 8);
+  simulation.RunFor(Seconds(9));
+  CHECK(simulation.m_starts[{JobId("job"), 0, 0, 0}] ==
+        (has_restarted ? 1 : 2));
+  simulation.RunFor(Seconds(14));
+  CHECK(simulation.m_starts[{JobId("job"), 0, 0, 0}] == 2);
+}
+
 // Guards against a worker whose earlier calls can no longer be told from its
 // next ones.
 TEST_CASE("an owner whose fencing numbers are used up must begin a new term") {
