A start in doubt waits until a removed registration takes effect

The registration of a worker that has ended was taken for one of a worker that still reports while its removal waited for kUnregisterDelay: the margin was 0.5 s, the delay is 2.2 s. A worker that had started again, out of reach of the store too, was taken for one that had not. Found by reading.

--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -21,8 +21,8 @@
 constexpr int kLeaseReportIntervals = 2;
 /// A registration is removed after this many report intervals of silence.
 constexpr int kRegistrationIntervals = 3;
-/// Until the removal is read by a feed that may wait for 2 s.
-constexpr Duration kRegistrationMargin = Milliseconds(500);
+/// Until the removal is read and takes effect here.
+constexpr Duration kRegistrationMargin = Milliseconds(2700);
 /// An owner stops sending orders, and answering from its memory, when its
 /// writes have not been confirmed for this long, unless no peer can reach the
 /// store either. The length of a queue may be 2 s old.
