--- a/filbertspar/node/src/owner_term_workers.cc
+++ b/filbertspar/node/src/owner_term_workers.cc
@@ -17,14 +17,12 @@
 }  // namespace
 
 asio::awaitable<bool> OwnerTerm::ReadWorkers(RowVersion& version) {
-  const TimePoint sent = BootNow();
   const StoreResponse rows =
       co_await m_parts.m_store.ReadAll(std::string(adapter::kWorkerTable), "");
   if (rows.m_result != StoreResult::kDone || !m_running) {
     co_return false;
   }
   version = rows.m_version;
-  m_scheduler.m_registrations_read_at = sent;
   std::map<std::string, bool> registered;
   for (const StoreRow& row : rows.m_rows) {
     registered[row.m_key.m_key] = true;
@@ -56,7 +54,6 @@
       started = true;
       m_vms->Start();
     }
-    const TimePoint sent = BootNow();
     const StoreResponse answer = co_await m_parts.m_store.Feed(
         adapter::kWorkerTable, version, kWorkerFeedWait);
     if (!m_running) {
@@ -68,7 +65,6 @@
       continue;
     }
     version = std::max(version, answer.m_version);
-    m_scheduler.m_registrations_read_at = sent;
     for (const StoreRow& row : answer.m_rows) {
       ApplyWorkerRow(row);
     }
--- a/filbertspar/node/src/worker_connections.cc
+++ b/filbertspar/node/src/worker_connections.cc
@@ -39,6 +39,7 @@
 constexpr Duration kFirstRetryDelay = Milliseconds(80);
 constexpr Duration kMaxRetryDelay = Milliseconds(500);
 constexpr int kMaxStopAttempts = 6;
+constexpr int kMaxPaceAttempts = 3;
 constexpr Duration kNotOwnerDelay = Milliseconds(100);
 
 scheduler::PollFailure PollFailureOf(const CallResult& result) {
@@ -368,14 +369,20 @@
 asio::awaitable<void> WorkerConnections::SendPace(WorkerIndex index,
                                                   ThrottleOrder order) {
   const WorkerName name = m_scheduler.m_workers[index].m_record.m_name;
-  order.m_fencing = m_scheduler.m_workers[index].m_fencing;
-  CallOptions options;
-  options.m_timeout = kOrderTimeout;
-  const OrderResponse answer = adapter::DecodeOrderResponse(
-      co_await Send(index, "pace", adapter::MakeThrottleRequest(name, order),
-                    std::move(options)));
-  Count(m_metrics, metric::kOrders,
-        absl::StrCat("pace_", std::string(OrderResultName(answer.m_result))));
+  for (int attempt = 0; attempt < kMaxPaceAttempts && m_running; ++attempt) {
+    order.m_fencing = m_scheduler.m_workers[index].m_fencing;
+    CallOptions options;
+    options.m_timeout = kOrderTimeout;
+    const OrderResponse answer = adapter::DecodeOrderResponse(
+        co_await Send(index, "pace", adapter::MakeThrottleRequest(name, order),
+                      std::move(options)));
+    Count(m_metrics, metric::kOrders,
+          absl::StrCat("pace_", std::string(OrderResultName(answer.m_result))));
+    // A start with a higher fencing number may have overtaken the order.
+    if (answer.m_result != OrderResult::kFenced) {
+      co_return;
+    }
+  }
 }
 
 }  // namespace filbertspar
