A silent worker is asked once, and avoided, after a start without a response

A worker that answers polls but no starts got the next start after each round trip. On a loaded link one late answer dropped all starts that waited for the link.

Found by review.

--- a/filbertspar/node/src/worker_connections_starts.cc
+++ b/filbertspar/node/src/worker_connections_starts.cc
@@ -210,8 +210,13 @@
       break;
     }
     if (!scheduler::IsFenced(m_scheduler.m_workers[index])) {
-      // Another call got no response; no more starts become doubtful.
-      break;
+      // Another call got no response; no more starts become doubtful. While
+      // this VM's link is loaded, that says little about the worker.
+      if (!m_traffic.IsLoaded()) {
+        break;
+      }
+      co_await SleepFor(kRetryDelay);
+      continue;
     }
     // Orders that wait for their turn do not hold a copy each.
     order.m_payload = ref.m_job->m_spec->m_payload;
@@ -298,7 +303,8 @@
             " result=", std::string(OrderResultName(answer.m_result))));
   }
   scheduler::HandleStartResponse(m_scheduler, BootNow(), index, order, answer);
-  if (!scheduler::IsFenced(m_scheduler.m_workers[index])) {
+  if (was_tried && !scheduler::IsFenced(m_scheduler.m_workers[index]) &&
+      ChannelOf(index).m_connecting == 0) {
     // The answer to a poll with a higher fencing number tells whether the start
     // was executed.
     CheckIncarnation(index);
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -40,6 +40,14 @@
   return latest_call + MaxLeaseTime(scheduler);
 }
 
+/// Starts no task for a while on a worker that did not take a start.
+void AvoidAfterStart(TimePoint now, Worker& worker, const StartOrder& order) {
+  if (order.m_incarnation == worker.m_incarnation) {
+    worker.m_avoid_until =
+        std::max(worker.m_avoid_until, now + kUnhealthyPause);
+  }
+}
+
 /// Whether another incarnation than the one that the order is for has answered
 /// it: the clock of a later one is behind.
 bool IsFromNextIncarnation(const Scheduler& scheduler, const StartOrder& order,
@@ -445,6 +453,7 @@
   if (response.m_result == OrderResult::kUnknown ||
       IsFromNextIncarnation(scheduler, order, response)) {
     HandleStartUnanswered(scheduler, now, index, order);
+    AvoidAfterStart(now, scheduler.m_workers[index], order);
     return;
   }
   Worker& worker = scheduler.m_workers[index];
@@ -453,16 +462,12 @@
     MarkBegun(scheduler, now, *ref.m_job, index);
   }
   const bool is_current = order.m_incarnation == worker.m_incarnation;
-  if (is_current && response.m_result == OrderResult::kUnhealthy) {
-    worker.m_avoid_until =
-        std::max(worker.m_avoid_until, now + kUnhealthyPause);
-  }
   if (is_current && response.m_result == OrderResult::kNoCapacity) {
     worker.m_no_capacity_until = now + kNoCapacityPause;
   }
-  if (is_current && response.m_result == OrderResult::kNotDelivered) {
-    worker.m_avoid_until =
-        std::max(worker.m_avoid_until, now + kUnhealthyPause);
+  if (response.m_result == OrderResult::kUnhealthy ||
+      response.m_result == OrderResult::kNotDelivered) {
+    AvoidAfterStart(now, worker, order);
   }
   if (!ref || ref.GetTask().m_worker != index ||
       ref.GetTask().m_run != order.m_run.Value()) {
