An unanswered start is settled by an answer or by time only

- A registration that is gone, or still states the known incarnation, ended the doubt: the next incarnation may run the start without having reached the store.
Now only an answer, a worker of another name at the address, or time ends it ("a start in doubt outlasts every lease of a silent worker").
- The first answer of an incarnation to a poll with the number in use does not fence it, and its lease was not reckoned until then: it is taken for the longest possible until the worker is fenced, then counted from the last call ("a start in doubt is settled by a higher fencing number only").
- An answered stop released a task whose start was in doubt ("an answered stop does not settle a start in doubt").
- With 500 ends listed, a start in doubt kept ends from being acknowledged for ever, as a truncated list does not settle it ("ends are acknowledged once a start in doubt is refused").

Half of the histories now ask a worker which incarnation it is while a poll of the one before is open.

--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -19,10 +19,6 @@
 /// report intervals after its last report, by which time a lease of two
 /// intervals has expired.
 constexpr int kLeaseReportIntervals = 2;
-/// A registration is removed after this many report intervals of silence.
-constexpr int kRegistrationIntervals = 3;
-/// Until the removal is read and takes effect here.
-constexpr Duration kRegistrationMargin = Milliseconds(2700);
 /// An owner stops sending orders, and answering from its memory, when its
 /// writes have not been confirmed for this long, unless no peer can reach the
 /// store either. The length of a queue may be 2 s old.
@@ -87,9 +83,6 @@
   options.m_last_fencing = won.m_record.m_epoch;
   options.m_lease = WorkerLease(parts.m_options);
   options.m_max_lease = parts.m_options.m_max_lease;
-  options.m_registration_expiry =
-      parts.m_options.m_worker_report_interval * kRegistrationIntervals +
-      kRegistrationMargin;
   options.m_runs_are_recorded = won.m_all_runs_recorded;
   options.m_max_job_bytes = parts.m_options.m_memory_bytes / kJobMemoryShare;
   options.m_state_retention = parts.m_options.m_state_retention;
--- a/filbertspar/node/src/worker_connections.cc
+++ b/filbertspar/node/src/worker_connections.cc
@@ -225,7 +225,8 @@
     options.m_peer = PeerOf(worker.m_incarnation);
     order.m_deadline_ms = scheduler::GrantLease(m_scheduler, sent, index);
     order.m_acknowledged = scheduler::EndsToAcknowledge(worker);
-    order.m_fencing = scheduler::HandlePollSent(worker, order.m_acknowledged);
+    order.m_fencing =
+        scheduler::HandlePollSent(sent, worker, order.m_acknowledged);
     if (worker.m_failed_polls == 0) {
       order.m_wait = worker.m_tasks.empty() ? kIdlePollWait : kBusyPollWait;
     }
--- a/filbertspar/node/src/worker_connections_starts.cc
+++ b/filbertspar/node/src/worker_connections_starts.cc
@@ -231,7 +231,7 @@
     const bool is_relayed = route.m_path == StartPath::kRelay;
     const bool is_sent = is_relayed || CanReach(index);
     if (is_sent) {
-      order.m_fencing = scheduler::HandleStartSent(m_scheduler, order);
+      order.m_fencing = scheduler::HandleStartSent(m_scheduler, now, order);
     }
     const std::string sent_fields =
         StartFields(m_scheduler.m_workers[index], order, now);
--- a/filbertspar/scheduler/src/leases.cc
+++ b/filbertspar/scheduler/src/leases.cc
@@ -24,14 +24,12 @@
 }
 
 /// Tasks that no worker runs any more once the worker's lease has expired.
-std::vector<TaskRef> TasksWithoutLease(const Scheduler& scheduler,
-                                       TimePoint now, const Worker& worker) {
+std::vector<TaskRef> TasksWithoutLease(TimePoint now, const Worker& worker) {
   std::vector<TaskRef> tasks;
   for (const TaskRef& ref : worker.m_tasks) {
     // A start that waits for the store holds no lease yet.
     const Task& task = ref.GetTask();
-    if (MayRun(task) &&
-        (!IsStartInDoubt(task) || IsDoubtOver(scheduler, now, worker, task))) {
+    if (MayRun(task) && (!HasUnansweredStart(task) || IsDoubtOver(now, task))) {
       tasks.push_back(ref);
     }
   }
@@ -61,14 +59,14 @@
   if (!worker.m_registered) {
     return options.m_inherited_leases_until;
   }
-  // An incarnation may execute starts to the one before for kMaxCallDelay after
-  // its own start.
+  // Starts to the one before are sent, and may be executed, for a while after
+  // the start of an incarnation.
   TimePoint until = options.m_inherited_doubt_until;
   if (worker.m_record.m_incarnation != 0) {
     const TimePoint started_at(Milliseconds(worker.m_record.m_incarnation) -
                                scheduler.m_unix_offset + kMaxUnixDifference);
-    until =
-        std::min(until, started_at + kMaxCallDelay + MaxLeaseTime(scheduler));
+    until = std::min(until, started_at + kMaxIgnorance + kMaxCallDelay +
+                                MaxLeaseTime(scheduler));
   }
   return std::max(until, options.m_inherited_leases_until);
 }
@@ -77,12 +75,11 @@
   JudgeEndedWorkers(scheduler, now);
   ReviewSuspects(scheduler, now);
   for (Worker& worker : scheduler.m_workers) {
-    if (now <= worker.m_lease_until) {
+    if (now <= worker.m_lease_until || now <= worker.m_unknown_lease_until) {
       continue;
     }
     ReleaseSupersededRuns(scheduler, worker);
-    const std::vector<TaskRef> tasks =
-        TasksWithoutLease(scheduler, now, worker);
+    const std::vector<TaskRef> tasks = TasksWithoutLease(now, worker);
     if (!tasks.empty()) {
       AddLogEvent(
           scheduler, "lease_expired", {},
@@ -95,7 +92,7 @@
     for (const TaskRef& ref : tasks) {
       RequeueLostTask(
           scheduler, now, ref,
-          IsStartInDoubt(ref.GetTask()) ? "doubt_over" : "lease_ran_out");
+          HasUnansweredStart(ref.GetTask()) ? "doubt_over" : "lease_ran_out");
     }
   }
   if (scheduler.m_inherited_resolved) {
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -231,9 +231,12 @@
   FencingNumber m_unanswered_fencing;
   /// Highest number that this incarnation is known to have seen.
   FencingNumber m_answered_fencing;
-  /// Calls to former incarnations may have extended the lease of this one; its
-  /// end is known once the worker is fenced.
-  bool m_has_unknown_lease = false;
+  /// When the last such call was sent.
+  TimePoint m_used_at = TimePoint::min();
+  /// Until when calls to former incarnations may have extended the lease of
+  /// this one, from its first answer until the worker is fenced; min()
+  /// otherwise.
+  TimePoint m_unknown_lease_until = TimePoint::min();
   /// Resources reserved by m_tasks and m_superseded_runs.
   ResourceVector m_used;
   /// Resources of the runs of the last status that are not in m_tasks; they are
@@ -321,9 +324,6 @@
   Duration m_lease = Seconds(3);
   /// Workers shorten longer leases to this.
   Duration m_max_lease = Seconds(6);
-  /// Time after which the registration of a worker that does not report is
-  /// certainly removed and its removal read.
-  Duration m_registration_expiry = Seconds(7);
   /// Number of successive unanswered polls that still renew the lease. 0 unless
   /// this VM's own link is loaded, when a poll without an answer says little
   /// about the worker.
@@ -425,9 +425,6 @@
   std::uint64_t m_first_change_in_write = 0;
   /// A worker has used up the fencing numbers of this owner.
   bool m_fencing_exhausted = false;
-  /// When the latest request was sent that returned all registrations, or their
-  /// changes.
-  TimePoint m_registrations_read_at = TimePoint::min();
   /// Unix time minus scheduler time.
   Duration m_unix_offset{0};
   /// Workers that may run inherited tasks; nullopt until all are known.
--- a/filbertspar/scheduler/src/unanswered.cc
+++ b/filbertspar/scheduler/src/unanswered.cc
@@ -8,13 +8,6 @@
 namespace filbertspar::scheduler {
 namespace {
 
-void BeginDoubt(const Scheduler& scheduler, TimePoint now, Task& task) {
-  if (task.m_doubt_since == TimePoint::min()) {
-    task.m_doubt_since = now;
-    task.m_doubt_until = now + kMaxCallDelay + MaxLeaseTime(scheduler);
-  }
-}
-
 /// The task if the order is for its current run; null otherwise.
 Task* TaskOf(Scheduler& scheduler, WorkerIndex index, const StartOrder& order) {
   const TaskRef ref = FindTask(scheduler, order.m_task);
@@ -39,14 +32,18 @@
 }
 
 std::uint64_t EndsToAcknowledge(const Worker& worker) {
-  const bool has_unanswered_start = std::any_of(
-      worker.m_tasks.begin(), worker.m_tasks.end(),
-      [](const TaskRef& ref) { return IsStartInDoubt(ref.GetTask()); });
-  return has_unanswered_start ? 0 : worker.m_finished_stored;
+  const bool may_start = std::any_of(
+      worker.m_tasks.begin(), worker.m_tasks.end(), [&](const TaskRef& ref) {
+        return HasUnansweredStart(ref.GetTask()) &&
+               !IsRefused(ref.GetTask(), worker.m_answered_fencing);
+      });
+  return may_start ? 0 : worker.m_finished_stored;
 }
 
-FencingNumber HandlePollSent(Worker& worker, std::uint64_t acknowledged) {
+FencingNumber HandlePollSent(TimePoint now, Worker& worker,
+                             std::uint64_t acknowledged) {
   worker.m_used_fencing = worker.m_fencing;
+  worker.m_used_at = now;
   if (acknowledged > 0) {
     worker.m_acknowledging_fencing = worker.m_fencing;
   }
@@ -65,11 +62,12 @@
   return worker.m_answered_fencing > worker.m_unanswered_fencing;
 }
 
-bool IsStartInDoubt(const Task& task) {
+bool HasUnansweredStart(const Task& task) {
   return task.m_start_fencing != FencingNumber();
 }
 
-FencingNumber HandleStartSent(Scheduler& scheduler, const StartOrder& order) {
+FencingNumber HandleStartSent(Scheduler& scheduler, TimePoint now,
+                              const StartOrder& order) {
   const TaskRef ref = FindTask(scheduler, order.m_task);
   Task& task = ref.GetTask();
   Worker& worker = scheduler.m_workers[task.m_worker];
@@ -77,6 +75,7 @@
     UseNextNumber(scheduler, worker);
   }
   worker.m_used_fencing = worker.m_fencing;
+  worker.m_used_at = now;
   task.m_start_fencing = worker.m_fencing;
   return task.m_start_fencing;
 }
@@ -95,7 +94,7 @@
     RaiseFencing(scheduler, index);
   }
   Task* task = TaskOf(scheduler, index, order);
-  if (task == nullptr || !IsStartInDoubt(*task)) {
+  if (task == nullptr || !HasUnansweredStart(*task)) {
     return;
   }
   BeginDoubt(scheduler, now, *task);
@@ -106,31 +105,32 @@
                            " next_fencing=", worker.m_fencing.Value()));
 }
 
-bool KeepsStartInDoubt(TimePoint now, Scheduler& scheduler, Task& task) {
-  if (!IsStartInDoubt(task)) {
-    return false;
+void BeginDoubt(const Scheduler& scheduler, TimePoint now, Task& task) {
+  if (task.m_doubt_since == TimePoint::min()) {
+    task.m_doubt_since = now;
+    task.m_doubt_until = now + kMaxCallDelay + MaxLeaseTime(scheduler);
   }
-  BeginDoubt(scheduler, now, task);
-  return true;
 }
 
 bool IsRefused(const Task& task, FencingNumber fencing) {
-  return IsStartInDoubt(task) && task.m_start_fencing < fencing;
+  return HasUnansweredStart(task) && task.m_start_fencing < fencing;
 }
 
-bool IsDoubtOver(const Scheduler& scheduler, TimePoint now,
-                 const Worker& worker, const Task& task) {
-  if (task.m_doubt_since == TimePoint::min()) {
-    // Still waits for its response.
-    return false;
-  }
-  if (now > task.m_doubt_until || !worker.m_registered) {
-    return true;
-  }
-  return worker.m_record.m_incarnation != 0 &&
-         worker.m_record.m_incarnation == worker.m_incarnation &&
-         scheduler.m_registrations_read_at >
-             task.m_doubt_since + scheduler.m_options.m_registration_expiry;
+bool IsDoubtOver(TimePoint now, const Task& task) {
+  // Before that it still waits for its response.
+  return task.m_doubt_since != TimePoint::min() && now > task.m_doubt_until;
+}
+
+void BeginUnknownLease(const Scheduler& scheduler, TimePoint now,
+                       Worker& worker) {
+  worker.m_unknown_lease_until = now + kMaxCallDelay + MaxLeaseTime(scheduler);
+}
+
+void EndUnknownLease(const Scheduler& scheduler, TimePoint latest_call,
+                     Worker& worker) {
+  worker.m_unknown_lease_until = TimePoint::min();
+  worker.m_lease_until =
+      std::max(worker.m_lease_until, latest_call + MaxLeaseTime(scheduler));
 }
 
 }  // namespace filbertspar::scheduler
--- a/filbertspar/scheduler/src/unanswered.h
+++ b/filbertspar/scheduler/src/unanswered.h
@@ -20,6 +20,11 @@
 /// list of impairments).
 inline constexpr Duration kMaxCallDelay = Seconds(12);
 
+/// \brief Longest time for which an owner that does not know of a restart sends
+/// calls to the former incarnation: polls that it waits for, also when its link
+/// is loaded.
+inline constexpr Duration kMaxIgnorance = Seconds(6);
+
 /// \brief Longest time from the execution of a call that grants a lease to the
 /// end of the worker's runs.
 Duration MaxLeaseTime(const Scheduler& scheduler);
@@ -31,7 +36,8 @@
 
 /// \brief Called before a poll is sent that grants a lease or acknowledges
 /// ends. Returns its fencing number.
-FencingNumber HandlePollSent(Worker& worker, std::uint64_t acknowledged);
+FencingNumber HandlePollSent(TimePoint now, Worker& worker,
+                             std::uint64_t acknowledged);
 
 /// \brief Called when calls to the worker may stay without a response.
 void RaiseFencing(Scheduler& scheduler, WorkerIndex index);
@@ -42,12 +48,13 @@
 
 /// \brief Whether a start of the task was sent and is not known to have been
 /// executed.
-bool IsStartInDoubt(const Task& task);
+bool HasUnansweredStart(const Task& task);
 
 /// \brief Called before a start is sent. Returns its fencing number, which is
 /// higher than those of polls that acknowledged ends: once the start is
 /// executed, these are refused.
-FencingNumber HandleStartSent(Scheduler& scheduler, const StartOrder& order);
+FencingNumber HandleStartSent(Scheduler& scheduler, TimePoint now,
+                              const StartOrder& order);
 
 /// \brief Called when the start was not sent after all.
 void HandleStartNotSent(Scheduler& scheduler, WorkerIndex index,
@@ -57,23 +64,27 @@
 void HandleStartUnanswered(Scheduler& scheduler, TimePoint now,
                            WorkerIndex index, const StartOrder& order);
 
-/// \brief Called when the incarnation of a worker has ended, for a task that is
-/// placed there. Returns whether the next one may execute a start of it.
-bool KeepsStartInDoubt(TimePoint now, Scheduler& scheduler, Task& task);
+/// \brief From now on the unanswered start may be executed by a later
+/// incarnation.
+void BeginDoubt(const Scheduler& scheduler, TimePoint now, Task& task);
 
 /// \brief Whether the answer to a poll with `fencing` shows that a start which
 /// it does not list is never executed by the incarnation that answered.
 bool IsRefused(const Task& task, FencingNumber fencing);
 
-/// \brief Whether a start in doubt cannot be executed any more, or its run has
+/// \brief Whether a start in doubt cannot be executed any more, and its run has
 /// ended, although the worker did not answer.
-///
-/// The registration tells whether the worker may have started again: one that
-/// is gone is of a worker to be treated as gone; one that still states the
-/// known incarnation, read when that of an ended incarnation would have
-/// expired, is of a worker that has not started again, and whose clock is past
-/// the deadline of the start. Otherwise time must pass.
-bool IsDoubtOver(const Scheduler& scheduler, TimePoint now,
-                 const Worker& worker, const Task& task);
+bool IsDoubtOver(TimePoint now, const Task& task);
+
+/// \brief Called when an incarnation has answered for the first time. Until the
+/// worker is fenced, the end of its lease is not known.
+void BeginUnknownLease(const Scheduler& scheduler, TimePoint now,
+                       Worker& worker);
+
+/// \brief Called when a worker whose lease was unknown is fenced; `latest_call`
+/// is the latest time at which a call to a former incarnation may have been
+/// executed.
+void EndUnknownLease(const Scheduler& scheduler, TimePoint latest_call,
+                     Worker& worker);
 
 }  // namespace filbertspar::scheduler
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -31,13 +31,22 @@
   return scheduler.m_options.m_fencing > FencingNumber(1);
 }
 
-/// Until when the lease of an incarnation whose clock shows `clock_ms` may last
-/// if it has executed calls to former ones: these were sent before its start.
-TimePoint LateLeaseEnd(const Scheduler& scheduler, TimePoint now,
-                       std::int64_t clock_ms) {
-  const TimePoint latest_call =
-      std::min(now, now - Milliseconds(clock_ms) + kMaxCallDelay);
-  return latest_call + MaxLeaseTime(scheduler);
+/// Latest time at which an incarnation that has just been fenced may have
+/// executed a call to a former one.
+TimePoint LatestCall(const Scheduler& scheduler, TimePoint now,
+                     const Worker& worker) {
+  // Calls of the previous owner, or of this one to a former incarnation.
+  const TimePoint inherited =
+      HasPredecessor(scheduler)
+          ? std::min(scheduler.m_options.m_inherited_doubt_until -
+                         MaxLeaseTime(scheduler),
+                     worker.m_clock_at - Milliseconds(worker.m_clock_ms) +
+                         kMaxIgnorance + kMaxCallDelay)
+          : TimePoint::min();
+  const TimePoint own = worker.m_ended_incarnations.empty()
+                            ? TimePoint::min()
+                            : worker.m_used_at + kMaxCallDelay;
+  return std::min(now, std::max(inherited, own));
 }
 
 /// Starts no task for a while on a worker that did not take a start.
@@ -96,11 +105,12 @@
   worker.m_incarnation = status.m_incarnation;
   worker.m_has_responded = false;
   worker.m_answered_fencing = FencingNumber();
+  if (!is_first || HasPredecessor(scheduler)) {
+    BeginUnknownLease(scheduler, now, worker);
+  }
   if (is_first) {
-    worker.m_has_unknown_lease = HasPredecessor(scheduler);
     return;
   }
-  worker.m_has_unknown_lease = true;
   RaiseFencing(scheduler, index);
   ReleaseSupersededRuns(scheduler, worker);
   worker.m_finished_read = 0;
@@ -115,7 +125,9 @@
   }
   const std::vector<TaskRef> tasks = worker.m_tasks;
   for (const TaskRef& ref : tasks) {
-    if (!KeepsStartInDoubt(now, scheduler, ref.GetTask())) {
+    if (HasUnansweredStart(ref.GetTask())) {
+      BeginDoubt(scheduler, now, ref.GetTask());
+    } else {
       RequeueLostTask(scheduler, now, ref, "worker_restarted");
     }
   }
@@ -311,10 +323,13 @@
       continue;
     }
     const bool never_ran =
-        IsStartInDoubt(task) ? IsRefused(task, fencing)
-                             : task.m_phase == TaskPhase::kStarting &&
-                                   status.m_clock_ms > task.m_start_deadline_ms;
+        HasUnansweredStart(task)
+            ? IsRefused(task, fencing)
+            : task.m_phase == TaskPhase::kStarting &&
+                  status.m_clock_ms > task.m_start_deadline_ms;
+    // The answer to a stop binds the incarnation that gave it only.
     const bool has_ended = task.m_phase != TaskPhase::kStarting &&
+                           !HasUnansweredStart(task) &&
                            task.m_order_confirmed_at < sent;
     if (never_ran || has_ended) {
       RequeueLostTask(scheduler, now, ref,
@@ -410,10 +425,8 @@
   }
   worker.m_has_responded = true;
   worker.m_answered_fencing = std::max(worker.m_answered_fencing, fencing);
-  if (worker.m_has_unknown_lease && IsFenced(worker)) {
-    worker.m_has_unknown_lease = false;
-    worker.m_lease_until = std::max(
-        worker.m_lease_until, LateLeaseEnd(scheduler, now, status.m_clock_ms));
+  if (worker.m_unknown_lease_until != TimePoint::min() && IsFenced(worker)) {
+    EndUnknownLease(scheduler, LatestCall(scheduler, now, worker), worker);
   }
   if (worker.m_unwanted_stops.size() > status.m_running.size() + 64) {
     worker.m_unwanted_stops.clear();
--- a/tests/scheduler_incarnation_test.cc
+++ b/tests/scheduler_incarnation_test.cc
@@ -206,6 +206,7 @@
 int PlayLateCalls(std::uint64_t seed, Duration longest_delay) {
   Simulation simulation;
   Rng delays(seed + 1000);
+  simulation.m_asks_at_boot = seed % 2 == 0;
   simulation.m_late_call_delay = [&] {
     return Duration(static_cast<std::int64_t>(
         delays.Below(static_cast<std::uint64_t>(longest_delay.count()) + 1)));
@@ -238,6 +239,23 @@
   CHECK(late_starts > 0);
 }
 
+// Guards against the same where a call outlives an incarnation that has refused
+// it: the owner starts the task elsewhere once it is refused.
+TEST_CASE("calls that an incarnation has refused run no task twice") {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    Simulation simulation;
+    Rng delays(seed + 1000);
+    simulation.m_keeps_refused_calls = true;
+    simulation.m_late_call_delay = [&] {
+      return Milliseconds(20 * delays.Below(300));
+    };
+    PlayRestarts(simulation, seed);
+    INFO("seed " << seed);
+    REQUIRE(simulation.m_max_concurrent_runs <= 1);
+    REQUIRE(simulation.m_starts_after_end == 0);
+  }
+}
+
 // Guards against the same where a connection leads to whatever incarnation is
 // there.
 TEST_CASE("orders that reach any incarnation run no task twice") {
--- a/tests/scheduler_simulation_parts.h
+++ b/tests/scheduler_simulation_parts.h
@@ -39,6 +39,9 @@
   std::map<TaskId, std::uint64_t> m_last_run;
   std::vector<FinishedRun> m_finished;
   std::uint64_t m_next_finished_number = 1;
+  /// Ends before this one were listed when the lease expired: that they are
+  /// acknowledged later does not count (RULES.md, TWICE).
+  std::uint64_t m_first_counted_end = 1;
   FencingNumber m_fencing;
   TimePoint m_lease_until{};
   /// Polls and orders get no answer; its tasks keep running.
