Keep the progress of large jobs in columns when failures are of several terms

What callers would see: after a take-over a job with thousands of tasks, of which many have failed before, stands still. Its progress exceeds what is stored, so nothing of it is started or acknowledged.

Cause: the columns of a large job's progress hold run numbers in 32 bits after the lowest one. Since the owner's calls to a worker carry fencing numbers of their own, a term has 1,000,000 of them and its run numbers begin at 1,000,000 times the lowest, that is 10^12 above those of the term before. Two failed runs of two terms no longer fit (before, those of 4,295 owners did), and the whole job fell back to a row for each task. The numbers can't be closer together: owners of earlier releases use 1,000,000 times their epoch, and refuse a record with a field for it.

Why it works: the column takes the run numbers of the span that has most of them; only the tasks with others get a row, which the decoder, also that of earlier releases, has always read beside the columns.

--- a/filbertspar/job/src/rows.cc
+++ b/filbertspar/job/src/rows.cc
@@ -203,6 +203,9 @@
   return fbs::CreateStepProgressRow(builder, done, task_rows);
 }
 
+/// Largest difference of the run numbers that a column holds.
+constexpr std::uint64_t kMaxRunSpan = std::numeric_limits<std::uint32_t>::max();
+
 /// Number that stands for each worker.
 using WorkerNumbers = std::map<std::string, std::uint16_t>;
 
@@ -219,16 +222,27 @@
   std::vector<Offset<flatbuffers::String>> checkpoints;
   for (const TaskProgress& task : step.m_tasks) {
     const auto index = static_cast<std::uint16_t>(task.m_index);
-    if (!task.m_crashes.empty()) {
-      AddTaskRow(builder, {task.m_index, {}, "", "", task.m_crashes}, rows);
+    const bool runs_fit =
+        std::all_of(task.m_failed_runs.begin(), task.m_failed_runs.end(),
+                    [first_run](std::uint64_t run) {
+                      return run >= first_run && run - first_run <= kMaxRunSpan;
+                    });
+    if (!task.m_crashes.empty() || !runs_fit) {
+      const std::vector<std::uint64_t> no_runs;
+      AddTaskRow(builder,
+                 {task.m_index, runs_fit ? no_runs : task.m_failed_runs, "", "",
+                  task.m_crashes},
+                 rows);
     }
     if (!task.m_worker.empty()) {
       run_tasks.push_back(index);
       run_workers.push_back(workers.at(task.m_worker));
     }
     for (const std::uint64_t run : task.m_failed_runs) {
-      failed_tasks.push_back(index);
-      failed_runs.push_back(static_cast<std::uint32_t>(run - first_run));
+      if (runs_fit) {
+        failed_tasks.push_back(index);
+        failed_runs.push_back(static_cast<std::uint32_t>(run - first_run));
+      }
     }
     if (!task.m_checkpoint.empty()) {
       checkpoint_tasks.push_back(index);
@@ -251,6 +265,24 @@
       failed_task_rows, failed_run_rows, checkpoint_task_rows, checkpoint_rows);
 }
 
+/// Lowest number of a column that holds as many of the runs as possible.
+std::uint64_t ChooseFirstRun(std::vector<std::uint64_t> runs) {
+  std::sort(runs.begin(), runs.end());
+  std::uint64_t first_run = 0;
+  std::ptrdiff_t most = 0;
+  auto end = runs.begin();
+  for (auto begin = runs.begin(); begin != runs.end(); ++begin) {
+    while (end != runs.end() && *end - *begin <= kMaxRunSpan) {
+      ++end;
+    }
+    if (end - begin > most) {
+      most = end - begin;
+      first_run = *begin;
+    }
+  }
+  return first_run;
+}
+
 /// What the columns of a job need; nullopt when its few tasks are written one
 /// by one, in the form that earlier releases read, or when a value has no room
 /// in a column.
@@ -264,28 +296,22 @@
   static_assert(kMaxTasksPerJob <= std::numeric_limits<std::uint16_t>::max());
   ColumnPlan plan;
   std::size_t tasks = 0;
-  std::uint64_t first_run = std::numeric_limits<std::uint64_t>::max();
-  std::uint64_t last_run = 0;
+  std::vector<std::uint64_t> failed_runs;
   for (const OccurrenceProgress& occurrence : progress.m_occurrences) {
     for (const StepProgress& step : occurrence.m_steps) {
       tasks += step.m_tasks.size();
       for (const TaskProgress& task : step.m_tasks) {
         plan.m_workers.try_emplace(task.m_worker, 0);
-        for (const std::uint64_t run : task.m_failed_runs) {
-          first_run = std::min(first_run, run);
-          last_run = std::max(last_run, run);
-        }
+        failed_runs.insert(failed_runs.end(), task.m_failed_runs.begin(),
+                           task.m_failed_runs.end());
       }
     }
   }
-  const bool runs_fit =
-      last_run == 0 ||
-      last_run - first_run <= std::numeric_limits<std::uint32_t>::max();
-  if (tasks <= kMaxTaskRows || !runs_fit ||
+  if (tasks <= kMaxTaskRows ||
       plan.m_workers.size() > std::numeric_limits<std::uint16_t>::max()) {
     return std::nullopt;
   }
-  plan.m_first_run = last_run == 0 ? 0 : first_run;
+  plan.m_first_run = ChooseFirstRun(std::move(failed_runs));
   std::uint16_t number = 0;
   for (auto& [worker, assigned] : plan.m_workers) {
     assigned = number++;
--- a/tests/job_rows_test.cc
+++ b/tests/job_rows_test.cc
@@ -132,6 +132,27 @@
   CHECK(*decoded == progress);
 }
 
+// Guards against a large job that stands still after a take-over, because no
+// transaction takes its progress.
+TEST_CASE("progress with failures of several terms stays in columns") {
+  constexpr std::uint64_t kNextTerm = 1'000'000'000'000;
+  JobProgress progress = MakeWideProgress(kMaxTasksPerJob);
+  for (TaskProgress& task : progress.m_occurrences[0].m_steps[0].m_tasks) {
+    if (task.m_index % 2 == 0) {
+      task.m_failed_runs = {1001};
+    } else if (task.m_index % 20 == 1) {
+      task.m_failed_runs = {1002, kNextTerm + 1};
+    } else if (task.m_index % 20 == 3) {
+      task.m_failed_runs = {kNextTerm + 1, kNextTerm + 2};
+    }
+  }
+  const std::string encoded = EncodeProgress(progress);
+  CHECK(encoded.size() < kMaxProgressBytes);
+  const auto decoded = DecodeProgress(encoded);
+  REQUIRE(decoded.ok());
+  CHECK(*decoded == progress);
+}
+
 // Guards against a damaged row that crashes the process or is decoded to an
 // invalid job.
 TEST_CASE("damaged rows of wide jobs crash nothing") {
