Write the status of a wave on condition of its row's version

What operators could see: a wave that is shown as completed, for as long as nobody writes its status again, although VMs were added to it that have not begun their upkeep (MIXED).

Cause: the status was written without a condition. The store may perform a write without a response seconds later if its condition still holds, so a late "completed", of this owner or of one before, replaced a "running" that was stored meanwhile; the owner took its own write for the newest and wrote no more.

The test applies the late write after the newer one; without the condition it fails: the late write is applied and the row says "completed".

Why it works: each status changes the row's version, so that of two writes on the same version at most one is performed. An owner knows the version from its last answered write or reads it first, also after a write without an answer, and a new owner stores its status before it relies on it. This costs a read of the status rows for each wave that an owner finds, and after each write without an answer.

--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -466,6 +466,22 @@
   }
 }
 
+asio::awaitable<bool> VmManager::ReadStatusVersion(StoreKey key,
+                                                   upkeep::Wave& wave) {
+  const StoreResponse rows =
+      co_await m_parts.m_store.ReadAll(key.m_table, key.m_partition);
+  if (rows.m_result != StoreResult::kDone || !m_hooks.m_is_confirmed()) {
+    co_return false;
+  }
+  wave.m_status_version = RowVersion();
+  for (const StoreRow& row : rows.m_rows) {
+    if (row.m_key == key) {
+      wave.m_status_version = row.m_version;
+    }
+  }
+  co_return true;
+}
+
 asio::awaitable<void> VmManager::WriteWaveStatus() {
   for (auto& [number, wave] : m_upkeep_state.m_waves) {
     const std::optional<upkeep::WaveStatus> status =
@@ -477,17 +493,17 @@
         upkeep::DescribeEvidence(m_upkeep_state, wave), " list_ms_ago=",
         ToMilliseconds(BootNow() - m_upkeep_state.m_list_requested_at));
     const bool complete = *status == upkeep::WaveStatus::kCompleted;
-    StoreTransaction change;
-    change.m_writes.push_back(
-        {{std::string(adapter::kStatusTable), "",
-          absl::StrCat(std::string(adapter::kWavePrefix), number)},
-         adapter::EncodeWaveStatus(complete)});
-    // Until the answer it is unknown which status the operators read.
-    wave.m_stored_status.reset();
+    const StoreKey key{std::string(adapter::kStatusTable), "",
+                       absl::StrCat(std::string(adapter::kWavePrefix), number)};
+    if (!wave.m_status_version && !co_await ReadStatusVersion(key, wave)) {
+      continue;
+    }
+    const StoreTransaction change =
+        upkeep::MakeStatusWrite(wave, key, adapter::EncodeWaveStatus(complete));
     const StoreResponse answer =
         co_await m_parts.m_store.Change(change, kStatusTimeout);
+    upkeep::HandleStatusWritten(wave, *status, answer);
     if (answer.m_result == StoreResult::kDone) {
-      wave.m_stored_status = status;
       m_parts.m_log.Info("vm", complete ? "wave_completed" : "wave_running",
                          absl::StrCat("wave=", number, " ", evidence));
     }
--- a/filbertspar/node/src/vm_manager.h
+++ b/filbertspar/node/src/vm_manager.h
@@ -47,6 +47,7 @@
   asio::awaitable<bool> ReadVmList();
   asio::awaitable<void> OrderUpkeep(upkeep::Plan::Order order);
   asio::awaitable<void> OrderMove(capacity::Move move, std::string kind);
+  asio::awaitable<bool> ReadStatusVersion(StoreKey key, upkeep::Wave& wave);
   asio::awaitable<void> WriteWaveStatus();
   void PlanMoves(const upkeep::Plan& plan);
   /// \brief Updates the cores that are moving into each pool, which admission
--- a/filbertspar/upkeep/src/plan.cc
+++ b/filbertspar/upkeep/src/plan.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
@@ -287,6 +288,24 @@
   return wave.m_stored_status == status ? std::nullopt : std::optional(status);
 }
 
+StoreTransaction MakeStatusWrite(Wave& wave, const StoreKey& key,
+                                 std::string value) {
+  StoreTransaction change;
+  change.m_conditions.push_back({key, wave.m_status_version.value()});
+  change.m_writes.push_back({key, std::move(value)});
+  wave.m_stored_status.reset();
+  wave.m_status_version.reset();
+  return change;
+}
+
+void HandleStatusWritten(Wave& wave, WaveStatus status,
+                         const StoreResponse& response) {
+  if (response.m_result == StoreResult::kDone) {
+    wave.m_stored_status = status;
+    wave.m_status_version = response.m_version;
+  }
+}
+
 Plan MakePlan(State& state, TimePoint now,
               const std::function<VmLoad(const VmRecord&)>& load_of) {
   Plan plan;
--- a/filbertspar/upkeep/src/plan.h
+++ b/filbertspar/upkeep/src/plan.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "filbertspar/fleetview/fleetview.h"
 #include "filbertspar/upkeep/src/state.h"
 
 namespace filbertspar::upkeep {
@@ -60,4 +61,16 @@
 /// one holds.
 std::optional<WaveStatus> StatusToStore(const State& state, const Wave& wave);
 
+/// \brief Write of the wave's status to its row, whose version must be known.
+/// Until the response it is unknown which status the operators read.
+///
+/// The store may apply a write without a response seconds later. The condition
+/// excludes that once a later status is stored, by this owner or the next.
+StoreTransaction MakeStatusWrite(Wave& wave, const StoreKey& key,
+                                 std::string value);
+
+/// \brief Records the response to such a write.
+void HandleStatusWritten(Wave& wave, WaveStatus status,
+                         const StoreResponse& response);
+
 }  // namespace filbertspar::upkeep
--- a/filbertspar/upkeep/src/state.h
+++ b/filbertspar/upkeep/src/state.h
@@ -62,6 +62,8 @@
   /// Status that the operators read; std::nullopt when this owner has stored
   /// none.
   std::optional<WaveStatus> m_stored_status;
+  /// Version of the row with the status; std::nullopt when it must be read.
+  std::optional<RowVersion> m_status_version;
 };
 
 /// \brief Load of a VM, as known to the owner.
--- a/tests/upkeep_plan_test.cc
+++ b/tests/upkeep_plan_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "filbertspar/upkeep/upkeep.h"
@@ -410,5 +411,42 @@
   CHECK(fleet.Complete());
 }
 
+// Guards against a wave that is shown as completed after VMs were added to it,
+// because a write without a response is applied late (MIXED).
+TEST_CASE("a late status of a wave does not replace a newer one") {
+  const StoreKey key{"status", "", "wave/1"};
+  RowVersion version;
+  std::string value;
+  const auto apply = [&](const StoreTransaction& change) {
+    StoreResponse response;
+    response.m_result = StoreResult::kConflict;
+    const bool holds = std::all_of(
+        change.m_conditions.begin(), change.m_conditions.end(),
+        [&](const auto& condition) {
+          return condition.m_key == key && condition.m_version == version;
+        });
+    if (holds) {
+      version = RowVersion(version.Value() + 1);
+      value = change.m_writes.front().m_value;
+      response.m_result = StoreResult::kDone;
+      response.m_version = version;
+    }
+    return response;
+  };
+  Wave wave;
+  wave.m_status_version = version;
+  const StoreTransaction late = MakeStatusWrite(wave, key, "completed");
+  HandleStatusWritten(wave, WaveStatus::kCompleted, StoreResponse());
+  CHECK_FALSE(wave.m_status_version);
+  CHECK_FALSE(wave.m_stored_status);
+  wave.m_status_version = version;
+  const StoreTransaction newer = MakeStatusWrite(wave, key, "running");
+  HandleStatusWritten(wave, WaveStatus::kRunning, apply(newer));
+  CHECK(wave.m_stored_status == WaveStatus::kRunning);
+  CHECK(wave.m_status_version == version);
+  CHECK(apply(late).m_result == StoreResult::kConflict);
+  CHECK(value == "running");
+}
+
 }  // namespace
 }  // namespace filbertspar::upkeep
