Forget what a VM said over its links before it started again

What callers could see: starts that wait 0.8 s for a relay, and are then in doubt, because the owner hands them to the link of a process that has ended; while the VMs of an upgrade go back to a release that does not relay to one incarnation of a worker, a start that reaches the next incarnation.

Cause: the owner keeps what a VM's pings state by the VM's name, and chooses among its links by that name. When a VM has started again, the first message over its new link made the former process's age of the store, CPU capacity and ability to relay count as those of the new one, until its first ping. If the VM lost its power, the former link stayed open beside the new one, and starts went to either.

The test opens links of two processes of one VM: before, the owner relays over the former link, believes its age of the store and capacity, and never closes it.

Why it works: the peer's fields belong to one process and are reset by the Hello of another. The first message after a Hello, which cannot be a repeated one, closes the links of other processes of that VM; starts that wait there end at once as unanswered.

--- a/filbertspar/node/src/link_server.cc
+++ b/filbertspar/node/src/link_server.cc
@@ -41,6 +41,9 @@
     LinkSocket m_socket;
     std::unique_ptr<Session> m_session;
     VmName m_peer;
+    std::uint64_t m_incarnation = 0;
+    /// Whether a message followed the Hello, which alone may be a repeated one.
+    bool m_is_established = false;
     TimePoint m_accepted_at = BootNow();
     FrameQueue m_queue;
     std::size_t m_relays = 0;
@@ -75,6 +78,8 @@
   void Close(const LinkPtr& link);
 
   LinkPtr LinkTo(const VmName& vm) const;
+  /// Closes the links of other processes of the same VM: they have ended.
+  void CloseLinksOfOtherProcesses(const Link& link);
   /// Closes links whose VM has not identified itself in time, and the oldest
   /// such link while there are too many.
   void CloseUnidentified();
@@ -156,16 +161,27 @@
       return false;
     }
     Send(link, link->m_session->WrapHello());
-    link->m_peer = VmOf(link->m_session->Peer()->m_node);
+    const NodeName& node = link->m_session->Peer()->m_node;
+    link->m_peer = VmOf(node);
+    link->m_incarnation = IncarnationOf(node);
     LinkPeer& peer = m_peers[link->m_peer];
+    if (peer.m_incarnation != link->m_incarnation) {
+      peer = LinkPeer();
+      peer.m_incarnation = link->m_incarnation;
+    }
     peer.m_connected = true;
     peer.m_last_ping_at = BootNow();
     m_log.Info("link", "link_opened",
                absl::StrCat("peer=", link->m_peer.Value()));
     return true;
   }
+  if (!link->m_is_established) {
+    link->m_is_established = true;
+    CloseLinksOfOtherProcesses(*link);
+  }
   if (const auto* ping = std::get_if<LinkPing>(&envelope.m_message)) {
     LinkPeer& peer = m_peers[link->m_peer];
+    peer.m_incarnation = link->m_incarnation;
     peer.m_last_ping_at = BootNow();
     peer.m_store_age = ping->m_store_age;
     peer.m_cpu_capacity = ping->m_cpu_capacity;
@@ -221,6 +237,16 @@
   }
 }
 
+void LinkServer::State::CloseLinksOfOtherProcesses(const Link& link) {
+  const std::set<LinkPtr> links = m_links;
+  for (const LinkPtr& other : links) {
+    if (other->m_peer == link.m_peer &&
+        other->m_incarnation != link.m_incarnation) {
+      Close(other);
+    }
+  }
+}
+
 void LinkServer::State::CloseUnidentified() {
   std::vector<LinkPtr> unidentified;
   for (const LinkPtr& link : m_links) {
--- a/filbertspar/node/src/link_server.h
+++ b/filbertspar/node/src/link_server.h
@@ -16,6 +16,8 @@
 
 /// \brief State of another VM that forwards calls to this one.
 struct LinkPeer {
+  /// The process of which the other fields are known.
+  std::uint64_t m_incarnation = 0;
   bool m_connected = false;
   TimePoint m_last_ping_at = TimePoint::min();
   /// Time since the VM last reached the store, as of its last ping.
--- a/tests/node_link_test.cc
+++ b/tests/node_link_test.cc
@@ -12,6 +12,7 @@
 #include "boost/asio/detached.hpp"
 #include "boost/asio/ip/tcp.hpp"
 #include "boost/asio/read.hpp"
+#include "boost/asio/write.hpp"
 #include "filbertspar/node/src/clock.h"
 #include "filbertspar/node/src/link_client.h"
 #include "filbertspar/node/src/link_server.h"
@@ -50,6 +51,100 @@
   CHECK(error == asio::error::connection_reset);
 }
 
+// Guards against a relayed start that goes to a VM which says no more that it
+// relays to one incarnation, or over the link of its former process.
+TEST_CASE("what a VM said before it started again does not count") {
+  asio::io_context context;
+  EventLog log(context, EventLogLimits(), STDERR_FILENO);
+  MetricsBook metrics;
+  TrafficMeter traffic(metrics, 1000);
+  const VmName vm("relay");
+  const std::string secret(32, 's');
+  Hello owner;
+  owner.m_node = MakeNodeName(VmName("owner"), 1);
+  LinkServer server(context, log, traffic, owner, secret);
+  tcp::endpoint address(asio::ip::make_address("127.0.0.1"), 0);
+  for (int attempt = 0; attempt < 10; ++attempt) {
+    tcp::acceptor finder(context, address);
+    address.port(finder.local_endpoint().port());
+    finder.close();
+    if (server.Listen({"127.0.0.1", address.port()}).ok()) {
+      break;
+    }
+    address.port(0);
+  }
+  server.SetHandler(
+      [](const VmName&, JobCall) -> asio::awaitable<JobReply> {
+        co_return JobReply();
+      },
+      [] { return true; });
+  const Secrets secrets{secret, std::nullopt};
+  const auto run_until = [&](const auto& is_met) {
+    for (const TimePoint end = BootNow() + Seconds(5);
+         !is_met() && BootNow() < end;) {
+      context.run_one_for(std::chrono::milliseconds(100));
+    }
+    return is_met();
+  };
+  struct Process {
+    tcp::socket m_socket;
+    Session m_session;
+  };
+  const auto connect = [&](std::uint64_t incarnation) {
+    Hello hello;
+    hello.m_node = MakeNodeName(vm, incarnation);
+    hello.m_nonce = incarnation;
+    auto process = std::make_unique<Process>(
+        Process{tcp::socket(context), Session(hello, /*initiator=*/true)});
+    process->m_socket.connect(address);
+    asio::write(
+        process->m_socket,
+        asio::buffer(*EncodeFrame(process->m_session.WrapHello(), secrets)));
+    return process;
+  };
+  const auto finish_hello = [&](Process& process) {
+    REQUIRE(run_until([&] { return process.m_socket.available() > 0; }));
+    std::string bytes(process.m_socket.available(), ' ');
+    asio::read(process.m_socket, asio::buffer(bytes));
+    FrameDecoder decoder(std::make_shared<const Secrets>(secrets));
+    std::vector<Envelope> envelopes;
+    REQUIRE(decoder.Feed(bytes, envelopes).ok());
+    REQUIRE(envelopes.size() == 1);
+    REQUIRE(process.m_session.Accept(envelopes.front()).ok());
+  };
+  const auto send_ping = [&](Process& process, const LinkPing& ping) {
+    asio::write(process.m_socket, asio::buffer(*EncodeFrame(
+                                      process.m_session.Wrap(ping), secrets)));
+  };
+  const auto former = connect(1);
+  finish_hello(*former);
+  LinkPing ping;
+  ping.m_number = 1;
+  ping.m_willing = true;
+  ping.m_relays_to_incarnation = true;
+  ping.m_store_age = Seconds(9);
+  ping.m_cpu_capacity = Millicores(4000);
+  send_ping(*former, ping);
+  REQUIRE(run_until([&] { return server.CanRelay(vm); }));
+
+  const auto next = connect(2);
+  finish_hello(*next);
+  CHECK_FALSE(server.CanRelay(vm));
+  const LinkPeer& peer = server.Peers().at(vm);
+  CHECK(peer.m_connected);
+  CHECK(peer.m_store_age == Duration(0));
+  CHECK(peer.m_cpu_capacity == Millicores(0));
+  send_ping(*next, LinkPing());
+  former->m_socket.non_blocking(true);
+  CHECK(run_until([&] {
+    boost::system::error_code error;
+    std::string rest(4096, ' ');
+    former->m_socket.read_some(asio::buffer(rest), error);
+    return error == asio::error::eof;
+  }));
+  CHECK(peer.m_connected);
+}
+
 Duration DrawMs(std::mt19937& random, int min, int max) {
   return Milliseconds(std::uniform_int_distribution<int>(min, max)(random));
 }
