Claim the row that an ended term of this process has left

What callers would see: no owner, and 503 for every call, for as long as no other VM claims: with one VM, or when the others don't reach the store. It takes an owner that gives its term up (a hand-over, or fencing numbers that are used up) and whose last write gets no response and is not performed.

Cause: a VM that reads its own process in the row took that for a term that goes on, although it only reads the row while it is not the owner.

Evidence: by reading the code; not seen in a run. The test fails before: such a row was not claimed 2 s after its last change, and read again only every 3 s.

Why it works: a term that has begun late, with a claim whose response was lost, is told by its epoch before claims are considered. Any other record of this process is of an ended term and is claimed like one of a silent VM, so that a larger VM to which it was handed over still goes first.

--- a/filbertspar/ownership/src/claim.cc
+++ b/filbertspar/ownership/src/claim.cc
@@ -63,12 +63,10 @@
   if (!view.m_record || view.m_record->m_released) {
     return ClaimDelay(view, self) - (now - view.m_version_first_seen);
   }
-  if (view.m_record->m_vm == self.m_vm) {
-    // The record is either this process's own or was left by an earlier process
-    // on this VM.
-    return view.m_record->m_incarnation == self.m_incarnation
-               ? kHealthyReadPeriod
-               : Duration(0);
+  if (view.m_record->m_vm == self.m_vm &&
+      view.m_record->m_incarnation != self.m_incarnation) {
+    // Left by an earlier process on this VM.
+    return Duration(0);
   }
   if (view.m_link == LinkHealth::kGood) {
     return kHealthyReadPeriod;
--- a/tests/ownership_claim_test.cc
+++ b/tests/ownership_claim_test.cc
@@ -103,6 +103,22 @@
   CHECK(ShouldClaim(view, kSelf, kNow));
 }
 
+// Guards against jobs without an owner for ever when the last write of an owner
+// that hands over got no response and no other VM claims.
+TEST_CASE("an earlier term of this process that was not given up is replaced") {
+  OwnerView view = ViewOf(Seconds(2), LinkHealth::kSilent);
+  view.m_record->m_vm = kSelf.m_vm;
+  view.m_record->m_incarnation = kSelf.m_incarnation;
+  CHECK(ShouldClaim(view, kSelf, kNow));
+  CHECK(TimeToNextOwnerRead(view, kSelf, kNow) < Seconds(1));
+  view.m_version_first_seen = kNow - Milliseconds(500);
+  CHECK_FALSE(ShouldClaim(view, kSelf, kNow));
+  // A larger VM, to which the owner has handed over, goes first.
+  view.m_version_first_seen = kNow - Seconds(2);
+  view.m_record->m_strongest_cpu = Millicores(1000);
+  CHECK_FALSE(ShouldClaim(view, kSelf, kNow));
+}
+
 // Guards against a small VM that claims before a large one, and against VMs of
 // equal CPU capacity whose claims always collide.
 TEST_CASE("VMs with more CPU capacity claim first") {
