Soak: calls under way that the next life of a worker executes

A machine that loses its power may lose the calls under way, keep its connections, so that the next process reads them, or execute them up to 3 s after its start; workers refuse lower fencing numbers also then.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -91,15 +91,20 @@
 async def restart_worker(site, rng):
     """A worker loses its power, starts again under its id and is cut off soon after."""
     worker = site.worker_to_restart(rng)
-    delays = [rng.uniform(0.05, longest) for longest in site.restart_delays]
-    if not worker.lose_power():
-        return
-    await asyncio.sleep(delays[0])
-    if not worker.boot(site.keeps_connections):
-        return
-    await asyncio.sleep(delays[1])
+    off_s, on_s, cut_s = (rng.uniform(*limits) for limits in zip(site.restart_shortest, site.restart_delays))
+    calls = rng.choice(site.restart_calls)
+    for _ in range(site.restarts_in_a_row):
+        site.note(f"{worker.name} is to lose its power, calls {calls}")
+        if not (await worker.lose_power_at(site.restart_moment, calls) if site.restart_moment
+                else worker.lose_power(calls)):
+            return
+        await asyncio.sleep(off_s)
+        if not worker.boot():
+            return
+        site.note(f"{worker.name} has started again")
+        await asyncio.sleep(on_s)
     worker.faults.add("cut")
-    await asyncio.sleep(delays[2])
+    await asyncio.sleep(cut_s)
     worker.faults.discard("cut")
 
 
--- a/soak/http1.py
+++ b/soak/http1.py
@@ -37,29 +37,45 @@
 class Server:
     """Serves `handle(method, path, headers, body)`, which gives a status and a JSON value.
 
-    Its machine can lose its power: then it answers nothing, and when it is on again, connections of before are reset
-    by what is sent on them. `keeps_connections`, planted, hands them on to the next process instead.
+    Its machine can lose its power: then it answers nothing. What becomes of calls under way:
+    lost: they are; when the machine is on again, connections of before are reset by what is sent on them
+    kept: connections stay open, and the next process reads what was sent without power
+    late: as `lost`, but `on_late(path, headers, body)` gets the calls
     """
 
     def __init__(self, handle):
         self._handle = handle
         self._server = None
         self._writers = set()
-        self._boots = 0
+        # What became of calls under way, by loss of power.
+        self._losses = []
         self._has_power = asyncio.Event()
         self._has_power.set()
-        self.keeps_connections = False
+        self._moment, self._on_moment = None, None
+        self.on_late = None
 
     async def start(self, host, port):
         self._server = await asyncio.start_server(self._serve, host, port, limit=1 << 22)
 
     async def stop(self):
         self._server.close()
+        self.reset_connections()
+
+    def reset_connections(self):
         for writer in list(self._writers):
             writer.transport.abort()
 
-    def lose_power(self):
-        self._boots += 1
+    def call_at(self, moment, call):
+        """Calls once, when a connection is `opened` or half of an answer is sent (`answer`)."""
+        self._moment, self._on_moment = moment, call
+
+    def _reach(self, moment):
+        if self._moment == moment:
+            self._moment = None
+            self._on_moment()
+
+    def lose_power(self, calls="lost"):
+        self._losses.append(calls)
         self._has_power.clear()
 
     def boot(self):
@@ -68,35 +84,50 @@
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         # A connection that was opened without power never reached the machine.
-        boots = self._boots if self._has_power.is_set() else None
+        losses = len(self._losses) if self._has_power.is_set() else -1
+        self._reach("opened")
         try:
             while (message := await read_message(reader)) is not None:
-                await self._has_power.wait()
-                if boots != self._boots:
-                    if not self.keeps_connections:
-                        break
-                    boots = self._boots
                 first, headers, body = message
                 method, path, _ = first.split(" ", 2)
+                body = json.loads(body) if body else None
+                if losses != len(self._losses):
+                    self._lose(path, headers, body)
+                    await self._has_power.wait()
+                    if set(self._losses[losses:]) != {"kept"}:
+                        break
+                    losses = len(self._losses)
                 try:
-                    status, value = await self._handle(method, path, headers, json.loads(body) if body else None)
+                    status, value = await self._handle(method, path, headers, body)
                 except Silent:
                     await asyncio.sleep(SILENCE_S)
                     break
-                if boots != self._boots:
+                if losses != len(self._losses):
                     # The process that took the request has ended without an answer.
+                    self._lose(path, headers, body)
                     continue
                 text = json.dumps(value).encode()
-                writer.write(
-                    f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\n"
-                    f"Content-Length: {len(text)}\r\n\r\n".encode() + text)
+                text = (f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\n"
+                        f"Content-Length: {len(text)}\r\n\r\n").encode() + text
+                sent = len(text) // 2 if self._moment == "answer" else len(text)
+                writer.write(text[:sent])
                 await writer.drain()
+                if sent < len(text):
+                    self._reach("answer")
+                    if value.get("reason") != "fence":
+                        self._lose(path, headers, body)
+                    await self._has_power.wait()
+                    break
         except (Dropped, ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             self._writers.discard(writer)
             writer.transport.abort()
 
+    def _lose(self, path, headers, body):
+        if self._losses and self._losses[-1] == "late":
+            self.on_late(path, headers, body)
+
 
 class Connection:
     """A caller's connection, kept open between calls."""
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -9,7 +9,7 @@
           "route": "configuration", "attempts": "attempts", "lost": "kept", "holder": "one-holder",
           "cut": "graceful-stop", "payload": "payload", "crashes": "crashes", "capacity": "capacity", "limits": "store-limits",
           "torn-state": "state-whole", "phantom": "state-own", "early": "state-completed",
-          "reborn": "one-run", "changed": "state-final", "torn-length": "length-whole", "short": "length-low", "long": "length-high"}
+          "unfenced": "one-run", "changed": "state-final", "torn-length": "length-whole", "short": "length-low", "long": "length-high"}
 NAMES = sorted(BREAKS)
 
 
@@ -25,10 +25,10 @@
     elif plant == "refusal":
         submitted = site.promises.submitted
         site.promises.submitted = lambda job, outcome: submitted(job, "refused" if outcome == "accepted" else outcome)
-    elif plant == "reborn":
-        # What was sent to the life before reaches the next one.
-        site.keeps_connections = True
-        site.restart_gap_s, site.restart_delays = 0.7, (0.3, 0.3, 6.0)
+    elif plant == "unfenced":
+        # Late calls are executed whatever their fencing number.
+        site.fences_late = False
+        site.restart_gap_s, site.restart_delays, site.restart_calls = 0.15, (1.0, 3.0, 0.1), ("late",)
     elif plant in REWRITES:
         rewrite_answers(site.answers, REWRITES[plant])
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -73,10 +73,15 @@
         self.fleet = Fleet(self.promises)
         self.fleet.new_worker = self.new_worker
         self.paused_at = {}
-        # Of restarted workers: mean time between two, and longest times without power, until the cut, and of the cut.
+        # Of restarted workers: mean time between two, and limits of the times without power, until the cut, of the cut.
         self.restart_gap_s = 3.0
         self.restart_delays = (2.6, 1.5, 6.0)
-        self.keeps_connections = False
+        self.restart_shortest = (0.05, 0.05, 0.05)
+        # What becomes of calls under way: one of these, see Server.
+        self.restart_calls = ("lost", "kept", "late")
+        self.restart_moment = None
+        self.restarts_in_a_row = 1
+        self.fences_late = True
         self._numbers = self._rng.getrandbits(40) << 16
         self._lives = 0
         self._waves = 0
@@ -120,6 +125,7 @@
         worker = Worker(f"i-{self._lives}", vm, address, self._rng, self.store, self.promises, self.jobs,
                         vm.pool not in UNGUARDED_POOLS)
         worker.on_crash = lambda: self._replace_crashed(vm, worker)
+        worker.fences_late = self.fences_late
         vm.worker = worker
         await worker.start()
 
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -10,6 +10,8 @@
 LONGEST_LEASE_MS = 6000
 REGISTRATION_S = 3 * REPORT_S
 ENDS_LISTED = 500
+# Delays of late calls: until they are executed, and at most (operators' list of impairments).
+LATE_S, LATEST_S = 3, 12
 
 
 class Run:
@@ -32,6 +34,11 @@
         self._is_off = False
         self._rate = rng.uniform(0.98, 1.0)
         self._server = Server(self._handle)
+        self._server.on_late = self._defer
+        # Calls without an answer that are to be executed: time, path, body.
+        self._late = []
+        # Planted when not: late calls are executed whatever their fencing number.
+        self.fences_late = True
         self._tasks = []
         self._begin_life()
         # A VM that moves joins its next pool as another worker.
@@ -78,24 +85,40 @@
         self._end_life()
         asyncio.ensure_future(self._server.stop())
 
-    def lose_power(self):
-        """Ends the life without a sign to anybody. False when there is none."""
+    def lose_power(self, calls):
+        """Ends the life without a sign to anybody. `calls`: what becomes of calls under way, see Server. False when there
+        is none."""
         if not self.is_up:
             return False
         self._is_off = True
-        self._server.lose_power()
+        self._server.lose_power(calls)
+        # What this life refuses no later one executes.
+        self._late = [call for call in self._late if not self.fences_late or call[2]["fencing_token"] >= self._fence]
         self._end_life()
         return True
 
-    def boot(self, keeps_connections=False):
+    async def lose_power_at(self, moment, calls):
+        """Loses its power in the middle of an `answer`, or when a connection is `opened`. False when none comes."""
+        self._server.call_at(moment, lambda: self.lose_power(calls))
+        if moment == "opened":
+            self._server.reset_connections()
+        for _ in range(60):
+            await asyncio.sleep(0.05)
+            if self._is_off:
+                break
+        self._server.call_at(None, None)
+        return self._is_off
+
+    def boot(self):
         """Begins the next life under the same id. False when the worker has ended."""
         if not self._is_off:
             return False
         self._is_off = False
         self._begin_life()
-        self._server.keeps_connections = keeps_connections
         self._server.boot()
         self._go()
+        for call in self._late:
+            self._carry_out_in(self._rng.uniform(0, LATE_S), call)
         return True
 
     def unregister(self):
@@ -148,27 +171,41 @@
         if headers.get("x-expected-instance") != self.name:
             return 421, {"clock_ms": self.clock_ms(), "born": self._born}
         if "late" in self.faults and path != "/hold":
-            asyncio.get_running_loop().call_later(
-                self._rng.uniform(1, 6), self._carry_out_late, self._born, path, body)
+            self._defer(path, headers, body, self._rng.uniform(1, 6))
             raise Dropped
-        if path == "/hold":
-            status, answer = await self._hold(body)
-        else:
-            status, answer = self._carry_out(path, body)
+        status, answer = self._carry_out(path, body)
+        if path == "/hold" and status == 200:
+            answer = await self._lists(body)
         if "lose_answers" in self.faults and self._rng.random() < 0.4:
             raise Dropped
         return status, answer | {"clock_ms": self.clock_ms(), "born": self._born}
 
-    def _carry_out_late(self, born, path, body):
-        if born == self._born:
-            self._carry_out(path, body)
+    def _defer(self, path, headers, body, delay_s=None):
+        """Has the call executed late, by this life or by the next."""
+        if headers.get("x-expected-instance") == self.name:
+            call = (time.monotonic(), path, body)
+            self._late.append(call)
+            self._carry_out_in(self._rng.uniform(0, LATE_S) if delay_s is None else delay_s, call)
+
+    def _carry_out_in(self, delay_s, call):
+        asyncio.get_running_loop().call_later(delay_s, self._carry_out_late, call)
+
+    def _carry_out_late(self, call):
+        if not self.is_up or call not in self._late:
+            return
+        self._late.remove(call)
+        at, path, body = call
+        if time.monotonic() < at + LATEST_S:
+            self._carry_out(path, body, self.fences_late)
 
-    def _carry_out(self, path, body):
+    def _carry_out(self, path, body, is_fenced=True):
         if not self.is_up:
             return 421, {}
-        if body["fencing_token"] < self._fence:
+        if is_fenced and body["fencing_token"] < self._fence:
             return 409, {"reason": "fence"}
-        self._fence = body["fencing_token"]
+        self._fence = max(self._fence, body["fencing_token"])
+        if path == "/hold":
+            return self._hold(body)
         if path == "/run-start":
             return self._start(body)
         run = self.running.get(body["task"])
@@ -209,23 +246,23 @@
     def _extend(self, deadline_ms):
         self._lease_ms = max(self._lease_ms, min(deadline_ms, self.clock_ms() + LONGEST_LEASE_MS))
 
-    async def _hold(self, body):
-        if body["fencing_token"] < self._fence:
-            return 409, {"reason": "fence"}
-        self._fence = body["fencing_token"]
+    def _hold(self, body):
         if "deadline_ms" in body:
             self._extend(body["deadline_ms"])
         for end in self._ends:
             if end[0] <= body["ack_cursor"]:
                 self._promises.end_noted(end[1], end[2], end[3])
         self._ends = [end for end in self._ends if end[0] > body["ack_cursor"]]
+        return 200, {}
+
+    async def _lists(self, body):
         if body.get("wait_ms") and not self._ends:
             try:
                 await asyncio.wait_for(self._woken.wait(), body["wait_ms"] / 1000)
             except asyncio.TimeoutError:
                 pass
         running = [[run.task, run.number, "", 100, 0] for run in self.running.values()]
-        return 200, {"running": running, "finished": self._ends[:ENDS_LISTED]}
+        return {"running": running, "finished": self._ends[:ENDS_LISTED]}
 
 
 class Vm:
