--- a/soak/restarts.py
+++ b/soak/restarts.py
@@ -54,7 +54,7 @@
 class Variation:
     """Mean time between two restarts, the longest delays of each, and what else happens how often.
 
-    `calls` are drawn from, see Server; `moment` is that of a loss of power; a worker restarts `in_a_row` before its cut.
+    `calls` are drawn from, see Server; `moment` is when the power is lost; a worker restarts `in_a_row` before its cut.
     """
 
     def __init__(self, gap_s, delays, other=None, other_gap_s=5.0, link_mbps=1000, calls=("lost",), moment=None,
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -86,8 +86,7 @@
         asyncio.ensure_future(self._server.stop())
 
     def lose_power(self, calls):
-        """Ends the life without a sign to anybody. `calls`: what becomes of calls under way, see Server. False when there
-        is none."""
+        """Ends the life without a sign to anybody. False when there is none. `calls`: see Server."""
         if not self.is_up:
             return False
         self._is_off = True
