Runs of occurrences that a new owner has not opened are not forgotten

Callers saw tasks run again after their end (TWICE), after a take-over.

Cause: a new owner opens at most 256 occurrences of a job from the progress that is stored. Its predecessor had opened later ones as earlier ones finished, and had not stored that. An end that a worker lists of such an occurrence changed nothing and was acknowledged all the same; a run of one was stopped.

Fix: what a worker lists shows that the occurrence was open; it is opened, if it lies within the bound beyond the stored ones.

--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -401,6 +401,22 @@
                            " lost_starts=", job.m_lost_starts));
 }
 
+void OpenListedOccurrence(Scheduler& scheduler, const TaskId& task) {
+  const auto found = scheduler.m_jobs.find(task.m_job);
+  if (found == scheduler.m_jobs.end() || IsFinal(found->second->m_state)) {
+    return;
+  }
+  Job& job = *found->second;
+  if (task.m_occurrence >= job.m_spec->m_occurrence_count ||
+      task.m_occurrence >= job.m_next_occurrence + kMaxOpenOccurrences) {
+    return;
+  }
+  while (job.m_next_occurrence <= task.m_occurrence) {
+    AddOccurrence(job, job.m_next_occurrence);
+    ++job.m_next_occurrence;
+  }
+}
+
 void AdvanceOccurrences(Scheduler& scheduler, TimePoint now) {
   const std::int64_t unix_ms = UnixMs(scheduler, now);
   for (auto& [name, pool] : scheduler.m_pools) {
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -177,6 +177,7 @@
     worker.m_finished_read = finished.m_number;
     RecordOutcome(scheduler, now, index, finished.m_outcome);
     HandleSupersededEnd(scheduler, index, finished.m_task, finished.m_run);
+    OpenListedOccurrence(scheduler, finished.m_task);
     const TaskRef ref = FindTask(scheduler, finished.m_task);
     const bool has_stored_effect = ref && !ref.Spec().m_long_running;
     if (ref) {
@@ -239,6 +240,7 @@
 
 void ReadActiveRun(Scheduler& scheduler, TimePoint now, WorkerIndex index,
                    const ActiveRun& run) {
+  OpenListedOccurrence(scheduler, run.m_task);
   const TaskRef ref = FindTask(scheduler, run.m_task);
   if (ref) {
     MarkBegun(scheduler, now, *ref.m_job, index);
--- a/tests/scheduler_takeover_test.cc
+++ b/tests/scheduler_takeover_test.cc
@@ -172,5 +172,33 @@
   CHECK(worker.m_running.begin()->second.m_run > kRuns);
 }
 
+// Guards against tasks that run again after their end, or are stopped, because
+// the new owner has not opened their occurrence: its predecessor had opened it
+// as earlier ones finished, and not stored that.
+TEST_CASE("runs of occurrences that are not open yet are not forgotten") {
+  Simulation simulation;
+  simulation.AddWorker("w1", "p", 8);
+  Scheduler& owner = *simulation.m_owner;
+  JobSpec job = Simulation::MakeJob("job", "p", 2, Seconds(60));
+  job.m_occurrence_count = 1000;
+  job.m_interval = Milliseconds(1);
+  AddJob(owner, simulation.m_now, job);
+  const TaskId ended{JobId("job"), 300, 0, 0};
+  const TaskId running{JobId("job"), 310, 0, 0};
+  REQUIRE_FALSE(FindTask(owner, ended));
+  WorkerStatus status;
+  status.m_incarnation = 1;
+  status.m_clock_ms = 10'000;
+  status.m_finished.push_back({1, ended, RunNumber(1), RunOutcome::kDone, ""});
+  status.m_running.push_back({running, RunNumber(1), "", 100, -1});
+  HandlePollResponse(owner, simulation.m_now, simulation.m_now, 0, status,
+                     owner.m_workers[0].m_fencing);
+  REQUIRE(FindTask(owner, ended));
+  CHECK(FindTask(owner, ended).GetTask().m_phase == TaskPhase::kDone);
+  REQUIRE(FindTask(owner, running));
+  CHECK(FindTask(owner, running).GetTask().m_phase == TaskPhase::kRunning);
+  CHECK(owner.m_effects.m_stops.empty());
+}
+
 }  // namespace
 }  // namespace filbertspar::scheduler
