--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -24,12 +24,6 @@
 /// estimate.
 constexpr double kMinRatio = 0.2;
 constexpr double kMaxRatio = 5;
-/// Bounds of the occurrences of a job that are open at a time: each of them
-/// takes memory, and time in every dispatch. Occurrences that are due beyond
-/// them are opened as earlier ones finish.
-constexpr std::size_t kMaxOpenOccurrences = 256;
-constexpr std::size_t kMaxOpenTasks = kMaxTasksPerJob;
-
 bool IsBitSet(const std::string& bits, std::uint32_t index) {
   return index / 8 < bits.size() &&
          ((static_cast<unsigned char>(bits[index / 8]) >> (index % 8)) & 1U) !=
@@ -50,26 +44,6 @@
   return longest;
 }
 
-Occurrence& AddOccurrence(Job& job, std::uint32_t number) {
-  auto occurrence = std::make_unique<Occurrence>();
-  occurrence->m_number = number;
-  for (const StepSpec& spec : job.m_spec->m_steps) {
-    Step step;
-    step.m_tasks.resize(spec.m_count);
-    step.m_waiting = spec.m_count;
-    occurrence->m_steps.push_back(std::move(step));
-  }
-  occurrence->m_unfinished_steps =
-      static_cast<std::uint32_t>(job.m_spec->m_steps.size());
-  job.m_occurrences.push_back(std::move(occurrence));
-  return *job.m_occurrences.back();
-}
-
-std::int64_t DueMs(const JobSpec& spec, std::uint32_t occurrence) {
-  return spec.m_first_due_ms + static_cast<std::int64_t>(occurrence) *
-                                   ToMilliseconds(spec.m_interval);
-}
-
 Job& InsertJob(Scheduler& scheduler, TimePoint now, JobSpec spec) {
   auto job = std::make_unique<Job>();
   job->m_accepted_at = now;
@@ -84,18 +58,6 @@
   return inserted;
 }
 
-void OpenDueOccurrences(Job& job, std::int64_t unix_ms) {
-  const JobSpec& spec = *job.m_spec;
-  const std::size_t max_open = std::clamp<std::size_t>(
-      kMaxOpenTasks / job.m_tasks_per_occurrence, 1, kMaxOpenOccurrences);
-  while (job.m_occurrences.size() < max_open &&
-         job.m_next_occurrence < spec.m_occurrence_count &&
-         DueMs(spec, job.m_next_occurrence) <= unix_ms) {
-    AddOccurrence(job, job.m_next_occurrence);
-    ++job.m_next_occurrence;
-  }
-}
-
 void ActivateJob(Scheduler& scheduler, TimePoint now, Job& job) {
   scheduler.m_pools[job.m_spec->m_policy.m_pool].m_jobs.push_back(&job);
   if (job.m_spec->m_occurrence_count == 0 && job.m_next_occurrence == 0) {
@@ -401,31 +363,6 @@
                            " lost_starts=", job.m_lost_starts));
 }
 
-void OpenListedOccurrence(Scheduler& scheduler, const TaskId& task) {
-  const auto found = scheduler.m_jobs.find(task.m_job);
-  if (found == scheduler.m_jobs.end() || IsFinal(found->second->m_state)) {
-    return;
-  }
-  Job& job = *found->second;
-  if (task.m_occurrence >= job.m_spec->m_occurrence_count ||
-      task.m_occurrence >= job.m_next_occurrence + kMaxOpenOccurrences) {
-    return;
-  }
-  while (job.m_next_occurrence <= task.m_occurrence) {
-    AddOccurrence(job, job.m_next_occurrence);
-    ++job.m_next_occurrence;
-  }
-}
-
-void AdvanceOccurrences(Scheduler& scheduler, TimePoint now) {
-  const std::int64_t unix_ms = UnixMs(scheduler, now);
-  for (auto& [name, pool] : scheduler.m_pools) {
-    for (Job* job : pool.m_jobs) {
-      OpenDueOccurrences(*job, unix_ms);
-    }
-  }
-}
-
 void HandleRunFinished(Scheduler& scheduler, TimePoint now, const TaskRef& ref,
                        const FinishedRun& finished, WorkerIndex worker) {
   Task& task = ref.GetTask();
--- a/filbertspar/scheduler/src/jobs.h
+++ b/filbertspar/scheduler/src/jobs.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "filbertspar/scheduler/src/occurrences.h"
 #include "filbertspar/scheduler/src/state.h"
 
 namespace filbertspar::scheduler {
@@ -106,14 +107,6 @@
 /// repeated after a while, with what has changed.
 void HandleWriteRejected(Scheduler& scheduler, TimePoint now, const JobId& job);
 
-/// \brief Opens the occurrences of a job up to one of which a worker lists a
-/// run. The previous owner had opened it and may not have stored that.
-void OpenListedOccurrence(Scheduler& scheduler, const TaskId& task);
-
-/// \brief Opens the occurrences that are due, of each job as many as may be
-/// open at a time.
-void AdvanceOccurrences(Scheduler& scheduler, TimePoint now);
-
 /// \brief Frees the tasks and the payload of jobs that ended some time ago;
 /// their state is kept.
 void TrimFinishedJobs(Scheduler& scheduler, TimePoint now);
