The age of an incarnation is told by its start, not by its clock

A new owner reckoned the lease of a worker that had restarted from its clock. Its start (born) is in each answer.

--- a/filbertspar/node/src/worker_connections_starts.cc
+++ b/filbertspar/node/src/worker_connections_starts.cc
@@ -241,9 +241,15 @@
     } else if (is_sent) {
       attempt = co_await SendStartDirectly(index, order, deadline - now);
     } else {
+      const FencingNumber fencing = m_scheduler.m_workers[index].m_fencing;
       const Introduction introduction = co_await Connect(
           index, std::min(Patience(kOrderTimeout), deadline - now));
-      if (introduction.m_status && m_running) {
+      // Another start may have overtaken the poll that opens the connection.
+      const bool was_overtaken =
+          adapter::DecodeOrderResponse(introduction.m_result).m_result ==
+              OrderResult::kFenced &&
+          m_running && fencing < m_scheduler.m_workers[index].m_fencing;
+      if ((introduction.m_status || was_overtaken) && m_running) {
         // Whether the order may still be sent is decided anew.
         if (++connects % kMaxConnectsAtOnce == 0) {
           co_await SleepFor(kRetryDelay);
--- a/filbertspar/scheduler/src/leases.cc
+++ b/filbertspar/scheduler/src/leases.cc
@@ -12,9 +12,6 @@
 
 /// Largest factor by which a worker's clock may run slow: 2%, rounded up.
 constexpr double kMaxClockSlowdown = 1.03;
-/// Difference between the times of day of two machines, also after a jump.
-constexpr Duration kMaxUnixDifference = Seconds(2);
-
 void ExtendLease(Worker& worker, std::int64_t deadline_ms) {
   const std::int64_t remaining_ms =
       std::max<std::int64_t>(0, deadline_ms - worker.m_clock_ms);
@@ -63,10 +60,9 @@
   // the start of an incarnation.
   TimePoint until = options.m_inherited_doubt_until;
   if (worker.m_record.m_incarnation != 0) {
-    const TimePoint started_at(Milliseconds(worker.m_record.m_incarnation) -
-                               scheduler.m_unix_offset + kMaxUnixDifference);
-    until = std::min(until, started_at + kMaxIgnorance + kMaxCallDelay +
-                                MaxLeaseTime(scheduler));
+    until = std::min(
+        until, LatestStartOf(scheduler, worker.m_record.m_incarnation) +
+                   kMaxIgnorance + kMaxCallDelay + MaxLeaseTime(scheduler));
   }
   return std::max(until, options.m_inherited_leases_until);
 }
--- a/filbertspar/scheduler/src/order_responses.cc
+++ b/filbertspar/scheduler/src/order_responses.cc
@@ -21,7 +21,7 @@
 }
 
 /// Whether another incarnation than the one that the order is for has answered
-/// it: the clock of a later one is behind.
+/// it. The clock of a later one starts anew and is mostly behind.
 bool IsFromNextIncarnation(const Scheduler& scheduler, const StartOrder& order,
                            const OrderResponse& response) {
   const std::int64_t clock_when_issued =
--- a/filbertspar/scheduler/src/unanswered.cc
+++ b/filbertspar/scheduler/src/unanswered.cc
@@ -8,6 +8,9 @@
 namespace filbertspar::scheduler {
 namespace {
 
+/// Difference between the times of day of two machines, also after a jump.
+constexpr Duration kMaxUnixDifference = Seconds(2);
+
 /// The task if the order is for its current run; null otherwise.
 Task* TaskOf(Scheduler& scheduler, WorkerIndex index, const StartOrder& order) {
   const TaskRef ref = FindTask(scheduler, order.m_task);
@@ -31,6 +34,11 @@
          kLeaseKillDelay;
 }
 
+TimePoint LatestStartOf(const Scheduler& scheduler, std::int64_t incarnation) {
+  return TimePoint(Milliseconds(incarnation) - scheduler.m_unix_offset +
+                   kMaxUnixDifference);
+}
+
 std::uint64_t EndsToAcknowledge(const Worker& worker) {
   const bool may_start = std::any_of(
       worker.m_tasks.begin(), worker.m_tasks.end(), [&](const TaskRef& ref) {
--- a/filbertspar/scheduler/src/unanswered.h
+++ b/filbertspar/scheduler/src/unanswered.h
@@ -29,6 +29,10 @@
 /// end of the worker's runs.
 Duration MaxLeaseTime(const Scheduler& scheduler);
 
+/// \brief Latest time at which the incarnation may have started, whose start is
+/// known in Unix milliseconds by the clock of its machine.
+TimePoint LatestStartOf(const Scheduler& scheduler, std::int64_t incarnation);
+
 /// \brief Numbers that a poll may acknowledge now: the ends whose effects are
 /// stored, or none while a start is unanswered. Otherwise the next incarnation
 /// could execute the start, end its run, and then forget that end.
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -36,7 +36,7 @@
       HasPredecessor(scheduler)
           ? std::min(scheduler.m_options.m_inherited_doubt_until -
                          MaxLeaseTime(scheduler),
-                     worker.m_clock_at - Milliseconds(worker.m_clock_ms) +
+                     LatestStartOf(scheduler, worker.m_incarnation) +
                          kMaxIgnorance + kMaxCallDelay)
           : TimePoint::min();
   const TimePoint own = worker.m_ended_incarnations.empty()
