A start in doubt ends with a worker that no VM has any more

A rack lost its power while the start of a subtask that had been moved there was on its way; its workers came back under other names, and the start stayed in doubt for the longest delay of a call and the longest lease.

A worker is gone when its registration is gone and no VM that is up has it, by a list that shows what happened since: two sources that do not depend on each other. An incarnation that has just started and does not reach the store is still the worker of a VM that is up.

--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -204,6 +204,8 @@
                      " nameless=", list.m_nameless_count));
   }
   upkeep::UpdateVms(m_upkeep_state, list);
+  scheduler::HandleVmList(m_parts.m_scheduler,
+                          list.m_requested_at - kMaxListLag, list);
   UpdateExpectedWorkers();
   co_return true;
 }
--- a/filbertspar/scheduler/src/leases.cc
+++ b/filbertspar/scheduler/src/leases.cc
@@ -21,12 +21,14 @@
 }
 
 /// Tasks that no worker runs any more once the worker's lease has expired.
-std::vector<TaskRef> TasksWithoutLease(TimePoint now, const Worker& worker) {
+std::vector<TaskRef> TasksWithoutLease(const Scheduler& scheduler,
+                                       TimePoint now, const Worker& worker) {
   std::vector<TaskRef> tasks;
   for (const TaskRef& ref : worker.m_tasks) {
     // A start that waits for the store holds no lease yet.
     const Task& task = ref.GetTask();
-    if (MayRun(task) && (!HasUnansweredStart(task) || IsDoubtOver(now, task))) {
+    if (MayRun(task) && (!HasUnansweredStart(task) ||
+                         IsDoubtOver(scheduler, now, worker, task))) {
       tasks.push_back(ref);
     }
   }
@@ -75,7 +77,8 @@
       continue;
     }
     ReleaseSupersededRuns(scheduler, worker);
-    const std::vector<TaskRef> tasks = TasksWithoutLease(now, worker);
+    const std::vector<TaskRef> tasks =
+        TasksWithoutLease(scheduler, now, worker);
     if (!tasks.empty()) {
       AddLogEvent(
           scheduler, "lease_expired", {},
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -425,6 +425,10 @@
   std::uint64_t m_first_change_in_write = 0;
   /// A worker has used up the fencing numbers of this owner.
   bool m_fencing_exhausted = false;
+  /// Workers of the VMs that the latest list of VMs shows as up, and the time
+  /// since which that list holds; min() without a whole list.
+  std::set<WorkerName> m_workers_of_vms;
+  TimePoint m_vms_listed_at = TimePoint::min();
   /// Unix time minus scheduler time.
   Duration m_unix_offset{0};
   /// Workers that may run inherited tasks; nullopt until all are known.
--- a/filbertspar/scheduler/src/unanswered.cc
+++ b/filbertspar/scheduler/src/unanswered.cc
@@ -124,9 +124,32 @@
   return HasUnansweredStart(task) && task.m_start_fencing < fencing;
 }
 
-bool IsDoubtOver(TimePoint now, const Task& task) {
-  // Before that it still waits for its response.
-  return task.m_doubt_since != TimePoint::min() && now > task.m_doubt_until;
+bool IsDoubtOver(const Scheduler& scheduler, TimePoint now,
+                 const Worker& worker, const Task& task) {
+  if (task.m_doubt_since == TimePoint::min()) {
+    // Still waits for its response.
+    return false;
+  }
+  const bool is_gone =
+      !worker.m_registered && scheduler.m_vms_listed_at > task.m_doubt_since &&
+      !scheduler.m_workers_of_vms.contains(worker.m_record.m_name);
+  return is_gone || now > task.m_doubt_until;
+}
+
+void HandleVmList(Scheduler& scheduler, TimePoint shows_since,
+                  const VmList& list) {
+  if (!list.m_invalid_vms.empty() || list.m_nameless_count > 0) {
+    // Proves no absence.
+    scheduler.m_vms_listed_at = TimePoint::min();
+    return;
+  }
+  scheduler.m_vms_listed_at = shows_since;
+  scheduler.m_workers_of_vms.clear();
+  for (const VmRecord& vm : list.m_vms) {
+    if (vm.m_state == VmStatus::kUp) {
+      scheduler.m_workers_of_vms.insert(vm.m_worker);
+    }
+  }
 }
 
 void BeginUnknownLease(const Scheduler& scheduler, TimePoint now,
--- a/filbertspar/scheduler/src/unanswered.h
+++ b/filbertspar/scheduler/src/unanswered.h
@@ -78,7 +78,16 @@
 
 /// \brief Whether a start in doubt cannot be executed any more, and its run has
 /// ended, although the worker did not answer.
-bool IsDoubtOver(TimePoint now, const Task& task);
+///
+/// Either time has passed, or the worker is gone: its registration is, and no
+/// VM that is up has it. One of these alone proves nothing: an incarnation that
+/// has just started may not reach the store.
+bool IsDoubtOver(const Scheduler& scheduler, TimePoint now,
+                 const Worker& worker, const Task& task);
+
+/// \brief Applies a list of VMs that shows all changes before `shows_since`.
+void HandleVmList(Scheduler& scheduler, TimePoint shows_since,
+                  const VmList& list);
 
 /// \brief Called when an incarnation has answered for the first time. Until the
 /// worker is fenced, the end of its lease is not known.
--- a/tests/scheduler_unanswered_test.cc
+++ b/tests/scheduler_unanswered_test.cc
@@ -53,6 +53,27 @@
   CHECK(wait < longest + Seconds(1));
 }
 
+// Guards against a lasting task that waits for long for a worker that is gone,
+// and against one that is started elsewhere while its worker is up.
+TEST_CASE("a start in doubt ends with a worker that no VM has any more") {
+  SilentWorker silent;
+  Scheduler& owner = silent.Owner();
+  UnregisterWorker(owner, silent.m_simulation.m_now, WorkerName("w1"));
+  owner.m_vms_listed_at = silent.m_simulation.m_now + Seconds(1);
+  const Duration longest = kMaxCallDelay + MaxLeaseTime(owner);
+  SECTION("no VM that is up has the worker") {
+    CHECK(silent.WaitTime() < longest / 2);
+  }
+  SECTION("a VM that is up has it") {
+    owner.m_workers_of_vms.insert(WorkerName("w1"));
+    CHECK(silent.WaitTime() > longest - Seconds(1));
+  }
+  SECTION("the list is older than the doubt") {
+    owner.m_vms_listed_at = silent.m_simulation.m_now - Seconds(1);
+    CHECK(silent.WaitTime() > longest - Seconds(1));
+  }
+}
+
 // Guards against the same at the first answer of the next incarnation, which
 // may still execute the start: the poll had the same fencing number.
 TEST_CASE("a start in doubt is settled by a higher fencing number only") {
