--- a/filbertspar/node/src/incarnation.h
+++ b/filbertspar/node/src/incarnation.h
@@ -13,8 +13,10 @@
 /// \brief Calls to one incarnation of a worker.
 ///
 /// A worker may start again under its name and at its address, and no order
-/// names the incarnation that it is for. But a connection leads to one process:
-/// what is sent on one where an incarnation has answered reaches no other.
+/// names the incarnation that it is for. Orders are sent on connections on
+/// which the known incarnation has answered, which as a rule lead to no other.
+/// What excludes harm where that does not hold stands in
+/// filbertspar/scheduler/src/unanswered.h.
 
 /// \brief A worker that is asked which incarnation it is.
 struct WorkerTarget {
--- a/filbertspar/scheduler/src/leases.cc
+++ b/filbertspar/scheduler/src/leases.cc
@@ -64,7 +64,7 @@
   if (worker.m_record.m_incarnation != 0) {
     until = std::min(
         until, LatestStartOf(scheduler, worker.m_record.m_incarnation) +
-                   kMaxIgnorance + kMaxCallDelay + MaxLeaseTime(scheduler));
+                   kMaxDetectionTime + kMaxCallDelay + MaxLeaseTime(scheduler));
   }
   return std::max(until, options.m_inherited_leases_until);
 }
--- a/filbertspar/scheduler/src/unanswered.h
+++ b/filbertspar/scheduler/src/unanswered.h
@@ -20,10 +20,10 @@
 /// list of impairments).
 inline constexpr Duration kMaxCallDelay = Seconds(12);
 
-/// \brief Longest time for which an owner that does not know of a restart sends
-/// calls to the former incarnation: polls that it waits for, also when its link
-/// is loaded.
-inline constexpr Duration kMaxIgnorance = Seconds(6);
+/// \brief Longest time until an owner detects that a worker has started again.
+/// Until then it sends calls to the former incarnation: a poll may be open, and
+/// a loaded link doubles its time-out.
+inline constexpr Duration kMaxDetectionTime = Seconds(6);
 
 /// \brief Longest time from the execution of a call that grants a lease to the
 /// end of the worker's runs.
@@ -85,7 +85,8 @@
 bool IsDoubtOver(const Scheduler& scheduler, TimePoint now,
                  const Worker& worker, const Task& task);
 
-/// \brief Applies a list of VMs that shows all changes before `shows_since`.
+/// \brief Applies a list of VMs that shows every change up to `shows_since`. A
+/// list that is damaged shows none.
 void HandleVmList(Scheduler& scheduler, TimePoint shows_since,
                   const VmList& list);
 
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -37,7 +37,7 @@
           ? std::min(scheduler.m_options.m_inherited_doubt_until -
                          MaxLeaseTime(scheduler),
                      LatestStartOf(scheduler, worker.m_incarnation) +
-                         kMaxIgnorance + kMaxCallDelay)
+                         kMaxDetectionTime + kMaxCallDelay)
           : TimePoint::min();
   const TimePoint own = worker.m_ended_incarnations.empty()
                             ? TimePoint::min()
