--- a/filbertspar/http/src/server.cc
+++ b/filbertspar/http/src/server.cc
@@ -22,6 +22,7 @@
 #include "boost/beast/http/write.hpp"
 #include "filbertspar/http/src/delivery.h"
 #include "filbertspar/http/src/listen.h"
+#include "filbertspar/http/src/server_state.h"
 
 namespace filbertspar {
 namespace {
@@ -29,11 +30,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
-using Socket = asio::basic_stream_socket<tcp, asio::io_context::executor_type>;
 
-using Parser = http::request_parser<http::string_body>;
-
-constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 /// Pause after accept failed, usually for want of file descriptors, or while
 /// all connections are in use.
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
@@ -45,98 +42,18 @@
 /// Room in a connection's buffer beside the head. Chunk headers and trailers
 /// must fit into the buffer whole.
 constexpr std::size_t kBufferSlack = 16U << 10U;
-/// First read of a connection; most requests fit. An idle connection keeps no
-/// more than this.
-constexpr std::size_t kFirstReadBytes = 2U << 10U;
-constexpr std::size_t kBodyReadBytes = 16U << 10U;
-/// The shortest field of a head has 4 bytes and takes about 64 in memory.
-constexpr std::size_t kBytesPerHeadByte = 16;
 /// With this much time without a new shortage of descriptors, a server takes as
 /// many connections as before.
 constexpr Duration kDescriptorRecoveryTime = Seconds(10);
 /// A request that has been arriving for this long may be cut off for a new
 /// client when no connection is idle.
 constexpr Duration kMinReadingAge = Seconds(1);
-/// Budget of a server without a shared one.
-constexpr std::size_t kDefaultMaxHeldBytes = 64U << 20U;
 /// One sweep over all connections costs less than a timer for every read and
 /// write, and cancels without closing, so that a slow client can be answered.
 constexpr auto kSweepPeriod = std::chrono::milliseconds(100);
 
 }  // namespace
 
-struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
-  struct Connection {
-    explicit Connection(Socket socket) : m_socket(std::move(socket)) {}
-    Socket m_socket;
-    ConnectionUse m_use;
-    TimePoint m_deadline = TimePoint::max();
-    /// Bytes of the head of the request that is being read.
-    std::size_t m_head_bytes = 0;
-    /// Why the connection was cancelled.
-    std::optional<ClientFault> m_fault;
-  };
-  using ConnectionPtr = std::shared_ptr<Connection>;
-
-  State(asio::io_context& context, HttpServerLimits limits, HttpHandler handler,
-        ClientGuard guard)
-      : m_context(context),
-        m_acceptor(context),
-        m_sweep_timer(context),
-        m_limits(limits),
-        m_handler(std::move(handler)),
-        m_guard(std::move(guard)) {
-    if (m_guard.m_uses == nullptr) {
-      m_guard.m_uses = std::make_shared<ConnectionUses>(kDefaultMaxHeldBytes);
-    }
-  }
-
-  asio::awaitable<void> Accept();
-  /// False: the client was refused, since all connections are in use.
-  bool Admit(Socket socket);
-  /// Closes a connection for a new client; false when none can be.
-  bool CloseForNewClient();
-  void ReportFault(const Connection& connection, ClientFault fault) const;
-  asio::awaitable<void> Sweep();
-  asio::awaitable<void> Serve(ConnectionPtr connection);
-  asio::awaitable<bool> ServeOne(Connection& connection,
-                                 beast::flat_buffer& buffer);
-  /// Parses what is in the buffer; need_more when the request is not complete.
-  boost::system::error_code Parse(Connection& connection,
-                                  beast::flat_buffer& buffer,
-                                  Parser& parser) const;
-  /// Counts the memory of the request; over the budget the largest request is
-  /// cut off. False when it is this one.
-  bool HoldBytes(Connection& connection, const beast::flat_buffer& buffer,
-                 const Parser& parser);
-  /// Reads a request in full, within its bounds of size and time and the memory
-  /// that all connections share.
-  asio::awaitable<boost::system::error_code> Read(Connection& connection,
-                                                  beast::flat_buffer& buffer,
-                                                  Parser& parser);
-  void EndRead(Connection& connection) const;
-  asio::awaitable<void> Refuse(Connection& connection,
-                               boost::system::error_code error);
-  asio::awaitable<void> Drain(Connection& connection);
-  asio::awaitable<HttpResponse> Handle(const HttpRequest& request);
-  /// The answer to HEAD has the head alone.
-  asio::awaitable<bool> Write(Connection& connection, HttpResponse response,
-                              bool keep_alive, bool is_head_only = false);
-
-  asio::io_context& m_context;
-  TcpAcceptor m_acceptor;
-  asio::steady_timer m_sweep_timer;
-  HttpServerLimits m_limits;
-  /// Below m_limits.m_connections after descriptors ran out.
-  std::size_t m_connection_limit = m_limits.m_connections;
-  TimePoint m_limited_until = TimePoint::min();
-  HttpHandler m_handler;
-  ClientGuard m_guard;
-  std::set<ConnectionPtr> m_connections;
-  bool m_stopping = false;
-  bool m_closed = false;
-};
-
 asio::awaitable<void> HttpServer::State::Accept() {
   auto self = shared_from_this();
   while (m_acceptor.is_open()) {
@@ -265,110 +182,6 @@
   m_connections.erase(connection);
 }
 
-boost::system::error_code HttpServer::State::Parse(Connection& connection,
-                                                   beast::flat_buffer& buffer,
-                                                   Parser& parser) const {
-  boost::system::error_code error;
-  const bool was_in_head = !parser.is_header_done();
-  const std::size_t used = parser.put(buffer.data(), error);
-  buffer.consume(used);
-  if (was_in_head) {
-    connection.m_head_bytes += used;
-  }
-  if (error && error != http::error::need_more) {
-    return error;
-  }
-  // The parser takes a head field by field and bounds only what is left of it.
-  if (!parser.is_header_done() &&
-      connection.m_head_bytes + buffer.size() > m_limits.m_header_bytes) {
-    return http::error::header_limit;
-  }
-  // Two hosts could be routed differently by a proxy in front; the second one
-  // may be among the trailers.
-  if ((was_in_head || parser.is_done()) &&
-      parser.get().count(http::field::host) > 1) {
-    return http::error::bad_value;
-  }
-  return error;
-}
-
-asio::awaitable<boost::system::error_code> HttpServer::State::Read(
-    Connection& connection, beast::flat_buffer& buffer, Parser& parser) {
-  ConnectionUse& use = connection.m_use;
-  use.m_is_reading = true;
-  use.m_request_began_at = SteadyNow();
-  use.m_received_bytes = buffer.size();
-  connection.m_head_bytes = 0;
-  boost::system::error_code error = http::error::need_more;
-  while (true) {
-    if (buffer.size() > 0) {
-      error = Parse(connection, buffer, parser);
-    }
-    if (parser.is_done() || (error && error != http::error::need_more)) {
-      break;
-    }
-    if (!error && buffer.size() > 0) {
-      continue;
-    }
-    if (!HoldBytes(connection, buffer, parser)) {
-      error = asio::error::no_memory;
-      break;
-    }
-    const std::size_t room = buffer.max_size() - buffer.size();
-    if (room == 0) {
-      error = http::error::buffer_overflow;
-      break;
-    }
-    const std::size_t wanted =
-        parser.is_header_done() ? kBodyReadBytes : kFirstReadBytes;
-    auto [read_error, bytes] = co_await connection.m_socket.async_read_some(
-        buffer.prepare(std::min(wanted, room)), kTuple);
-    buffer.commit(bytes);
-    use.m_received_bytes += bytes;
-    use.m_last_progress_at = SteadyNow();
-    if (connection.m_fault) {
-      // Also when the cancellation came after the read had succeeded.
-      error = asio::error::operation_aborted;
-      break;
-    }
-    if (read_error == asio::error::eof && parser.got_some()) {
-      parser.put_eof(error);
-      break;
-    }
-    if (read_error) {
-      error = read_error == asio::error::eof ? http::error::end_of_stream
-                                             : read_error;
-      break;
-    }
-  }
-  EndRead(connection);
-  co_return error == http::error::need_more ? boost::system::error_code()
-                                            : error;
-}
-
-bool HttpServer::State::HoldBytes(Connection& connection,
-                                  const beast::flat_buffer& buffer,
-                                  const Parser& parser) {
-  m_guard.m_uses->SetHeld(connection.m_use,
-                          buffer.capacity() + parser.get().body().capacity() +
-                              kBytesPerHeadByte * connection.m_head_bytes);
-  while (m_guard.m_uses->IsOverBudget()) {
-    ConnectionUse* largest = m_guard.m_uses->LargestReading();
-    if (largest == nullptr) {
-      break;
-    }
-    largest->m_is_reading = false;
-    m_guard.m_uses->SetHeld(*largest, 0);
-    largest->m_cancel(ClientFault::kMemoryPressure);
-  }
-  return !connection.m_fault;
-}
-
-void HttpServer::State::EndRead(Connection& connection) const {
-  connection.m_use.m_is_reading = false;
-  m_guard.m_uses->SetHeld(connection.m_use, 0);
-}
-
 asio::awaitable<bool> HttpServer::State::ServeOne(Connection& connection,
                                                   beast::flat_buffer& buffer) {
   Parser parser;
--- a/filbertspar/node/src/vm_manager.h
+++ b/filbertspar/node/src/vm_manager.h
@@ -41,6 +41,10 @@
   void Stop() { m_running = false; }
 
  private:
+  /// Table of the VMs that have had their upkeep, by wave.
+  static constexpr const char* kWaveTable = "filbertspar_waves";
+  static constexpr Duration kOrderTimeout = Milliseconds(800);
+
   asio::awaitable<void> Run();
   asio::awaitable<bool> ReadOrderTimes();
   asio::awaitable<bool> ReadDoneVms();
