The poll that fences a restarted worker does not wait

Cause: when its registration tells of the restart while a poll of the former incarnation is open, the first answer has the number in use; the poll with the next one, which fences the worker, waited for an end like any other.

--- a/filbertspar/node/src/worker_connections.cc
+++ b/filbertspar/node/src/worker_connections.cc
@@ -227,7 +227,8 @@
     order.m_acknowledged = scheduler::EndsToAcknowledge(worker);
     order.m_fencing =
         scheduler::HandlePollSent(sent, worker, order.m_acknowledged);
-    if (worker.m_failed_polls == 0) {
+    // Until the worker is fenced it gets no start; that must not take long.
+    if (worker.m_failed_polls == 0 && scheduler::IsFenced(worker)) {
       order.m_wait = worker.m_tasks.empty() ? kIdlePollWait : kBusyPollWait;
     }
   } else {
--- a/tests/platform/node_late_call_test.cc
+++ b/tests/platform/node_late_call_test.cc
@@ -65,5 +65,31 @@
   CHECK(owner.Known().m_lease_until >= BootNow() + left);
 }
 
+// Guards against a restarted worker that gets no start for as long as it may
+// hold a poll, because the poll that fences it waits for an end.
+TEST_CASE("the poll that fences a restarted worker does not wait") {
+  asio::io_context context;
+  RestartingWorker worker(context);
+  worker.Restart(kOldClockMs);
+  WorkerOwner owner(context);
+  owner.Follow(worker);
+  REQUIRE(owner.RunUntil([&] {
+    return !worker.m_requests.empty() &&
+           worker.m_requests.back().m_body.contains("wait_ms");
+  }));
+  // The owner asks while a poll of the incarnation before is open.
+  worker.Restart(1);
+  owner.m_connections->CheckIncarnation(0);
+  REQUIRE(owner.RunUntil([&] {
+    return owner.Known().m_incarnation == worker.m_incarnation &&
+           scheduler::IsFenced(owner.Known());
+  }));
+  for (const RestartingWorker::Request& request : worker.m_requests) {
+    INFO(ToText(request.m_body));
+    CHECK((request.m_incarnation != worker.m_incarnation ||
+           !request.m_body.contains("wait_ms")));
+  }
+}
+
 }  // namespace
 }  // namespace filbertspar
