A poll waits some milliseconds for starts before it acknowledges ends

Cause: a poll acknowledges nothing while a start is unanswered, and a worker with ends that are not acknowledged answers at once.

Fix: before such a poll the owner waits up to 50 ms for the answers.

--- a/filbertspar/node/src/worker_connections.cc
+++ b/filbertspar/node/src/worker_connections.cc
@@ -36,6 +36,10 @@
 constexpr int kLoadedPatience = 2;
 /// Longest time to wait for finished runs to be stored before the next poll.
 constexpr Duration kStoreWait = Milliseconds(250);
+/// The same, and how often, for the answer to a start while ends are to be
+/// acknowledged; most starts are answered within some milliseconds.
+constexpr Duration kStartWait = Milliseconds(10);
+constexpr int kMaxStartWaits = 5;
 constexpr Duration kFirstRetryDelay = Milliseconds(80);
 constexpr Duration kMaxRetryDelay = Milliseconds(500);
 constexpr int kMaxStopAttempts = 6;
@@ -203,6 +207,11 @@
     co_await SleepFor(
         (m_traffic.IsLoaded() ? kLoadedPollInterval : kPollInterval) +
         std::min(runs * kPollIntervalPerRun, kMaxPollInterval));
+    for (int i = 0; i < kMaxStartWaits && m_running &&
+                    scheduler::HoldsBackEnds(m_scheduler.m_workers[index]);
+         ++i) {
+      co_await SleepFor(kStartWait);
+    }
   }
   if (loop == ChannelOf(index).m_poll_loop) {
     ChannelOf(index).m_is_polled = false;
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -249,6 +249,8 @@
   /// effects are stored.
   std::uint64_t m_finished_read = 0;
   std::uint64_t m_finished_stored = 0;
+  /// Number of the last that a poll has acknowledged.
+  std::uint64_t m_finished_acknowledged = 0;
   /// Finished runs that were read but not acknowledged.
   std::deque<UnstoredFinishedRun> m_unstored_finished;
   /// When each unwanted run, which is not the current run of its task, was last
--- a/filbertspar/scheduler/src/unanswered.cc
+++ b/filbertspar/scheduler/src/unanswered.cc
@@ -48,11 +48,17 @@
   return may_start ? 0 : worker.m_finished_stored;
 }
 
+bool HoldsBackEnds(const Worker& worker) {
+  return worker.m_finished_stored > worker.m_finished_acknowledged &&
+         EndsToAcknowledge(worker) == 0;
+}
+
 FencingNumber HandlePollSent(TimePoint now, Worker& worker,
                              std::uint64_t acknowledged) {
   worker.m_used_fencing = worker.m_fencing;
   worker.m_used_at = now;
   if (acknowledged > 0) {
+    worker.m_finished_acknowledged = acknowledged;
     worker.m_acknowledging_fencing = worker.m_fencing;
   }
   return worker.m_fencing;
--- a/filbertspar/scheduler/src/unanswered.h
+++ b/filbertspar/scheduler/src/unanswered.h
@@ -38,6 +38,11 @@
 /// could execute the start, end its run, and then forget that end.
 std::uint64_t EndsToAcknowledge(const Worker& worker);
 
+/// \brief Whether a poll now would acknowledge nothing although it could tell
+/// the worker of new ends once the starts are answered. The worker would answer
+/// it at once, with the same ends.
+bool HoldsBackEnds(const Worker& worker);
+
 /// \brief Called before a poll is sent that grants a lease or acknowledges
 /// ends. Returns its fencing number.
 FencingNumber HandlePollSent(TimePoint now, Worker& worker,
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -94,6 +94,7 @@
   ReleaseSupersededRuns(scheduler, worker);
   worker.m_finished_read = 0;
   worker.m_finished_stored = 0;
+  worker.m_finished_acknowledged = 0;
   worker.m_unstored_finished.clear();
   worker.m_failure_streak = 0;
   worker.m_avoid_until = TimePoint::min();
--- a/tests/scheduler_unanswered_test.cc
+++ b/tests/scheduler_unanswered_test.cc
@@ -192,6 +192,10 @@
   CHECK(HandleStartSent(owner, simulation.m_now,
                         owner.m_effects.m_starts[0].m_order) > poll);
   CHECK(EndsToAcknowledge(owner.m_workers[0]) == 0);
+  // The next poll waits for the answer to the start.
+  CHECK(HoldsBackEnds(owner.m_workers[0]));
+  HandlePollSent(simulation.m_now, owner.m_workers[0], 3);
+  CHECK_FALSE(HoldsBackEnds(owner.m_workers[0]));
 }
 
 // Guards against a new owner that starts a recorded run elsewhere while the
