--- a/tests/scheduler_incarnation_test.cc
+++ b/tests/scheduler_incarnation_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <utility>
 
 #include "filbertspar/scheduler/src/placement.h"
 #include "tests/scheduler_simulation.h"
@@ -168,6 +169,11 @@
       job.m_policy.m_target = Seconds(60);
       job.m_steps[0].m_gang = rng.Chance(0.2);
       simulation.Submit(job);
+      if (simulation.m_late_call_delay && rng.Chance(0.3)) {
+        // One of which tasks run, also on the worker without power.
+        CancelJob(*simulation.m_owner, simulation.m_now,
+                  JobId("j" + std::to_string(jobs - rng.Below(10))));
+      }
       simulation.RunFor(std::min(draw(240), end - simulation.m_now));
     }
   };
@@ -202,8 +208,9 @@
 }
 
 /// Plays restarts with calls that the next incarnation executes up to
-/// `longest_delay` after its start. Returns the number of such starts.
-int PlayLateCalls(std::uint64_t seed, Duration longest_delay) {
+/// `longest_delay` after its start. Returns the numbers of such starts and of
+/// stops.
+std::pair<int, int> PlayLateCalls(std::uint64_t seed, Duration longest_delay) {
   Simulation simulation;
   Rng delays(seed + 1000);
   simulation.m_asks_at_boot = seed % 2 == 0;
@@ -215,7 +222,7 @@
   INFO("seed " << seed);
   REQUIRE(simulation.m_max_concurrent_runs <= 1);
   REQUIRE(simulation.m_starts_after_end == 0);
-  return simulation.m_late_starts;
+  return {simulation.m_late_starts, simulation.m_late_stops};
 }
 
 // Guards against tasks that run twice because a machine keeps its connections
@@ -223,20 +230,28 @@
 TEST_CASE(
     "calls that the next incarnation reads at its start run no task twice") {
   int late_starts = 0;
+  int late_stops = 0;
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
-    late_starts += PlayLateCalls(seed, Duration(0));
+    const auto [starts, stops] = PlayLateCalls(seed, Duration(0));
+    late_starts += starts;
+    late_stops += stops;
   }
   CHECK(late_starts > 0);
+  CHECK(late_stops > 0);
 }
 
 // Guards against the same when the next incarnation executes such calls late,
 // after others that are newer.
 TEST_CASE("calls that the next incarnation executes late run no task twice") {
   int late_starts = 0;
+  int late_stops = 0;
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
-    late_starts += PlayLateCalls(seed, Seconds(3));
+    const auto [starts, stops] = PlayLateCalls(seed, Seconds(3));
+    late_starts += starts;
+    late_stops += stops;
   }
   CHECK(late_starts > 0);
+  CHECK(late_stops > 0);
 }
 
 // Guards against the same where a call outlives an incarnation that has refused
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -246,6 +246,7 @@
   /// sent to the one before; empty when such calls are lost.
   std::function<Duration()> m_late_call_delay;
   int m_late_starts = 0;
+  int m_late_stops = 0;
   /// Calls that an incarnation has refused may be executed by a later one.
   bool m_keeps_refused_calls = false;
   /// The owner asks a worker which incarnation it is as soon as it has started
@@ -467,6 +468,10 @@
       ExtendLease(worker, *call.m_deadline_ms);
     }
     Acknowledge(worker, call.m_acknowledged);
+    if (call.m_stop) {
+      ++m_late_stops;
+      Stop(worker, *call.m_stop);
+    }
     if (!call.m_start) {
       return;
     }
@@ -595,17 +600,17 @@
     for (const auto& stop : effects.m_stops) {
       FakeWorker* worker =
           Find(m_owner->m_workers[stop.m_worker].m_record.m_name);
+      if (worker != nullptr && KeepsCalls(*worker)) {
+        LateCall call;
+        call.m_fencing = m_owner->m_workers[stop.m_worker].m_fencing;
+        call.m_stop = stop.m_order;
+        worker->m_late_calls.push_back(call);
+      }
       if (worker == nullptr || worker->m_is_unreachable || worker->m_refuses ||
           worker->m_crashed_at != TimePoint::max()) {
         continue;
       }
-      const auto run = worker->m_running.find(stop.m_order.m_task);
-      if (run != worker->m_running.end() &&
-          run->second.m_run == stop.m_order.m_run.Value() &&
-          run->second.m_outcome != RunOutcome::kStopped) {
-        run->second.m_ends_at = m_now + m_stop_time;
-        run->second.m_outcome = RunOutcome::kStopped;
-      }
+      Stop(*worker, stop.m_order);
       HandleStopResponse(*m_owner, m_now, stop.m_worker, stop.m_order,
                          {OrderResult::kAccepted, ClockOf(*worker)});
     }
@@ -619,6 +624,19 @@
     }
   }
 
+  /// A run that is not there yet will be rejected.
+  void Stop(FakeWorker& worker, const StopOrder& order) const {
+    const auto run = worker.m_running.find(order.m_task);
+    if (run == worker.m_running.end() ||
+        run->second.m_run != order.m_run.Value()) {
+      worker.m_last_run[order.m_task] =
+          std::max(worker.m_last_run[order.m_task], order.m_run.Value());
+    } else if (run->second.m_outcome != RunOutcome::kStopped) {
+      run->second.m_ends_at = m_now + m_stop_time;
+      run->second.m_outcome = RunOutcome::kStopped;
+    }
+  }
+
   void ApplyStart(Effects::Start start) {
     Worker& known = m_owner->m_workers[start.m_worker];
     FakeWorker* worker = Find(known.m_record.m_name);
--- a/tests/scheduler_simulation_parts.h
+++ b/tests/scheduler_simulation_parts.h
@@ -9,13 +9,14 @@
 
 namespace filbertspar::scheduler {
 
-/// \brief A start or a poll that was sent to a machine without power.
+/// \brief A start, a stop or a poll that was sent to a machine without power.
 struct LateCall {
   FencingNumber m_fencing;
   /// Of a poll.
   std::optional<std::int64_t> m_deadline_ms;
   std::uint64_t m_acknowledged = 0;
   std::optional<StartOrder> m_start;
+  std::optional<StopOrder> m_stop;
   /// When the next incarnation executes it; max() before that has started.
   TimePoint m_due = TimePoint::max();
 };
--- a/tests/scheduler_unanswered_test.cc
+++ b/tests/scheduler_unanswered_test.cc
@@ -221,6 +221,41 @@
   CHECK(simulation.m_starts[{JobId("job"), 0, 0, 0}] == 2);
 }
 
+// Guards against a start that is sent again with the ticket of the incarnation
+// before, which its worker rejects.
+TEST_CASE("a start that was refused is sent again with a ticket of its own") {
+  Simulation simulation;
+  FakeWorker& worker = simulation.AddWorker("w1", "p", 8);
+  simulation.RunFor(Milliseconds(100));
+  Scheduler& owner = *simulation.m_owner;
+  owner.m_record_before_start = false;
+  JobSpec job = Simulation::MakeJob("job", "p", 1, Seconds(1));
+  job.m_policy.m_needs_recommendation = true;
+  AddJob(owner, simulation.m_now, job);
+  const TaskId task{JobId("job"), 0, 0, 0};
+  const auto approve = [&](const std::string& ticket) {
+    const Recommendation approval{{{WorkerName("w1"), ticket}}, Seconds(60)};
+    REQUIRE(CollectRecommendationRequests(owner, simulation.m_now).size() == 1);
+    HandleRecommendation(owner, simulation.m_now, task, &approval);
+    Dispatch(owner, simulation.m_now);
+    REQUIRE(owner.m_effects.m_starts.size() == 1);
+    CHECK(owner.m_effects.m_starts[0].m_order.m_ticket == ticket);
+  };
+  approve("first");
+  const StartOrder order = owner.m_effects.m_starts[0].m_order;
+  HandleStartSent(owner, simulation.m_now, order);
+  owner.m_effects = Effects();
+  HandlePollFailure(owner, simulation.m_now, 0, PollFailure::kSilent);
+  simulation.LosePower(worker);
+  simulation.Boot(worker);
+  WorkerStatus status;
+  status.m_incarnation = worker.m_incarnation;
+  HandlePollResponse(owner, simulation.m_now, simulation.m_now, 0, status,
+                     owner.m_workers[0].m_fencing);
+  REQUIRE(FindTask(owner, task).GetTask().m_phase == TaskPhase::kWaiting);
+  approve("second");
+}
+
 // Guards against a worker whose earlier calls can no longer be told from its
 // next ones.
 TEST_CASE("an owner whose fencing numbers are used up must begin a new term") {
