--- a/review/rig3/store.py
+++ b/review/rig3/store.py
@@ -2,11 +2,16 @@
 
 import asyncio
 import base64
+import bisect
 import json
 import time
 
 from httpd import Reply, Server
 
+# Bounds of a transaction and of a page of rows.
+MAX_BYTES = 1 << 20
+MAX_ROWS = 500
+
 
 class Store:
     """`gate(node, kind, body)` decides for each call of a system process what
@@ -16,6 +21,7 @@
 
     def __init__(self, latency_s=0.004):
         self.rows = {}
+        self.sorted_keys = {}
         self.version = 0
         self.changed = asyncio.Event()
         self.history = []
@@ -48,10 +54,13 @@
     def _apply(self, sets, removes):
         self.version += 1
         for key, value in sets:
+            if key not in self.rows:
+                self.sorted_keys.pop(key[:2], None)
             self.rows[key] = (value, self.version)
             self.history.append((self.version, key, value))
         for key in removes:
             if self.rows.pop(key, None) is not None:
+                self.sorted_keys.pop(key[:2], None)
                 self.history.append((self.version, key, None))
         if len(self.history) > 20000:
             del self.history[:10000]
@@ -91,7 +100,8 @@
         conditions = body.get("expected_revision", [])
         sets = body.get("set_keys", [])
         removes = body.get("remove", [])
-        if len(conditions) + len(sets) + len(removes) > 100:
+        if (len(conditions) + len(sets) + len(removes) > 100
+                or sum(len(entry["value"]) for entry in sets) > MAX_BYTES):
             return Reply(400, {})
         if any(entry["table"] in ("op", "servers") for entry in sets + removes):
             return Reply(403, {})
@@ -105,14 +115,26 @@
         self.on_write(node, body)
         return Reply(200, self._stamp({}))
 
+    def _keys_of(self, table):
+        if table not in self.sorted_keys:
+            self.sorted_keys[table] = sorted(k for k in self.rows if k[:2] == table)
+        return self.sorted_keys[table]
+
     async def _rows_get(self, node, query):
-        limit = min(500, int(query.get("limit", 500)))
-        keys = sorted(k for k in self.rows
-                      if k[0] == query["table"] and k[1] == query.get("part", "")
-                      and k[2] >= query.get("from", "")
-                      and ("to" not in query or k[2] < query["to"]))
-        rows = [self._row(k, *self.rows[k]) for k in keys[:limit]]
-        return Reply(200, self._stamp({"rows": rows, "has_more": len(keys) > limit}))
+        table = query["table"], query.get("part", "")
+        keys = self._keys_of(table)
+        at = bisect.bisect_left(keys, (*table, query.get("from", "")))
+        end = bisect.bisect_left(keys, (*table, query["to"])) if "to" in query else len(keys)
+        limit = min(MAX_ROWS, int(query.get("limit", MAX_ROWS)))
+        rows, size = [], 0
+        while at < end and len(rows) < limit:
+            value, version = self.rows[keys[at]]
+            size += len(value)
+            if rows and size > MAX_BYTES:
+                break
+            rows.append(self._row(keys[at], value, version))
+            at += 1
+        return Reply(200, self._stamp({"rows": rows, "has_more": at < end}))
 
     async def _rows_feed(self, node, query):
         after = int(query["after"])
