--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -55,6 +55,8 @@
         self.front = f"{host}:{free_port(host)}"
         self.ready = f"{host}:{free_port(host)}"
         self.ports = [free_port(host), 0]
+        self.cpu_share = 1
+        self.memory_mb = 260
         self.process = None
         self.path = rig.folder / f"{name}.ini"
         self.log = open(rig.folder / f"{name}.log", "ab")
@@ -67,7 +69,8 @@
             "listen_addrs": {"front": self.front, "ready": self.ready},
             "internal_ports": self.ports, "bootstrap": True, "heartbeat_ms": 1500,
             "commands": "invocation", "bounds": BOUNDS, "recommendation": advice,
-            "limits": {"cpu_share": 1, "cores": 1, "memory_mb": 260, "max_fds": 4100,
+            "limits": {"cpu_share": self.cpu_share, "cores": 1,
+                       "memory_mb": self.memory_mb, "max_fds": 4100,
                        "link_mbps": self.rig.link_mbps},
             "platform": {"address": store, "writes_per_s": 600, "reads_per_s": 2000,
                          "tx_ms": 5.0, "appends_per_s": 200, "row_bytes": 65536},
@@ -88,6 +91,34 @@
             self.process.wait()
 
 
+def resident_mb(pid):
+    try:
+        with open(f"/proc/{pid}/status", encoding="ascii") as status:
+            for line in status:
+                if line.startswith("VmRSS"):
+                    return int(line.split()[1]) / 1024
+    except OSError:
+        pass
+    return 0
+
+
+async def limit_memory(rig, node, kills, most):
+    """Does what the platform does with a process over `memory_mb`."""
+    while True:
+        await asyncio.sleep(0.05)
+        if node.process.poll() is not None:
+            continue
+        used = resident_mb(node.process.pid)
+        most[node.name] = max(most[node.name], used)
+        if used > node.memory_mb:
+            rig.record("over", node=node.name, mb=round(used))
+            node.kill()
+            node.process.wait()
+            kills[node.name] += 1
+            await asyncio.sleep(1.0)
+            node.start()
+
+
 class Rig:
     def __init__(self, case):
         self.case = pathlib.Path(case)
@@ -112,9 +143,11 @@
     def configure(self, config):
         self.store.put("op", "", "config", json.dumps(config))
 
-    async def add_node(self, name, zone="z1", start=True, advice=None):
+    async def add_node(self, name, zone="z1", start=True, advice=None,
+                       cpu_share=1, memory_mb=260):
         host = f"127.0.0.{len(self.nodes) + 2}"
         node = Node(self, name, zone, host)
+        node.cpu_share, node.memory_mb = cpu_share, memory_mb
         endpoint = await self.store.listen(name, "127.0.0.1")
         node.write_settings(endpoint, self.cloud.endpoint if self.cloud else None, advice)
         self.nodes.append(node)
