review: scripts end their processes on SIGTERM too

Cause: a script that was ended from outside left its nodes running.

Change: SIGTERM cancels the case, which then ends all that it started.

--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -270,10 +270,14 @@
     async def whole():
         rig = Rig(case)
         result = None
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         try:
             result = await asyncio.wait_for(run(rig), 110)
         except asyncio.TimeoutError:
             rig.record("verdict", text="no result within 110 s")
+        except asyncio.CancelledError:
+            rig.record("verdict", text="ended by SIGTERM")
         finally:
             await rig.close()
             if os.environ.get("KEEP_LOGS"):
