--- a/review/12/case.py
+++ b/review/12/case.py
@@ -12,6 +12,7 @@
 MOST_SILENCE_S = 6.3
 WORKERS = 8
 SLOW_ANSWER_S = 0.14
+SLOW_FOR_S = 4.0
 CASE = pathlib.Path(__file__).resolve().parent
 
 
@@ -83,8 +84,11 @@
         await asyncio.sleep(LEAST_SILENCE_S - 1)
         rig.workers[0].answer_delay_s = SLOW_ANSWER_S
         rig.record("slow", worker=rig.workers[0].name)
+        slow_until = time.monotonic() + SLOW_FOR_S
         if not await rig.until(lambda: outage.is_over, 10):
             return None
+        await asyncio.sleep(max(0, slow_until - time.monotonic()))
+        rig.workers[0].answer_delay_s = 0.0
     await asyncio.sleep(10.0)
     broken = rig.twice()
     for at, why, start, others in broken:
