Review rig 4: bound answers of the store's stand-in by bytes, end every process

Cause: the stand-in of the store gave up to 500 rows whatever their size, more than the 1 MB of the pages; a process started beside another one of its node would have outlived the script.

Change: the rig bounds such answers, and ends each process it has started.

--- a/review/rig4/rig.py
+++ b/review/rig4/rig.py
@@ -34,7 +34,7 @@
 ready_listen = {ip}:8343
 link_port = 7000
 metrics_port = 9464
-cpu_share = {cpu_share}
+cpu_share = 0.25
 cpu_speed = 1
 memory_mb = 260
 max_descriptors = 4100
@@ -90,6 +90,26 @@
     raise OSError("no free addresses")
 
 
+# Of one answer of the store to a range of rows.
+MOST_ROWS, MOST_BYTES = 500, 1_000_000
+
+
+def read_rows(store, query):
+    """A range of rows with the bounds of the pages: `limit`, 500 rows and 1 MB, as the store's stand-in has no bytes."""
+    first, last = query.get("from", ""), query.get("to")
+    places = sorted(place for place in store.rows
+                    if place[:2] == (query["table"], query.get("part", "")) and place[2] >= first
+                    and (last is None or place[2] < last))
+    most_rows = min(MOST_ROWS, int(query.get("limit", MOST_ROWS)))
+    rows, size = [], 0
+    for place in places:
+        size += len(store.rows[place][0])
+        if len(rows) == most_rows or (rows and size > MOST_BYTES):
+            break
+        rows.append(store._shown(place))
+    return {"rows": rows, "has_more": len(rows) < len(places)}
+
+
 class Record:
     def __init__(self, folder):
         self._file = open(folder / "record.txt", "w")
@@ -113,10 +133,10 @@
         seed = random.getrandbits(32)
         self.record(f"seed {seed} trouble {int(self.has_trouble)}")
         self.site = site_module.Site(seed, pathlib.Path(self._folder.name), free_slot(), node_count, vm_count)
+        self.site.store._read = lambda query: read_rows(self.site.store, query)
+        self._processes = []
         for node in self.site.nodes:
-            # VMs of one size, as in the small deployments.
-            node.cpu_share = 0.25
-        self._connections = {}
+            self._count_processes(node)
         started = self.site.promises.run_started
         ended = self.site.promises.run_ended
         # Starts and ends as the workers see them: time, task, run, worker.
@@ -135,6 +155,16 @@
         self.site.promises.run_started = run_started
         self.site.promises.run_ended = run_ended
 
+    def _count_processes(self, node):
+        """Has each process that the node starts end with the case, also one that was started beside another."""
+        start = node.start
+
+        def counted_start():
+            start()
+            self._processes.append(node.process)
+
+        node.start = counted_start
+
     def owner(self):
         row = self.site.store.rows.get(("filbertspar_owner", "0", "owner"))
         name = None if row is None else self.site.store.decoded(row[0])["vm"]
@@ -184,8 +214,11 @@
         return node
 
     async def stop(self):
+        for process in self._processes:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
         for node in self.site.nodes:
-            node.kill()
             await node.store_path.stop()
         await self.site.stop_stand_ins()
 
