--- a/review/16/case.py
+++ b/review/16/case.py
@@ -12,7 +12,7 @@
 from soak import workers  # noqa: E402
 from soak.callers import Job  # noqa: E402
 
-TASKS, TASK_S, CPU = 6000, 3.0, 3
+JOBS, TASKS, TASK_S, CPU = 20, 300, 3.0, 3
 DOWN_S = 0.8
 # The standard days of the site files have kill_all with 1.3 to 1.4 s.
 WATCHED_S = 25.0
@@ -54,24 +54,29 @@
         worker._hold, worker._finish, worker._extend = watched_hold, watched_finish, watched_extend
 
 
-async def play(rig):
-    queue = rig.site.config.queues[0]
-    notes = Notes()
-    for vm in rig.site.fleet.vms.values():
-        notes.watch(vm.worker)
+def make_job(rig, queue):
     number = random.getrandbits(63)
     job = Job(number, queue, "team-1", random.Random(number))
     job.width, job.steps, job.seconds, job.cpu, job.times = TASKS, 1, TASK_S, CPU, 0
-    job.lasts = job.is_poison = False
-    job.crashes_after = None
+    job.lasts, job.is_poison, job.crashes_after = False, False, None
     job.spec = "wide"
     rig.site.jobs.by_id[job.id] = job
     rig.site.promises.submitted(job.id, "sent")
-    body = job.body()
-    body["steps"][0]["mem_mb"] = 4
-    status, _ = await rig.call(rig.site.nodes[0], "POST", queue, job.id, "team-1", body)
-    if status != 200:
-        return NOT_RUN
+    return job
+
+
+async def play(rig):
+    queue = rig.site.config.queues[0]
+    notes = Notes()
+    for vm in rig.site.fleet.vms.values():
+        notes.watch(vm.worker)
+    jobs = [make_job(rig, queue) for _ in range(JOBS)]
+    for k, job in enumerate(jobs):
+        body = job.body()
+        body["steps"][0]["mem_mb"] = 4
+        status, _ = await rig.call(rig.site.nodes[k % 3], "POST", queue, job.id, "team-1", body)
+        if status != 200:
+            return NOT_RUN
     deadline = time.monotonic() + 20
     while not rig.ends and time.monotonic() < deadline:
         await asyncio.sleep(0.01)
@@ -86,11 +91,13 @@
         unread = {vm.worker.name: len(vm.worker._ends) for vm in rig.site.fleet.vms.values() if vm.worker._ends}
         rig.record(f"all are started again; ends that nobody has taken note of: {unread}")
     deadline = time.monotonic() + WATCHED_S
-    state = None
-    while time.monotonic() < deadline and state != "completed":
+    left = list(jobs)
+    while time.monotonic() < deadline and left:
         await asyncio.sleep(1)
-        status, answer = await rig.call(rig.site.nodes[0], "GET", queue, job.id, "team-1")
-        state = answer.get("state") if status == 200 else None
+        for job in list(left):
+            status, answer = await rig.call(rig.site.nodes[0], "GET", queue, job.id, "team-1")
+            if status == 200 and answer.get("state") == "completed":
+                left.remove(job)
     await asyncio.sleep(2)
     again = []
     for at, task, run_number, worker in rig.starts:
@@ -99,7 +106,8 @@
             again.append(task)
             rig.record(f"BROKEN {task}: run {run_number} began on {worker} {at - ended:.3f} s after a run had ended "
                        f"done; that end was taken note of {noted - ended:.3f} s after it")
-    rig.record(f"job {state}, {len(rig.starts)} starts of {TASKS} subtasks, {len(again)} started again after done")
+    rig.record(f"{len(left)} of {JOBS} jobs not completed, {len(rig.starts)} starts of {JOBS * TASKS} subtasks, "
+               f"{len(again)} started again after done")
     return BROKEN if again else HELD
 
 
