A final job keeps its queue and workspace for the next owners

A submission of its id to another queue was answered 200, never ran, and was shown as completed. Before the loss the same calls got 410 and 409.

Cause: with the last run of a final job its row is removed, and only the row of its progress stays. That row named no queue; RestoreFinalJob() restored an empty one, which IsOfQueue() took for any queue.

Ruled out: a reply of the former owner, a renamed queue (both are in the configuration), jobs whose row is still there.

Change: the progress of a final job names queue and workspace; the fields are appended, so that earlier releases skip them. A job without a queue, as in rows of earlier releases, is nobody's: it is neither shown nor run, and calls on its id get 409 until its state is forgotten. MatchJob() and CodeForOthers() decide without a network. An owner that has no configuration yet, which alone tells a renamed queue from another, answers 503 in place of showing the job.

Why it works: each answer after a take-over now rests on a field of the row; no default stands for a queue.

--- a/filbertspar/job/src/progress.h
+++ b/filbertspar/job/src/progress.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "filbertspar/base/base.h"
+#include "filbertspar/job/src/spec.h"
 
 namespace filbertspar {
 
@@ -80,6 +81,11 @@
   /// Occurrences below this number that are not in m_occurrences are finished.
   std::uint32_t m_next_occurrence = 0;
   std::vector<OccurrenceProgress> m_occurrences;
+  /// Of a final job, whose own row is removed: the queue to which it was
+  /// submitted, and by which workspace. The queue is empty in rows of earlier
+  /// releases.
+  QueueName m_queue;
+  WorkspaceName m_workspace;
 
   friend bool operator==(const JobProgress&, const JobProgress&) = default;
 };
--- a/filbertspar/job/src/rows.cc
+++ b/filbertspar/job/src/rows.cc
@@ -398,10 +398,15 @@
     }
   }
   const auto worker_rows = plan ? builder.CreateVectorOfStrings(workers) : 0;
+  const auto name_row = [&builder](const std::string& name) {
+    return name.empty() ? 0 : builder.CreateString(name);
+  };
+  const auto queue = name_row(progress.m_queue.Value());
+  const auto workspace = name_row(progress.m_workspace.Value());
   builder.Finish(fbs::CreateProgressRow(
       builder, static_cast<std::uint8_t>(progress.m_state), progress.m_ended_ms,
       progress.m_next_occurrence, occurrence_rows, worker_rows,
-      plan ? plan->m_first_run : 0));
+      plan ? plan->m_first_run : 0, queue, workspace));
   return BuilderBytes(builder);
 }
 
@@ -416,6 +421,8 @@
   progress.m_state = static_cast<JobState>(row->state());
   progress.m_ended_ms = row->ended_ms();
   progress.m_next_occurrence = row->next_occurrence();
+  progress.m_queue = QueueName(ToString(row->queue()));
+  progress.m_workspace = WorkspaceName(ToString(row->workspace()));
   Columns columns;
   columns.m_first_run = row->first_run();
   if (row->workers() != nullptr) {
--- a/filbertspar/job/src/rows_generated.h
+++ b/filbertspar/job/src/rows_generated.h
@@ -993,7 +993,9 @@
     VT_NEXT_OCCURRENCE = 8,
     VT_OCCURRENCES = 10,
     VT_WORKERS = 12,
-    VT_FIRST_RUN = 14
+    VT_FIRST_RUN = 14,
+    VT_QUEUE = 16,
+    VT_WORKSPACE = 18
   };
   uint8_t state() const {
     return GetField<uint8_t>(VT_STATE, 0);
@@ -1013,6 +1015,12 @@
   uint64_t first_run() const {
     return GetField<uint64_t>(VT_FIRST_RUN, 0);
   }
+  const flatbuffers::String *queue() const {
+    return GetPointer<const flatbuffers::String *>(VT_QUEUE);
+  }
+  const flatbuffers::String *workspace() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
@@ -1025,6 +1033,10 @@
            verifier.VerifyVector(workers()) &&
            verifier.VerifyVectorOfStrings(workers()) &&
            VerifyField<uint64_t>(verifier, VT_FIRST_RUN, 8) &&
+           VerifyOffset(verifier, VT_QUEUE) &&
+           verifier.VerifyString(queue()) &&
+           VerifyOffset(verifier, VT_WORKSPACE) &&
+           verifier.VerifyString(workspace()) &&
            verifier.EndTable();
   }
 };
@@ -1051,6 +1063,12 @@
   void add_first_run(uint64_t first_run) {
     fbb_.AddElement<uint64_t>(ProgressRow::VT_FIRST_RUN, first_run, 0);
   }
+  void add_queue(flatbuffers::Offset<flatbuffers::String> queue) {
+    fbb_.AddOffset(ProgressRow::VT_QUEUE, queue);
+  }
+  void add_workspace(flatbuffers::Offset<flatbuffers::String> workspace) {
+    fbb_.AddOffset(ProgressRow::VT_WORKSPACE, workspace);
+  }
   explicit ProgressRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1069,10 +1087,14 @@
     uint32_t next_occurrence = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<filbertspar::fbs::OccurrenceProgressRow>>> occurrences = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> workers = 0,
-    uint64_t first_run = 0) {
+    uint64_t first_run = 0,
+    flatbuffers::Offset<flatbuffers::String> queue = 0,
+    flatbuffers::Offset<flatbuffers::String> workspace = 0) {
   ProgressRowBuilder builder_(_fbb);
   builder_.add_first_run(first_run);
   builder_.add_ended_ms(ended_ms);
+  builder_.add_workspace(workspace);
+  builder_.add_queue(queue);
   builder_.add_workers(workers);
   builder_.add_occurrences(occurrences);
   builder_.add_next_occurrence(next_occurrence);
@@ -1092,9 +1114,13 @@
     uint32_t next_occurrence = 0,
     const std::vector<flatbuffers::Offset<filbertspar::fbs::OccurrenceProgressRow>> *occurrences = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *workers = nullptr,
-    uint64_t first_run = 0) {
+    uint64_t first_run = 0,
+    const char *queue = nullptr,
+    const char *workspace = nullptr) {
   auto occurrences__ = occurrences ? _fbb.CreateVector<flatbuffers::Offset<filbertspar::fbs::OccurrenceProgressRow>>(*occurrences) : 0;
   auto workers__ = workers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*workers) : 0;
+  auto queue__ = queue ? _fbb.CreateString(queue) : 0;
+  auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   return filbertspar::fbs::CreateProgressRow(
       _fbb,
       state,
@@ -1102,7 +1128,9 @@
       next_occurrence,
       occurrences__,
       workers__,
-      first_run);
+      first_run,
+      queue__,
+      workspace__);
 }
 
 }  // namespace fbs
--- a/filbertspar/node/src/owner_term.h
+++ b/filbertspar/node/src/owner_term.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "filbertspar/node/src/configuration.h"
@@ -83,14 +84,13 @@
   /// \brief Returns when the job is stored, or was not, or at the deadline.
   asio::awaitable<void> CancelWhileStoring(const JobId& id, TimePoint deadline);
   asio::awaitable<JobReply> Cancel(const JobCall& call);
-  /// \brief Whether the job of the call's id, which is stored or being stored,
-  /// was submitted to another queue.
-  bool IsOfOtherQueue(const JobCall& call) const;
-  /// \brief Reply to a submission whose id such a job has.
-  JobReply RefuseUsedId(const JobCall& call);
+  /// \brief Reply to a call on an id whose job is not, or may not be, of the
+  /// call's queue; nullopt when the call may see and change the job, or there
+  /// is none.
+  std::optional<JobReply> ReplyToOthers(const JobCall& call);
   /// \brief Reply to a call on a job that is not known, or not to this caller.
   JobReply UnknownJobReply() const;
-  JobReply StateReply(const JobCall& call) const;
+  JobReply StateReply(const JobCall& call);
   JobReply QueueLengthReply(const VmName& from, const JobCall& call);
   void ApplyWorkerRow(const StoreRow& row);
   void ScheduleUnregister(const std::string& name);
--- a/filbertspar/node/src/owner_term_calls.cc
+++ b/filbertspar/node/src/owner_term_calls.cc
@@ -79,31 +79,32 @@
   return reply;
 }
 
-bool OwnerTerm::IsOfOtherQueue(const JobCall& call) const {
+std::optional<JobReply> OwnerTerm::ReplyToOthers(const JobCall& call) {
   const JobId id(call.m_job);
-  const QueueName queue(call.m_queue);
   const JobSpec* storing = m_journal->FindStoring(id);
-  const bool is_other =
-      storing == nullptr ? !scheduler::IsOfQueue(m_scheduler, id, queue)
-                         : !scheduler::IsOfQueue(m_scheduler, *storing, queue);
-  if (is_other) {
-    m_parts.m_log.Warn(
-        "call", "job_of_other_queue",
-        absl::StrCat(JobField(id), " verb=", static_cast<int>(call.m_verb),
-                     " queue=", call.m_queue, " workspace=", call.m_workspace,
-                     " is_stored=", storing == nullptr));
+  const bool is_submission =
+      call.m_verb == JobVerb::kSubmit || call.m_verb == JobVerb::kOffer;
+  const Code code = scheduler::CodeForOthers(
+      scheduler::MatchJob(m_scheduler, id, storing, QueueName(call.m_queue)),
+      is_submission);
+  if (code == Code::kOk) {
+    return std::nullopt;
+  }
+  m_parts.m_log.Warn(
+      "call", "job_of_others",
+      absl::StrCat(JobField(id), " verb=", static_cast<int>(call.m_verb),
+                   " queue=", call.m_queue, " workspace=", call.m_workspace,
+                   " is_stored=", storing == nullptr,
+                   " code=", static_cast<int>(code)));
+  if (code == Code::kRequestUnknown) {
+    return UnknownJobReply();
+  }
+  if (is_submission) {
+    // Not kept as a refusal: the id is also that of the other job.
+    Count(m_parts.m_metrics, metric::kJobs, "refused");
   }
-  return is_other;
-}
-
-JobReply OwnerTerm::RefuseUsedId(const JobCall& call) {
-  // Not kept as a refusal: the id is also that of the other queue's job.
-  Count(m_parts.m_metrics, metric::kJobs, "refused");
-  m_parts.m_log.Info("call", "submit_refused",
-                     absl::StrCat(JobField(JobId(call.m_job)), " queue=",
-                                  call.m_queue, " reason=id_in_use"));
   JobReply reply;
-  reply.m_code = Code::kAlreadyClaimed;
+  reply.m_code = code;
   return reply;
 }
 
@@ -115,10 +116,13 @@
   return reply;
 }
 
-JobReply OwnerTerm::StateReply(const JobCall& call) const {
+JobReply OwnerTerm::StateReply(const JobCall& call) {
+  if (const std::optional<JobReply> others = ReplyToOthers(call)) {
+    return *others;
+  }
   const std::optional<JobState> state =
       scheduler::ReportedState(m_scheduler, JobId(call.m_job));
-  if (!state || IsOfOtherQueue(call)) {
+  if (!state) {
     return UnknownJobReply();
   }
   JobReply reply;
@@ -203,8 +207,8 @@
 }
 
 JobReply OwnerTerm::AnswerOffer(const JobCall& call) {
-  if (IsOfOtherQueue(call)) {
-    return RefuseUsedId(call);
+  if (const std::optional<JobReply> others = ReplyToOthers(call)) {
+    return *others;
   }
   JobReply reply;
   const JobId id(call.m_job);
@@ -225,8 +229,8 @@
 
 asio::awaitable<JobReply> OwnerTerm::Submit(const VmName& from,
                                             const JobCall& call) {
-  if (IsOfOtherQueue(call)) {
-    co_return RefuseUsedId(call);
+  if (const std::optional<JobReply> others = ReplyToOthers(call)) {
+    co_return *others;
   }
   JobReply reply;
   const JobId id(call.m_job);
@@ -272,8 +276,8 @@
 }
 
 asio::awaitable<JobReply> OwnerTerm::Cancel(const JobCall& call) {
-  if (IsOfOtherQueue(call)) {
-    co_return UnknownJobReply();
+  if (const std::optional<JobReply> others = ReplyToOthers(call)) {
+    co_return *others;
   }
   JobReply reply;
   const JobId id(call.m_job);
--- a/filbertspar/scheduler/src/job_writes.cc
+++ b/filbertspar/scheduler/src/job_writes.cc
@@ -79,6 +79,11 @@
   }
   progress.m_ended_ms = job.m_ended_ms;
   progress.m_next_occurrence = job.m_next_occurrence;
+  if (IsFinal(job.m_state)) {
+    // The job's own row, which names them too, goes with its last run.
+    progress.m_queue = job.m_spec->m_queue;
+    progress.m_workspace = job.m_spec->m_workspace;
+  }
   for (const auto& occurrence : job.m_occurrences) {
     OccurrenceProgress occurrence_progress;
     occurrence_progress.m_number = occurrence->m_number;
--- a/filbertspar/scheduler/src/jobs.cc
+++ b/filbertspar/scheduler/src/jobs.cc
@@ -315,6 +315,8 @@
   }
   JobSpec spec;
   spec.m_id = id;
+  spec.m_queue = progress.m_queue;
+  spec.m_workspace = progress.m_workspace;
   Job& job = InsertJob(scheduler, now, std::move(spec));
   job.m_state = progress.m_state;
   job.m_stored_state = progress.m_state;
--- a/filbertspar/scheduler/src/jobs.h
+++ b/filbertspar/scheduler/src/jobs.h
@@ -35,14 +35,39 @@
 
 /// \brief Whether a call on `queue` may see and change a job of `spec`. A queue
 /// that the configuration does not name, as after a rename, may be the same.
+/// False for a job whose queue is not known.
 bool IsOfQueue(const Scheduler& scheduler, const JobSpec& spec,
                const QueueName& queue);
 
-/// \brief The same by the job's id; true for a job that is not known, or of
-/// which only the final state is stored.
+/// \brief The same by the job's id; true for a job that is not known.
 bool IsOfQueue(const Scheduler& scheduler, const JobId& id,
                const QueueName& queue);
 
+/// \brief What is known of the job that a call names.
+enum class JobMatch : std::uint8_t {
+  /// There is no such job.
+  kNone,
+  /// The job was submitted to the queue of the call.
+  kSameQueue,
+  /// The job was submitted to another queue.
+  kOtherQueue,
+  /// There is such a job, and its rows do not tell whose it is or how far it
+  /// is. It is neither shown nor run.
+  kUnidentified,
+  /// Only the configuration can tell, and this VM has none yet.
+  kUndecided,
+};
+
+/// \brief Compares a call on `queue` with the job `id`. `storing` is the job
+/// that is being stored under this id; nullptr when there is none.
+JobMatch MatchJob(const Scheduler& scheduler, const JobId& id,
+                  const JobSpec* storing, const QueueName& queue);
+
+/// \brief Reply to a call that may not see the job: kRequestUnknown as if there
+/// were none, kAlreadyClaimed when its id is in use, kNoOwner to be asked
+/// again. kOk when the call is served.
+Code CodeForOthers(JobMatch match, bool is_submission);
+
 /// \brief Notes that a worker has confirmed a run of the job's tasks.
 void MarkBegun(Scheduler& scheduler, TimePoint now, Job& job,
                WorkerIndex worker);
--- a/filbertspar/scheduler/src/queues.cc
+++ b/filbertspar/scheduler/src/queues.cc
@@ -6,7 +6,10 @@
 
 bool IsOfQueue(const Scheduler& scheduler, const JobSpec& spec,
                const QueueName& queue) {
-  if (spec.m_queue == queue || spec.m_queue.Empty()) {
+  if (spec.m_queue.Empty()) {
+    return false;
+  }
+  if (spec.m_queue == queue) {
     return true;
   }
   const DeploymentConfig* deployment = scheduler.m_deployment.get();
@@ -22,6 +25,40 @@
          IsOfQueue(scheduler, *found->second->m_spec, queue);
 }
 
+JobMatch MatchJob(const Scheduler& scheduler, const JobId& id,
+                  const JobSpec* storing, const QueueName& queue) {
+  const auto found = scheduler.m_jobs.find(id);
+  if (storing == nullptr && found == scheduler.m_jobs.end()) {
+    return JobMatch::kNone;
+  }
+  const JobSpec& spec = storing == nullptr ? *found->second->m_spec : *storing;
+  if (spec.m_queue.Empty()) {
+    return JobMatch::kUnidentified;
+  }
+  if (spec.m_queue != queue && scheduler.m_deployment == nullptr) {
+    return JobMatch::kUndecided;
+  }
+  return IsOfQueue(scheduler, spec, queue) ? JobMatch::kSameQueue
+                                           : JobMatch::kOtherQueue;
+}
+
+Code CodeForOthers(JobMatch match, bool is_submission) {
+  switch (match) {
+    case JobMatch::kNone:
+    case JobMatch::kSameQueue:
+      return Code::kOk;
+    case JobMatch::kOtherQueue:
+      return is_submission ? Code::kAlreadyClaimed : Code::kRequestUnknown;
+    case JobMatch::kUnidentified:
+      // To its own caller the job must not seem unknown, to a stranger it must
+      // not be shown.
+      return Code::kAlreadyClaimed;
+    case JobMatch::kUndecided:
+      break;
+  }
+  return Code::kNoOwner;
+}
+
 std::int64_t CountQueuedJobs(const Scheduler& scheduler,
                              const QueueName& queue) {
   return MeasureQueues(scheduler)[queue].m_queued;
--- a/soak/answers.py
+++ b/soak/answers.py
@@ -39,6 +39,11 @@
         self._promises.check(status in (0, 410) or status >= 400, "state-own",
                              f"{job_id} was never sent: {status} {str(answer)[:200]}")
 
+    def foreign(self, job, queue, method, status, answer):
+        """An answer about an accepted job's id under another queue."""
+        self._promises.check(not 200 <= status < 300, "state-foreign",
+                             f"{method} {job.id} of {job.queue.name} under {queue.name}: {status} {str(answer)[:200]}")
+
     def length(self, queue, node, sent_at, status, answer):
         if status != 200:
             return
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,8 +9,10 @@
 CALL_S = 4.0
 ATTEMPTS = 6
 WIDE_SHARE, OVERDUE_SHARE = 0.01, 0.02
-# Of what is asked: lengths of queues, and states of jobs that nobody sent.
-LENGTH_SHARE, NEVER_SENT_SHARE = 0.5, 0.05
+# Of what is asked: lengths of queues, states of jobs that nobody sent, and jobs under a queue that is not theirs.
+LENGTH_SHARE, NEVER_SENT_SHARE, FOREIGN_SHARE = 0.5, 0.05, 0.1
+# Ids are free again when the state of their job is forgotten, 120 s after its end.
+ID_IN_USE_S = 100
 
 
 class Job:
@@ -172,6 +174,22 @@
             await asyncio.sleep(self._rng.expovariate(calls_per_s))
             asyncio.ensure_future(self._ask_once())
 
+    async def _ask_under_other_queue(self, key):
+        """Asks for, or submits, a job whose id another queue's job has."""
+        # Queues that every configuration names: a job may be shown under the new name of its queue.
+        queues = self._site.config.queues[:2]
+        since = time.monotonic() - ID_IN_USE_S
+        jobs = [job for job in self._site.jobs.by_id.values()
+                if job.queue in queues and job.accepted_at is not None and job.accepted_at > since]
+        if not jobs:
+            return
+        job = self._rng.choice(jobs)
+        other = queues[1 - queues.index(job.queue)]
+        method = self._rng.choice(["GET", "POST"])
+        body = job.body() | {"spec": "of a stranger"} if method == "POST" else None
+        status, answer = await self.call(self._node(), method, other.prefix + job.id, other.host, key, body)
+        self._site.answers.foreign(job, other, method, status, answer)
+
     async def _ask_once(self):
         site = self._site
         queue, kind = self._rng.choice(site.config.queues), self._rng.random()
@@ -185,5 +203,7 @@
             number = f"{site.next_number():016x}"
             status, answer = await self.call(self._node(), "GET", queue.prefix + number, queue.host, key)
             site.answers.never_sent(number, status, answer)
+        elif kind < LENGTH_SHARE + NEVER_SENT_SHARE + FOREIGN_SHARE:
+            await self._ask_under_other_queue(key)
         else:
             await self.state(self._rng.choice(jobs), key)
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -9,7 +9,8 @@
           "route": "configuration", "attempts": "attempts", "lost": "kept", "holder": "one-holder",
           "cut": "graceful-stop", "payload": "payload", "crashes": "crashes", "capacity": "capacity", "limits": "store-limits",
           "torn-state": "state-whole", "phantom": "state-own", "early": "state-completed",
-          "unfenced": "one-run", "changed": "state-final", "torn-length": "length-whole", "short": "length-low", "long": "length-high"}
+          "unfenced": "one-run", "changed": "state-final", "torn-length": "length-whole", "short": "length-low", "long": "length-high",
+          "stranger": "state-foreign"}
 NAMES = sorted(BREAKS)
 
 
@@ -39,6 +40,7 @@
     "torn-state": ("state", lambda status, answer: (
         status, {"stat": "running"} if time.monotonic() % 1 < 0.5 else answer)),
     "phantom": ("never_sent", lambda status, answer: (200, {"state": "running"})),
+    "stranger": ("foreign", lambda status, answer: (200, {"state": "completed"})),
     "early": ("state", lambda status, answer: (status, {"state": "completed"})),
     "changed": ("state", lambda status, answer: (
         status, {"state": "cancelled" if time.monotonic() % 2 < 1 else "failed"})),
--- a/tests/job_rows_test.cc
+++ b/tests/job_rows_test.cc
@@ -59,6 +59,20 @@
   CHECK(*decoded == progress);
 }
 
+// Guards against a final job of which the next owner does not know whose it is.
+TEST_CASE("the queue and workspace of a final job survive encoding") {
+  JobProgress progress;
+  progress.m_state = JobState::kCompleted;
+  progress.m_ended_ms = 1700000000000;
+  const std::string earlier = EncodeProgress(progress);
+  progress.m_queue = QueueName("q");
+  progress.m_workspace = WorkspaceName("w");
+  const auto decoded = DecodeProgress(EncodeProgress(progress));
+  REQUIRE(decoded.ok());
+  CHECK(*decoded == progress);
+  CHECK(DecodeProgress(earlier)->m_queue.Empty());
+}
+
 /// Progress of a job whose tasks all run, on a few workers.
 JobProgress MakeWideProgress(std::uint32_t tasks) {
   JobProgress progress;
--- a/tests/scheduler_answers_test.cc
+++ b/tests/scheduler_answers_test.cc
@@ -82,6 +82,10 @@
     }
     INFO("job " << id.Value());
     REQUIRE(state);
+    REQUIRE(MatchJob(*simulation.m_owner, id, nullptr, job.m_queue) ==
+            JobMatch::kSameQueue);
+    REQUIRE(MatchJob(*simulation.m_owner, id, nullptr, QueueName("other")) ==
+            JobMatch::kOtherQueue);
     const auto shown = answers.m_final.find(id);
     if (shown != answers.m_final.end()) {
       REQUIRE(*state == shown->second);
@@ -122,6 +126,11 @@
     for (int i = 0; i < 5; ++i) {
       m_simulation.AddWorker("w" + std::to_string(i), "p", 8);
     }
+    m_simulation.Configure([](DeploymentConfig& deployment) {
+      for (const char* name : {"q-p", "other"}) {
+        deployment.m_queues.emplace_back().m_name = QueueName(name);
+      }
+    });
     m_simulation.m_store_rejects = [this](const JobWrite& write) {
       return m_rejected_jobs.contains(write.m_id);
     };
