A job with an unreadable row is neither run again nor given away

A job whose progress could not be read was restored as if nothing of it had run, so that its ended tasks ran again (TWICE). A job whose own row could not be read was unknown: 410, and its id was free for another job.

Cause: ReadJobs() took an unreadable row for none.

Change: RestoreStoredJob() decides from both rows of a job, without a network. A job of which a row is unreadable, or whose row is missing beside progress that is not final, is not restored; its id is answered as that of a job of which it is not known whose it is (409), and its rows are kept for a release that can read them. The log counts them at each take-over.

Simulation and owner call the same function now.

--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -70,6 +70,23 @@
   return id.Empty() ? "" : absl::StrCat("job=", id.Value());
 }
 
+/// Decodes a value unless one of its rows is missing.
+template <typename Decode>
+auto DecodeWhole(const JoinedValue& joined, Decode decode)
+    -> decltype(decode(joined.m_value)) {
+  if (!joined.m_is_complete) {
+    return Error(Code::kBadField, "a row of the value is missing");
+  }
+  return decode(joined.m_value);
+}
+
+std::string RowFields(const std::string& key, const JoinedValue& joined,
+                      const absl::Status& status) {
+  return absl::StrCat("job=", key, " parts=", joined.m_parts,
+                      " complete=", joined.m_is_complete, " reason=\"",
+                      std::string(status.message()), "\"");
+}
+
 }  // namespace
 
 OwnerTerm::OwnerTerm(const OwnerTermParts& parts, OwnerWatch::WonClaim won,
@@ -241,7 +258,8 @@
   m_jobs_loaded = true;
   m_parts.m_log.Info(
       "owner", "jobs_read",
-      absl::StrCat(m_log_epoch, " jobs=", m_scheduler.m_jobs.size()));
+      absl::StrCat(m_log_epoch, " jobs=", m_scheduler.m_jobs.size(),
+                   " unreadable=", m_scheduler.m_unreadable_jobs.size()));
   m_jobs_loaded_signal.Notify();
   co_await FollowWorkers();
 }
@@ -257,36 +275,29 @@
   if (progress.m_result != StoreResult::kDone || !m_running) {
     co_return false;
   }
-  absl::flat_hash_map<std::string, JobProgress> known;
+  std::map<std::string, scheduler::StoredJob> stored;
   for (const auto& [key, joined] : JoinParts(progress.m_rows)) {
     m_journal->SetProgressParts(JobId(key), joined.m_parts);
-    absl::StatusOr<JobProgress> decoded = DecodeProgress(joined.m_value);
-    if (decoded.ok() && joined.m_is_complete) {
-      known[key] = *std::move(decoded);
-    } else {
+    absl::StatusOr<JobProgress> decoded = DecodeWhole(joined, DecodeProgress);
+    if (!decoded.ok()) {
       m_parts.m_log.Warn("owner", "progress_unreadable",
-                         absl::StrCat("job=", key, " parts=", joined.m_parts,
-                                      " complete=", joined.m_is_complete));
+                         RowFields(key, joined, decoded.status()));
     }
+    stored[key].m_progress = std::move(decoded);
   }
-  const TimePoint now = BootNow();
   for (const auto& [key, joined] : JoinParts(jobs.m_rows)) {
     m_journal->SetJobParts(JobId(key), joined.m_parts);
-    absl::StatusOr<JobSpec> spec = DecodeJob(joined.m_value);
-    if (!spec.ok() || !joined.m_is_complete) {
+    absl::StatusOr<JobSpec> decoded = DecodeWhole(joined, DecodeJob);
+    if (!decoded.ok()) {
       m_parts.m_log.Warn("owner", "job_unreadable",
-                         absl::StrCat("job=", key, " parts=", joined.m_parts,
-                                      " complete=", joined.m_is_complete));
-      continue;
+                         RowFields(key, joined, decoded.status()));
     }
-    const auto found = known.find(key);
-    scheduler::RestoreJob(m_scheduler, now, *std::move(spec),
-                          found == known.end() ? JobProgress() : found->second);
+    stored[key].m_spec = std::move(decoded);
   }
-  for (const auto& [id, done] : known) {
-    if (IsFinal(done.m_state)) {
-      scheduler::RestoreFinalJob(m_scheduler, now, JobId(id), done);
-    }
+  const TimePoint now = BootNow();
+  for (auto& [key, job] : stored) {
+    job.m_id = JobId(key);
+    scheduler::RestoreStoredJob(m_scheduler, now, std::move(job));
   }
   co_return true;
 }
--- a/filbertspar/scheduler/scheduler.h
+++ b/filbertspar/scheduler/scheduler.h
@@ -10,6 +10,7 @@
 #include "filbertspar/scheduler/src/fair_share.h"  // IWYU pragma: export
 #include "filbertspar/scheduler/src/jobs.h"        // IWYU pragma: export
 #include "filbertspar/scheduler/src/load.h"        // IWYU pragma: export
+#include "filbertspar/scheduler/src/restore.h"     // IWYU pragma: export
 #include "filbertspar/scheduler/src/starts.h"      // IWYU pragma: export
 #include "filbertspar/scheduler/src/state.h"       // IWYU pragma: export
 #include "filbertspar/scheduler/src/unanswered.h"  // IWYU pragma: export
--- a/filbertspar/scheduler/src/queues.cc
+++ b/filbertspar/scheduler/src/queues.cc
@@ -27,6 +27,9 @@
 
 JobMatch MatchJob(const Scheduler& scheduler, const JobId& id,
                   const JobSpec* storing, const QueueName& queue) {
+  if (scheduler.m_unreadable_jobs.contains(id)) {
+    return JobMatch::kUnidentified;
+  }
   const auto found = scheduler.m_jobs.find(id);
   if (storing == nullptr && found == scheduler.m_jobs.end()) {
     return JobMatch::kNone;
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -371,6 +371,8 @@
   absl::flat_hash_map<JobId, std::unique_ptr<Job>> m_jobs;
   /// Jobs that are cancelled as soon as they are added.
   std::set<JobId> m_cancelled_early;
+  /// Jobs of previous owners whose rows cannot be read. Their rows are kept.
+  std::set<JobId> m_unreadable_jobs;
   std::vector<Worker> m_workers;
   absl::flat_hash_map<WorkerName, WorkerIndex> m_worker_index;
   absl::flat_hash_map<PoolName, Pool> m_pools;
--- a/tests/scheduler_queue_of_job_test.cc
+++ b/tests/scheduler_queue_of_job_test.cc
@@ -105,6 +105,34 @@
   CHECK(MatchJob(owner, id, nullptr, QueueName("q-p")) == JobMatch::kNone);
 }
 
+// Guards against a job whose tasks run again after their ends because its
+// progress cannot be read, and against an id that is given away a second time.
+TEST_CASE("a job with an unreadable row does not run") {
+  const bool is_progress = GENERATE(true, false);
+  Simulation simulation;
+  simulation.AddWorker("w1", "p", 8);
+  NameQueues(simulation, {"q-p", "other"});
+  simulation.RunFor(Milliseconds(100));
+  const JobId id("job");
+  JobSpec job = Simulation::MakeJob("job", "p", 2, Seconds(1));
+  job.m_steps.push_back(job.m_steps.front());
+  job.m_steps.back().m_depends_on = {0};
+  REQUIRE(simulation.Submit(job));
+  simulation.RunFor(Milliseconds(1500));
+  REQUIRE(simulation.StateOfJob("job") == JobState::kRunning);
+  const std::map<TaskId, int> starts = simulation.m_starts;
+  const std::string row = simulation.m_jobs.at(id);
+  (is_progress ? simulation.m_progress : simulation.m_jobs).at(id) = "damaged";
+  simulation.TakeOver();
+  simulation.RunFor(Seconds(10));
+  CHECK(simulation.m_starts == starts);
+  CHECK_FALSE(ReportedState(*simulation.m_owner, id));
+  CHECK(MatchJob(*simulation.m_owner, id, nullptr, QueueName("q-p")) ==
+        JobMatch::kUnidentified);
+  // The rows are kept: a release that can read them resumes the job.
+  CHECK_FALSE(simulation.m_removed_rows.contains(id));
+}
+
 // Guards against an owner without a configuration that shows a job to any
 // queue, and against a caller who is told that the own job does not exist.
 TEST_CASE("without a configuration a job is matched by the queue's name") {
--- a/tests/scheduler_simulation_parts.h
+++ b/tests/scheduler_simulation_parts.h
@@ -72,18 +72,16 @@
 inline void RestoreRows(Scheduler& scheduler, TimePoint now,
                         const std::map<JobId, std::string>& jobs,
                         const std::map<JobId, std::string>& progress_rows) {
+  std::map<JobId, StoredJob> stored;
   for (const auto& [id, row] : jobs) {
-    const auto known = progress_rows.find(id);
-    const JobProgress progress = known == progress_rows.end()
-                                     ? JobProgress()
-                                     : *DecodeProgress(known->second);
-    RestoreJob(scheduler, now, *DecodeJob(row), progress);
+    stored[id].m_spec = DecodeJob(row);
   }
   for (const auto& [id, row] : progress_rows) {
-    const JobProgress progress = *DecodeProgress(row);
-    if (IsFinal(progress.m_state)) {
-      RestoreFinalJob(scheduler, now, id, progress);
-    }
+    stored[id].m_progress = DecodeProgress(row);
+  }
+  for (auto& [id, job] : stored) {
+    job.m_id = id;
+    RestoreStoredJob(scheduler, now, std::move(job));
   }
 }
 
