A worker counts as heard once it has listed all its ends

Cause: an answer of a worker holds all runs and at most 500 ends; the others follow once these are acknowledged. ResolveInheritedRuns() and ExpireLeases() took the first answer for the whole list, so that a recorded run whose end was among the next ones counted as ended without effect.

Ruled out: lapsed leases (not counted by the script), late calls (no run has two copies), lost progress (nobody had read the ends).

Change: HasListedAll() holds after the first answer that is not cut. Until then the runs recorded on that worker stay open, and "settled" waits for it. A worker that stops answering amid its list holds its runs until its lease has lapsed; a new incarnation frees them. Runs on workers with short lists wait for no other.

Why it works: an end is either in an answer or was acknowledged, and then its effect is stored; only a whole answer shows that a run is neither.

The simulation counts starts after an end that is acknowledged then or later, as the rule does; before it counted only ends acknowledged earlier.

--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -242,7 +242,7 @@
   const scheduler::Worker& worker = scheduler.m_workers[found->second];
   load.m_is_empty =
       scheduler::IsMachineEmpty(scheduler, BootNow(), found->second) &&
-      (worker.m_has_responded || scheduler.m_inherited_resolved);
+      (scheduler::HasListedAll(worker) || scheduler.m_inherited_resolved);
   load.m_long_running = static_cast<std::size_t>(
       std::count_if(worker.m_tasks.begin(), worker.m_tasks.end(),
                     [](const auto& ref) { return ref.Spec().m_long_running; }));
--- a/filbertspar/scheduler/src/leases.cc
+++ b/filbertspar/scheduler/src/leases.cc
@@ -39,13 +39,35 @@
 TimePoint AllInheritedRunsUntil(const Scheduler& scheduler) {
   TimePoint until = scheduler.m_options.m_inherited_leases_until;
   for (const Worker& worker : scheduler.m_workers) {
-    if (worker.m_registered && !worker.m_has_responded) {
+    if ((worker.m_registered || worker.m_has_responded) &&
+        !HasListedAll(worker)) {
       until = std::max(until, InheritedRunsUntil(scheduler, worker));
     }
   }
   return until;
 }
 
+/// Whether all workers that may have runs or ends of the previous owner have
+/// listed them.
+bool HaveAllListed(const Scheduler& scheduler, TimePoint now) {
+  if (!scheduler.m_expected_workers) {
+    return false;
+  }
+  const auto has_listed_all = [&scheduler](const WorkerName& name) {
+    const auto found = scheduler.m_worker_index.find(name);
+    return found != scheduler.m_worker_index.end() &&
+           HasListedAll(scheduler.m_workers[found->second]);
+  };
+  const auto has_more = [&scheduler, now](const Worker& worker) {
+    return worker.m_has_responded && !worker.m_has_listed_all &&
+           now <= InheritedRunsUntil(scheduler, worker);
+  };
+  return std::all_of(scheduler.m_expected_workers->begin(),
+                     scheduler.m_expected_workers->end(), has_listed_all) &&
+         std::none_of(scheduler.m_workers.begin(), scheduler.m_workers.end(),
+                      has_more);
+}
+
 }  // namespace
 
 Duration MaxElapsedTime(std::int64_t milliseconds) {
@@ -53,8 +75,18 @@
                                             1000 * kMaxClockSlowdown));
 }
 
+bool HasListedAll(const Worker& worker) {
+  return worker.m_has_responded && worker.m_has_listed_all;
+}
+
 TimePoint InheritedRunsUntil(const Scheduler& scheduler, const Worker& worker) {
   const Options& options = scheduler.m_options;
+  if (worker.m_has_responded) {
+    // Each answer renews the lease. Ends that are not read are lost to this
+    // owner once it has lapsed.
+    return std::max({worker.m_lease_until, worker.m_unknown_lease_until,
+                     options.m_inherited_leases_until});
+  }
   if (!worker.m_registered) {
     return options.m_inherited_leases_until;
   }
@@ -98,21 +130,13 @@
     return;
   }
   ResolveInheritedRuns(scheduler, now);
-  const bool all_responded =
-      scheduler.m_expected_workers &&
-      std::all_of(scheduler.m_expected_workers->begin(),
-                  scheduler.m_expected_workers->end(),
-                  [&scheduler](const WorkerName& name) {
-                    const auto found = scheduler.m_worker_index.find(name);
-                    return found != scheduler.m_worker_index.end() &&
-                           scheduler.m_workers[found->second].m_has_responded;
-                  });
-  if (all_responded || now > AllInheritedRunsUntil(scheduler)) {
+  const bool all_listed = HaveAllListed(scheduler, now);
+  if (all_listed || now > AllInheritedRunsUntil(scheduler)) {
     scheduler.m_inherited_resolved = true;
     AddLogEvent(
         scheduler, "settled", {}, kNoWorker,
         absl::StrCat(
-            "reason=", all_responded ? "all_workers_answered" : "leases_over",
+            "reason=", all_listed ? "all_workers_answered" : "leases_over",
             " held_back=", scheduler.m_inherited_runs.size()));
     ResolveInheritedRuns(scheduler, now);
   }
--- a/filbertspar/scheduler/src/starts.cc
+++ b/filbertspar/scheduler/src/starts.cc
@@ -79,17 +79,21 @@
 }
 
 /// Whether a run on this worker was found or cannot exist: the worker has
-/// responded, its lease is over, or no VM and no registration has its name.
+/// listed all its runs and ends, its lease is over, or no VM and no
+/// registration has its name.
 bool IsAccountedFor(const Scheduler& scheduler, TimePoint now,
                     const WorkerName& name) {
   const auto found = scheduler.m_worker_index.find(name);
   TimePoint until = scheduler.m_options.m_inherited_leases_until;
   if (found != scheduler.m_worker_index.end()) {
     const Worker& worker = scheduler.m_workers[found->second];
-    if (worker.m_has_responded) {
+    if (HasListedAll(worker)) {
       return true;
     }
     until = InheritedRunsUntil(scheduler, worker);
+    if (worker.m_has_responded) {
+      return now > until;
+    }
   }
   if (now > until) {
     return true;
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -202,6 +202,9 @@
   bool m_registered = false;
   /// Whether this incarnation has answered a poll of this owner.
   bool m_has_responded = false;
+  /// Whether one of its answers listed all its runs and ends, so that what was
+  /// ordered before and was not listed does not exist; see HasListedAll.
+  bool m_has_listed_all = false;
   TimePoint m_drain_deadline = TimePoint::max();
   /// Polls without an answer since the last one that was answered.
   std::uint32_t m_failed_polls = 0;
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -83,6 +83,7 @@
   worker.m_end = WorkerEnd();
   worker.m_incarnation = status.m_incarnation;
   worker.m_has_responded = false;
+  worker.m_has_listed_all = false;
   worker.m_answered_fencing = FencingNumber();
   if (!is_first || HasPredecessor(scheduler)) {
     BeginUnknownLease(scheduler, now, worker);
@@ -406,6 +407,12 @@
         worker.m_lease_until, scheduler.m_options.m_inherited_leases_until);
   }
   worker.m_has_responded = true;
+  if (!status.m_truncated && !worker.m_has_listed_all) {
+    worker.m_has_listed_all = true;
+    AddLogDetail(scheduler, "worker_listed_all", {}, index,
+                 absl::StrCat("runs=", status.m_running.size(),
+                              " ends=", status.m_finished.size()));
+  }
   worker.m_answered_fencing = std::max(worker.m_answered_fencing, fencing);
   if (worker.m_unknown_lease_until != TimePoint::min() && IsFenced(worker)) {
     EndUnknownLease(scheduler, LatestCall(scheduler, now, worker), worker);
@@ -436,6 +443,7 @@
   HandleWorkerReplaced(scheduler, now, index);
   worker.m_registered = false;
   worker.m_has_responded = false;
+  worker.m_has_listed_all = false;
   worker.m_lease_until = TimePoint::min();
   RequeueTasksOf(scheduler, now, worker, "instance_gone");
   ReleaseSupersededRuns(scheduler, worker);
--- a/filbertspar/scheduler/src/workers.h
+++ b/filbertspar/scheduler/src/workers.h
@@ -75,8 +75,14 @@
 /// `milliseconds`.
 Duration MaxElapsedTime(std::int64_t milliseconds);
 
-/// \brief Until when a run that the previous owner recorded on the worker may
-/// go on while the worker does not answer.
+/// \brief Whether the worker has listed all its runs and ends to this owner. An
+/// answer holds a bounded number of ends; the others follow once these are
+/// acknowledged.
+bool HasListedAll(const Worker& worker);
+
+/// \brief Until when a run that the previous owner recorded on the worker, and
+/// that it has not listed, may go on or have an end to be read, unless the
+/// worker answers meanwhile.
 TimePoint InheritedRunsUntil(const Scheduler& scheduler, const Worker& worker);
 
 /// \brief Lower bound of the worker's clock at `now`, in milliseconds.
--- a/tests/scheduler_answers_test.cc
+++ b/tests/scheduler_answers_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <random>
+#include <utility>
 
 #include "tests/scheduler_simulation.h"
 
@@ -126,6 +127,9 @@
     for (int i = 0; i < 5; ++i) {
       m_simulation.AddWorker("w" + std::to_string(i), "p", 8);
     }
+    if (seed % 3 == 0) {
+      m_simulation.m_max_listed_ends = 1;
+    }
     m_simulation.Configure([](DeploymentConfig& deployment) {
       for (const char* name : {"q-p", "other"}) {
         deployment.m_queues.emplace_back().m_name = QueueName(name);
@@ -186,6 +190,8 @@
     }
   }
 
+  /// Starts of tasks of which a run had ended as done and was acknowledged.
+  int CountStartsAfterEnd() const { return m_simulation.m_starts_after_end; }
   const Answers& GetAnswers() const { return m_answers; }
   bool ForgetsJobs() const { return m_forgets_jobs; }
 
@@ -257,10 +263,19 @@
   }
 
   void ChangeOwner() {
-    switch (m_random() % 3) {
+    m_simulation.m_runs_are_recorded = Chance(70);
+    switch (m_random() % 4) {
       case 0:
         m_simulation.TakeOver();
         break;
+      case 3: {
+        // All owners are gone for a while, in which nobody reads ends.
+        const bool is_down = std::exchange(m_simulation.m_store_is_down, true);
+        m_simulation.RunFor(Milliseconds(700));
+        m_simulation.TakeOver();
+        m_simulation.m_store_is_down = is_down;
+        break;
+      }
       case 1:
         m_simulation.StoreWithoutAnswer();
         m_simulation.TakeOver();
@@ -293,7 +308,8 @@
 };
 
 // Guards against any order of faults after which callers are told of an end
-// that was none, of a job that is not theirs, or of an end that is taken back.
+// that was none, of a job that is not theirs, or of an end that is taken back,
+// or a task is started again after its end.
 TEST_CASE("what callers are told of a job is true and stays so") {
   const std::uint64_t seed = GENERATE(range(1, 31));
   CAPTURE(seed);
@@ -302,6 +318,7 @@
     history.Step();
   }
   history.Settle();
+  CHECK(history.CountStartsAfterEnd() == 0);
   const Answers& answers = history.GetAnswers();
   CHECK(answers.m_final.size() == answers.m_submitted.size());
   for (const JobState state :
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -258,6 +258,8 @@
   /// Planted: workers execute late calls whatever their fencing number.
   bool m_ignores_fencing = false;
   bool m_store_is_down = false;
+  /// Ends that one answer of a worker holds.
+  std::size_t m_max_listed_ends = 500;
   /// Progress that the store rejects; it rejects all that is written with it.
   std::function<bool(const JobWrite&)> m_store_rejects = [](const JobWrite&) {
     return false;
@@ -267,7 +269,8 @@
   /// Starts that brought a worker over its capacity. Workers start whatever
   /// they are ordered to.
   int m_starts_over_capacity = 0;
-  /// Starts of tasks of which a run had ended as done and was acknowledged.
+  /// Starts of tasks of which a run had ended as done, where that end was
+  /// acknowledged, then or later (RULES.md, TWICE).
   int m_starts_after_end = 0;
   /// Highest number of simultaneous runs of one task.
   std::size_t m_max_concurrent_runs = 0;
@@ -414,6 +417,7 @@
               const FakeWorker::Run& run, RunOutcome outcome) {
     if (outcome == RunOutcome::kDone) {
       m_done.insert(task);
+      m_done_at[{task, run.m_run}] = m_now;
     }
     if (outcome == RunOutcome::kFailed) {
       m_failed_runs[task].insert(run.m_run);
@@ -557,6 +561,12 @@
           finished.m_number >= worker.m_first_counted_end &&
           finished.m_outcome == RunOutcome::kDone) {
         m_acknowledged_ends.insert(finished.m_task);
+        const TimePoint ended_at =
+            m_done_at.at({finished.m_task, finished.m_run.Value()});
+        const std::vector<TimePoint>& starts = m_started_at[finished.m_task];
+        m_starts_after_end += static_cast<int>(
+            std::count_if(starts.begin(), starts.end(),
+                          [&](TimePoint start) { return start > ended_at; }));
       }
     }
     std::erase_if(worker.m_finished, [number](const FinishedRun& finished) {
@@ -569,6 +579,10 @@
     status.m_clock_ms = ClockOf(worker);
     status.m_incarnation = worker.m_incarnation;
     status.m_finished = worker.m_finished;
+    if (status.m_finished.size() >= m_max_listed_ends) {
+      status.m_finished.resize(m_max_listed_ends);
+      status.m_truncated = true;
+    }
     for (const auto& [task, run] : worker.m_running) {
       status.m_running.push_back({task, RunNumber(run.m_run), run.m_checkpoint,
                                   run.m_speed_percent, run.m_load});
@@ -713,6 +727,7 @@
     m_starts_after_end += m_acknowledged_ends.contains(order.m_task) ? 1 : 0;
     m_starts_over_capacity += IsOverCapacity(worker) ? 1 : 0;
     ++m_starts[order.m_task];
+    m_started_at[order.m_task].push_back(m_now);
   }
 
   struct UnansweredStart {
@@ -724,6 +739,9 @@
   std::size_t m_max_writes = 100;
   std::vector<UnansweredStart> m_unanswered_starts;
   std::set<TaskId> m_acknowledged_ends;
+  /// When runs ended as done, and when runs of each task were started.
+  std::map<std::pair<TaskId, std::uint64_t>, TimePoint> m_done_at;
+  std::map<TaskId, std::vector<TimePoint>> m_started_at;
 };
 
 }  // namespace filbertspar::scheduler
--- a/tests/scheduler_takeover_test.cc
+++ b/tests/scheduler_takeover_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "tests/scheduler_simulation.h"
@@ -108,6 +109,106 @@
   }
 }
 
+/// Runs of a step with `tasks` tasks that end on `workers` workers while their
+/// owner is gone, so that each holds more ends than one of its answers lists.
+void EndRunsUnread(Simulation& simulation, std::uint32_t tasks, int workers) {
+  simulation.m_max_listed_ends = 10;
+  for (int i = 0; i < workers; ++i) {
+    simulation.AddWorker("w" + std::to_string(i), "p", 1);
+  }
+  simulation.RunFor(Milliseconds(100));
+  REQUIRE(simulation.Submit(
+      Simulation::MakeJob("job", "p", tasks, Seconds(1), 10)));
+  simulation.RunFor(Milliseconds(500));
+  REQUIRE(simulation.m_starts.size() == tasks);
+  // The store takes nothing, so that no end is acknowledged.
+  simulation.m_store_is_down = true;
+  simulation.RunFor(Seconds(1));
+  REQUIRE(simulation.m_done.size() == tasks);
+}
+
+bool HasStartedTwice(const Simulation& simulation) {
+  return std::any_of(simulation.m_starts.begin(), simulation.m_starts.end(),
+                     [](const auto& starts) { return starts.second > 1; });
+}
+
+// Guards against tasks that run again after their ends, because the next owner
+// takes the first ends that a worker lists for all of them (review/16).
+TEST_CASE("ends beyond the first list of a worker are read before restarts") {
+  const bool runs_are_recorded = GENERATE(true, false);
+  Simulation simulation;
+  simulation.m_runs_are_recorded = runs_are_recorded;
+  EndRunsUnread(simulation, 100, 2);
+  simulation.TakeOver();
+  simulation.m_store_is_down = false;
+  simulation.RunFor(Seconds(10));
+  CHECK(simulation.StateOfJob("job") == JobState::kCompleted);
+  CHECK_FALSE(HasStartedTwice(simulation));
+  CHECK(simulation.m_starts_after_end == 0);
+  CHECK(simulation.m_max_concurrent_runs == 1);
+}
+
+// Guards against the same while the store takes nothing: no end can be
+// acknowledged, so that the others are not listed.
+TEST_CASE("ends that are not listed while the store is away count as open") {
+  Simulation simulation;
+  EndRunsUnread(simulation, 100, 2);
+  simulation.TakeOver();
+  simulation.RunFor(Seconds(30));
+  CHECK_FALSE(HasStartedTwice(simulation));
+  simulation.m_store_is_down = false;
+  simulation.RunFor(Seconds(10));
+  CHECK(simulation.StateOfJob("job") == JobState::kCompleted);
+  CHECK_FALSE(HasStartedTwice(simulation));
+}
+
+// Guards against tasks that wait for good for a worker that is gone before all
+// its ends were read.
+TEST_CASE("a worker that is lost amid its list of ends holds nothing up") {
+  const bool is_restarted = GENERATE(true, false);
+  Simulation simulation;
+  EndRunsUnread(simulation, 100, 2);
+  simulation.TakeOver();
+  simulation.RunFor(Milliseconds(100));
+  REQUIRE_FALSE(HasListedAll(simulation.m_owner->m_workers[0]));
+  if (is_restarted) {
+    simulation.Restart(*simulation.m_workers[0]);
+  } else {
+    simulation.m_workers[0]->m_is_unreachable = true;
+  }
+  simulation.m_store_is_down = false;
+  simulation.RunFor(Seconds(20));
+  CHECK(simulation.StateOfJob("job") == JobState::kCompleted);
+  CHECK(simulation.m_max_concurrent_runs == 1);
+}
+
+// Guards against tasks that wait for the list of a worker on which they never
+// were.
+TEST_CASE("a worker with a short list waits for no other") {
+  Simulation simulation;
+  simulation.m_max_listed_ends = 10;
+  simulation.AddWorker("long", "p", 8);
+  FakeWorker& brief = simulation.AddWorker("brief", "q", 8);
+  simulation.RunFor(Milliseconds(100));
+  REQUIRE(
+      simulation.Submit(Simulation::MakeJob("many", "p", 100, Seconds(1), 10)));
+  REQUIRE(simulation.Submit(Simulation::MakeJob("few", "q", 2, Seconds(1))));
+  simulation.RunFor(Milliseconds(500));
+  simulation.m_store_is_down = true;
+  simulation.RunFor(Milliseconds(300));
+  // Its runs are gone without a trace.
+  REQUIRE(brief.m_running.size() == 2);
+  brief.m_running.clear();
+  simulation.RunFor(Seconds(1));
+  simulation.TakeOver();
+  simulation.RunFor(Milliseconds(60));
+  REQUIRE(HasListedAll(simulation.m_owner->m_workers[1]));
+  REQUIRE_FALSE(HasListedAll(simulation.m_owner->m_workers[0]));
+  simulation.m_store_is_down = false;
+  simulation.RunFor(Milliseconds(60));
+  CHECK(brief.m_running.size() == 2);
+}
+
 // Two tasks of a step with max_unavailable 1 must not be down at once because a
 // stop ordered by the previous owner has not taken effect yet.
 TEST_CASE("a new owner stops no limited task before earlier stops have ended") {
