A worker's list with an unreadable entry counts as cut

An entry of `running` or `finished` that cannot be read was dropped and the list taken as whole: its run counted as gone, and the task was started again.

--- a/filbertspar/fleetview/src/worker.h
+++ b/filbertspar/fleetview/src/worker.h
@@ -79,7 +79,8 @@
   std::int64_t m_incarnation = 0;
   std::vector<ActiveRun> m_running;
   std::vector<FinishedRun> m_finished;
-  /// Whether the worker may have more finished runs than those listed.
+  /// Whether the worker may have more runs, or finished runs, than those
+  /// listed: what is not listed may exist.
   bool m_truncated = false;
 };
 
--- a/tests/platform/adapter_codec_test.cc
+++ b/tests/platform/adapter_codec_test.cc
@@ -91,11 +91,33 @@
   CHECK(status->m_running[0].m_load == 35);
   REQUIRE(status->m_finished.size() == 1);
   CHECK(status->m_finished[0].m_outcome == RunOutcome::kFailed);
+  // What cannot be read may be any run, so that none counts as absent.
+  CHECK(status->m_truncated);
   CHECK_FALSE(
       DecodeWorkerStatus(MakeResult(200, R"({"clock_ms":1})"), invalid_count));
   CHECK_FALSE(DecodeWorkerStatus(MakeResult(421, "{}"), invalid_count));
 }
 
+// Guards against runs that are taken for ended because a list was cut.
+TEST_CASE("a worker status is whole unless it holds as many ends as it can") {
+  for (const int ends : {0, 499, 500}) {
+    std::string finished;
+    for (int i = 1; i <= ends; ++i) {
+      finished += (i > 1 ? ",[" : "[") + std::to_string(i) +
+                  R"(,"0011223344556677.0.0.0",2,"done",""])";
+    }
+    std::size_t invalid_count = 3;
+    const auto status = DecodeWorkerStatus(
+        MakeResult(200,
+                   R"({"clock_ms":5000,"born":3,"running":[],"finished":[)" +
+                       finished + "]}"),
+        invalid_count);
+    REQUIRE(status);
+    CHECK(status->m_truncated == (ends == 500));
+    CHECK(invalid_count == 3);
+  }
+}
+
 // Guards against a refused order that is taken for accepted, or the reverse.
 TEST_CASE("responses to orders map to distinct results") {
   const auto result = [](int status, const std::string& body) {
