A VM whose worker has more ends to list is not empty

Workers without runs may hold ends that no answer has listed yet. Their VMs counted as empty and could be moved or taken down; the ends would have gone with the worker, and their tasks run again.

Change: IsMachineEmpty() asks whether the last answer was cut.

--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -205,6 +205,8 @@
   /// Whether one of its answers listed all its runs and ends, so that what was
   /// ordered before and was not listed does not exist; see HasListedAll.
   bool m_has_listed_all = false;
+  /// Whether the last answer may lack some.
+  bool m_last_list_is_cut = false;
   TimePoint m_drain_deadline = TimePoint::max();
   /// Polls without an answer since the last one that was answered.
   std::uint32_t m_failed_polls = 0;
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -84,6 +84,7 @@
   worker.m_incarnation = status.m_incarnation;
   worker.m_has_responded = false;
   worker.m_has_listed_all = false;
+  worker.m_last_list_is_cut = false;
   worker.m_answered_fencing = FencingNumber();
   if (!is_first || HasPredecessor(scheduler)) {
     BeginUnknownLease(scheduler, now, worker);
@@ -413,6 +414,7 @@
                  absl::StrCat("runs=", status.m_running.size(),
                               " ends=", status.m_finished.size()));
   }
+  worker.m_last_list_is_cut = status.m_truncated;
   worker.m_answered_fencing = std::max(worker.m_answered_fencing, fencing);
   if (worker.m_unknown_lease_until != TimePoint::min() && IsFenced(worker)) {
     EndUnknownLease(scheduler, LatestCall(scheduler, now, worker), worker);
@@ -460,8 +462,8 @@
     return false;
   }
   if (worker.m_registered && IsResponsive(worker, now)) {
-    // It has not been replaced.
-    return true;
+    // It has not been replaced. Ends that it has not listed yet would be lost.
+    return !worker.m_last_list_is_cut;
   }
   return std::none_of(scheduler.m_workers.begin(), scheduler.m_workers.end(),
                       [&](const Worker& other) {
--- a/filbertspar/scheduler/src/workers.h
+++ b/filbertspar/scheduler/src/workers.h
@@ -44,7 +44,8 @@
                     const StopOrder& order);
 
 /// \brief Whether no task is placed on the worker, nor on one that has taken
-/// its place at the same address since the list of VMs was read.
+/// its place at the same address since the list of VMs was read, and the worker
+/// holds no ends that were not read.
 bool IsMachineEmpty(const Scheduler& scheduler, TimePoint now,
                     WorkerIndex index);
 
