A worker has left when the lists of VMs showed it and do so no more

After a take-over a registered worker that the list of VMs lacked counted as gone once the list had been requested 1 s after the take-over; one without registration at once. The same held for a start in doubt.

Change: ExpectedWorkers() has each worker with a registration or a recorded run that the lists do not show to have left: an earlier list of this owner had it, the latest has not. One that no list has shown is waited for until its leases are over.

Cost: a worker that left just before the take-over and is still registered is waited for until then as well, where before its absence sufficed; its VM was empty, as a rule, so that no task waits.

Result: "a worker that no list has shown may run tasks" fails 12 checks with the former rule.

--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -212,23 +212,7 @@
   if (scheduler.m_inherited_resolved) {
     return;
   }
-  std::set<WorkerName> expected_workers;
-  // Once the list shows a state after the take-over, a registered worker that
-  // is not on it ended when its VM moved or went into upkeep.
-  const bool list_is_current =
-      m_upkeep_state.m_list_requested_at > m_began_at + kMaxListLag;
-  for (const auto& worker : scheduler.m_workers) {
-    if (worker.m_registered && !list_is_current) {
-      expected_workers.insert(worker.m_record.m_name);
-    }
-  }
-  for (const auto& [name, vm] : m_upkeep_state.m_vms) {
-    if (vm.m_state == VmStatus::kUp && !vm.m_worker.Empty()) {
-      expected_workers.insert(vm.m_worker);
-    }
-  }
-  scheduler.m_expected_workers.emplace(expected_workers.begin(),
-                                       expected_workers.end());
+  scheduler.m_expected_workers = scheduler::ExpectedWorkers(scheduler);
 }
 
 upkeep::VmLoad VmManager::ComputeVmLoad(const VmRecord& vm) const {
--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -399,6 +399,11 @@
   /// since which that list holds; min() without a whole list.
   std::set<WorkerName> m_workers_of_vms;
   TimePoint m_vms_listed_at = TimePoint::min();
+  /// Workers that a list of VMs has shown, and known ones that none has shown
+  /// yet. A list lags by a time that is not bounded: that it lacks one of the
+  /// latter does not tell a worker that has left from one that has just joined.
+  std::set<WorkerName> m_shown_workers;
+  std::set<WorkerName> m_unshown_workers;
   /// Unix time minus scheduler time.
   Duration m_unix_offset{0};
   /// Workers that may run inherited tasks; nullopt until all are known.
--- a/filbertspar/scheduler/src/unanswered.cc
+++ b/filbertspar/scheduler/src/unanswered.cc
@@ -1,6 +1,7 @@
 #include "filbertspar/scheduler/src/unanswered.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "filbertspar/scheduler/src/workers.h"
@@ -136,26 +137,64 @@
     // Still waits for its response.
     return false;
   }
-  const bool is_gone =
-      !worker.m_registered && scheduler.m_vms_listed_at > task.m_doubt_since &&
-      !scheduler.m_workers_of_vms.contains(worker.m_record.m_name);
+  const bool is_gone = !worker.m_registered &&
+                       scheduler.m_vms_listed_at > task.m_doubt_since &&
+                       HasLeftVms(scheduler, worker.m_record.m_name);
   return is_gone || now > task.m_doubt_until;
 }
 
 void HandleVmList(Scheduler& scheduler, TimePoint shows_since,
                   const VmList& list) {
+  std::set<WorkerName> listed;
+  for (const VmRecord& vm : list.m_vms) {
+    if (vm.m_state == VmStatus::kUp && !vm.m_worker.Empty()) {
+      listed.insert(vm.m_worker);
+    }
+  }
+  scheduler.m_shown_workers.insert(listed.begin(), listed.end());
+  scheduler.m_unshown_workers.clear();
+  const auto add_unshown = [&scheduler](const WorkerName& worker) {
+    if (!scheduler.m_shown_workers.contains(worker)) {
+      scheduler.m_unshown_workers.insert(worker);
+    }
+  };
+  for (const Worker& worker : scheduler.m_workers) {
+    add_unshown(worker.m_record.m_name);
+  }
+  for (const auto& [task, worker] : scheduler.m_inherited_runs) {
+    add_unshown(worker);
+  }
   if (!list.m_invalid_vms.empty() || list.m_nameless_count > 0) {
     // Proves no absence.
     scheduler.m_vms_listed_at = TimePoint::min();
     return;
   }
   scheduler.m_vms_listed_at = shows_since;
-  scheduler.m_workers_of_vms.clear();
-  for (const VmRecord& vm : list.m_vms) {
-    if (vm.m_state == VmStatus::kUp) {
-      scheduler.m_workers_of_vms.insert(vm.m_worker);
+  scheduler.m_workers_of_vms = std::move(listed);
+}
+
+bool HasLeftVms(const Scheduler& scheduler, const WorkerName& worker) {
+  return scheduler.m_vms_listed_at != TimePoint::min() &&
+         !scheduler.m_workers_of_vms.contains(worker) &&
+         !scheduler.m_unshown_workers.contains(worker);
+}
+
+std::vector<WorkerName> ExpectedWorkers(const Scheduler& scheduler) {
+  std::set<WorkerName> expected = scheduler.m_workers_of_vms;
+  const auto add_unless_left = [&](const WorkerName& worker) {
+    if (!HasLeftVms(scheduler, worker)) {
+      expected.insert(worker);
+    }
+  };
+  for (const Worker& worker : scheduler.m_workers) {
+    if (worker.m_registered) {
+      add_unless_left(worker.m_record.m_name);
     }
   }
+  for (const auto& [task, worker] : scheduler.m_inherited_runs) {
+    add_unless_left(worker);
+  }
+  return {expected.begin(), expected.end()};
 }
 
 void BeginUnknownLease(const Scheduler& scheduler, TimePoint now,
--- a/filbertspar/scheduler/src/unanswered.h
+++ b/filbertspar/scheduler/src/unanswered.h
@@ -95,6 +95,14 @@
 void HandleVmList(Scheduler& scheduler, TimePoint shows_since,
                   const VmList& list);
 
+/// \brief Whether the lists of VMs show that the worker has left: an earlier
+/// one had it, the latest one has not.
+bool HasLeftVms(const Scheduler& scheduler, const WorkerName& worker);
+
+/// \brief Workers that may run tasks of previous owners, as far as
+/// registrations, lists of VMs and recorded runs tell.
+std::vector<WorkerName> ExpectedWorkers(const Scheduler& scheduler);
+
 /// \brief Called when an incarnation has answered for the first time. Until the
 /// worker is fenced, the end of its lease is not known.
 void BeginUnknownLease(const Scheduler& scheduler, TimePoint now,
--- a/tests/scheduler_vm_list_test.cc
+++ b/tests/scheduler_vm_list_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "tests/scheduler_simulation.h"
@@ -5,6 +6,82 @@
 namespace filbertspar::scheduler {
 namespace {
 
+VmList MakeList(TimePoint requested_at,
+                const std::vector<std::string>& workers) {
+  VmList list;
+  list.m_requested_at = requested_at;
+  for (const std::string& worker : workers) {
+    VmRecord vm;
+    vm.m_name = VmName("vm-of-" + worker);
+    vm.m_state = VmStatus::kUp;
+    vm.m_worker = WorkerName(worker);
+    list.m_vms.push_back(vm);
+  }
+  return list;
+}
+
+bool IsExpected(const Scheduler& owner, const std::string& worker) {
+  const std::vector<WorkerName> expected = ExpectedWorkers(owner);
+  return std::find(expected.begin(), expected.end(), WorkerName(worker)) !=
+         expected.end();
+}
+
+// Guards against tasks that run twice because a worker that has just joined is
+// not in a list of VMs from before, and counts as gone.
+TEST_CASE("a worker that no list has shown may run tasks") {
+  Simulation simulation;
+  simulation.AddWorker("old", "p", 8);
+  simulation.AddWorker("new", "p", 8);
+  simulation.AddWorker("away", "p", 8);
+  simulation.RunFor(Milliseconds(100));
+  REQUIRE(
+      simulation.Submit(Simulation::MakeJob("job", "p", 6, Seconds(20), 4000)));
+  simulation.RunFor(Milliseconds(500));
+  // Workers that the next owner cannot reach; one is not registered either.
+  simulation.m_workers[1]->m_is_unreachable = true;
+  simulation.m_workers[2]->m_is_unreachable = true;
+  simulation.TakeOver();
+  Scheduler& owner = *simulation.m_owner;
+  UnregisterWorker(owner, simulation.m_now, WorkerName("away"));
+  for (int i = 0; i < 4; ++i) {
+    HandleVmList(owner, simulation.m_now, MakeList(simulation.m_now, {"old"}));
+    owner.m_expected_workers = ExpectedWorkers(owner);
+    CHECK(IsExpected(owner, "old"));
+    CHECK(IsExpected(owner, "new"));
+    CHECK(IsExpected(owner, "away"));
+    simulation.RunFor(Milliseconds(500));
+    CHECK_FALSE(owner.m_inherited_resolved);
+  }
+  CHECK(simulation.m_max_concurrent_runs == 1);
+}
+
+// Guards against tasks that wait for the leases of a worker that has left.
+TEST_CASE("a worker that was shown and is no more has left") {
+  Simulation simulation;
+  simulation.AddWorker("stays", "p", 8);
+  simulation.AddWorker("leaves", "p", 8);
+  Scheduler& owner = *simulation.m_owner;
+  const auto list = [&](const std::vector<std::string>& workers) {
+    return MakeList(simulation.m_now, workers);
+  };
+  HandleVmList(owner, simulation.m_now, list({"stays", "leaves"}));
+  CHECK(IsExpected(owner, "leaves"));
+  HandleVmList(owner, simulation.m_now, list({"stays"}));
+  CHECK(HasLeftVms(owner, WorkerName("leaves")));
+  CHECK_FALSE(IsExpected(owner, "leaves"));
+  CHECK(IsExpected(owner, "stays"));
+  SECTION("a damaged list proves no absence") {
+    VmList damaged = list({"stays"});
+    damaged.m_nameless_count = 1;
+    HandleVmList(owner, simulation.m_now, damaged);
+    CHECK(IsExpected(owner, "leaves"));
+  }
+  SECTION("a worker that is listed again is back") {
+    HandleVmList(owner, simulation.m_now, list({"stays", "leaves"}));
+    CHECK(IsExpected(owner, "leaves"));
+  }
+}
+
 // Guards against a VM that is taken down, or moved, with ends that nobody has
 // read.
 TEST_CASE("a VM whose worker has unread ends is not empty") {
