A page of rows is the last one only if it says so or is empty

A page of the store without `has_more`, and an empty one that announces more, ended ReadAll(): the rows after it counted as absent, and with them accepted jobs.

Change: a page with rows that does not say so is followed by a request for the next one; an empty page that announces more fails the read, which is repeated.

--- a/filbertspar/node/src/store_client.cc
+++ b/filbertspar/node/src/store_client.cc
@@ -167,7 +167,13 @@
     if (from.empty()) {
       all.m_version = page.m_version;
     }
-    const bool more = page.m_more && !page.m_rows.empty();
+    const bool more = page.m_more;
+    if (more && page.m_rows.empty()) {
+      // The rest of the table is unknown; rows that are not read would count as
+      // absent.
+      page.m_result = StoreResult::kUnknown;
+      co_return page;
+    }
     if (more) {
       // The range begins after the last key that was read.
       from = page.m_rows.back().m_key.m_key + '\x01';
--- a/tests/platform/adapter_codec_test.cc
+++ b/tests/platform/adapter_codec_test.cc
@@ -157,6 +157,19 @@
   CHECK_FALSE(ParseTaskId("a.b.c.d"));
 }
 
+// Guards against rows that count as absent because a page was taken for the
+// last one.
+TEST_CASE("a page of rows is the last one only if it says so or is empty") {
+  const auto has_more = [](const std::string& body) {
+    return DecodeStoreResponse(MakeResult(200, body)).m_more;
+  };
+  const std::string row = R"("rows":[{"table":"t","key":"k","value":"aGk="}])";
+  CHECK(has_more("{" + row + R"(,"has_more":true})"));
+  CHECK_FALSE(has_more("{" + row + R"(,"has_more":false})"));
+  CHECK(has_more("{" + row + "}"));
+  CHECK_FALSE(has_more(R"({"rows":[]})"));
+}
+
 // Guards against a failed store request that is taken for a successful one.
 TEST_CASE("responses of the store map to distinct results") {
   const auto result = [](int status) {
