A wave counts a VM as back by evidence that no lag makes old

Cause: a VM that was ordered down counted as up again by a list that was requested 1 s after the order (kListLag) and showed it up.

Change: a VM is back when the list shows it up with another worker than the one that answered when the upkeep was ordered (a worker is one life of a VM), or after an earlier list has shown the upkeep, or when the list was requested after the platform must have ended the upkeep (`fleet.upkeep_s` and 1 s).

A wave goes on with the first list that shows the next worker, as before ("a wave goes on as soon as a list shows the next worker").

--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -51,7 +51,9 @@
       m_order_rate(MakeBucket(
           std::max(1.0, parts.m_options.m_fleet_orders_per_s * kOrderRateShare),
           std::max(1.0, parts.m_options.m_fleet_orders_per_s * kOrderRateShare),
-          BootNow())) {}
+          BootNow())) {
+  m_upkeep_state.m_upkeep_time = parts.m_options.m_upkeep_time;
+}
 
 void VmManager::Start() {
   if (!m_parts.m_options.m_fleet) {
@@ -224,6 +226,8 @@
     return load;
   }
   const scheduler::Worker& worker = scheduler.m_workers[found->second];
+  load.m_worker_answers =
+      worker.m_registered && scheduler::IsResponsive(worker, BootNow());
   load.m_is_empty =
       scheduler::IsMachineEmpty(scheduler, BootNow(), found->second) &&
       (scheduler::HasListedAll(worker) || scheduler.m_inherited_resolved);
--- a/filbertspar/upkeep/src/plan.cc
+++ b/filbertspar/upkeep/src/plan.cc
@@ -31,10 +31,6 @@
 constexpr Duration kRefusalTimeout = Seconds(5);
 /// The platform is asked again this long after refusals that stand.
 constexpr Duration kStandingRefusalRetryDelay = Seconds(30);
-/// The VM list lags behind. A VM that was down counts as up again only when a
-/// list shows it that was requested this long after the order was accepted.
-constexpr Duration kListLag = Seconds(1);
-
 /// Most names of VMs of a kind in a log line.
 constexpr std::size_t kMaxNames = 8;
 
@@ -107,6 +103,23 @@
   return down;
 }
 
+/// Whether the upkeep that was ordered is over, although a list may lag by any
+/// time. The list shows another worker than before, or has shown the upkeep
+/// before the VM was up again, or it was requested when the platform had ended
+/// the upkeep.
+bool IsBack(const State& state, const VmProgress& progress,
+            const VmRecord& record) {
+  if (record.m_state != VmStatus::kUp) {
+    return false;
+  }
+  const bool has_other_worker = !progress.m_worker_before.Empty() &&
+                                !record.m_worker.Empty() &&
+                                record.m_worker != progress.m_worker_before;
+  return has_other_worker || progress.m_was_seen_down ||
+         state.m_list_requested_at >
+             progress.m_since + state.m_upkeep_time + kMaxReturnDelay;
+}
+
 void Define(Wave& wave, const UpkeepWave& spec) {
   wave.m_is_defined = true;
   wave.m_spec = spec;
@@ -133,9 +146,9 @@
       return true;
     case Phase::kOrdered: {
       const auto record = state.m_vms.find(vm);
-      return state.m_list_requested_at > progress.m_since + kListLag &&
-             (record == state.m_vms.end() ||
-              record->second.m_state == VmStatus::kUp);
+      return record == state.m_vms.end()
+                 ? IsRemoved(state, vm)
+                 : IsBack(state, progress, record->second);
     }
     case Phase::kDown:
     case Phase::kDone:
@@ -151,14 +164,29 @@
   for (auto& [vm, progress] : wave.m_vms) {
     const auto record = state.m_vms.find(vm);
     if (progress.m_phase == Phase::kDown && record != state.m_vms.end() &&
-        record->second.m_state == VmStatus::kUp &&
-        state.m_list_requested_at > progress.m_since + kListLag) {
+        IsBack(state, progress, record->second)) {
       progress.m_phase = Phase::kDone;
       progress.m_since = now;
     }
   }
 }
 
+/// Notes which VMs the list shows in the upkeep that was ordered.
+void NoteUpkeep(State& state, const std::map<VmName, VmRecord>& listed) {
+  const auto is_in_upkeep = [&listed](const VmName& vm) {
+    const auto record = listed.find(vm);
+    return record != listed.end() &&
+           record->second.m_state == VmStatus::kUpkeep;
+  };
+  for (auto& [number, wave] : state.m_waves) {
+    for (auto& [vm, progress] : wave.m_vms) {
+      progress.m_was_seen_down =
+          progress.m_was_seen_down ||
+          (IsOrderedOrDown(progress) && is_in_upkeep(vm));
+    }
+  }
+}
+
 double MaxPoolShare(const Wave& wave, TimePoint now) {
   const Duration late_after(static_cast<std::int64_t>(
       kLateShare * static_cast<double>(wave.m_spec.m_duration.count())));
@@ -198,6 +226,7 @@
     state.m_missing_since.erase(vm);
   }
   state.m_list_requested_at = list.m_requested_at;
+  NoteUpkeep(state, listed);
   if (list.m_nameless_count > 0) {
     // Such an entry may be that of any VM.
     state.m_vms = std::move(listed);
@@ -355,6 +384,9 @@
           progress.m_phase = Phase::kOrdered;
           progress.m_since = now;
           progress.m_order_in_flight = true;
+          progress.m_was_seen_down = false;
+          progress.m_worker_before =
+              vm_load.m_worker_answers ? record->second.m_worker : WorkerName();
           ++down;
           plan.m_orders.push_back({number, name});
         }
--- a/filbertspar/upkeep/src/state.h
+++ b/filbertspar/upkeep/src/state.h
@@ -42,6 +42,11 @@
   bool m_order_in_flight = false;
   /// Whether an order without an answer may have been carried out.
   bool m_may_be_down = false;
+  /// Worker of the VM when its upkeep was ordered, if that answered: the VM is
+  /// back once a list shows another one. Empty when it is not known.
+  WorkerName m_worker_before;
+  /// Whether a list has shown the upkeep that was ordered.
+  bool m_was_seen_down = false;
   /// Whether the definition of the wave names the VM.
   bool m_is_member = false;
   std::optional<Refusals> m_refusals;
@@ -68,6 +73,8 @@
 
 /// \brief Load of a VM, as known to the owner.
 struct VmLoad {
+  /// Whether its worker answers, so that the list shows the present worker.
+  bool m_worker_answers = false;
   /// Whether it is certain that nothing runs on it, because its worker was
   /// polled or because all leases that may have been granted have expired.
   bool m_is_empty = false;
@@ -87,6 +94,9 @@
   /// VMs of waves that are missing from the VM list, and when the first whole
   /// list without them was requested.
   std::map<VmName, TimePoint> m_missing_since;
+  /// Time for which a VM is down for its upkeep (`maintenance_s` of the
+  /// platform).
+  Duration m_upkeep_time = Seconds(2);
 };
 
 /// \brief JSON text of the VMs of a wave that are down or done, for the row of
@@ -102,6 +112,9 @@
 /// \brief Adds the times that previous owners stored; the later one counts.
 void MergeOrderTimes(OrderTimes& times, const OrderTimes& stored);
 
+/// \brief A VM may be back this much later than stated.
+inline constexpr Duration kMaxReturnDelay = Seconds(1);
+
 /// \brief Records an order and drops those that are older than `kept_ms`.
 void RecordOrderTime(OrderTimes& times, const VmName& vm, std::int64_t now_ms,
                      std::int64_t kept_ms);
