A new owner counts VMs as down that were ordered lately

Cause: a VM whose upkeep was stored as begun is restored as done, and only the list of VMs could tell that it was still down. The list was older than the order. The times of the orders, which the store holds, only kept other orders from the same VM.

Ruled out: two owners at once, a late order, the count of the platform.

Change: after a take-over each VM with a recorded order counts as down in every wave, and is no candidate, until the order and what it began must be over: 2 s for its delivery, the upkeep or the move, and 1 s. Lists that have shown its upkeep and its return end that sooner. The times of orders are kept for as long. A VM on standby with such an order is not moved either. An unreadable row of times holds all orders back for that time.

Why it works: the order is recorded before it is sent, so that no list, however old, contradicts what the store knows.

Waves without a take-over know no such orders.

--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -71,14 +71,23 @@
          (found == m_no_orders_until.end() || BootNow() >= found->second);
 }
 
+Duration VmManager::HolderTime() const {
+  return m_parts.m_options.m_holder_ttl + kHolderTtlMargin;
+}
+
+Duration VmManager::LongestDownTime() const {
+  return upkeep::MaxDownTime(
+      std::max(m_parts.m_options.m_upkeep_time, m_parts.m_options.m_move_time));
+}
+
 asio::awaitable<bool> VmManager::RecordOrder(VmName vm) {
   if (!CanSendOrder(vm) || !TakeToken(m_order_rate, BootNow())) {
     co_return false;
   }
   const std::int64_t now_ms = m_parts.m_store.ClockMs();
-  const std::int64_t kept_ms =
-      ToMilliseconds(m_parts.m_options.m_holder_ttl + kHolderTtlMargin);
-  upkeep::RecordOrderTime(m_order_times_ms, vm, now_ms, kept_ms);
+  upkeep::RecordOrderTime(
+      m_order_times_ms, vm, now_ms,
+      ToMilliseconds(std::max(HolderTime(), LongestDownTime())));
   const TimePoint recorded_at = BootNow();
   // A named variable, since g++ 12 destroys such temporaries in a co_await
   // expression twice.
@@ -134,20 +143,22 @@
   if (rows.m_result != StoreResult::kDone || !m_running) {
     co_return false;
   }
-  const Duration kept = m_parts.m_options.m_holder_ttl + kHolderTtlMargin;
+  const Duration kept = HolderTime();
   for (const StoreRow& row : rows.m_rows) {
     const auto orders = upkeep::DecodeOrderTimes(row.m_value);
     if (!orders.ok()) {
       m_parts.m_log.Warn("vm", "orders_unreadable",
                          absl::StrCat("key=", row.m_key.m_key));
       // There may have been an order for any VM.
-      m_no_orders_before = BootNow() + kept;
+      m_no_orders_before = BootNow() + std::max(kept, LongestDownTime());
       continue;
     }
     upkeep::MergeOrderTimes(m_order_times_ms, *orders);
     for (const auto& [vm, ordered_ms] : *orders) {
       const Duration age = Milliseconds(m_parts.m_store.ClockMs() - ordered_ms);
       m_no_orders_until[vm] = BootNow() + std::min(kept, kept - age);
+      upkeep::InheritOrder(m_upkeep_state, BootNow(), vm, age,
+                           LongestDownTime());
     }
   }
   co_return true;
@@ -330,7 +341,8 @@
         scheduler::IsResponsive(scheduler.m_workers[worker->second], BootNow());
     view.m_movable =
         vm.m_state == VmStatus::kUp && is_empty && !in_upkeep.contains(name) &&
-        !m_moved_workers.contains(vm.m_worker) && CanSendOrder(name);
+        !m_moved_workers.contains(vm.m_worker) && CanSendOrder(name) &&
+        !m_upkeep_state.m_inherited_orders.contains(name);
     views.push_back(view);
   }
   return views;
--- a/filbertspar/node/src/vm_manager.h
+++ b/filbertspar/node/src/vm_manager.h
@@ -69,6 +69,10 @@
   /// passed. False: no order may be sent now.
   asio::awaitable<bool> RecordOrder(VmName vm);
   bool CanSendOrder(const VmName& vm) const;
+  /// \brief How long after an order another holder must send the VM none.
+  Duration HolderTime() const;
+  /// \brief How long after the record of an order its VM may be away.
+  Duration LongestDownTime() const;
 
   Parts m_parts;
   Hooks m_hooks;
--- a/filbertspar/upkeep/src/plan.cc
+++ b/filbertspar/upkeep/src/plan.cc
@@ -92,13 +92,21 @@
   progress.m_since = now;
 }
 
+/// Whether a previous owner ordered the VM down, or elsewhere, so lately that
+/// it may be down, though a list that lags shows it up. Which of the two it was
+/// is not recorded.
+bool MayBeDownByOrder(const State& state, const VmName& vm) {
+  return state.m_inherited_orders.contains(vm) && !IsRemoved(state, vm);
+}
+
 std::size_t CountDownVms(const State& state, const Wave& wave) {
   std::size_t down = 0;
   for (const auto& [vm, progress] : wave.m_vms) {
     const auto record = state.m_vms.find(vm);
     const bool listed_down = record != state.m_vms.end() &&
                              record->second.m_state == VmStatus::kUpkeep;
-    down += (IsOrderedOrDown(progress) && !IsRemoved(state, vm)) || listed_down;
+    down += (IsOrderedOrDown(progress) && !IsRemoved(state, vm)) ||
+            listed_down || MayBeDownByOrder(state, vm);
   }
   return down;
 }
@@ -185,6 +193,20 @@
           (IsOrderedOrDown(progress) && is_in_upkeep(vm));
     }
   }
+  for (auto& [vm, order] : state.m_inherited_orders) {
+    order.m_was_seen_down = order.m_was_seen_down || is_in_upkeep(vm);
+  }
+}
+
+/// Drops the orders of previous owners whose VMs cannot be down any more.
+void RefreshInheritedOrders(State& state, TimePoint now) {
+  std::erase_if(state.m_inherited_orders, [&](const auto& entry) {
+    const auto& [vm, order] = entry;
+    const auto record = state.m_vms.find(vm);
+    const bool is_back = order.m_was_seen_down && record != state.m_vms.end() &&
+                         record->second.m_state == VmStatus::kUp;
+    return is_back || now > order.m_until;
+  });
 }
 
 double MaxPoolShare(const Wave& wave, TimePoint now) {
@@ -337,12 +359,14 @@
 
 Plan MakePlan(State& state, TimePoint now,
               const std::function<VmLoad(const VmRecord&)>& load_of) {
+  RefreshInheritedOrders(state, now);
   Plan plan;
   std::map<PoolName, std::size_t> pool_size;
   std::map<PoolName, std::size_t> pool_unavailable;
   for (const auto& [name, vm] : state.m_vms) {
     ++pool_size[vm.m_pool];
-    pool_unavailable[vm.m_pool] += vm.m_state != VmStatus::kUp;
+    pool_unavailable[vm.m_pool] +=
+        vm.m_state != VmStatus::kUp || MayBeDownByOrder(state, name);
   }
   for (auto& [number, wave] : state.m_waves) {
     if (!wave.m_is_defined) {
@@ -365,7 +389,7 @@
         }
         // No work is moved for a VM that is not part of the wave.
         if (record->second.m_state == VmStatus::kUp &&
-            MayBeOrdered(progress, now) &&
+            MayBeOrdered(progress, now) && !MayBeDownByOrder(state, name) &&
             (!is_kept_out || vm_load.m_is_empty)) {
           candidates.emplace_back(
               vm_load.m_used_share +
--- a/filbertspar/upkeep/src/state.cc
+++ b/filbertspar/upkeep/src/state.cc
@@ -35,6 +35,16 @@
   }
 }
 
+void InheritOrder(State& state, TimePoint now, const VmName& vm, Duration age,
+                  Duration max_down_time) {
+  // The clock may have been read too early.
+  const Duration left = max_down_time - std::max(age, Duration(0));
+  if (left > Duration(0)) {
+    InheritedOrder& order = state.m_inherited_orders[vm];
+    order.m_until = std::max(order.m_until, now + left);
+  }
+}
+
 void RecordOrderTime(OrderTimes& times, const VmName& vm, std::int64_t now_ms,
                      std::int64_t kept_ms) {
   std::erase_if(times, [now_ms, kept_ms](const auto& entry) {
--- a/filbertspar/upkeep/src/state.h
+++ b/filbertspar/upkeep/src/state.h
@@ -71,6 +71,15 @@
   std::optional<RowVersion> m_status_version;
 };
 
+/// \brief An order that a previous owner gave to a VM, for its upkeep or for a
+/// move.
+struct InheritedOrder {
+  /// The VM may be down for it until then, whatever lists show.
+  TimePoint m_until{};
+  /// Whether a list has shown the VM in upkeep since.
+  bool m_was_seen_down = false;
+};
+
 /// \brief Load of a VM, as known to the owner.
 struct VmLoad {
   /// Whether its worker answers, so that the list shows the present worker.
@@ -94,6 +103,8 @@
   /// VMs of waves that are missing from the VM list, and when the first whole
   /// list without them was requested.
   std::map<VmName, TimePoint> m_missing_since;
+  /// Orders that previous owners gave so lately that the VMs may be down.
+  std::map<VmName, InheritedOrder> m_inherited_orders;
   /// Time for which a VM is down for its upkeep (`maintenance_s` of the
   /// platform).
   Duration m_upkeep_time = Seconds(2);
@@ -112,9 +123,23 @@
 /// \brief Adds the times that previous owners stored; the later one counts.
 void MergeOrderTimes(OrderTimes& times, const OrderTimes& stored);
 
+/// \brief Longest time from the record of an order to its execution by the
+/// platform: the order is sent at most 0.3 s after the record and given up
+/// after 0.8 s.
+inline constexpr Duration kMaxOrderDelay = Seconds(2);
 /// \brief A VM may be back this much later than stated.
 inline constexpr Duration kMaxReturnDelay = Seconds(1);
 
+/// \brief How long after the record of an order its VM may be down, where it is
+/// down for `down_time`.
+inline Duration MaxDownTime(Duration down_time) {
+  return kMaxOrderDelay + down_time + kMaxReturnDelay;
+}
+
+/// \brief Notes an order of a previous owner that was recorded `age` ago.
+void InheritOrder(State& state, TimePoint now, const VmName& vm, Duration age,
+                  Duration max_down_time);
+
 /// \brief Records an order and drops those that are older than `kept_ms`.
 void RecordOrderTime(OrderTimes& times, const VmName& vm, std::int64_t now_ms,
                      std::int64_t kept_ms);
--- a/tests/upkeep_lag_test.cc
+++ b/tests/upkeep_lag_test.cc
@@ -41,6 +41,27 @@
     BeginTerm();
   }
 
+  /// Lets a new owner begin, which knows what the store holds: the VMs whose
+  /// upkeep was accepted, if that was stored, and the times of the orders.
+  void TakeOver(bool done_is_stored, Duration pause = Milliseconds(500)) {
+    if (done_is_stored) {
+      HandleAnswers();
+    }
+    Wait(pause);
+    const std::string done = EncodeDoneVms(m_state.m_waves[1]);
+    m_state = State();
+    BeginTerm();
+    if (done_is_stored) {
+      MarkDone(m_state, 1, *DecodeDoneVms(done));
+    }
+    for (const auto& [vm, ordered_at] : m_ordered_at) {
+      InheritOrder(m_state, m_now, vm, m_now - ordered_at,
+                   MaxDownTime(kUpkeep));
+    }
+    m_answers.clear();
+    m_term_began_at = m_next_list_at = m_now;
+  }
+
   /// Plays rounds until the wave is complete, or `until` holds; returns the
   /// time that it took.
   Duration Play(const std::function<bool()>& until = [] { return false; }) {
@@ -187,6 +208,30 @@
   }
 }
 
+// Guards against a second VM that a new owner takes down because its list shows
+// the VM up that the owner before has just ordered down (review/19).
+TEST_CASE("a wave keeps its ceiling after a take-over") {
+  for (const Duration lag : kLags) {
+    for (const std::uint32_t ceiling : {1U, 2U}) {
+      for (const bool done_is_stored : {true, false}) {
+        for (const bool loses_answers : {true, false}) {
+          CAPTURE(ToMilliseconds(lag), ceiling, done_is_stored, loses_answers);
+          LaggingFleet fleet(6, ceiling, lag);
+          fleet.m_loses_answers = loses_answers;
+          for (std::size_t begun = 1; begun <= 4; ++begun) {
+            fleet.Play([&] { return fleet.Begun() >= begun; });
+            fleet.TakeOver(done_is_stored);
+          }
+          fleet.m_loses_answers = false;
+          fleet.Play();
+          CHECK(fleet.Begun() == 6);
+          CHECK(fleet.BeyondCeiling() == 0);
+        }
+      }
+    }
+  }
+}
+
 // Guards against waves that go on no sooner than a bound on the lag allows.
 TEST_CASE("a wave goes on as soon as a list shows the next worker") {
   LaggingFleet fleet(4, 1, Milliseconds(0));
@@ -195,5 +240,25 @@
   CHECK(fleet.Play() <= 4 * (LaggingFleet::kUpkeep + 3 * LaggingFleet::kRound));
 }
 
+// Guards against an owner that counts VMs as down for good after a take-over.
+TEST_CASE("inherited orders count no longer than their VMs can be down") {
+  State state;
+  InheritOrder(state, kStart, VmName("m0"), Seconds(1),
+               MaxDownTime(Seconds(2)));
+  InheritOrder(state, kStart, VmName("m1"), Seconds(60),
+               MaxDownTime(Seconds(2)));
+  // Of a clock that was read too early.
+  InheritOrder(state, kStart, VmName("m2"), -Seconds(60),
+               MaxDownTime(Seconds(2)));
+  CHECK(state.m_inherited_orders.size() == 2);
+  const auto plan = [&](Duration after) {
+    MakePlan(state, kStart + after, [](const VmRecord&) { return VmLoad(); });
+    return state.m_inherited_orders.size();
+  };
+  CHECK(plan(MaxDownTime(Seconds(2)) - Milliseconds(1500)) == 2);
+  CHECK(plan(MaxDownTime(Seconds(2)) - Milliseconds(500)) == 1);
+  CHECK(plan(MaxDownTime(Seconds(2)) + Milliseconds(500)) == 0);
+}
+
 }  // namespace
 }  // namespace filbertspar::upkeep
