A VM is not moved again before a list shows its last move

A move that the list of VMs did not show within 4 s was forgotten, though the platform had accepted it. On a list older than that the VM still stood idle on standby, and could be moved on with the tasks that ran on it by then. A move counted as arrived by a list that was requested 1 s after it, also one from a time when the VM was in that pool before.

Change: an accepted move that no list has shown bars the VM from other moves, for a minute at most; it counts as coming capacity for 4 s, as before. A move has arrived when the list shows another worker in the pool, or when it must be over.

Result: two of three new tests fail without the bar, the third with the former rule.

--- a/filbertspar/capacity/src/moves.cc
+++ b/filbertspar/capacity/src/moves.cc
@@ -39,10 +39,12 @@
 constexpr Duration kLoadObservationTime = Milliseconds(1500);
 /// The same without any such job. Bounds the cost of VMs that nobody uses.
 constexpr Duration kMaxObservationTime = Seconds(60);
-/// A VM list that is requested this long after a move shows the move.
-constexpr Duration kListLag = Seconds(1);
-/// A move that the VM list does not show within this time is dropped.
+/// A move that the VM list does not show within this time counts no more as
+/// capacity that will come.
 constexpr Duration kPendingTimeout = Seconds(4);
+/// An accepted move that no VM list shows within this time is forgotten: the
+/// VM has been moved on by others.
+constexpr Duration kUnshownTimeout = Seconds(60);
 
 State::LoadHistory::Arrivals ArrivalsAt(const State::LoadHistory& history,
                                         TimePoint when) {
@@ -216,7 +218,16 @@
       }));
 }
 
-void RefreshState(State& state, TimePoint now, const std::vector<VmView>& vms) {
+/// Whether the list of VMs, which may lag by any time, shows the VM after the
+/// move: in its pool with another worker, or when the move must be over.
+bool ShowsMove(const Policy& policy, TimePoint now, const VmView& vm,
+               const State::PendingMove& move) {
+  return vm.m_pool == move.m_to && (vm.m_worker != move.m_worker_before ||
+                                    now - move.m_since > policy.m_move_time);
+}
+
+void RefreshState(State& state, const Policy& policy, TimePoint now,
+                  const std::vector<VmView>& vms) {
   std::map<VmName, TimePoint> idle;
   for (const VmView& vm : vms) {
     if (vm.m_movable) {
@@ -226,17 +237,32 @@
     }
   }
   state.m_idle_since = std::move(idle);
+  std::map<VmName, const VmView*> views;
+  for (const VmView& vm : vms) {
+    views[vm.m_name] = &vm;
+  }
   for (auto it = state.m_pending.begin(); it != state.m_pending.end();) {
+    const State::PendingMove& move = it->second;
+    const auto view = views.find(it->first);
+    const bool is_shown =
+        view != views.end() && ShowsMove(policy, now, *view->second, move);
     const bool arrived =
-        now - it->second.m_since > kListLag &&
-        std::any_of(vms.begin(), vms.end(), [&it](const VmView& vm) {
-          return vm.m_name == it->first && vm.m_pool == it->second.m_to &&
-                 (vm.m_is_serving || vm.m_movable);
-        });
-    it = arrived || now - it->second.m_since > kPendingTimeout
-             ? state.m_pending.erase(it)
-             : std::next(it);
+        is_shown && (view->second->m_is_serving || view->second->m_movable);
+    if (!arrived && now - move.m_since <= kPendingTimeout) {
+      ++it;
+      continue;
+    }
+    if (move.m_is_accepted && !is_shown) {
+      state.m_unshown[it->first] = move;
+    }
+    it = state.m_pending.erase(it);
   }
+  std::erase_if(state.m_unshown, [&](const auto& entry) {
+    const auto& [vm, move] = entry;
+    const auto view = views.find(vm);
+    return now - move.m_since > kUnshownTimeout ||
+           (view != views.end() && ShowsMove(policy, now, *view->second, move));
+  });
 }
 
 }  // namespace
@@ -244,7 +270,7 @@
 std::vector<Move> PlanMoves(State& state, const Policy& policy, TimePoint now,
                             const std::vector<PoolLoad>& pools,
                             const std::vector<VmView>& vms) {
-  RefreshState(state, now, vms);
+  RefreshState(state, policy, now, vms);
   std::map<PoolName, Balance> balances;
   PoolName standby;
   for (const PoolLoad& load : pools) {
@@ -273,12 +299,13 @@
   std::set<VmName> planned;
   const auto add_move = [&](const VmView& vm, const PoolName& to) {
     planned.insert(vm.m_name);
-    state.m_pending[vm.m_name] = {to, vm.m_cores, now};
+    state.m_pending[vm.m_name] = {to, vm.m_cores, now, vm.m_worker, false};
     moves.push_back({vm.m_name, to});
   };
   const auto is_available = [&](const VmView& vm, const PoolName& to) {
     return vm.m_movable && vm.m_pool != to && !planned.contains(vm.m_name) &&
            !state.m_pending.contains(vm.m_name) &&
+           !state.m_unshown.contains(vm.m_name) &&
            !state.m_incompatible.contains({vm.m_kind, to});
   };
   const auto is_from = [&](const VmView& vm, Source source) {
@@ -377,9 +404,14 @@
 void HandleMoveResult(State& state, TimePoint now, const Move& move,
                       const std::string& kind, VmOrderResult result) {
   switch (result) {
-    case VmOrderResult::kAccepted:
-      state.m_pending[move.m_vm].m_since = now;
+    case VmOrderResult::kAccepted: {
+      const auto pending = state.m_pending.find(move.m_vm);
+      if (pending != state.m_pending.end()) {
+        pending->second.m_since = now;
+        pending->second.m_is_accepted = true;
+      }
       break;
+    }
     case VmOrderResult::kMalformed:
       state.m_incompatible.insert({kind, move.m_to});
       state.m_pending.erase(move.m_vm);
--- a/filbertspar/capacity/src/moves.h
+++ b/filbertspar/capacity/src/moves.h
@@ -40,6 +40,8 @@
 struct VmView {
   VmName m_name;
   PoolName m_pool;
+  /// Worker that the list of VMs shows there; empty when there is none.
+  WorkerName m_worker;
   /// VMs of the same kind can serve the same pools.
   std::string m_kind;
   double m_cores = 0;
@@ -76,6 +78,11 @@
     PoolName m_to;
     double m_cores = 0;
     TimePoint m_since{};
+    /// Worker of the VM when the move was ordered.
+    WorkerName m_worker_before;
+    /// Whether the platform accepted the order, so that the VM will be shown in
+    /// the pool, however late.
+    bool m_is_accepted = false;
   };
   std::map<PoolName, LoadHistory> m_histories;
   /// When the first plan was made.
@@ -84,6 +91,9 @@
   TimePoint m_load_seen_at = TimePoint::max();
   std::map<VmName, TimePoint> m_idle_since;
   std::map<VmName, PendingMove> m_pending;
+  /// Accepted moves that are over and that the list of VMs has not shown: what
+  /// it shows of these VMs is from before.
+  std::map<VmName, PendingMove> m_unshown;
   /// Kinds of VM and pools that rejected them.
   std::set<std::pair<std::string, PoolName>> m_incompatible;
 };
--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -323,6 +323,7 @@
     capacity::VmView view;
     view.m_name = name;
     view.m_pool = vm.m_pool;
+    view.m_worker = vm.m_worker;
     view.m_kind = vm.m_labels.empty() ? "" : vm.m_labels.front().Value();
     view.m_cores = static_cast<double>(vm.m_capacity.m_cpu.Count()) / 1000;
     const auto config = scheduler.m_deployment->m_pools.find(vm.m_pool);
--- a/tests/capacity_moves_test.cc
+++ b/tests/capacity_moves_test.cc
@@ -231,5 +231,81 @@
           .empty());
 }
 
+/// A VM of the standby pool whose move to "p" was accepted, in a fleet whose
+/// list does not show it.
+struct UnshownMove {
+  Fleet m_fleet;
+
+  UnshownMove() {
+    m_fleet.AddPool("p", 1);
+    m_fleet.AddPool("q", 1);
+    m_fleet.AddPool("standby", 1, true);
+    for (VmView& vm : m_fleet.m_vms) {
+      vm.m_worker = WorkerName("worker-of-" + vm.m_name.Value());
+      vm.m_movable = vm.m_pool == PoolName("standby");
+    }
+    m_fleet.m_loads[PoolName("p")].m_unplaced_vms = 1;
+    const std::vector<Move> moves = Plan();
+    REQUIRE(moves.size() == 1);
+    HandleMoveResult(m_fleet.m_state, m_fleet.m_now, moves[0], "a",
+                     VmOrderResult::kAccepted);
+    m_fleet.m_loads[PoolName("p")].m_unplaced_vms = 0;
+    m_fleet.m_loads[PoolName("q")].m_unplaced_vms = 1;
+  }
+  VmView& Moved() { return m_fleet.m_vms.back(); }
+  std::vector<Move> Plan() {
+    std::vector<PoolLoad> loads;
+    for (auto& [name, load] : m_fleet.m_loads) {
+      load.m_cores = load.m_standby ? 0 : kVmCores;
+      loads.push_back(load);
+    }
+    return PlanMoves(m_fleet.m_state, m_fleet.m_policy, m_fleet.m_now, loads,
+                     m_fleet.m_vms);
+  }
+  /// Number of moves planned within a time.
+  std::size_t PlanFor(Duration duration) {
+    std::size_t moves = 0;
+    for (const TimePoint end = m_fleet.m_now + duration; m_fleet.m_now < end;
+         m_fleet.m_now += Milliseconds(250)) {
+      moves += Plan().size();
+    }
+    return moves;
+  }
+};
+
+// Guards against a VM that is moved on, with the tasks that run on it by now,
+// because the list still shows it idle where it was.
+TEST_CASE("a VM is not moved by a list that is older than its last move") {
+  UnshownMove unshown;
+  CHECK(unshown.PlanFor(Seconds(30)) == 0);
+  // Capacity that does not show counts no more as coming.
+  CHECK(IncomingCores(unshown.m_fleet.m_state, PoolName("p")) == 0);
+  unshown.Moved().m_pool = PoolName("p");
+  unshown.Moved().m_worker = WorkerName("next");
+  CHECK(unshown.PlanFor(Milliseconds(250)) == 1);
+}
+
+// Guards against a VM that is never moved again because no list has shown where
+// it was for a while.
+TEST_CASE("a move that no list shows is forgotten in the end") {
+  UnshownMove unshown;
+  CHECK(unshown.PlanFor(Seconds(59)) == 0);
+  CHECK(unshown.PlanFor(Seconds(3)) == 1);
+}
+
+// Guards against a move that counts as over by a list from a time when the VM
+// was in that pool before.
+TEST_CASE("a move is over when the list shows another worker in the pool") {
+  UnshownMove unshown;
+  VmView& vm = unshown.Moved();
+  unshown.m_fleet.m_now += Milliseconds(1200);
+  vm.m_pool = PoolName("p");
+  unshown.Plan();
+  CHECK(IncomingCores(unshown.m_fleet.m_state, PoolName("p")) == kVmCores);
+  vm.m_worker = WorkerName("next");
+  unshown.Plan();
+  CHECK(IncomingCores(unshown.m_fleet.m_state, PoolName("p")) == 0);
+}
+
 }  // namespace
 }  // namespace filbertspar::capacity
