No VM is taken down by a list that shows its former worker

A VM whose listed worker did not answer counted as empty once that worker had no runs. On an old list that worker may be a former one, while the present worker, at another address, runs tasks: the upkeep would end them.

Change: while a worker with runs is on no VM of the latest list, a VM whose listed worker does not answer is not empty. A VM whose worker answers is known: a worker is one life of a VM.

Result: "runs on a worker that no VM is listed with may be on any VM".

--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -233,7 +233,8 @@
   const scheduler::Scheduler& scheduler = m_parts.m_scheduler;
   const auto found = scheduler.m_worker_index.find(vm.m_worker);
   if (found == scheduler.m_worker_index.end()) {
-    load.m_is_empty = scheduler.m_inherited_resolved;
+    load.m_is_empty = scheduler.m_inherited_resolved &&
+                      !scheduler::HasRunsOnUnlistedVms(scheduler);
     return load;
   }
   const scheduler::Worker& worker = scheduler.m_workers[found->second];
@@ -241,7 +242,8 @@
       worker.m_registered && scheduler::IsResponsive(worker, BootNow());
   load.m_is_empty =
       scheduler::IsMachineEmpty(scheduler, BootNow(), found->second) &&
-      (scheduler::HasListedAll(worker) || scheduler.m_inherited_resolved);
+      (scheduler::HasListedAll(worker) || scheduler.m_inherited_resolved) &&
+      (load.m_worker_answers || !scheduler::HasRunsOnUnlistedVms(scheduler));
   load.m_long_running = static_cast<std::size_t>(
       std::count_if(worker.m_tasks.begin(), worker.m_tasks.end(),
                     [](const auto& ref) { return ref.Spec().m_long_running; }));
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -45,6 +45,10 @@
   return std::min(now, std::max(inherited, own));
 }
 
+bool HasRuns(const Worker& worker) {
+  return !worker.m_tasks.empty() || !worker.m_superseded_runs.empty();
+}
+
 bool HasEnded(const Worker& worker, std::int64_t incarnation) {
   const auto& ended = worker.m_ended_incarnations;
   return std::find(ended.begin(), ended.end(), incarnation) != ended.end();
@@ -452,13 +456,19 @@
   AddLogEvent(scheduler, "worker_gone", {}, index, "reason=other_instance");
 }
 
+bool HasRunsOnUnlistedVms(const Scheduler& scheduler) {
+  return std::any_of(
+      scheduler.m_workers.begin(), scheduler.m_workers.end(),
+      [&scheduler](const Worker& worker) {
+        return HasRuns(worker) &&
+               !scheduler.m_workers_of_vms.contains(worker.m_record.m_name);
+      });
+}
+
 bool IsMachineEmpty(const Scheduler& scheduler, TimePoint now,
                     WorkerIndex index) {
   const Worker& worker = scheduler.m_workers[index];
-  const auto has_runs = [](const Worker& other) {
-    return !other.m_tasks.empty() || !other.m_superseded_runs.empty();
-  };
-  if (has_runs(worker)) {
+  if (HasRuns(worker)) {
     return false;
   }
   if (worker.m_registered && IsResponsive(worker, now)) {
@@ -470,7 +480,7 @@
                         return !other.m_record.m_endpoint.m_address.empty() &&
                                other.m_record.m_endpoint ==
                                    worker.m_record.m_endpoint &&
-                               has_runs(other);
+                               HasRuns(other);
                       });
 }
 
--- a/filbertspar/scheduler/src/workers.h
+++ b/filbertspar/scheduler/src/workers.h
@@ -49,6 +49,10 @@
 bool IsMachineEmpty(const Scheduler& scheduler, TimePoint now,
                     WorkerIndex index);
 
+/// \brief Whether a worker with runs is on no VM of the latest list, so that it
+/// may be on any VM whose listed worker does not answer: lists lag.
+bool HasRunsOnUnlistedVms(const Scheduler& scheduler);
+
 /// \brief Advances, for every worker, the number up to which it may discard
 /// finished runs because their effects are stored.
 void AcknowledgeStoredRuns(Scheduler& scheduler);
--- a/tests/scheduler_vm_list_test.cc
+++ b/tests/scheduler_vm_list_test.cc
@@ -107,5 +107,25 @@
   CHECK(IsMachineEmpty(*simulation.m_owner, simulation.m_now, 0));
 }
 
+// Guards against a VM that is taken down by a list which shows its former
+// worker, while the present one runs tasks.
+TEST_CASE("runs on a worker that no VM is listed with may be on any VM") {
+  Simulation simulation;
+  simulation.AddWorker("listed", "p", 8);
+  simulation.AddWorker("present", "p", 8);
+  simulation.RunFor(Milliseconds(100));
+  Scheduler& owner = *simulation.m_owner;
+  HandleVmList(owner, simulation.m_now,
+               MakeList(simulation.m_now, {"listed", "former"}));
+  CHECK_FALSE(HasRunsOnUnlistedVms(owner));
+  REQUIRE(
+      simulation.Submit(Simulation::MakeJob("job", "p", 2, Seconds(20), 8000)));
+  simulation.RunFor(Milliseconds(200));
+  CHECK(HasRunsOnUnlistedVms(owner));
+  HandleVmList(owner, simulation.m_now,
+               MakeList(simulation.m_now, {"listed", "present"}));
+  CHECK_FALSE(HasRunsOnUnlistedVms(owner));
+}
+
 }  // namespace
 }  // namespace filbertspar::scheduler
