The soak plays take-overs with old and cut lists

The soak draws an age of the lists by its seed, without changing what the seed draws otherwise. New checks: no start after an end that is noted then or later without a lapse of the lease (`no-restart`); plants `restart` and `wave` for it and for the ceilings of waves.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,6 +19,8 @@
 from soak.site import Site
 
 
+# Ages of the lists of VMs, for which the protocol has no bound.
+LIST_LAGS_S = (0.0, 0.3, 0.8, 1.5, 2.5)
 # A caller of each workspace asks so often.
 ASKS_PER_S = 10
 
@@ -26,6 +28,8 @@
 async def play(seed, seconds, slot, folder, plant, nodes, vms, link_mbps):
     rng = random.Random(seed)
     site = Site(seed, folder, slot, nodes, vms, link_mbps)
+    # Numbers of their own: what the seed draws otherwise stays as it was.
+    site.fleet.lag_s = random.Random(f"{seed} lag").choice(LIST_LAGS_S)
     plants.before(plant, site)
     try:
         await site.start()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -22,6 +22,7 @@
         self.width, self.steps = rng.randint(1, 6), rng.randint(1, 2)
         self.seconds = rng.uniform(0.2, 1.5)
         self.cpu = rng.choice([500, 1000, 2000])
+        self.mem_mb = 256
         self.lasts = rng.random() < 0.05
         self.is_poison = not self.lasts and rng.random() < 0.05
         # Its first task crashes each worker this long after its start.
@@ -53,7 +54,7 @@
     def body(self):
         steps = []
         for number in range(1 if self.lasts else self.steps):
-            step = {"count": self.width, "cpu": self.cpu, "mem_mb": 256,
+            step = {"count": self.width, "cpu": self.cpu, "mem_mb": self.mem_mb,
                     "est_duration_ms": int(self.seconds * 1000)}
             if number:
                 step["after"] = [number - 1]
@@ -127,22 +128,28 @@
         job = Job(site.next_number(), queue, self._workspace, self._rng)
         site.jobs.by_id[job.id] = job
         site.promises.submitted(job.id, "sent")
+        if not await self.submit(job, key):
+            return
+        if job.lasts or self._rng.random() < 0.1:
+            await asyncio.sleep(self._rng.uniform(0.5, 4))
+            await self.cancel(job)
+
+    async def submit(self, job, key=None):
+        """Sends a job until it is accepted or refused; whether it was accepted."""
+        site, queue = self._site, job.queue
+        key = key or site.config.keys[self._workspace][-1]
         for _ in range(ATTEMPTS):
             status, _ = await self.call(self._node(), "POST", queue.prefix + job.id, queue.host, key, job.body())
             if 200 <= status < 300:
                 site.promises.submitted(job.id, "accepted")
                 job.accepted_at = time.monotonic()
-                break
+                return True
             if status in (401, 404, 429, 503):
                 site.promises.submitted(job.id, "refused")
-                return
+                return False
             site.promises.submitted(job.id, "unknown")
             await asyncio.sleep(0.3)
-        else:
-            return
-        if job.lasts or self._rng.random() < 0.1:
-            await asyncio.sleep(self._rng.uniform(0.5, 4))
-            await self.cancel(job)
+        return False
 
     async def cancel(self, job):
         job.is_cancelled = True
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -132,6 +132,35 @@
        crash_worker, shrink_worker, revoke_key, add_queue, wave]
 
 
+async def kill_owner_in_wave(site, rng):
+    """Kills the owner just after it has taken a VM down."""
+    site.fleet.upkeep_began.clear()
+    await site.ask_for_wave([vm.name for vm in site.fleet.vms.values() if rng.random() < 0.5])
+    try:
+        await asyncio.wait_for(site.fleet.upkeep_began.wait(), 6)
+    except asyncio.TimeoutError:
+        return
+    await asyncio.sleep(rng.uniform(0, 0.4))
+    node = site.owner()
+    if node is not None and node.is_alive():
+        node.kill()
+        await asyncio.sleep(rng.uniform(0.3, 1))
+        if not node.is_alive():
+            node.start()
+
+
+async def kill_all_amid_ends(site, rng):
+    """Kills all nodes while workers hold more ends than one answer lists."""
+    job = await site.submit_wide_job(rng)
+    if job is None:
+        return
+    deadline = time.monotonic() + 8
+    while time.monotonic() < deadline and not site.promises.done_tasks[job.id]:
+        await asyncio.sleep(0.02)
+    await kill_all(site, rng)
+    site.note(f"ends that nobody has read: {[len(vm.worker.unread()) for vm in site.fleet.vms.values()]}")
+
+
 async def restart_workers(site, rng, until):
     """Restarts beside the other faults. Returns how often they came."""
     under_way = []
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -16,6 +16,7 @@
         self.checks = defaultdict(int)
         self._running = defaultdict(dict)
         self._held = defaultdict(int)
+        self._started_at = defaultdict(list)
         self._done_noted = set()
         self._failed_noted = defaultdict(set)
         self.failed_runs = defaultdict(set)
@@ -42,6 +43,7 @@
         if (worker, number) not in self._running[task]:
             self._held[job.workspace] += job.cpu
         self._running[task][(worker, number)] = time.monotonic()
+        self._started_at[task].append(time.monotonic())
         self.check(len(self._running[task]) == 1, "one-run",
                    f"{task} runs as {sorted(self._running[task])}")
         self.check(task not in self._done_noted, "one-run", f"{task} run {number} after its end was noted as done")
@@ -77,8 +79,11 @@
             job = self.jobs.of_task(task)
             self._held[job.workspace] -= job.cpu
 
-    def end_noted(self, task, number, how):
+    def end_noted(self, task, number, how, ended_at=None):
+        """`ended_at`: when the run ended, if no lease has lapsed since; then no later start was right."""
         if how == "done":
+            later = [at for at in self._started_at[task] if ended_at is not None and at > ended_at]
+            self.check(not later, "no-restart", f"{task} run {number} was noted as done and started again after its end")
             self._done_noted.add(task)
             self.first_noted_at.setdefault(self.jobs.of_task(task).id, time.monotonic())
         elif how == "failed":
--- a/soak/site.py
+++ b/soak/site.py
@@ -5,7 +5,7 @@
 import time
 
 from soak.answers import Answers
-from soak.callers import Caller, Jobs
+from soak.callers import Caller, Job, Jobs
 from soak.nodes import Node
 from soak.promises import Promises
 from soak.store import Fleet, Store
@@ -72,6 +72,7 @@
             else max([self.store_calm_since] + [node.calm_since for node in self.nodes] + list(self.paused_at.values())))
         self.fleet = Fleet(self.promises)
         self.fleet.new_worker = self.new_worker
+        self._look = None
         self.paused_at = {}
         # Of restarted workers: mean time between two, and limits of the times without power, until the cut, of the cut.
         self.restart_gap_s = 3.0
@@ -113,6 +114,7 @@
         for vm in self.fleet.vms.values():
             await self.new_worker(vm)
         self.store_calm_since = time.monotonic()
+        self._look = asyncio.ensure_future(self.fleet.look())
         for node in self.nodes:
             await node.open_path()
             node.start()
@@ -181,6 +183,16 @@
                 self.promises.check(status != 404 or not self.is_in_touch(node, acknowledged), "configuration",
                                     f"{node.name} does not know {queue.name} {sent - acknowledged:.1f} s later")
 
+    async def submit_wide_job(self, rng):
+        """A job whose runs end together, thousands on few workers; None when it was not accepted."""
+        caller = Caller(self, "team-1", rng.random())
+        job = Job(self.next_number(), self.config.queues[0], "team-1", rng)
+        job.width, job.steps, job.seconds, job.cpu, job.times = 5000, 1, rng.uniform(1.5, 3), 1, 0
+        job.mem_mb, job.lasts, job.is_poison, job.crashes_after = 1, False, False, None
+        self.jobs.by_id[job.id] = job
+        self.promises.submitted(job.id, "sent")
+        return job if await caller.submit(job) else None
+
     async def ask_for_wave(self, vms):
         if not vms:
             return
@@ -222,6 +234,12 @@
         for job in left.values():
             self.promises.check(False, "recovery", f"{job.id} has not ended {SETTLE_S:.0f} s after the last fault")
 
+    def owner(self):
+        """The node that owns the jobs, by the store."""
+        row = self.store.rows.get(("filbertspar_owner", "0", "owner"))
+        name = None if row is None else self.store.decoded(row[0])["vm"]
+        return next((node for node in self.nodes if node.name == name), None)
+
     def kill_nodes(self):
         for node in self.nodes:
             node.kill()
@@ -234,6 +252,8 @@
 
     async def stop_stand_ins(self):
         self.fleet.new_worker = None
+        if self._look is not None:
+            self._look.cancel()
         for vm in self.fleet.vms.values():
             vm.worker.end()
         await self.store.server.stop()
--- a/soak/store.py
+++ b/soak/store.py
@@ -165,10 +165,30 @@
         self.waves = {}
         self.server = Server(self._handle)
         self.new_worker = None
+        # Lists show the VMs as they were this long before.
+        self.lag_s = 0.0
+        # Planted when above 0: VMs that count as down beside those that are.
+        self.ceiling_slack = 0
+        self._shown = []
+        # Set with each upkeep that begins.
+        self.upkeep_began = asyncio.Event()
+
+    async def look(self):
+        """Keeps what lists of the last seconds show."""
+        while True:
+            now = time.monotonic()
+            self._shown.append((now, [vm.shown() for vm in self.vms.values()]))
+            self._shown = [shown for shown in self._shown if shown[0] > now - self.lag_s - 1]
+            await asyncio.sleep(0.05)
+
+    def _listed(self):
+        as_of = time.monotonic() - self.lag_s
+        past = [machines for at, machines in self._shown if at <= as_of]
+        return past[-1] if past and self.lag_s else [vm.shown() for vm in self.vms.values()]
 
     async def _handle(self, method, path, headers, body):
         if path.startswith("/machines"):
-            return 200, {"machines": [vm.shown() for vm in self.vms.values()], "next_token": ""}
+            return 200, {"machines": self._listed(), "next_token": ""}
         vm = self.vms.get(body["machine"])
         if vm is None:
             return 400, {}
@@ -181,7 +201,9 @@
                 return 409, {"reason": "wave"}
             down = sum(each.state == "upkeep" and each.in_wave == body["wave"] for each in self.vms.values())
             vm.in_wave = body["wave"]
-            self._promises.check(down < wave["ceiling"], "wave-ceiling", f"{vm.name}: {down} VMs are down")
+            self._promises.check(down + self.ceiling_slack < wave["ceiling"], "wave-ceiling",
+                                 f"{vm.name}: {down} VMs are down, lists lag {self.lag_s} s")
+            self.upkeep_began.set()
             self._leave(vm, "upkeep", self.UPKEEP_S)
         else:
             if vm.pool == body["pool"]:
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -55,6 +55,9 @@
         self._ended_runs = {}
         self._ends = []
         self._next_end = 1
+        # By number of an end: when the run ended.
+        self._ended_at = {}
+        self._lapsed_at = 0.0
         self._sequence = 0
         self._woken = asyncio.Event()
 
@@ -120,6 +123,10 @@
             self._carry_out_in(self._rng.uniform(0, LATE_S), call)
         return True
 
+    def unread(self):
+        """Ends that are not acknowledged."""
+        return list(self._ends)
+
     def unregister(self):
         self._store.put("servers", self.name, None)
 
@@ -150,15 +157,23 @@
         while True:
             await asyncio.sleep(0.02)
             now = time.monotonic()
-            lapsed = self.clock_ms() > self._lease_ms
+            lapsed = self._has_lapsed()
             for run in list(self.running.values()):
                 if lapsed or now >= run.ends_at:
                     self._finish(run, "lapsed" if lapsed else run.how)
 
+    def _has_lapsed(self):
+        """Whether no lease holds now; notes the time."""
+        lapsed = self.clock_ms() > self._lease_ms
+        if lapsed:
+            self._lapsed_at = time.monotonic()
+        return lapsed
+
     def _finish(self, run, how):
         del self.running[run.task]
         self._ended_runs[run.task] = run.number
         self._ends.append([self._next_end, run.task, run.number, how, ""])
+        self._ended_at[self._next_end] = time.monotonic()
         self._next_end += 1
         self._promises.run_ended(run.task, run.number, self.name, how)
         self._woken.set()
@@ -243,14 +258,18 @@
         return 200, {}
 
     def _extend(self, deadline_ms):
+        self._has_lapsed()
         self._lease_ms = max(self._lease_ms, min(deadline_ms, self.clock_ms() + LONGEST_LEASE_MS))
 
     def _hold(self, body):
         if "deadline_ms" in body:
             self._extend(body["deadline_ms"])
+        self._has_lapsed()
         for end in self._ends:
             if end[0] <= body["ack_cursor"]:
-                self._promises.end_noted(end[1], end[2], end[3])
+                ended_at = self._ended_at.pop(end[0])
+                # An end before a lapse of the lease does not stand for good.
+                self._promises.end_noted(end[1], end[2], end[3], ended_at if ended_at > self._lapsed_at else None)
         self._ends = [end for end in self._ends if end[0] > body["ack_cursor"]]
         return 200, {}
 
