--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -32,7 +32,8 @@
 /// An order is not sent later than this after the time recorded for it; the
 /// rest of the margin covers the reading of the store's clock.
 constexpr Duration kMaxRecordAge = Milliseconds(300);
-/// A VM list may show a state that is this much older than the request.
+/// A list ends a doubt about a start only if it was requested this much later.
+/// That lists lag by less is not known; HasLeftVms does not rest on it.
 constexpr Duration kMaxListLag = Seconds(1);
 /// A worker whose VM was ordered to move gets no tasks for this long; by then
 /// it has ended and the VM list shows the move.
@@ -161,6 +162,14 @@
                            LongestDownTime());
     }
   }
+  TimePoint until = BootNow();
+  for (const auto& [vm, order] : m_upkeep_state.m_inherited_orders) {
+    until = std::max(until, order.m_until);
+  }
+  m_parts.m_log.Info(
+      "vm", "orders_inherited",
+      absl::StrCat("vms=", m_upkeep_state.m_inherited_orders.size(),
+                   " until_ms=", ToMilliseconds(until - BootNow())));
   co_return true;
 }
 
