A worker whose list was cut is logged when it is whole

The line names the ends that were read; one a worker in each take-over would be too many. The begin of the term, which only the age of the list was compared with, goes.

--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -47,7 +47,6 @@
 VmManager::VmManager(const Parts& parts, Hooks hooks)
     : m_parts(parts),
       m_hooks(std::move(hooks)),
-      m_began_at(BootNow()),
       m_policy{parts.m_options.m_move_time + kJoinTime},
       m_order_rate(MakeBucket(
           std::max(1.0, parts.m_options.m_fleet_orders_per_s * kOrderRateShare),
--- a/filbertspar/node/src/vm_manager.h
+++ b/filbertspar/node/src/vm_manager.h
@@ -76,7 +76,6 @@
 
   Parts m_parts;
   Hooks m_hooks;
-  TimePoint m_began_at;
   upkeep::State m_upkeep_state;
   capacity::State m_capacity_state;
   capacity::Policy m_policy;
--- a/filbertspar/scheduler/src/workers.cc
+++ b/filbertspar/scheduler/src/workers.cc
@@ -414,9 +414,11 @@
   worker.m_has_responded = true;
   if (!status.m_truncated && !worker.m_has_listed_all) {
     worker.m_has_listed_all = true;
-    AddLogDetail(scheduler, "worker_listed_all", {}, index,
-                 absl::StrCat("runs=", status.m_running.size(),
-                              " ends=", status.m_finished.size()));
+    if (worker.m_last_list_is_cut) {
+      AddLogEvent(scheduler, "worker_listed_all", {}, index,
+                  absl::StrCat("ends_read=", worker.m_finished_read,
+                               " ends=", status.m_finished.size()));
+    }
   }
   worker.m_last_list_is_cut = status.m_truncated;
   worker.m_answered_fencing = std::max(worker.m_answered_fencing, fencing);
