A list that shows a younger worker shows who has left

Change: a list that has a worker is from its start or later. A worker that the list lacks, and that started more than 2 s (the difference of clocks) before another one that the list has, has left, however old the list is. A worker that is neither registered nor listed is gone, as the protocol says of missing entries.

Result: "a list that shows a younger worker shows who has left"; "a worker that no list has shown may run tasks" holds as before.

--- a/filbertspar/scheduler/src/state.h
+++ b/filbertspar/scheduler/src/state.h
@@ -404,6 +404,9 @@
   /// latter does not tell a worker that has left from one that has just joined.
   std::set<WorkerName> m_shown_workers;
   std::set<WorkerName> m_unshown_workers;
+  /// Start of the youngest worker in the latest list, in Unix milliseconds: the
+  /// list is from then or later.
+  std::int64_t m_vms_shown_born_ms = 0;
   /// Unix time minus scheduler time.
   Duration m_unix_offset{0};
   /// Workers that may run inherited tasks; nullopt until all are known.
--- a/filbertspar/scheduler/src/unanswered.cc
+++ b/filbertspar/scheduler/src/unanswered.cc
@@ -153,16 +153,16 @@
   }
   scheduler.m_shown_workers.insert(listed.begin(), listed.end());
   scheduler.m_unshown_workers.clear();
-  const auto add_unshown = [&scheduler](const WorkerName& worker) {
-    if (!scheduler.m_shown_workers.contains(worker)) {
-      scheduler.m_unshown_workers.insert(worker);
-    }
-  };
+  scheduler.m_vms_shown_born_ms = 0;
   for (const Worker& worker : scheduler.m_workers) {
-    add_unshown(worker.m_record.m_name);
-  }
-  for (const auto& [task, worker] : scheduler.m_inherited_runs) {
-    add_unshown(worker);
+    const WorkerName& name = worker.m_record.m_name;
+    if (listed.contains(name)) {
+      scheduler.m_vms_shown_born_ms = std::max(scheduler.m_vms_shown_born_ms,
+                                               worker.m_record.m_incarnation);
+    }
+    if (!scheduler.m_shown_workers.contains(name)) {
+      scheduler.m_unshown_workers.insert(name);
+    }
   }
   if (!list.m_invalid_vms.empty() || list.m_nameless_count > 0) {
     // Proves no absence.
@@ -174,26 +174,29 @@
 }
 
 bool HasLeftVms(const Scheduler& scheduler, const WorkerName& worker) {
-  return scheduler.m_vms_listed_at != TimePoint::min() &&
-         !scheduler.m_workers_of_vms.contains(worker) &&
-         !scheduler.m_unshown_workers.contains(worker);
+  if (scheduler.m_vms_listed_at == TimePoint::min() ||
+      scheduler.m_workers_of_vms.contains(worker)) {
+    return false;
+  }
+  if (!scheduler.m_unshown_workers.contains(worker)) {
+    return true;
+  }
+  const auto known = scheduler.m_worker_index.find(worker);
+  const std::int64_t born =
+      known == scheduler.m_worker_index.end()
+          ? 0
+          : scheduler.m_workers[known->second].m_record.m_incarnation;
+  return born != 0 && born + ToMilliseconds(kMaxUnixDifference) <
+                          scheduler.m_vms_shown_born_ms;
 }
 
 std::vector<WorkerName> ExpectedWorkers(const Scheduler& scheduler) {
   std::set<WorkerName> expected = scheduler.m_workers_of_vms;
-  const auto add_unless_left = [&](const WorkerName& worker) {
-    if (!HasLeftVms(scheduler, worker)) {
-      expected.insert(worker);
-    }
-  };
   for (const Worker& worker : scheduler.m_workers) {
-    if (worker.m_registered) {
-      add_unless_left(worker.m_record.m_name);
+    if (worker.m_registered && !HasLeftVms(scheduler, worker.m_record.m_name)) {
+      expected.insert(worker.m_record.m_name);
     }
   }
-  for (const auto& [task, worker] : scheduler.m_inherited_runs) {
-    add_unless_left(worker);
-  }
   return {expected.begin(), expected.end()};
 }
 
--- a/filbertspar/scheduler/src/unanswered.h
+++ b/filbertspar/scheduler/src/unanswered.h
@@ -95,12 +95,13 @@
 void HandleVmList(Scheduler& scheduler, TimePoint shows_since,
                   const VmList& list);
 
-/// \brief Whether the lists of VMs show that the worker has left: an earlier
-/// one had it, the latest one has not.
+/// \brief Whether the lists of VMs show that the worker has left, however old
+/// they are: the latest has it not, but an earlier one had it, or the latest
+/// has a worker that started after it.
 bool HasLeftVms(const Scheduler& scheduler, const WorkerName& worker);
 
 /// \brief Workers that may run tasks of previous owners, as far as
-/// registrations, lists of VMs and recorded runs tell.
+/// registrations and lists of VMs tell. One that is in neither is gone.
 std::vector<WorkerName> ExpectedWorkers(const Scheduler& scheduler);
 
 /// \brief Called when an incarnation has answered for the first time. Until the
