The poll for the rest of a cut list does not wait for an end

What callers saw: work of before a take-over that waited up to 1.5 s longer.

Cause, from the owner's log: two workers had listed all their ends after 0.2 s; the third had exactly 2,000, so that its fourth answer was full, and the poll for the rest was held by the worker until another run would end (`worker_listed_all ends_read=2000 ends=0` 1.5 s later).

Change: after a cut list a poll is held for 0.1 s at most.

Result: "the poll for the rest of a cut list does not wait for long" fails without the change (`wait_ms` 1500).

--- a/filbertspar/node/src/worker_connections.cc
+++ b/filbertspar/node/src/worker_connections.cc
@@ -19,6 +19,9 @@
 /// finishes. The lease must be longer than this plus one lost poll.
 constexpr Duration kBusyPollWait = Milliseconds(900);
 constexpr Duration kIdlePollWait = Milliseconds(1500);
+/// The same while the worker may have ends that it has not listed. Not 0, so
+/// that a list which stays cut does not keep the owner busy.
+constexpr Duration kCutListPollWait = Milliseconds(100);
 constexpr Duration kPollResponseMargin = Milliseconds(700);
 constexpr Duration kFirstPollTimeout = Milliseconds(500);
 /// Between two polls of one worker; runs that finish close together are read
@@ -239,6 +242,10 @@
     // Until the worker is fenced it gets no start; that must not take long.
     if (worker.m_failed_polls == 0 && scheduler::IsFenced(worker)) {
       order.m_wait = worker.m_tasks.empty() ? kIdlePollWait : kBusyPollWait;
+      if (worker.m_last_list_is_cut) {
+        // The rest of the list may be empty, and its end is waited for.
+        order.m_wait = kCutListPollWait;
+      }
     }
   } else {
     // Whatever incarnation answers, this poll must grant it no lease and have
--- a/tests/platform/node_late_call_test.cc
+++ b/tests/platform/node_late_call_test.cc
@@ -91,5 +91,26 @@
   }
 }
 
+// Guards against a take-over that waits for a worker whose ends fill its
+// answers to the last, so that the poll for the rest waits for another end.
+TEST_CASE("the poll for the rest of a cut list does not wait for long") {
+  constexpr int kEndsPerAnswer = 500;
+  constexpr std::int64_t kLongestWaitMs = 100;
+  asio::io_context context;
+  RestartingWorker worker(context);
+  worker.Restart(kOldClockMs);
+  worker.ListEnds(kEndsPerAnswer);
+  WorkerOwner owner(context);
+  owner.Follow(worker);
+  REQUIRE(owner.RunUntil([&] { return owner.Known().m_last_list_is_cut; }));
+  REQUIRE(owner.RunUntil([&] { return HasListedAll(owner.Known()); }));
+  for (const RestartingWorker::Request& request : worker.m_requests) {
+    INFO(ToText(request.m_body));
+    const Json* wait = request.m_body.if_contains("wait_ms");
+    CHECK(
+        (wait == nullptr || wait->to_number<std::int64_t>() <= kLongestWaitMs));
+  }
+}
+
 }  // namespace
 }  // namespace filbertspar
--- a/tests/platform/restarting_worker.h
+++ b/tests/platform/restarting_worker.h
@@ -102,6 +102,15 @@
     m_running.clear();
   }
 
+  /// Adds ends of a job that the owner does not know.
+  void ListEnds(int count) {
+    for (int i = 0; i < count; ++i) {
+      const std::int64_t number = m_next_finished++;
+      m_finished.push_back(
+          JsonArray{number, "0011223344556677.0.0.0", number, "done", ""});
+    }
+  }
+
   std::int64_t ClockMs() const {
     return m_first_clock_ms + ToMilliseconds(SteadyNow() - m_began_at);
   }
