A new owner reckons from the beginning of its term, not from its claim

Cause: OwnerWatch::Claim computed when the owner before was last active before it sent the claim. While no VM reaches the store the owner goes on sending orders; a claim that is the first call answered after the outage, or one that is found in the row, began a term whose inherited leases had already passed.

Ruled out: a late poll of the owner before (it is deposed after the second start), a worker that lost the runs (its record has them), two terms with one fencing number (1000001 and 2).

Change: a claim keeps the view on which it is conditional; what follows from it (when the owner before was last active, whether its runs are recorded) is computed when the term begins, for a claim that is answered and for one that is found in the row. The decisions are functions of the ownership library. The log line claim_won says how the claim was won and what was reckoned from.

--- a/filbertspar/node/src/journal.cc
+++ b/filbertspar/node/src/journal.cc
@@ -65,7 +65,7 @@
 
 Journal::Journal(asio::io_context& context, StoreClient& store,
                  const TrafficMeter& traffic, EventLog& log,
-                 scheduler::Scheduler& scheduler, OwnerWatch::WonClaim won,
+                 scheduler::Scheduler& scheduler, WonClaim won,
                  const Limits& limits, Hooks hooks)
     : m_context(context),
       m_store(store),
--- a/filbertspar/node/src/journal.h
+++ b/filbertspar/node/src/journal.h
@@ -43,8 +43,8 @@
 
   Journal(asio::io_context& context, StoreClient& store,
           const TrafficMeter& traffic, EventLog& log,
-          scheduler::Scheduler& scheduler, OwnerWatch::WonClaim won,
-          const Limits& limits, Hooks hooks);
+          scheduler::Scheduler& scheduler, WonClaim won, const Limits& limits,
+          Hooks hooks);
 
   /// \brief Writes until Stop, until the ownership is released or until another
   /// VM becomes the owner.
--- a/filbertspar/node/src/node.cc
+++ b/filbertspar/node/src/node.cc
@@ -152,7 +152,7 @@
   asio::awaitable<HttpResponse> Metrics(const HttpRequest& request);
   void RecordQueues();
   void HandleClientFault(ClientFault fault, std::string_view address);
-  void HandleOwnershipGained(OwnerWatch::WonClaim won);
+  void HandleOwnershipGained(WonClaim won);
   void HandleOwnershipLost();
   asio::awaitable<void> HandOver();
   asio::awaitable<void> LinkLoop();
@@ -258,7 +258,7 @@
                           " connections=", m_callers.Connections()));
 }
 
-void Node::Parts::HandleOwnershipGained(OwnerWatch::WonClaim won) {
+void Node::Parts::HandleOwnershipGained(WonClaim won) {
   const OwnerTermParts parts{m_context, m_options,       m_store,
                              m_client,  m_configuration, m_link_server,
                              m_traffic, m_metrics,       m_log};
@@ -360,7 +360,7 @@
   parts.m_link_client.SetHealthCallback(
       [&parts](LinkHealth health) { parts.m_watch.UpdateLinkHealth(health); });
   parts.m_link_client.SetPingSource([&parts] {
-    const TimePoint reached = parts.m_store.ReachedAt();
+    const TimePoint reached = parts.m_store.Contact().m_reached_at;
     LinkPing ping;
     ping.m_store_age =
         reached == TimePoint::min() ? Seconds(3600) : BootNow() - reached;
@@ -370,9 +370,8 @@
     ping.m_relays_to_incarnation = true;
     return ping;
   });
-  parts.m_watch.Start([&parts](OwnerWatch::WonClaim won) {
-    parts.HandleOwnershipGained(std::move(won));
-  });
+  parts.m_watch.Start(
+      [&parts](WonClaim won) { parts.HandleOwnershipGained(std::move(won)); });
   asio::co_spawn(parts.m_context, parts.LinkLoop(), asio::detached);
   return absl::OkStatus();
 }
--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -89,7 +89,7 @@
 
 }  // namespace
 
-OwnerTerm::OwnerTerm(const OwnerTermParts& parts, OwnerWatch::WonClaim won,
+OwnerTerm::OwnerTerm(const OwnerTermParts& parts, WonClaim won,
                      Hooks duty_hooks)
     : m_parts(parts),
       m_hooks(std::move(duty_hooks)),
--- a/filbertspar/node/src/owner_term.h
+++ b/filbertspar/node/src/owner_term.h
@@ -42,7 +42,7 @@
     std::function<void()> m_hand_over;
   };
 
-  OwnerTerm(const OwnerTermParts& parts, OwnerWatch::WonClaim won, Hooks hooks);
+  OwnerTerm(const OwnerTermParts& parts, WonClaim won, Hooks hooks);
 
   void Start();
   /// \brief Ends the term immediately; rows that are not sent yet are dropped.
--- a/filbertspar/node/src/owner_watch.cc
+++ b/filbertspar/node/src/owner_watch.cc
@@ -71,27 +71,9 @@
 
 void OwnerWatch::UpdateView(const std::optional<OwnerRecord>& record,
                             RowVersion version, TimePoint sent) {
-  const bool is_same_term =
-      record && m_view.m_record && record->m_epoch == m_view.m_record->m_epoch;
-  if (!is_same_term) {
-    m_view.m_owner_first_seen = BootNow();
-  }
-  const bool same_holder =
-      record && m_view.m_record && record->m_vm == m_view.m_record->m_vm &&
-      record->m_incarnation == m_view.m_record->m_incarnation &&
-      record->m_released == m_view.m_record->m_released;
-  if (!m_view.m_has_read || version != m_view.m_version) {
-    m_view.m_version = version;
-    m_view.m_version_first_seen = BootNow();
-  }
-  m_view.m_confirmed_at = sent;
-  m_view.m_read_time = BootNow() - sent;
-  m_view.m_has_read = true;
-  m_view.m_record = record;
-  if (same_holder || !record) {
+  if (!UpdateOwnerView(m_view, record, version, sent, BootNow())) {
     return;
   }
-  m_view.m_link = LinkHealth::kSilent;
   m_log.Info("owner", "owner_seen",
              absl::StrCat("vm=", record->m_vm.Value(), " epoch=",
                           record->m_epoch.Value(), " version=", version.Value(),
@@ -123,15 +105,8 @@
 }
 
 asio::awaitable<void> OwnerWatch::Claim() {
-  OwnerRecord claim = m_own_record;
-  claim.m_epoch =
-      NextEpoch(m_view.m_record ? m_view.m_record->m_epoch : FencingNumber());
-  claim.m_write_number = 0;
-  claim.m_released = false;
-  m_previous_silent_since = LastEvidenceOfOwner(m_view, m_store.ReachedSince());
-  const bool all_recorded =
-      CanRelyOnRecordedStarts(m_view, m_store.ReachedSince(), BootNow());
-  claim.m_all_starts_recorded = all_recorded;
+  m_last_claim = MakeClaim(m_own_record, m_view, m_store.Contact(), BootNow());
+  const OwnerRecord& claim = m_last_claim.m_record;
   StoreTransaction change;
   change.m_conditions.push_back({OwnerRowKey(), m_view.m_version});
   change.m_writes.push_back({OwnerRowKey(), EncodeOwner(claim)});
@@ -140,14 +115,15 @@
       absl::StrCat(
           "epoch=", claim.m_epoch.Value(),
           " holder=", m_view.m_record ? m_view.m_record->m_vm.Value() : "-",
-          " listed=", all_recorded, " owner_lists=",
+          " listed=", claim.m_all_starts_recorded, " owner_lists=",
           m_view.m_record ? m_view.m_record->m_all_starts_recorded : true,
-          " reached_ms=", ToMilliseconds(BootNow() - m_store.ReachedSince()),
+          " reached_ms=",
+          ToMilliseconds(BootNow() - m_store.Contact().m_reached_since),
           " link=", static_cast<int>(m_view.m_link), " unchanged_ms=",
           ToMilliseconds(m_view.m_confirmed_at - m_view.m_version_first_seen)));
   const StoreResponse answer = co_await m_store.Change(change, kClaimTimeout);
   if (answer.m_result == StoreResult::kDone) {
-    BeginTerm(claim, answer.m_version, all_recorded);
+    BeginTerm(answer.m_version, /*is_answered=*/true);
     co_return;
   }
   // A claim without a response may still take effect; the row then names this
@@ -162,19 +138,26 @@
 void OwnerWatch::BeginUnansweredTerm() {
   if (!m_is_owner && m_willing &&
       IsOwnUnansweredClaim(m_view, m_self, m_last_term)) {
-    BeginTerm(*m_view.m_record, m_view.m_version, /*all_recorded=*/false);
+    BeginTerm(m_view.m_version, /*is_answered=*/false);
   }
 }
 
-void OwnerWatch::BeginTerm(const OwnerRecord& record, RowVersion version,
-                           bool all_recorded) {
+void OwnerWatch::BeginTerm(RowVersion version, bool is_answered) {
+  const TimePoint now = BootNow();
+  const WonClaim won =
+      WinClaim(m_last_claim, version, is_answered, m_store.Contact(), now);
   m_is_owner = true;
-  m_last_term = record.m_epoch;
+  m_last_term = won.m_record.m_epoch;
   m_log.Info("owner", "claim_won",
-             absl::StrCat("epoch=", record.m_epoch.Value(),
-                          " version=", version.Value()));
+             absl::StrCat(
+                 "epoch=", won.m_record.m_epoch.Value(),
+                 " version=", version.Value(), " answered=", is_answered,
+                 " sent_ms_ago=", ToMilliseconds(now - m_last_claim.m_sent_at),
+                 " previous_silent_ms=",
+                 ToMilliseconds(now - won.m_previous_silent_since),
+                 " listed=", won.m_all_runs_recorded));
   m_changed.Notify();
-  m_on_claim_won({record, version, m_previous_silent_since, all_recorded});
+  m_on_claim_won(won);
 }
 
 }  // namespace filbertspar
--- a/filbertspar/node/src/owner_watch.h
+++ b/filbertspar/node/src/owner_watch.h
@@ -26,16 +26,6 @@
 /// failed or released it.
 class OwnerWatch {
  public:
-  /// \brief A successful claim, with the version of the owner's row.
-  struct WonClaim {
-    OwnerRecord m_record;
-    RowVersion m_version;
-    /// The previous owner has written nothing since this time.
-    TimePoint m_previous_silent_since{};
-    /// Whether the stored progress records every run that may still be active.
-    bool m_all_runs_recorded = false;
-  };
-
   OwnerWatch(asio::io_context& context, StoreClient& store, EventLog& log,
              Candidate self, OwnerRecord own_record);
 
@@ -64,8 +54,7 @@
   asio::awaitable<void> Follow();
   asio::awaitable<void> ReadOwnerRow();
   asio::awaitable<void> Claim();
-  void BeginTerm(const OwnerRecord& record, RowVersion version,
-                 bool all_recorded);
+  void BeginTerm(RowVersion version, bool is_answered);
   /// \brief Begins the term of a claim whose answer was lost, if there is one.
   void BeginUnansweredTerm();
   void UpdateView(const std::optional<OwnerRecord>& record, RowVersion version,
@@ -83,8 +72,7 @@
   bool m_is_owner = false;
   /// The last term that this process has begun.
   FencingNumber m_last_term;
-  /// From the last claim.
-  TimePoint m_previous_silent_since{};
+  ClaimAttempt m_last_claim;
   bool m_willing = true;
 };
 
--- a/filbertspar/node/src/store_client.cc
+++ b/filbertspar/node/src/store_client.cc
@@ -14,8 +14,6 @@
 
 /// Added to the wait of a feed for its response to arrive.
 constexpr Duration kFeedTimeoutMargin = Milliseconds(1200);
-/// Responses further apart than this do not count as one continuous contact.
-constexpr Duration kMaxContactGap = Milliseconds(1500);
 constexpr Duration kReadTimeout = Milliseconds(1500);
 /// A configuration with many routes is one row of this size. A time-out that
 /// its transfer exceeds would repeat it for ever.
@@ -77,16 +75,13 @@
     m_reconnected_at = BootNow();
     m_log.Info(
         "store", "store_regained",
-        absl::StrCat("away_ms=", m_reached_at == TimePoint::min()
-                                     ? -1
-                                     : ToMilliseconds(sent - m_reached_at)));
+        absl::StrCat("away_ms=",
+                     m_contact.m_reached_at == TimePoint::min()
+                         ? -1
+                         : ToMilliseconds(sent - m_contact.m_reached_at)));
   }
   m_failures = 0;
-  const TimePoint now = BootNow();
-  if (now > m_reached_at + kMaxContactGap) {
-    m_reached_since = now;
-  }
-  m_reached_at = now;
+  HandleStoreAnswer(m_contact, BootNow());
 }
 
 asio::awaitable<StoreResponse> StoreClient::Call(std::string_view kind,
--- a/filbertspar/node/src/store_client.h
+++ b/filbertspar/node/src/store_client.h
@@ -9,6 +9,7 @@
 #include "filbertspar/metrics/metrics.h"
 #include "filbertspar/node/src/event_log.h"
 #include "filbertspar/node/src/traffic_meter.h"
+#include "filbertspar/ownership/ownership.h"
 
 namespace filbertspar {
 
@@ -40,11 +41,7 @@
   asio::awaitable<StoreResponse> ReadAll(std::string table,
                                          std::string partition);
 
-  /// \brief Time of the last response; min() before the first.
-  TimePoint ReachedAt() const { return m_reached_at; }
-  /// \brief Start of the current contact with the store without a gap; max()
-  /// before the first response.
-  TimePoint ReachedSince() const { return m_reached_since; }
+  const StoreContact& Contact() const { return m_contact; }
   /// \brief When the store became reachable again after it was unreachable;
   /// min() if it never was.
   TimePoint ReconnectedAt() const { return m_reconnected_at; }
@@ -74,8 +71,7 @@
   Endpoint m_endpoint;
   TokenBucket m_read_rate;
   TokenBucket m_write_rate;
-  TimePoint m_reached_at = TimePoint::min();
-  TimePoint m_reached_since = TimePoint::max();
+  StoreContact m_contact;
   TimePoint m_reconnected_at = TimePoint::min();
   int m_failures = 0;
   std::int64_t m_clock_ms = 0;
--- a/filbertspar/ownership/src/claim.cc
+++ b/filbertspar/ownership/src/claim.cc
@@ -92,6 +92,32 @@
 
 }  // namespace
 
+bool UpdateOwnerView(OwnerView& view, const std::optional<OwnerRecord>& record,
+                     RowVersion version, TimePoint sent, TimePoint now) {
+  const bool is_same_term =
+      record && view.m_record && record->m_epoch == view.m_record->m_epoch;
+  if (!is_same_term) {
+    view.m_owner_first_seen = now;
+  }
+  const bool is_same_holder =
+      record && view.m_record && record->m_vm == view.m_record->m_vm &&
+      record->m_incarnation == view.m_record->m_incarnation &&
+      record->m_released == view.m_record->m_released;
+  if (!view.m_has_read || version != view.m_version) {
+    view.m_version = version;
+    view.m_version_first_seen = now;
+  }
+  view.m_confirmed_at = sent;
+  view.m_read_time = now - sent;
+  view.m_has_read = true;
+  view.m_record = record;
+  if (is_same_holder || !record) {
+    return false;
+  }
+  view.m_link = LinkHealth::kSilent;
+  return true;
+}
+
 bool IsOwnUnansweredClaim(const OwnerView& view, const Candidate& self,
                           FencingNumber last_term) {
   return view.m_record && view.m_record->m_vm == self.m_vm &&
@@ -99,7 +125,7 @@
          !view.m_record->m_released && view.m_record->m_epoch > last_term;
 }
 
-bool CanRelyOnRecordedStarts(const OwnerView& view, TimePoint reached_since,
+bool CanRelyOnRecordedStarts(const OwnerView& view, const StoreContact& contact,
                              TimePoint now) {
   if (!view.m_record) {
     return true;
@@ -109,15 +135,40 @@
   }
   return view.m_record->m_released ||
          (now - view.m_version_first_seen < kMaxOwnerWriteAge &&
-          now - reached_since > kMinStoreContact);
+          now - contact.m_reached_since > kMinStoreContact);
 }
 
-TimePoint LastEvidenceOfOwner(const OwnerView& view, TimePoint reached_since) {
+TimePoint LastEvidenceOfOwner(const OwnerView& view,
+                              const StoreContact& contact) {
   // While no VM reaches the store the owner goes on without confirmations; it
   // learns with the next ping that this VM reaches the store again.
-  return reached_since == TimePoint::max()
+  return contact.m_reached_since == TimePoint::max()
              ? view.m_version_first_seen
-             : std::max(view.m_version_first_seen, reached_since);
+             : std::max(view.m_version_first_seen, contact.m_reached_since);
+}
+
+ClaimAttempt MakeClaim(const OwnerRecord& own_record, const OwnerView& view,
+                       const StoreContact& contact, TimePoint now) {
+  ClaimAttempt attempt{own_record, view, now};
+  attempt.m_record.m_epoch =
+      NextEpoch(view.m_record ? view.m_record->m_epoch : FencingNumber());
+  attempt.m_record.m_write_number = 0;
+  attempt.m_record.m_released = false;
+  attempt.m_record.m_all_starts_recorded =
+      CanRelyOnRecordedStarts(view, contact, now);
+  return attempt;
+}
+
+WonClaim WinClaim(const ClaimAttempt& attempt, RowVersion version,
+                  bool is_answered, const StoreContact& contact,
+                  TimePoint now) {
+  WonClaim won;
+  won.m_record = attempt.m_record;
+  won.m_version = version;
+  won.m_previous_silent_since = LastEvidenceOfOwner(attempt.m_view, contact);
+  won.m_all_runs_recorded =
+      is_answered && CanRelyOnRecordedStarts(attempt.m_view, contact, now);
+  return won;
 }
 
 bool ShouldClaim(const OwnerView& view, const Candidate& self, TimePoint now) {
--- a/filbertspar/ownership/src/claim.h
+++ b/filbertspar/ownership/src/claim.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 
+#include "filbertspar/ownership/src/contact.h"
 #include "filbertspar/ownership/src/record.h"
 
 namespace filbertspar {
@@ -49,6 +50,11 @@
   double m_jitter = 0;
 };
 
+/// \brief Applies a read of the row that was sent at `sent` and answered now.
+/// True: the row names a holder that it did not name before.
+bool UpdateOwnerView(OwnerView& view, const std::optional<OwnerRecord>& record,
+                     RowVersion version, TimePoint sent, TimePoint now);
+
 /// \brief Whether to claim the ownership now.
 ///
 /// A claim is safe at any time, because the version of the owner row and the
@@ -62,16 +68,44 @@
                           FencingNumber last_term);
 
 /// \brief Whether an owner that claims now can rely on the stored progress to
-/// contain every run that was started. `reached_since` is the start of this
-/// VM's uninterrupted contact with the store; TimePoint::max() if it had none.
-bool CanRelyOnRecordedStarts(const OwnerView& view, TimePoint reached_since,
+/// contain every run that was started.
+bool CanRelyOnRecordedStarts(const OwnerView& view, const StoreContact& contact,
                              TimePoint now);
 
 /// \brief Latest time at which the owner's last write may have been confirmed
 /// to it, or at which it may have known that no VM reaches the store. It stops
-/// sending orders a bounded time after both. `reached_since` is the start of
-/// this VM's uninterrupted contact with the store.
-TimePoint LastEvidenceOfOwner(const OwnerView& view, TimePoint reached_since);
+/// sending orders a bounded time after both.
+TimePoint LastEvidenceOfOwner(const OwnerView& view,
+                              const StoreContact& contact);
+
+/// \brief A claim that was sent, and the view on which it is conditional.
+struct ClaimAttempt {
+  OwnerRecord m_record;
+  OwnerView m_view;
+  TimePoint m_sent_at{};
+};
+
+/// \brief A successful claim, with the version of the owner's row.
+struct WonClaim {
+  OwnerRecord m_record;
+  RowVersion m_version;
+  /// The previous owner has written nothing since this time.
+  TimePoint m_previous_silent_since{};
+  /// Whether the stored progress records every run that may still be active.
+  bool m_all_runs_recorded = false;
+};
+
+/// \brief The claim that follows the record of the view; `own_record` has the
+/// fields of this process.
+ClaimAttempt MakeClaim(const OwnerRecord& own_record, const OwnerView& view,
+                       const StoreContact& contact, TimePoint now);
+
+/// \brief Begins the term of a claim that was answered, or, without an answer,
+/// found in the row with this version. `contact` and `now` are those of the
+/// beginning: the previous owner may have gone on while the claim was under
+/// way.
+WonClaim WinClaim(const ClaimAttempt& attempt, RowVersion version,
+                  bool is_answered, const StoreContact& contact, TimePoint now);
 
 /// \brief Time until the owner row should be read again.
 Duration TimeToNextOwnerRead(const OwnerView& view, const Candidate& self,
--- /dev/null
+++ b/tests/outage_world.h
@@ -0,0 +1,815 @@
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "filbertspar/ownership/ownership.h"
+#include "tests/virtual_time.h"
+
+namespace filbertspar::testing {
+
+/// \brief What the store does with the calls of a VM.
+enum class StoreFault : std::uint8_t {
+  /// Rejects each call at once.
+  kBusy,
+  /// Answers nothing and performs nothing.
+  kSilent,
+  /// Performs writes and answers nothing.
+  kLost,
+  /// Answers nothing and performs writes some seconds later.
+  kLate,
+  /// Answers late.
+  kSlow,
+};
+
+/// \brief What becomes of messages from one VM to another.
+enum class LinkFault : std::uint8_t {
+  /// They are held until the end, or lost if the sender closes the link first.
+  kCut,
+  kSlow,
+};
+
+/// \brief An impairment between two times.
+template <typename Kind>
+struct Impairment {
+  TimePoint m_from{};
+  TimePoint m_until{};
+  Kind m_kind{};
+};
+
+/// \brief Constants of the processes, as in their sources.
+namespace outage {
+inline constexpr Duration kDelay = Milliseconds(2);
+inline constexpr Duration kReadTimeout = Milliseconds(800);
+inline constexpr Duration kClaimTimeout = Milliseconds(800);
+inline constexpr Duration kRenewPeriod = Milliseconds(400);
+inline constexpr Duration kWriteTimeout = Milliseconds(700);
+inline constexpr Duration kMaxWriteTimeout = Milliseconds(1600);
+inline constexpr Duration kRefusedRetry = Milliseconds(60);
+inline constexpr Duration kRetryInterval = Milliseconds(200);
+inline constexpr Duration kFeedWait = Seconds(1);
+inline constexpr Duration kFeedTimeout = Milliseconds(2200);
+inline constexpr Duration kFeedRetry = Milliseconds(100);
+inline constexpr Duration kPingPeriod = Milliseconds(250);
+inline constexpr Duration kLate = Milliseconds(400);
+inline constexpr Duration kSilence = Milliseconds(750);
+inline constexpr Duration kReconnect = Milliseconds(100);
+inline constexpr Duration kTick = Milliseconds(50);
+inline constexpr Duration kLease = Seconds(3);
+inline constexpr Duration kMaxUnconfirmedTime = Milliseconds(1600);
+inline constexpr Duration kMaxConfirmationAge = Seconds(1);
+inline constexpr Duration kPeerRemovalDelay = Seconds(10);
+inline constexpr Duration kInheritedLeaseMargin = Milliseconds(500);
+}  // namespace outage
+
+/// \brief VMs that watch, claim and hold the ownership in virtual time, with
+/// the decisions of the product, and workers whose runs last as long as an
+/// owner renews their leases. The store, the links, the VMs and the workers are
+/// impaired at given times.
+class OutageWorld {
+ public:
+  struct Worker {
+    /// Delay of each answer and order.
+    Duration m_delay{0};
+    std::vector<Impairment<bool>> m_silent;
+    FencingNumber m_fencing;
+    TimePoint m_lease_until{};
+    bool m_has_run = true;
+  };
+
+  struct Breach {
+    std::string m_rule;
+    TimePoint m_at{};
+    std::string m_detail;
+  };
+
+  OutageWorld(std::uint64_t seed, std::size_t vms, std::size_t workers)
+      : m_rng(seed), m_workers(workers) {
+    for (std::size_t i = 0; i < vms; ++i) {
+      m_vms.push_back(std::make_unique<Vm>());
+      Vm& vm = *m_vms.back();
+      vm.m_index = i;
+      vm.m_own.m_vm = VmName("vm-" + std::to_string(i));
+      vm.m_own.m_incarnation = i + 1;
+      vm.m_self = {vm.m_own.m_vm, i + 1, Millicores(250),
+                   static_cast<double>(m_rng.Below(1000)) / 1000};
+      After(vm, RandomDuration(m_rng, Duration(0), Milliseconds(300)),
+            [this, &vm] {
+              Follow(vm);
+              Feed(vm);
+            });
+    }
+  }
+
+  /// Plays until `end`.
+  void RunUntil(TimePoint end) { m_time.RunUntil(end); }
+  TimePoint Now() const { return m_time.Now(); }
+
+  /// Index of the VM that the row names; nullopt without one.
+  std::optional<std::size_t> Holder() const {
+    for (const auto& vm : m_vms) {
+      if (m_row && m_row->m_vm == vm->m_own.m_vm) {
+        return vm->m_index;
+      }
+    }
+    return std::nullopt;
+  }
+
+  /// Number of VMs that may send orders now.
+  std::size_t CountSenders() const {
+    return static_cast<std::size_t>(std::count_if(
+        m_vms.begin(), m_vms.end(),
+        [this](const auto& vm) { return vm->m_term && MaySend(*vm); }));
+  }
+
+  std::vector<Impairment<StoreFault>>& StoreFaults(std::size_t vm) {
+    return m_vms[vm]->m_store_faults;
+  }
+  std::vector<Impairment<bool>>& Freezes(std::size_t vm) {
+    return m_vms[vm]->m_freezes;
+  }
+  std::vector<Impairment<LinkFault>>& LinkFaults(std::size_t from,
+                                                 std::size_t to) {
+    return m_link_faults[{from, to}];
+  }
+  std::vector<Worker>& Workers() { return m_workers; }
+  std::vector<Impairment<bool>>& WorkerCuts(std::size_t vm,
+                                            std::size_t worker) {
+    return m_worker_cuts[{vm, worker}];
+  }
+  /// Called when a claim reaches the store, which has not looked at it yet.
+  std::function<void()> m_on_claim;
+  /// Calls of a claim, instead of all, that the store faults apply to.
+  bool m_claims_only = false;
+  /// Planted: the claim, not the beginning of the term, is the time of what a
+  /// new owner knows of the one before.
+  bool m_plant_stale_claim = false;
+
+  std::vector<Breach> m_breaches;
+  std::size_t m_terms = 0;
+  std::size_t m_restarts = 0;
+  /// VMs that began a term after the first, and when.
+  std::vector<std::pair<std::size_t, TimePoint>> m_takeovers;
+  /// Additional delay of slow links.
+  Duration m_slow_link = Milliseconds(700);
+
+ private:
+  struct Peer {
+    bool m_connected = false;
+    TimePoint m_last_ping_at = TimePoint::min();
+    Duration m_store_age{0};
+    TimePoint m_disconnected_at{};
+  };
+
+  struct Term {
+    WonClaim m_won;
+    std::uint64_t m_number = 0;
+    TimePoint m_confirmed_at{};
+    RowVersion m_version;
+    std::uint64_t m_write_number = 0;
+    TimePoint m_orders_until{};
+    TimePoint m_leases_until{};
+    std::vector<bool> m_heard;
+    bool m_has_restarted = false;
+    std::map<std::size_t, Peer> m_peers;
+  };
+
+  struct Link {
+    std::size_t m_to = 0;
+    /// Term of the VM at the other end.
+    std::uint64_t m_term = 0;
+    TimePoint m_last_received_at{};
+    bool m_closed = false;
+    bool m_is_open = false;
+    /// When the last message arrives, in each direction.
+    TimePoint m_arrives_there{};
+    TimePoint m_arrives_back{};
+  };
+
+  struct Vm {
+    std::size_t m_index = 0;
+    OwnerRecord m_own;
+    Candidate m_self;
+    OwnerView m_view;
+    StoreContact m_contact;
+    ClaimAttempt m_last_claim;
+    StoreContact m_contact_at_claim;
+    FencingNumber m_last_term;
+    std::optional<Term> m_term;
+    std::shared_ptr<Link> m_link;
+    std::uint64_t m_follow = 0;
+    bool m_waits_to_read = false;
+    std::vector<Impairment<StoreFault>> m_store_faults;
+    std::vector<Impairment<bool>> m_freezes;
+  };
+
+  struct Answer {
+    enum class Result : std::uint8_t { kDone, kConflict, kRefused, kUnknown };
+    Result m_result = Result::kUnknown;
+    std::optional<OwnerRecord> m_record;
+    RowVersion m_version;
+  };
+
+  template <typename Kind>
+  static const Impairment<Kind>* Find(
+      const std::vector<Impairment<Kind>>& impairments, TimePoint now) {
+    for (const auto& impairment : impairments) {
+      if (impairment.m_from <= now && now < impairment.m_until) {
+        return &impairment;
+      }
+    }
+    return nullptr;
+  }
+
+  /// Runs an event of the VM's process; one that is frozen runs it afterwards.
+  void At(Vm& vm, TimePoint time, std::function<void()> action) {
+    m_time.At(time, [this, &vm, action = std::move(action)] {
+      if (const auto* freeze = Find(vm.m_freezes, Now())) {
+        At(vm, freeze->m_until, action);
+      } else {
+        action();
+      }
+    });
+  }
+  void After(Vm& vm, Duration delay, std::function<void()> action) {
+    At(vm, Now() + delay, std::move(action));
+  }
+
+  // The store.
+
+  struct Write {
+    std::optional<RowVersion> m_condition;
+    OwnerRecord m_record;
+  };
+
+  Answer Perform(const std::optional<Write>& write) {
+    Answer answer;
+    answer.m_result = Answer::Result::kDone;
+    if (write) {
+      if (write->m_condition != m_version) {
+        answer.m_result = Answer::Result::kConflict;
+      } else {
+        m_version = RowVersion(m_version.Value() + 1);
+        m_row = write->m_record;
+      }
+    }
+    answer.m_record = m_row;
+    answer.m_version = m_version;
+    return answer;
+  }
+
+  /// Sends a call to the store; `done` is called with its answer, or at the
+  /// time-out.
+  void Call(Vm& vm, std::optional<Write> write, bool is_claim, Duration hold,
+            Duration timeout, std::function<void(const Answer&)> done) {
+    const auto is_over = std::make_shared<bool>(false);
+    const auto finish = [this, &vm, is_over, done](const Answer& answer) {
+      if (*is_over) {
+        return;
+      }
+      *is_over = true;
+      if (answer.m_result == Answer::Result::kDone ||
+          answer.m_result == Answer::Result::kConflict) {
+        HandleStoreAnswer(vm.m_contact, Now());
+      }
+      done(answer);
+    };
+    After(vm, timeout, [finish] { finish(Answer()); });
+    m_time.After(outage::kDelay, [this, &vm, write, is_claim, hold, finish] {
+      if (is_claim && m_on_claim) {
+        m_on_claim();
+      }
+      const auto* fault = Find(vm.m_store_faults, Now());
+      if (fault != nullptr && m_claims_only && !is_claim) {
+        fault = nullptr;
+      }
+      Duration delay = outage::kDelay + hold;
+      if (fault != nullptr) {
+        switch (fault->m_kind) {
+          case StoreFault::kBusy: {
+            Answer refusal;
+            refusal.m_result = Answer::Result::kRefused;
+            After(vm, outage::kDelay, [finish, refusal] { finish(refusal); });
+            return;
+          }
+          case StoreFault::kSilent:
+            return;
+          case StoreFault::kLost:
+            if (write) {
+              Perform(write);
+            }
+            return;
+          case StoreFault::kLate:
+            if (write) {
+              m_time.After(RandomDuration(m_rng, Seconds(1), Seconds(6)),
+                           [this, write] { Perform(write); });
+            }
+            return;
+          case StoreFault::kSlow:
+            delay += Milliseconds(240);
+            break;
+        }
+      }
+      const Answer answer = Perform(write);
+      After(vm, delay, [finish, answer] { finish(answer); });
+    });
+  }
+
+  void Feed(Vm& vm) {
+    Call(vm, std::nullopt, false, outage::kFeedWait, outage::kFeedTimeout,
+         [this, &vm](const Answer& answer) {
+           const bool is_done = answer.m_result == Answer::Result::kDone;
+           After(vm, is_done ? Duration(0) : outage::kFeedRetry,
+                 [this, &vm] { Feed(vm); });
+         });
+  }
+
+  // The watch of the owner's row.
+
+  void Follow(Vm& vm) {
+    const std::uint64_t loop = ++vm.m_follow;
+    ReadRow(vm, [this, &vm, loop] {
+      if (loop != vm.m_follow || vm.m_term) {
+        return;
+      }
+      BeginUnansweredTerm(vm);
+      if (!vm.m_term && ShouldClaim(vm.m_view, vm.m_self, Now())) {
+        Claim(vm);
+      } else {
+        FollowLater(vm);
+      }
+    });
+  }
+
+  void FollowLater(Vm& vm) {
+    if (vm.m_term) {
+      return;
+    }
+    const std::uint64_t loop = ++vm.m_follow;
+    vm.m_waits_to_read = true;
+    After(vm, TimeToNextOwnerRead(vm.m_view, vm.m_self, Now()),
+          [this, &vm, loop] { Wake(vm, loop); });
+  }
+
+  void Wake(Vm& vm, std::uint64_t loop) {
+    if (loop == vm.m_follow && vm.m_waits_to_read) {
+      vm.m_waits_to_read = false;
+      Follow(vm);
+    }
+  }
+
+  void ReadRow(Vm& vm, std::function<void()> then) {
+    const TimePoint sent = Now();
+    Call(vm, std::nullopt, false, Duration(0), outage::kReadTimeout,
+         [this, &vm, sent, then](const Answer& answer) {
+           if (answer.m_result == Answer::Result::kDone && !vm.m_term &&
+               UpdateOwnerView(vm.m_view, answer.m_record, answer.m_version,
+                               sent, Now())) {
+             Connect(vm);
+           }
+           then();
+         });
+  }
+
+  void Claim(Vm& vm) {
+    vm.m_last_claim = MakeClaim(vm.m_own, vm.m_view, vm.m_contact, Now());
+    vm.m_contact_at_claim = vm.m_contact;
+    const Write write{vm.m_view.m_version, vm.m_last_claim.m_record};
+    Call(vm, write, true, Duration(0), outage::kClaimTimeout,
+         [this, &vm](const Answer& answer) {
+           if (answer.m_result == Answer::Result::kDone) {
+             BeginTerm(vm, answer.m_version, true);
+             return;
+           }
+           ReadRow(vm, [this, &vm] {
+             BeginUnansweredTerm(vm);
+             FollowLater(vm);
+           });
+         });
+  }
+
+  void BeginUnansweredTerm(Vm& vm) {
+    if (IsOwnUnansweredClaim(vm.m_view, vm.m_self, vm.m_last_term)) {
+      BeginTerm(vm, vm.m_view.m_version, false);
+    }
+  }
+
+  // The term of an owner.
+
+  void BeginTerm(Vm& vm, RowVersion version, bool is_answered) {
+    Term term;
+    term.m_won =
+        m_plant_stale_claim
+            ? WinClaim(vm.m_last_claim, version, is_answered,
+                       vm.m_contact_at_claim, vm.m_last_claim.m_sent_at)
+            : WinClaim(vm.m_last_claim, version, is_answered, vm.m_contact,
+                       Now());
+    term.m_number = ++m_terms;
+    term.m_version = version;
+    term.m_confirmed_at = Now();
+    term.m_orders_until =
+        term.m_won.m_previous_silent_since + outage::kMaxUnconfirmedTime;
+    term.m_leases_until = term.m_orders_until + outage::kLease * 21 / 20 +
+                          outage::kInheritedLeaseMargin;
+    term.m_heard.resize(m_workers.size());
+    if (m_terms > 1) {
+      m_takeovers.push_back({vm.m_index, Now()});
+    }
+    m_bounds[term.m_number] = term.m_orders_until;
+    vm.m_last_term = term.m_won.m_record.m_epoch;
+    vm.m_term = std::move(term);
+    ++vm.m_follow;
+    vm.m_waits_to_read = false;
+    CloseLink(vm);
+    const std::uint64_t number = vm.m_term->m_number;
+    WriteLater(vm, number);
+    SendOrders(vm, number);
+  }
+
+  bool IsInTerm(const Vm& vm, std::uint64_t number) const {
+    return vm.m_term && vm.m_term->m_number == number;
+  }
+
+  void EndTerm(Vm& vm) {
+    vm.m_term.reset();
+    vm.m_view = OwnerView();
+    Follow(vm);
+  }
+
+  void WriteLater(Vm& vm, std::uint64_t number) {
+    const TimePoint due = vm.m_term->m_confirmed_at + outage::kRenewPeriod;
+    At(vm, due, [this, &vm, number] {
+      if (!IsInTerm(vm, number)) {
+        return;
+      }
+      OwnerRecord record = vm.m_term->m_won.m_record;
+      record.m_write_number = ++vm.m_term->m_write_number;
+      AttemptWrite(vm, number, {vm.m_term->m_version, record},
+                   outage::kWriteTimeout);
+    });
+  }
+
+  void AttemptWrite(Vm& vm, std::uint64_t number, const Write& write,
+                    Duration timeout) {
+    const TimePoint sent = Now();
+    Call(vm, write, false, Duration(0), timeout,
+         [this, &vm, number, write, timeout, sent](const Answer& answer) {
+           if (!IsInTerm(vm, number)) {
+             return;
+           }
+           switch (answer.m_result) {
+             case Answer::Result::kDone:
+               HandleWritten(vm, number, answer.m_version, sent);
+               break;
+             case Answer::Result::kConflict:
+               ResolveConflict(vm, number, write, sent);
+               break;
+             case Answer::Result::kRefused:
+               Retry(vm, number, outage::kRefusedRetry, write, timeout);
+               break;
+             case Answer::Result::kUnknown:
+               Retry(vm, number,
+                     std::max(Duration(0),
+                              outage::kRetryInterval - (Now() - sent)),
+                     write, std::min(timeout * 2, outage::kMaxWriteTimeout));
+               break;
+           }
+         });
+  }
+
+  void Retry(Vm& vm, std::uint64_t number, Duration pause, const Write& write,
+             Duration timeout) {
+    After(vm, pause, [this, &vm, number, write, timeout] {
+      if (IsInTerm(vm, number)) {
+        AttemptWrite(vm, number, write, timeout);
+      }
+    });
+  }
+
+  void HandleWritten(Vm& vm, std::uint64_t number, RowVersion version,
+                     TimePoint sent) {
+    vm.m_term->m_version = version;
+    vm.m_term->m_confirmed_at = sent;
+    WriteLater(vm, number);
+  }
+
+  void ResolveConflict(Vm& vm, std::uint64_t number, const Write& write,
+                       TimePoint sent) {
+    Call(vm, std::nullopt, false, Duration(0), outage::kMaxWriteTimeout,
+         [this, &vm, number, write, sent](const Answer& answer) {
+           if (!IsInTerm(vm, number)) {
+             return;
+           }
+           if (answer.m_result != Answer::Result::kDone) {
+             After(vm, outage::kRefusedRetry, [this, &vm, number, write, sent] {
+               if (IsInTerm(vm, number)) {
+                 ResolveConflict(vm, number, write, sent);
+               }
+             });
+           } else if (answer.m_record == write.m_record) {
+             HandleWritten(vm, number, answer.m_version, sent);
+           } else {
+             EndTerm(vm);
+           }
+         });
+  }
+
+  bool AllPeersLackStore(const Vm& vm, Duration min_age) const {
+    const auto& peers = vm.m_term->m_peers;
+    return !peers.empty() &&
+           std::all_of(peers.begin(), peers.end(), [&](const auto& entry) {
+             const Peer& peer = entry.second;
+             return peer.m_connected &&
+                    Now() - peer.m_last_ping_at < Seconds(1) &&
+                    peer.m_store_age >= min_age;
+           });
+  }
+
+  bool MaySend(const Vm& vm) const {
+    return Now() - vm.m_term->m_confirmed_at < outage::kMaxUnconfirmedTime ||
+           AllPeersLackStore(vm, Milliseconds(1300));
+  }
+
+  void SendOrders(Vm& vm, std::uint64_t number) {
+    After(vm, outage::kTick, [this, &vm, number] {
+      if (!IsInTerm(vm, number)) {
+        return;
+      }
+      if (MaySend(vm)) {
+        CheckOrders(vm);
+        for (std::size_t i = 0; i < m_workers.size(); ++i) {
+          Poll(vm, number, i);
+        }
+        RestartLostRuns(vm);
+      }
+      ForgetPeers(vm);
+      SendOrders(vm, number);
+    });
+  }
+
+  /// No owner sends orders later than a next one has reckoned with.
+  void CheckOrders(const Vm& vm) {
+    for (const auto& [number, until] : m_bounds) {
+      if (number > vm.m_term->m_number && Now() > until) {
+        AddBreach("late-order",
+                  absl::StrCat("vm=", vm.m_index, " term=", vm.m_term->m_number,
+                               " next=", number,
+                               " late_ms=", ToMilliseconds(Now() - until)));
+      }
+    }
+  }
+
+  void AddBreach(const std::string& rule, std::string detail) {
+    if (m_breaches.empty() || m_breaches.back().m_rule != rule ||
+        m_breaches.back().m_detail != detail) {
+      m_breaches.push_back({rule, Now(), std::move(detail)});
+    }
+  }
+
+  /// A poll renews the lease; its answer lists what the worker runs.
+  void Poll(Vm& vm, std::uint64_t number, std::size_t index) {
+    const TimePoint deadline = Now() + outage::kLease;
+    const FencingNumber fencing = vm.m_term->m_won.m_record.m_epoch;
+    const bool is_silent = Find(m_workers[index].m_silent, Now()) != nullptr ||
+                           IsWorkerCut(vm.m_index, index);
+    if (is_silent) {
+      return;
+    }
+    m_time.After(
+        outage::kDelay + m_workers[index].m_delay,
+        [this, &vm, number, index, deadline, fencing] {
+          Worker& worker = m_workers[index];
+          worker.m_has_run = worker.m_has_run && Now() <= worker.m_lease_until;
+          if (fencing < worker.m_fencing) {
+            return;
+          }
+          worker.m_fencing = fencing;
+          worker.m_lease_until = std::max(worker.m_lease_until, deadline);
+          After(vm, outage::kDelay, [this, &vm, number, index] {
+            if (IsInTerm(vm, number)) {
+              vm.m_term->m_heard[index] = true;
+            }
+          });
+        });
+  }
+
+  /// Starts the runs again of workers that have not answered by the time at
+  /// which their leases must be over.
+  void RestartLostRuns(Vm& vm) {
+    if (vm.m_term->m_has_restarted || Now() <= vm.m_term->m_leases_until) {
+      return;
+    }
+    vm.m_term->m_has_restarted = true;
+    for (std::size_t i = 0; i < m_workers.size(); ++i) {
+      const Worker& worker = m_workers[i];
+      if (vm.m_term->m_heard[i]) {
+        continue;
+      }
+      ++m_restarts;
+      if (worker.m_has_run && Now() <= worker.m_lease_until) {
+        AddBreach("twice",
+                  absl::StrCat("vm=", vm.m_index, " worker=", i, " lease_ms=",
+                               ToMilliseconds(worker.m_lease_until - Now())));
+      }
+    }
+  }
+
+  void ForgetPeers(Vm& vm) {
+    const bool is_confirmed =
+        Now() - vm.m_term->m_confirmed_at < outage::kMaxConfirmationAge;
+    std::erase_if(vm.m_term->m_peers, [&](const auto& entry) {
+      const Peer& peer = entry.second;
+      return !peer.m_connected && is_confirmed &&
+             Now() - peer.m_disconnected_at > outage::kPeerRemovalDelay;
+    });
+  }
+
+  // Links of other VMs to the owner.
+
+  Vm* HolderOf(const OwnerView& view) {
+    for (const auto& vm : m_vms) {
+      if (view.m_record &&
+          vm->m_own.m_incarnation == view.m_record->m_incarnation) {
+        return vm.get();
+      }
+    }
+    return nullptr;
+  }
+
+  void SetHealth(Vm& vm, LinkHealth health) {
+    if (vm.m_view.m_link != health) {
+      vm.m_view.m_link = health;
+      const std::uint64_t loop = vm.m_follow;
+      After(vm, Duration(0), [this, &vm, loop] { Wake(vm, loop); });
+    }
+  }
+
+  void CloseLink(Vm& vm) {
+    if (vm.m_link) {
+      vm.m_link->m_closed = true;
+      vm.m_link.reset();
+    }
+  }
+
+  /// Opens a link to the holder that the view names, again and again.
+  void Connect(Vm& vm) {
+    CloseLink(vm);
+    Vm* holder = HolderOf(vm.m_view);
+    if (holder == nullptr || holder == &vm || vm.m_term) {
+      return;
+    }
+    const auto link = std::make_shared<Link>();
+    link->m_to = holder->m_index;
+    vm.m_link = link;
+    link->m_last_received_at = Now();
+    Send(vm, *holder, link, [this, &vm, holder, link] {
+      if (!holder->m_term) {
+        Send(*holder, vm, link, [this, &vm, link] { Reconnect(vm, link); });
+        return;
+      }
+      link->m_term = holder->m_term->m_number;
+      Peer& peer = holder->m_term->m_peers[vm.m_index];
+      peer.m_connected = true;
+      peer.m_last_ping_at = Now();
+      Send(*holder, vm, link, [this, &vm, link] {
+        link->m_is_open = true;
+        link->m_last_received_at = Now();
+        SetHealth(vm, LinkHealth::kGood);
+        SendPings(vm, link);
+      });
+    });
+    WatchSilence(vm, link);
+  }
+
+  void Reconnect(Vm& vm, const std::shared_ptr<Link>& link) {
+    if (link->m_closed) {
+      return;
+    }
+    link->m_closed = true;
+    // The other end learns of it when the packet arrives.
+    Vm& holder = *m_vms[link->m_to];
+    SendAlways(vm, holder, [this, &vm, &holder, link] {
+      if (IsInTerm(holder, link->m_term) && !HasNewerLink(vm, *link)) {
+        Peer& peer = holder.m_term->m_peers[vm.m_index];
+        peer.m_connected = false;
+        peer.m_disconnected_at = Now();
+      }
+    });
+    SetHealth(vm, LinkHealth::kSilent);
+    After(vm, outage::kReconnect, [this, &vm, link] {
+      if (vm.m_link == link) {
+        Connect(vm);
+      }
+    });
+  }
+
+  static bool HasNewerLink(const Vm& vm, const Link& link) {
+    return vm.m_link && vm.m_link.get() != &link &&
+           vm.m_link->m_term == link.m_term;
+  }
+
+  void WatchSilence(Vm& vm, const std::shared_ptr<Link>& link) {
+    After(vm, Milliseconds(50), [this, &vm, link] {
+      if (link->m_closed || vm.m_link != link) {
+        return;
+      }
+      const Duration silent = Now() - link->m_last_received_at;
+      if (silent > outage::kSilence) {
+        Reconnect(vm, link);
+        return;
+      }
+      if (silent > outage::kLate && vm.m_view.m_link == LinkHealth::kGood) {
+        SetHealth(vm, LinkHealth::kLate);
+      }
+      WatchSilence(vm, link);
+    });
+  }
+
+  void SendPings(Vm& vm, const std::shared_ptr<Link>& link) {
+    if (link->m_closed || vm.m_link != link) {
+      return;
+    }
+    Vm& holder = *m_vms[link->m_to];
+    const Duration age = vm.m_contact.m_reached_at == TimePoint::min()
+                             ? Duration(Seconds(3600))
+                             : Now() - vm.m_contact.m_reached_at;
+    Send(vm, holder, link, [this, &vm, &holder, link, age] {
+      if (!IsInTerm(holder, link->m_term)) {
+        return;
+      }
+      Peer& peer = holder.m_term->m_peers[vm.m_index];
+      peer.m_last_ping_at = Now();
+      peer.m_store_age = age;
+      const bool is_confirmed =
+          Now() - holder.m_term->m_confirmed_at < outage::kMaxConfirmationAge;
+      Send(holder, vm, link, [this, &vm, link, is_confirmed] {
+        if (vm.m_link == link) {
+          link->m_last_received_at = Now();
+          SetHealth(vm, is_confirmed ? LinkHealth::kGood
+                                     : LinkHealth::kStoreUnreachable);
+        }
+      });
+    });
+    After(vm, outage::kPingPeriod, [this, &vm, link] { SendPings(vm, link); });
+  }
+
+  /// Delivers in order, when the path allows it, unless the link is closed
+  /// while the message is held.
+  void Send(Vm& from, Vm& to, const std::shared_ptr<Link>& link,
+            std::function<void()> deliver) {
+    TimePoint& last =
+        link->m_to == to.m_index ? link->m_arrives_there : link->m_arrives_back;
+    TimePoint arrives = Now() + outage::kDelay;
+    bool is_held = false;
+    if (const auto* fault =
+            Find(m_link_faults[{from.m_index, to.m_index}], Now())) {
+      is_held = fault->m_kind == LinkFault::kCut;
+      arrives = is_held ? fault->m_until : arrives + m_slow_link;
+    }
+    last = std::max(arrives, last);
+    At(to, last, [link, is_held, deliver] {
+      if (!is_held || !link->m_closed) {
+        deliver();
+      }
+    });
+  }
+
+  void SendAlways(Vm& from, Vm& to, std::function<void()> deliver) {
+    TimePoint arrives = Now() + outage::kDelay;
+    if (const auto* fault =
+            Find(m_link_faults[{from.m_index, to.m_index}], Now())) {
+      arrives = fault->m_kind == LinkFault::kCut ? fault->m_until
+                                                 : arrives + m_slow_link;
+    }
+    At(to, arrives, std::move(deliver));
+  }
+
+  bool IsWorkerCut(std::size_t vm, std::size_t worker) const {
+    const auto found = m_worker_cuts.find({vm, worker});
+    return found != m_worker_cuts.end() &&
+           Find(found->second, Now()) != nullptr;
+  }
+
+  VirtualTime m_time;
+  Rng m_rng;
+  std::vector<std::unique_ptr<Vm>> m_vms;
+  std::vector<Worker> m_workers;
+  std::optional<OwnerRecord> m_row;
+  RowVersion m_version;
+  std::map<std::pair<std::size_t, std::size_t>,
+           std::vector<Impairment<LinkFault>>>
+      m_link_faults;
+  std::map<std::pair<std::size_t, std::size_t>, std::vector<Impairment<bool>>>
+      m_worker_cuts;
+  /// Until when each term reckons with orders of the ones before.
+  std::map<std::uint64_t, TimePoint> m_bounds;
+};
+
+}  // namespace filbertspar::testing
--- a/tests/ownership_claim_test.cc
+++ b/tests/ownership_claim_test.cc
@@ -23,6 +23,9 @@
   return view;
 }
 
+/// A contact with the store without a gap from `since` to kNow.
+StoreContact ContactSince(TimePoint since) { return {kNow, since}; }
+
 // Guards against replacing an owner that still works.
 TEST_CASE("an owner that answers or writes is not replaced") {
   CHECK_FALSE(ShouldClaim(ViewOf(Seconds(9), LinkHealth::kGood), kSelf, kNow));
@@ -45,12 +48,45 @@
 // leases of those orders for expired and starts running tasks elsewhere.
 TEST_CASE("an owner may have acted until the store could be reached again") {
   const OwnerView view = ViewOf(Milliseconds(4500), LinkHealth::kSilent);
-  CHECK(LastEvidenceOfOwner(view, kNow - Milliseconds(2)) ==
+  CHECK(LastEvidenceOfOwner(view, ContactSince(kNow - Milliseconds(2))) ==
         kNow - Milliseconds(2));
-  CHECK(LastEvidenceOfOwner(view, kNow - Seconds(60)) ==
-        kNow - Milliseconds(4500));
-  CHECK(LastEvidenceOfOwner(view, TimePoint::max()) ==
+  CHECK(LastEvidenceOfOwner(view, ContactSince(kNow - Seconds(60))) ==
         kNow - Milliseconds(4500));
+  CHECK(LastEvidenceOfOwner(view, StoreContact()) == kNow - Milliseconds(4500));
+}
+
+// Guards against a new owner that starts running tasks elsewhere, because the
+// previous owner counts as silent since the time at which the claim was sent
+// (review/12).
+TEST_CASE("a term begins with what is known when the claim is answered") {
+  const bool is_answered = GENERATE(true, false);
+  OwnerView view = ViewOf(Milliseconds(900), LinkHealth::kStoreUnreachable);
+  view.m_record->m_all_starts_recorded = true;
+  StoreContact contact = ContactSince(kNow - Seconds(60));
+  const ClaimAttempt attempt = MakeClaim(OwnerRecord(), view, contact, kNow);
+  const TimePoint answered_at = kNow + Seconds(5);
+  HandleStoreAnswer(contact, answered_at);
+  const WonClaim won = WinClaim(attempt, RowVersion(7), is_answered, contact,
+                                answered_at + Milliseconds(1));
+  CHECK(won.m_record == attempt.m_record);
+  CHECK(won.m_version == RowVersion(7));
+  CHECK(won.m_previous_silent_since >= answered_at);
+  // The owner before may have started tasks that it could not record.
+  CHECK_FALSE(won.m_all_runs_recorded);
+}
+
+// Guards against a take-over that becomes slower although the store answered
+// all the while.
+TEST_CASE("a claim that is answered at once relies on what was read before") {
+  OwnerView view = ViewOf(Milliseconds(900), LinkHealth::kStoreUnreachable);
+  view.m_record->m_all_starts_recorded = true;
+  StoreContact contact = ContactSince(kNow - Seconds(60));
+  const ClaimAttempt attempt = MakeClaim(OwnerRecord(), view, contact, kNow);
+  HandleStoreAnswer(contact, kNow + Milliseconds(5));
+  const WonClaim won = WinClaim(attempt, RowVersion(7), /*is_answered=*/true,
+                                contact, kNow + Milliseconds(5));
+  CHECK(won.m_previous_silent_since == kNow - Milliseconds(900));
+  CHECK(won.m_all_runs_recorded);
 }
 
 // A VM reads the row of an owner that answers only every few seconds. Guards
@@ -174,19 +210,20 @@
 // Guards against a new owner that relies on stored progress in which the
 // previous owner could not record all runs.
 TEST_CASE("recorded starts are relied on only if they must be complete") {
-  constexpr TimePoint kReached = kNow - Seconds(9);
+  const StoreContact reached = ContactSince(kNow - Seconds(9));
   OwnerView view = ViewOf(Milliseconds(1400), LinkHealth::kSilent);
-  CHECK_FALSE(CanRelyOnRecordedStarts(view, kReached, kNow));
+  CHECK_FALSE(CanRelyOnRecordedStarts(view, reached, kNow));
   view.m_record->m_all_starts_recorded = true;
-  CHECK(CanRelyOnRecordedStarts(view, kReached, kNow));
+  CHECK(CanRelyOnRecordedStarts(view, reached, kNow));
   // While this VM did not reach the store, it could not see whether the owner
   // did.
-  CHECK_FALSE(CanRelyOnRecordedStarts(view, kNow - Seconds(3), kNow));
-  CHECK_FALSE(CanRelyOnRecordedStarts(view, TimePoint::max(), kNow));
+  CHECK_FALSE(
+      CanRelyOnRecordedStarts(view, ContactSince(kNow - Seconds(3)), kNow));
+  CHECK_FALSE(CanRelyOnRecordedStarts(view, StoreContact(), kNow));
   view.m_version_first_seen = kNow - Seconds(3);
-  CHECK_FALSE(CanRelyOnRecordedStarts(view, kReached, kNow));
+  CHECK_FALSE(CanRelyOnRecordedStarts(view, reached, kNow));
   view.m_record->m_released = true;
-  CHECK(CanRelyOnRecordedStarts(view, kNow - Seconds(3), kNow));
+  CHECK(CanRelyOnRecordedStarts(view, ContactSince(kNow - Seconds(3)), kNow));
 }
 
 // Guards against a record that other VMs cannot read.
