A write that is found in the row counts from its first attempt

What callers saw: nothing yet; found in drawn outages in virtual time. An owner sent orders up to 1.7 s after the time from which the next one took its leases for over.

The next owner reckons from when it read that row, which may be seconds before. In the same way a term counted as confirmed from its beginning, although a claim that is found in the row may have been written long before.

Change: the time of a confirmation is computed by the ownership library (OwnerConfirmation): an answered attempt counts from when it was sent, one that is found in the row from the first. A claim keeps when it was sent first.

Tests: a write, and a claim, that is found in the row counts from its first attempt.

--- a/filbertspar/node/src/journal.cc
+++ b/filbertspar/node/src/journal.cc
@@ -86,7 +86,7 @@
       m_max_part_bytes(MaxPartBytes(limits.m_row_bytes)),
       m_work_signal(context),
       m_put_settled_signal(context),
-      m_confirmed_at(BootNow()),
+      m_confirmation{won.m_claimed_at, std::nullopt, {}},
       m_all_recorded_at_start(won.m_all_runs_recorded) {}
 
 bool Journal::HasWork() const {
@@ -139,7 +139,7 @@
 
 asio::awaitable<void> Journal::Run() {
   while (m_running) {
-    const TimePoint due = m_confirmed_at + kOwnerRowRenewPeriod;
+    const TimePoint due = ConfirmedAt() + kOwnerRowRenewPeriod;
     while (m_running && !HasWork() && BootNow() < due) {
       co_await m_work_signal.WaitFor(due - BootNow());
     }
@@ -192,16 +192,18 @@
   Duration timeout = kInitialTimeout;
   while (m_running) {
     const TimePoint sent = BootNow();
+    HandleWriteSent(m_confirmation, sent);
     const StoreResponse answer = co_await m_store.Change(change, timeout);
     switch (answer.m_result) {
       case StoreResult::kDone:
         m_version = answer.m_version;
-        m_confirmed_at = sent;
+        HandleWriteAnswered(m_confirmation);
         co_return Outcome::kStored;
       case StoreResult::kConflict: {
-        co_return co_await ResolveConflict(sent);
+        co_return co_await ResolveConflict();
       }
       case StoreResult::kInvalid:
+        HandleWriteRejected(m_confirmation);
         co_return Outcome::kRejected;
       case StoreResult::kRefused:
         co_await SleepFor(kRefusedRetryDelay);
@@ -223,7 +225,7 @@
   co_return Outcome::kNotOwner;
 }
 
-asio::awaitable<Journal::Outcome> Journal::ResolveConflict(TimePoint sent) {
+asio::awaitable<Journal::Outcome> Journal::ResolveConflict() {
   while (m_running) {
     const StoreResponse answer = co_await m_store.Read(
         job_table::kOwner, job_table::kPartition, "", kMaxTimeout);
@@ -241,7 +243,7 @@
         m_log.Info("journal", "write_settled",
                    absl::StrCat("write=", m_record.m_write_number));
         m_version = row.m_version;
-        m_confirmed_at = sent;
+        HandleWriteFound(m_confirmation);
         co_return Outcome::kStored;
       }
     }
--- a/filbertspar/node/src/journal.h
+++ b/filbertspar/node/src/journal.h
@@ -76,7 +76,7 @@
   void NotifyWork() { m_work_signal.Notify(); }
 
   /// \brief When the last transaction that took effect was sent.
-  TimePoint ConfirmedAt() const { return m_confirmed_at; }
+  TimePoint ConfirmedAt() const { return m_confirmation.m_confirmed_at; }
   /// \brief Whether the current write has been without a response for more than
   /// 1.5 s.
   bool IsStalled(TimePoint now) const;
@@ -136,7 +136,7 @@
   void DropRejectedItem(const Batch& batch);
   void SettlePut(const PendingPut& put, bool stored);
   asio::awaitable<Outcome> Write(const StoreTransaction& change);
-  asio::awaitable<Outcome> ResolveConflict(TimePoint sent);
+  asio::awaitable<Outcome> ResolveConflict();
   void Finish(const std::shared_ptr<PendingJob>& job, Code code);
   void FailUnsentJobs(Code code);
   bool HasWork() const;
@@ -177,7 +177,7 @@
   std::set<std::uint64_t> m_unsettled_puts;
   std::set<std::uint64_t> m_rejected_puts;
   Signal m_put_settled_signal;
-  TimePoint m_confirmed_at;
+  OwnerConfirmation m_confirmation;
   TimePoint m_write_began_at = TimePoint::min();
   bool m_is_writing = false;
   /// Whether the last write took longer than a start may be delayed.
--- a/filbertspar/node/src/owner_watch.cc
+++ b/filbertspar/node/src/owner_watch.cc
@@ -105,7 +105,8 @@
 }
 
 asio::awaitable<void> OwnerWatch::Claim() {
-  m_last_claim = MakeClaim(m_own_record, m_view, m_store.Contact(), BootNow());
+  m_last_claim = MakeClaim(m_own_record, m_view, m_store.Contact(),
+                           m_last_claim, BootNow());
   const OwnerRecord& claim = m_last_claim.m_record;
   StoreTransaction change;
   change.m_conditions.push_back({OwnerRowKey(), m_view.m_version});
--- a/filbertspar/ownership/src/claim.cc
+++ b/filbertspar/ownership/src/claim.cc
@@ -148,14 +148,19 @@
 }
 
 ClaimAttempt MakeClaim(const OwnerRecord& own_record, const OwnerView& view,
-                       const StoreContact& contact, TimePoint now) {
-  ClaimAttempt attempt{own_record, view, now};
+                       const StoreContact& contact, const ClaimAttempt& last,
+                       TimePoint now) {
+  ClaimAttempt attempt{own_record, view, now, now};
   attempt.m_record.m_epoch =
       NextEpoch(view.m_record ? view.m_record->m_epoch : FencingNumber());
   attempt.m_record.m_write_number = 0;
   attempt.m_record.m_released = false;
   attempt.m_record.m_all_starts_recorded =
       CanRelyOnRecordedStarts(view, contact, now);
+  if (last.m_record.m_epoch == attempt.m_record.m_epoch &&
+      last.m_view.m_version == view.m_version) {
+    attempt.m_first_sent_at = last.m_first_sent_at;
+  }
   return attempt;
 }
 
@@ -165,6 +170,7 @@
   WonClaim won;
   won.m_record = attempt.m_record;
   won.m_version = version;
+  won.m_claimed_at = is_answered ? attempt.m_sent_at : attempt.m_first_sent_at;
   won.m_previous_silent_since = LastEvidenceOfOwner(attempt.m_view, contact);
   won.m_all_runs_recorded =
       is_answered && CanRelyOnRecordedStarts(attempt.m_view, contact, now);
--- a/filbertspar/ownership/src/claim.h
+++ b/filbertspar/ownership/src/claim.h
@@ -83,12 +83,17 @@
   OwnerRecord m_record;
   OwnerView m_view;
   TimePoint m_sent_at{};
+  /// When the first claim with this record and view was sent; it may have taken
+  /// effect without an answer.
+  TimePoint m_first_sent_at{};
 };
 
 /// \brief A successful claim, with the version of the owner's row.
 struct WonClaim {
   OwnerRecord m_record;
   RowVersion m_version;
+  /// When the claim that took effect was sent, or earlier.
+  TimePoint m_claimed_at{};
   /// The previous owner has written nothing since this time.
   TimePoint m_previous_silent_since{};
   /// Whether the stored progress records every run that may still be active.
@@ -96,9 +101,10 @@
 };
 
 /// \brief The claim that follows the record of the view; `own_record` has the
-/// fields of this process.
+/// fields of this process, `last` is its last claim.
 ClaimAttempt MakeClaim(const OwnerRecord& own_record, const OwnerView& view,
-                       const StoreContact& contact, TimePoint now);
+                       const StoreContact& contact, const ClaimAttempt& last,
+                       TimePoint now);
 
 /// \brief Begins the term of a claim that was answered, or, without an answer,
 /// found in the row with this version. `contact` and `now` are those of the
--- a/tests/outage_world.h
+++ b/tests/outage_world.h
@@ -154,6 +154,9 @@
 
   /// Planted: a statement counts from when it arrives, or its link opens.
   bool m_plant_undated = false;
+  /// Planted: an owner counts a write that the row shows as sent last, and its
+  /// term as confirmed when it begins.
+  bool m_plant_late_confirmation = false;
 
   std::vector<Breach> m_breaches;
   std::size_t m_terms = 0;
@@ -174,7 +177,7 @@
   struct Term {
     WonClaim m_won;
     std::uint64_t m_number = 0;
-    TimePoint m_confirmed_at{};
+    OwnerConfirmation m_confirmation;
     RowVersion m_version;
     std::uint64_t m_write_number = 0;
     TimePoint m_orders_until{};
@@ -383,7 +386,8 @@
   }
 
   void Claim(Vm& vm) {
-    vm.m_last_claim = MakeClaim(vm.m_own, vm.m_view, vm.m_contact, Now());
+    vm.m_last_claim =
+        MakeClaim(vm.m_own, vm.m_view, vm.m_contact, vm.m_last_claim, Now());
     vm.m_contact_at_claim = vm.m_contact;
     const Write write{vm.m_view.m_version, vm.m_last_claim.m_record};
     Call(vm, write, true, Duration(0), outage::kClaimTimeout,
@@ -417,7 +421,8 @@
                        Now());
     term.m_number = ++m_terms;
     term.m_version = version;
-    term.m_confirmed_at = Now();
+    term.m_confirmation.m_confirmed_at =
+        m_plant_late_confirmation ? Now() : term.m_won.m_claimed_at;
     term.m_orders_until =
         term.m_won.m_previous_silent_since + kMaxUnconfirmedTime;
     term.m_leases_until = term.m_orders_until + outage::kLease * 21 / 20 +
@@ -448,7 +453,8 @@
   }
 
   void WriteLater(Vm& vm, std::uint64_t number) {
-    const TimePoint due = vm.m_term->m_confirmed_at + outage::kRenewPeriod;
+    const TimePoint due =
+        vm.m_term->m_confirmation.m_confirmed_at + outage::kRenewPeriod;
     At(vm, due, [this, &vm, number] {
       if (!IsInTerm(vm, number)) {
         return;
@@ -463,6 +469,7 @@
   void AttemptWrite(Vm& vm, std::uint64_t number, const Write& write,
                     Duration timeout) {
     const TimePoint sent = Now();
+    HandleWriteSent(vm.m_term->m_confirmation, sent);
     Call(vm, write, false, Duration(0), timeout,
          [this, &vm, number, write, timeout, sent](const Answer& answer) {
            if (!IsInTerm(vm, number)) {
@@ -470,10 +477,11 @@
            }
            switch (answer.m_result) {
              case Answer::Result::kDone:
-               HandleWritten(vm, number, answer.m_version, sent);
+               HandleWriteAnswered(vm.m_term->m_confirmation);
+               HandleWritten(vm, number, answer.m_version);
                break;
              case Answer::Result::kConflict:
-               ResolveConflict(vm, number, write, sent);
+               ResolveConflict(vm, number, write);
                break;
              case Answer::Result::kRefused:
                Retry(vm, number, outage::kRefusedRetry, write, timeout);
@@ -497,28 +505,30 @@
     });
   }
 
-  void HandleWritten(Vm& vm, std::uint64_t number, RowVersion version,
-                     TimePoint sent) {
+  void HandleWritten(Vm& vm, std::uint64_t number, RowVersion version) {
     vm.m_term->m_version = version;
-    vm.m_term->m_confirmed_at = sent;
     WriteLater(vm, number);
   }
 
-  void ResolveConflict(Vm& vm, std::uint64_t number, const Write& write,
-                       TimePoint sent) {
+  void ResolveConflict(Vm& vm, std::uint64_t number, const Write& write) {
     Call(vm, std::nullopt, false, Duration(0), outage::kMaxWriteTimeout,
-         [this, &vm, number, write, sent](const Answer& answer) {
+         [this, &vm, number, write](const Answer& answer) {
            if (!IsInTerm(vm, number)) {
              return;
            }
            if (answer.m_result != Answer::Result::kDone) {
-             After(vm, outage::kRefusedRetry, [this, &vm, number, write, sent] {
+             After(vm, outage::kRefusedRetry, [this, &vm, number, write] {
                if (IsInTerm(vm, number)) {
-                 ResolveConflict(vm, number, write, sent);
+                 ResolveConflict(vm, number, write);
                }
              });
            } else if (answer.m_record == write.m_record) {
-             HandleWritten(vm, number, answer.m_version, sent);
+             if (m_plant_late_confirmation) {
+               HandleWriteAnswered(vm.m_term->m_confirmation);
+             } else {
+               HandleWriteFound(vm.m_term->m_confirmation);
+             }
+             HandleWritten(vm, number, answer.m_version);
            } else {
              EndTerm(vm);
            }
@@ -535,7 +545,7 @@
   }
 
   bool MaySend(const Vm& vm) const {
-    const TimePoint confirmed_at = vm.m_term->m_confirmed_at;
+    const TimePoint confirmed_at = vm.m_term->m_confirmation.m_confirmed_at;
     return IsRecentlyConfirmed(confirmed_at, Now()) ||
            MayGoOnUnconfirmed(Statements(vm), Now());
   }
@@ -625,8 +635,8 @@
   }
 
   void ForgetPeers(Vm& vm) {
-    const bool is_confirmed =
-        Now() - vm.m_term->m_confirmed_at < outage::kMaxConfirmationAge;
+    const bool is_confirmed = Now() - vm.m_term->m_confirmation.m_confirmed_at <
+                              outage::kMaxConfirmationAge;
     std::erase_if(vm.m_term->m_peers, [&](const auto& entry) {
       const Peer& peer = entry.second;
       return !peer.m_connected && is_confirmed &&
@@ -757,7 +767,8 @@
       peer.m_store_age = age;
       peer.m_stated_at = m_plant_undated ? Now() : stated_at;
       const bool is_confirmed =
-          Now() - holder.m_term->m_confirmed_at < outage::kMaxConfirmationAge;
+          Now() - holder.m_term->m_confirmation.m_confirmed_at <
+          outage::kMaxConfirmationAge;
       const TimePoint reading = Now();
       Send(holder, vm, link, [this, &vm, link, is_confirmed, sent, reading] {
         if (vm.m_link == link) {
--- a/tests/ownership_claim_test.cc
+++ b/tests/ownership_claim_test.cc
@@ -63,7 +63,8 @@
   OwnerView view = ViewOf(Milliseconds(900), LinkHealth::kStoreUnreachable);
   view.m_record->m_all_starts_recorded = true;
   StoreContact contact = ContactSince(kNow - Seconds(60));
-  const ClaimAttempt attempt = MakeClaim(OwnerRecord(), view, contact, kNow);
+  const ClaimAttempt attempt =
+      MakeClaim(OwnerRecord(), view, contact, ClaimAttempt(), kNow);
   const TimePoint answered_at = kNow + Seconds(5);
   HandleStoreAnswer(contact, answered_at);
   const WonClaim won = WinClaim(attempt, RowVersion(7), is_answered, contact,
@@ -81,7 +82,8 @@
   OwnerView view = ViewOf(Milliseconds(900), LinkHealth::kStoreUnreachable);
   view.m_record->m_all_starts_recorded = true;
   StoreContact contact = ContactSince(kNow - Seconds(60));
-  const ClaimAttempt attempt = MakeClaim(OwnerRecord(), view, contact, kNow);
+  const ClaimAttempt attempt =
+      MakeClaim(OwnerRecord(), view, contact, ClaimAttempt(), kNow);
   HandleStoreAnswer(contact, kNow + Milliseconds(5));
   const WonClaim won = WinClaim(attempt, RowVersion(7), /*is_answered=*/true,
                                 contact, kNow + Milliseconds(5));
@@ -226,6 +228,46 @@
   CHECK(CanRelyOnRecordedStarts(view, ContactSince(kNow - Seconds(3)), kNow));
 }
 
+// Guards against an owner that sends orders for longer than the next one
+// expects: its row was written long before a later attempt found it written.
+TEST_CASE("a write that is found in the row counts from its first attempt") {
+  OwnerConfirmation confirmation{kNow, std::nullopt, {}};
+  HandleWriteSent(confirmation, kNow + Seconds(1));
+  HandleWriteSent(confirmation, kNow + Seconds(2));
+  HandleWriteSent(confirmation, kNow + Seconds(4));
+  OwnerConfirmation answered = confirmation;
+  HandleWriteFound(confirmation);
+  CHECK(confirmation.m_confirmed_at == kNow + Seconds(1));
+  HandleWriteAnswered(answered);
+  CHECK(answered.m_confirmed_at == kNow + Seconds(4));
+  HandleWriteSent(answered, kNow + Seconds(5));
+  HandleWriteRejected(answered);
+  HandleWriteSent(answered, kNow + Seconds(6));
+  HandleWriteFound(answered);
+  CHECK(answered.m_confirmed_at == kNow + Seconds(6));
+}
+
+// The same for the claim that begins a term.
+TEST_CASE("a claim that is found in the row counts from its first attempt") {
+  const OwnerView view = ViewOf(Milliseconds(900), LinkHealth::kSilent);
+  const StoreContact contact = ContactSince(kNow - Seconds(60));
+  const ClaimAttempt first =
+      MakeClaim(OwnerRecord(), view, contact, ClaimAttempt(), kNow);
+  const ClaimAttempt second =
+      MakeClaim(OwnerRecord(), view, contact, first, kNow + Seconds(2));
+  const TimePoint now = kNow + Seconds(3);
+  CHECK(WinClaim(second, RowVersion(7), false, contact, now).m_claimed_at ==
+        kNow);
+  CHECK(WinClaim(second, RowVersion(7), true, contact, now).m_claimed_at ==
+        kNow + Seconds(2));
+  OwnerView later = view;
+  later.m_version = RowVersion(6);
+  const ClaimAttempt third =
+      MakeClaim(OwnerRecord(), later, contact, second, kNow + Seconds(4));
+  CHECK(WinClaim(third, RowVersion(7), false, contact, now).m_claimed_at ==
+        kNow + Seconds(4));
+}
+
 // Guards against a record that other VMs cannot read.
 TEST_CASE("the owner record survives encoding and decoding") {
   OwnerRecord record;
