A new owner reckons with what it stated in short gaps of its contact

What callers saw: nothing yet; found in drawn outages in virtual time.

Cause: an owner goes on by the statement of a peer that has lacked the store for 1.3 s. The peer itself counted its contact as continuous up to gaps of 1.5 s, and so, when it took over, the owner as silent since its last write.

Change: the contact with the store keeps the last time for which the VM may have stated that it lacks the store.

Tests: a gap in which this VM states that it lacks the store counts (failed before); an owner may have acted until the store could be reached again.

--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -90,12 +90,12 @@
   options.m_runs_are_recorded = won.m_all_runs_recorded;
   options.m_max_job_bytes = parts.m_options.m_memory_bytes / kJobMemoryShare;
   options.m_state_retention = parts.m_options.m_state_retention;
-  options.m_inherited_leases_until =
-      won.m_previous_silent_since + kMaxUnconfirmedTime +
-      options.m_lease * 21 / 20 + kInheritedLeaseMargin;
-  options.m_inherited_doubt_until =
-      won.m_previous_silent_since + kMaxUnconfirmedTime +
-      scheduler::kMaxCallDelay + scheduler::MaxLeaseTime(m_scheduler);
+  options.m_inherited_leases_until = won.m_previous_orders_until +
+                                     options.m_lease * 21 / 20 +
+                                     kInheritedLeaseMargin;
+  options.m_inherited_doubt_until = won.m_previous_orders_until +
+                                    scheduler::kMaxCallDelay +
+                                    scheduler::MaxLeaseTime(m_scheduler);
   options.m_disruption_allowed_from =
       BootNow() + parts.m_options.m_stop_time + kPreviousOwnerStopTime;
   m_scheduler.m_unix_offset = UnixNow() - BootNow().time_since_epoch();
--- a/filbertspar/node/src/owner_watch.cc
+++ b/filbertspar/node/src/owner_watch.cc
@@ -154,8 +154,8 @@
                  "epoch=", won.m_record.m_epoch.Value(),
                  " version=", version.Value(), " answered=", is_answered,
                  " sent_ms_ago=", ToMilliseconds(now - m_last_claim.m_sent_at),
-                 " previous_silent_ms=",
-                 ToMilliseconds(now - won.m_previous_silent_since),
+                 " previous_orders_ms=",
+                 ToMilliseconds(won.m_previous_orders_until - now),
                  " listed=", won.m_all_runs_recorded));
   m_changed.Notify();
   m_on_claim_won(won);
--- a/filbertspar/ownership/src/claim.cc
+++ b/filbertspar/ownership/src/claim.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "filbertspar/ownership/src/permission.h"
+
 namespace filbertspar {
 namespace {
 
@@ -138,13 +140,11 @@
           now - contact.m_reached_since > kMinStoreContact);
 }
 
-TimePoint LastEvidenceOfOwner(const OwnerView& view,
-                              const StoreContact& contact) {
-  // While no VM reaches the store the owner goes on without confirmations; it
-  // learns with the next ping that this VM reaches the store again.
-  return contact.m_reached_since == TimePoint::max()
-             ? view.m_version_first_seen
-             : std::max(view.m_version_first_seen, contact.m_reached_since);
+TimePoint LatestOrderOfOwner(const OwnerView& view, const StoreContact& contact,
+                             TimePoint now) {
+  // Its last write took effect before the row was first read with it.
+  return std::max(view.m_version_first_seen + kMaxUnconfirmedTime,
+                  AwayUntil(contact, now) + kMaxStatementAge);
 }
 
 ClaimAttempt MakeClaim(const OwnerRecord& own_record, const OwnerView& view,
@@ -171,7 +171,8 @@
   won.m_record = attempt.m_record;
   won.m_version = version;
   won.m_claimed_at = is_answered ? attempt.m_sent_at : attempt.m_first_sent_at;
-  won.m_previous_silent_since = LastEvidenceOfOwner(attempt.m_view, contact);
+  won.m_previous_orders_until =
+      LatestOrderOfOwner(attempt.m_view, contact, now);
   won.m_all_runs_recorded =
       is_answered && CanRelyOnRecordedStarts(attempt.m_view, contact, now);
   return won;
--- a/filbertspar/ownership/src/claim.h
+++ b/filbertspar/ownership/src/claim.h
@@ -72,11 +72,10 @@
 bool CanRelyOnRecordedStarts(const OwnerView& view, const StoreContact& contact,
                              TimePoint now);
 
-/// \brief Latest time at which the owner's last write may have been confirmed
-/// to it, or at which it may have known that no VM reaches the store. It stops
-/// sending orders a bounded time after both.
-TimePoint LastEvidenceOfOwner(const OwnerView& view,
-                              const StoreContact& contact);
+/// \brief Latest time at which the owner whose row a claim replaces may send
+/// orders; see permission.h.
+TimePoint LatestOrderOfOwner(const OwnerView& view, const StoreContact& contact,
+                             TimePoint now);
 
 /// \brief A claim that was sent, and the view on which it is conditional.
 struct ClaimAttempt {
@@ -94,8 +93,8 @@
   RowVersion m_version;
   /// When the claim that took effect was sent, or earlier.
   TimePoint m_claimed_at{};
-  /// The previous owner has written nothing since this time.
-  TimePoint m_previous_silent_since{};
+  /// Latest time at which previous owners may send orders.
+  TimePoint m_previous_orders_until{};
   /// Whether the stored progress records every run that may still be active.
   bool m_all_runs_recorded = false;
 };
--- a/filbertspar/ownership/src/contact.h
+++ b/filbertspar/ownership/src/contact.h
@@ -10,8 +10,15 @@
   TimePoint m_reached_at = TimePoint::min();
   /// Start of the current contact without a gap; max() before the first answer.
   TimePoint m_reached_since = TimePoint::max();
+  /// End of the last time for which this VM may have stated to the owner that
+  /// the store does not answer it; min() before the first answer.
+  TimePoint m_away_until = TimePoint::min();
 };
 
 void HandleStoreAnswer(StoreContact& contact, TimePoint now);
 
+/// \brief Latest time for which this VM may have stated to the owner that the
+/// store does not answer it.
+TimePoint AwayUntil(const StoreContact& contact, TimePoint now);
+
 }  // namespace filbertspar
--- a/tests/outage_world.h
+++ b/tests/outage_world.h
@@ -148,8 +148,8 @@
   std::function<void()> m_on_claim;
   /// Calls of a claim, instead of all, that the store faults apply to.
   bool m_claims_only = false;
-  /// Planted: the claim, not the beginning of the term, is the time of what a
-  /// new owner knows of the one before.
+  /// Planted: what a new owner knows of its contact with the store is from when
+  /// it sent the claim.
   bool m_plant_stale_claim = false;
 
   /// Planted: a statement counts from when it arrives, or its link opens.
@@ -413,18 +413,18 @@
 
   void BeginTerm(Vm& vm, RowVersion version, bool is_answered) {
     Term term;
+    StoreContact contact = vm.m_contact;
+    if (m_plant_stale_claim) {
+      contact = vm.m_contact_at_claim;
+      contact.m_reached_at = Now();
+    }
     term.m_won =
-        m_plant_stale_claim
-            ? WinClaim(vm.m_last_claim, version, is_answered,
-                       vm.m_contact_at_claim, vm.m_last_claim.m_sent_at)
-            : WinClaim(vm.m_last_claim, version, is_answered, vm.m_contact,
-                       Now());
+        WinClaim(vm.m_last_claim, version, is_answered, contact, Now());
     term.m_number = ++m_terms;
     term.m_version = version;
     term.m_confirmation.m_confirmed_at =
         m_plant_late_confirmation ? Now() : term.m_won.m_claimed_at;
-    term.m_orders_until =
-        term.m_won.m_previous_silent_since + kMaxUnconfirmedTime;
+    term.m_orders_until = term.m_won.m_previous_orders_until;
     term.m_leases_until = term.m_orders_until + outage::kLease * 21 / 20 +
                           outage::kInheritedLeaseMargin;
     term.m_heard.resize(m_workers.size());
--- a/tests/ownership_claim_test.cc
+++ b/tests/ownership_claim_test.cc
@@ -24,7 +24,7 @@
 }
 
 /// A contact with the store without a gap from `since` to kNow.
-StoreContact ContactSince(TimePoint since) { return {kNow, since}; }
+StoreContact ContactSince(TimePoint since) { return {kNow, since, since}; }
 
 // Guards against replacing an owner that still works.
 TEST_CASE("an owner that answers or writes is not replaced") {
@@ -48,11 +48,30 @@
 // leases of those orders for expired and starts running tasks elsewhere.
 TEST_CASE("an owner may have acted until the store could be reached again") {
   const OwnerView view = ViewOf(Milliseconds(4500), LinkHealth::kSilent);
-  CHECK(LastEvidenceOfOwner(view, ContactSince(kNow - Milliseconds(2))) ==
-        kNow - Milliseconds(2));
-  CHECK(LastEvidenceOfOwner(view, ContactSince(kNow - Seconds(60))) ==
-        kNow - Milliseconds(4500));
-  CHECK(LastEvidenceOfOwner(view, StoreContact()) == kNow - Milliseconds(4500));
+  StoreContact contact;
+  HandleStoreAnswer(contact, kNow - Seconds(60));
+  for (Duration ago = Seconds(59); ago > Milliseconds(4200);
+       ago -= Seconds(1)) {
+    HandleStoreAnswer(contact, kNow - ago);
+  }
+  CHECK(LatestOrderOfOwner(view, contact, kNow) == kNow + kMaxStatementAge);
+  HandleStoreAnswer(contact, kNow - Milliseconds(2));
+  CHECK(LatestOrderOfOwner(view, contact, kNow) ==
+        kNow - Milliseconds(2) + kMaxStatementAge);
+  CHECK(LatestOrderOfOwner(view, ContactSince(kNow - Seconds(60)), kNow) ==
+        kNow - Milliseconds(4500) + kMaxUnconfirmedTime);
+}
+
+// Guards against an owner that goes on by what this VM states in a gap of its
+// contact which is too short to interrupt the contact.
+TEST_CASE("a gap in which this VM states that it lacks the store counts") {
+  const OwnerView view = ViewOf(Milliseconds(4500), LinkHealth::kSilent);
+  StoreContact contact = ContactSince(kNow - Seconds(60));
+  HandleStoreAnswer(contact, kNow + kStoreAwayTime);
+  CHECK(contact.m_reached_since == kNow - Seconds(60));
+  const TimePoint now = kNow + kStoreAwayTime + Milliseconds(50);
+  CHECK(LatestOrderOfOwner(view, contact, now) ==
+        kNow + kStoreAwayTime + kMaxStatementAge);
 }
 
 // Guards against a new owner that starts running tasks elsewhere, because the
@@ -71,7 +90,7 @@
                                 answered_at + Milliseconds(1));
   CHECK(won.m_record == attempt.m_record);
   CHECK(won.m_version == RowVersion(7));
-  CHECK(won.m_previous_silent_since >= answered_at);
+  CHECK(won.m_previous_orders_until >= answered_at + kMaxStatementAge);
   // The owner before may have started tasks that it could not record.
   CHECK_FALSE(won.m_all_runs_recorded);
 }
@@ -87,7 +106,8 @@
   HandleStoreAnswer(contact, kNow + Milliseconds(5));
   const WonClaim won = WinClaim(attempt, RowVersion(7), /*is_answered=*/true,
                                 contact, kNow + Milliseconds(5));
-  CHECK(won.m_previous_silent_since == kNow - Milliseconds(900));
+  CHECK(won.m_previous_orders_until ==
+        kNow - Milliseconds(900) + kMaxUnconfirmedTime);
   CHECK(won.m_all_runs_recorded);
 }
 
