An owner goes on without confirmations for a bounded time

What callers saw: nothing yet; found in drawn outages in virtual time. Two VMs sent orders at the same time, in the drawn outages for up to 1.8 s after the later one took the leases of the other for over, without a bound in principle.

Cause: an owner that no VM confirms goes on by the statements of its peers. A VM that is not among these (its link was down for more than 10 s, or it has not been linked in this term) reaches the store, claims, and reckons as if it had stopped the owner. The same for an owner of before the one that it is linked to.

Ruled out: keeping all peers for good would stop owners in outages after a VM has left; a list of the VMs in the store would cost a write for each.

Change: an owner goes on for 10 s after its last confirmed write at the most. A VM reckons with the short bound if the owner has answered one of its pings in this term, and the row was written while the owner must remember it, or if the owner's address refuses connections or is its own; else with the 10 s. It relies on recorded starts only as a peer. What it knows of earlier owners goes along.

--- a/filbertspar/node/src/link_client.cc
+++ b/filbertspar/node/src/link_client.cc
@@ -83,6 +83,7 @@
   Hello m_self;
   StartHandler m_starts;
   std::function<void(LinkHealth)> m_changed;
+  std::function<void(std::uint64_t, TimePoint)> m_answered;
   std::function<LinkPing()> m_describe;
   std::optional<OwnerRecord> m_owner;
   std::uint64_t m_generation = 0;
@@ -207,6 +208,9 @@
   }
   if (!pings.empty() && pings.front().first == pong.m_number) {
     link.m_is_answered = true;
+    if (m_answered && m_owner) {
+      m_answered(m_owner->m_incarnation, pings.front().second);
+    }
     if (pong.m_clock_ms >= 0) {
       link.m_owner_clock = {pings.front().second, BootNow(),
                             TimeFromMs(pong.m_clock_ms)};
@@ -308,6 +312,11 @@
   m_state->m_changed = std::move(changed);
 }
 
+void LinkClient::SetAnswerCallback(
+    std::function<void(std::uint64_t, TimePoint)> answered) {
+  m_state->m_answered = std::move(answered);
+}
+
 void LinkClient::SetPingSource(std::function<LinkPing()> describe) {
   m_state->m_describe = std::move(describe);
 }
--- a/filbertspar/node/src/link_client.h
+++ b/filbertspar/node/src/link_client.h
@@ -30,6 +30,10 @@
 
   /// \brief Sets the callback for changes of the link's health.
   void SetHealthCallback(std::function<void(LinkHealth)> changed);
+  /// \brief Sets the callback for answers to pings: the incarnation that
+  /// answered, and when the ping was sent.
+  void SetAnswerCallback(
+      std::function<void(std::uint64_t incarnation, TimePoint sent)> answered);
   /// \brief Sets the function that fills each ping with the status of this VM.
   void SetPingSource(std::function<LinkPing()> describe);
 
--- a/filbertspar/node/src/node.cc
+++ b/filbertspar/node/src/node.cc
@@ -359,6 +359,10 @@
   });
   parts.m_link_client.SetHealthCallback(
       [&parts](LinkHealth health) { parts.m_watch.UpdateLinkHealth(health); });
+  parts.m_link_client.SetAnswerCallback(
+      [&parts](std::uint64_t incarnation, TimePoint sent) {
+        parts.m_watch.HandlePingAnswered(incarnation, sent);
+      });
   parts.m_link_client.SetPingSource([&parts] {
     const TimePoint reached = parts.m_store.Contact().m_reached_at;
     LinkPing ping;
--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -39,9 +39,6 @@
 constexpr Duration kLongDispatchPause = Milliseconds(400);
 constexpr Duration kRecommendationTimeout = Seconds(2);
 constexpr std::size_t kMaxRemovalsPerTick = 20;
-/// A peer whose link has been down for this long while the store confirmed the
-/// ownership is considered gone.
-constexpr Duration kPeerRemovalDelay = Seconds(10);
 constexpr Duration kMaxPingAge = Seconds(1);
 
 /// Jobs may take one part in this of the process's memory; the rest covers
@@ -216,7 +213,8 @@
   }
   const TimePoint now = BootNow();
   return IsRecentlyConfirmed(m_journal->ConfirmedAt(), now) ||
-         MayGoOnUnconfirmed(m_parts.m_links.Statements(), now);
+         MayGoOnUnconfirmed(m_journal->ConfirmedAt(),
+                            m_parts.m_links.Statements(), now);
 }
 
 asio::awaitable<void> OwnerTerm::Recover() {
--- a/filbertspar/node/src/owner_watch.cc
+++ b/filbertspar/node/src/owner_watch.cc
@@ -39,7 +39,7 @@
 
 void OwnerWatch::HandleOwnershipLost() {
   m_is_owner = false;
-  m_view = OwnerView();
+  m_view = ViewAfterTerm(m_last_won);
   m_changed.Notify();
   m_wake.Notify();
 }
@@ -52,6 +52,11 @@
   }
 }
 
+void OwnerWatch::HandlePingAnswered(std::uint64_t incarnation,
+                                    TimePoint ping_sent_at) {
+  filbertspar::HandlePingAnswered(m_view, incarnation, ping_sent_at);
+}
+
 asio::awaitable<void> OwnerWatch::Follow() {
   while (true) {
     if (m_is_owner) {
@@ -71,7 +76,7 @@
 
 void OwnerWatch::UpdateView(const std::optional<OwnerRecord>& record,
                             RowVersion version, TimePoint sent) {
-  if (!UpdateOwnerView(m_view, record, version, sent, BootNow())) {
+  if (!UpdateOwnerView(m_view, m_self, record, version, sent, BootNow())) {
     return;
   }
   m_log.Info("owner", "owner_seen",
@@ -105,7 +110,7 @@
 }
 
 asio::awaitable<void> OwnerWatch::Claim() {
-  m_last_claim = MakeClaim(m_own_record, m_view, m_store.Contact(),
+  m_last_claim = MakeClaim(m_own_record, m_view, m_self, m_store.Contact(),
                            m_last_claim, BootNow());
   const OwnerRecord& claim = m_last_claim.m_record;
   StoreTransaction change;
@@ -138,27 +143,26 @@
 
 void OwnerWatch::BeginUnansweredTerm() {
   if (!m_is_owner && m_willing &&
-      IsOwnUnansweredClaim(m_view, m_self, m_last_term)) {
+      IsOwnUnansweredClaim(m_view, m_self, m_last_won.m_record.m_epoch)) {
     BeginTerm(m_view.m_version, /*is_answered=*/false);
   }
 }
 
 void OwnerWatch::BeginTerm(RowVersion version, bool is_answered) {
   const TimePoint now = BootNow();
-  const WonClaim won =
-      WinClaim(m_last_claim, version, is_answered, m_store.Contact(), now);
+  m_last_won = WinClaim(m_last_claim, m_self, version, is_answered,
+                        m_store.Contact(), now);
   m_is_owner = true;
-  m_last_term = won.m_record.m_epoch;
   m_log.Info("owner", "claim_won",
              absl::StrCat(
-                 "epoch=", won.m_record.m_epoch.Value(),
+                 "epoch=", m_last_won.m_record.m_epoch.Value(),
                  " version=", version.Value(), " answered=", is_answered,
                  " sent_ms_ago=", ToMilliseconds(now - m_last_claim.m_sent_at),
                  " previous_orders_ms=",
-                 ToMilliseconds(won.m_previous_orders_until - now),
-                 " listed=", won.m_all_runs_recorded));
+                 ToMilliseconds(m_last_won.m_previous_orders_until - now),
+                 " listed=", m_last_won.m_all_runs_recorded));
   m_changed.Notify();
-  m_on_claim_won(won);
+  m_on_claim_won(m_last_won);
 }
 
 }  // namespace filbertspar
--- a/filbertspar/node/src/owner_watch.h
+++ b/filbertspar/node/src/owner_watch.h
@@ -42,6 +42,8 @@
   bool IsWilling() const { return m_willing; }
 
   void UpdateLinkHealth(LinkHealth health);
+  /// \brief To be called when the process that owns the jobs answered a ping.
+  void HandlePingAnswered(std::uint64_t incarnation, TimePoint ping_sent_at);
 
   /// \brief The owner as last read, unless that is this process.
   const OwnerView& View() const { return m_view; }
@@ -70,9 +72,9 @@
   Signal m_changed;
   Signal m_wake;
   bool m_is_owner = false;
-  /// The last term that this process has begun.
-  FencingNumber m_last_term;
   ClaimAttempt m_last_claim;
+  /// The claim of the last term that this process has begun.
+  WonClaim m_last_won;
   bool m_willing = true;
 };
 
--- a/filbertspar/ownership/src/claim.cc
+++ b/filbertspar/ownership/src/claim.cc
@@ -94,10 +94,19 @@
 
 }  // namespace
 
-bool UpdateOwnerView(OwnerView& view, const std::optional<OwnerRecord>& record,
+bool UpdateOwnerView(OwnerView& view, const Candidate& self,
+                     const std::optional<OwnerRecord>& record,
                      RowVersion version, TimePoint sent, TimePoint now) {
   const bool is_same_term =
       record && view.m_record && record->m_epoch == view.m_record->m_epoch;
+  if (record && !is_same_term) {
+    const bool is_next = record->m_epoch == NextEpoch(view.m_last_epoch);
+    if (!is_next || !IsPeerOfOwner(view, self)) {
+      // The owners before this one were confirmed for the last time before now.
+      view.m_earlier_orders_until = now + kMaxOutageTime;
+    }
+    view.m_last_epoch = record->m_epoch;
+  }
   if (!is_same_term) {
     view.m_owner_first_seen = now;
   }
@@ -120,6 +129,24 @@
   return true;
 }
 
+void HandlePingAnswered(OwnerView& view, std::uint64_t incarnation,
+                        TimePoint ping_sent_at) {
+  if (view.m_record && view.m_record->m_incarnation == incarnation) {
+    view.m_answered_ping_at = std::max(view.m_answered_ping_at, ping_sent_at);
+  }
+}
+
+bool IsPeerOfOwner(const OwnerView& view, const Candidate& self) {
+  if (!view.m_record || view.m_record->m_vm == self.m_vm ||
+      view.m_link == LinkHealth::kRefused) {
+    return true;
+  }
+  // An answer to a ping of before this term may be one of an earlier term of
+  // the same process.
+  return view.m_answered_ping_at >= view.m_owner_first_seen &&
+         view.m_version_first_seen < view.m_answered_ping_at + kPeerMemory;
+}
+
 bool IsOwnUnansweredClaim(const OwnerView& view, const Candidate& self,
                           FencingNumber last_term) {
   return view.m_record && view.m_record->m_vm == self.m_vm &&
@@ -127,8 +154,8 @@
          !view.m_record->m_released && view.m_record->m_epoch > last_term;
 }
 
-bool CanRelyOnRecordedStarts(const OwnerView& view, const StoreContact& contact,
-                             TimePoint now) {
+bool CanRelyOnRecordedStarts(const OwnerView& view, const Candidate& self,
+                             const StoreContact& contact, TimePoint now) {
   if (!view.m_record) {
     return true;
   }
@@ -136,27 +163,34 @@
     return false;
   }
   return view.m_record->m_released ||
-         (now - view.m_version_first_seen < kMaxOwnerWriteAge &&
+         (IsPeerOfOwner(view, self) &&
+          now - view.m_version_first_seen < kMaxOwnerWriteAge &&
           now - contact.m_reached_since > kMinStoreContact);
 }
 
-TimePoint LatestOrderOfOwner(const OwnerView& view, const StoreContact& contact,
-                             TimePoint now) {
-  // Its last write took effect before the row was first read with it.
-  return std::max(view.m_version_first_seen + kMaxUnconfirmedTime,
-                  AwayUntil(contact, now) + kMaxStatementAge);
+TimePoint LatestOrderOfOwner(const OwnerView& view, const Candidate& self,
+                             const StoreContact& contact, TimePoint now) {
+  // The last write took effect before the row was first read with it.
+  const TimePoint read_at = view.m_version_first_seen;
+  TimePoint latest = read_at + kMaxOutageTime;
+  if (IsPeerOfOwner(view, self)) {
+    latest =
+        std::min(latest, std::max(read_at + kMaxUnconfirmedTime,
+                                  AwayUntil(contact, now) + kMaxStatementAge));
+  }
+  return std::max(latest, view.m_earlier_orders_until);
 }
 
 ClaimAttempt MakeClaim(const OwnerRecord& own_record, const OwnerView& view,
-                       const StoreContact& contact, const ClaimAttempt& last,
-                       TimePoint now) {
+                       const Candidate& self, const StoreContact& contact,
+                       const ClaimAttempt& last, TimePoint now) {
   ClaimAttempt attempt{own_record, view, now, now};
   attempt.m_record.m_epoch =
       NextEpoch(view.m_record ? view.m_record->m_epoch : FencingNumber());
   attempt.m_record.m_write_number = 0;
   attempt.m_record.m_released = false;
   attempt.m_record.m_all_starts_recorded =
-      CanRelyOnRecordedStarts(view, contact, now);
+      CanRelyOnRecordedStarts(view, self, contact, now);
   if (last.m_record.m_epoch == attempt.m_record.m_epoch &&
       last.m_view.m_version == view.m_version) {
     attempt.m_first_sent_at = last.m_first_sent_at;
@@ -164,20 +198,28 @@
   return attempt;
 }
 
-WonClaim WinClaim(const ClaimAttempt& attempt, RowVersion version,
-                  bool is_answered, const StoreContact& contact,
-                  TimePoint now) {
+WonClaim WinClaim(const ClaimAttempt& attempt, const Candidate& self,
+                  RowVersion version, bool is_answered,
+                  const StoreContact& contact, TimePoint now) {
   WonClaim won;
   won.m_record = attempt.m_record;
   won.m_version = version;
   won.m_claimed_at = is_answered ? attempt.m_sent_at : attempt.m_first_sent_at;
   won.m_previous_orders_until =
-      LatestOrderOfOwner(attempt.m_view, contact, now);
+      LatestOrderOfOwner(attempt.m_view, self, contact, now);
   won.m_all_runs_recorded =
-      is_answered && CanRelyOnRecordedStarts(attempt.m_view, contact, now);
+      is_answered &&
+      CanRelyOnRecordedStarts(attempt.m_view, self, contact, now);
   return won;
 }
 
+OwnerView ViewAfterTerm(const WonClaim& won) {
+  OwnerView view;
+  view.m_last_epoch = won.m_record.m_epoch;
+  view.m_earlier_orders_until = won.m_previous_orders_until;
+  return view;
+}
+
 bool ShouldClaim(const OwnerView& view, const Candidate& self, TimePoint now) {
   return view.m_has_read && TimeToClaim(view, self, now) <= Duration(0);
 }
--- a/filbertspar/ownership/src/claim.h
+++ b/filbertspar/ownership/src/claim.h
@@ -38,6 +38,13 @@
   Duration m_read_time{0};
   LinkHealth m_link = LinkHealth::kSilent;
   TimePoint m_link_changed_at{};
+  /// When the last ping was sent that this owner answered; min() before.
+  TimePoint m_answered_ping_at = TimePoint::min();
+  /// Epoch of the last owner that this VM saw or was.
+  FencingNumber m_last_epoch;
+  /// Until when an owner before this one may send orders which has not counted
+  /// this VM among its peers.
+  TimePoint m_earlier_orders_until = TimePoint::min();
 };
 
 /// \brief This process as a candidate for the ownership.
@@ -52,9 +59,18 @@
 
 /// \brief Applies a read of the row that was sent at `sent` and answered now.
 /// True: the row names a holder that it did not name before.
-bool UpdateOwnerView(OwnerView& view, const std::optional<OwnerRecord>& record,
+bool UpdateOwnerView(OwnerView& view, const Candidate& self,
+                     const std::optional<OwnerRecord>& record,
                      RowVersion version, TimePoint sent, TimePoint now);
 
+/// \brief Applies the answer of an owner's process to a ping.
+void HandlePingAnswered(OwnerView& view, std::uint64_t incarnation,
+                        TimePoint ping_sent_at);
+
+/// \brief Whether the owner counted this VM among its peers when it wrote the
+/// row, or has ended.
+bool IsPeerOfOwner(const OwnerView& view, const Candidate& self);
+
 /// \brief Whether to claim the ownership now.
 ///
 /// A claim is safe at any time, because the version of the owner row and the
@@ -69,13 +85,13 @@
 
 /// \brief Whether an owner that claims now can rely on the stored progress to
 /// contain every run that was started.
-bool CanRelyOnRecordedStarts(const OwnerView& view, const StoreContact& contact,
-                             TimePoint now);
+bool CanRelyOnRecordedStarts(const OwnerView& view, const Candidate& self,
+                             const StoreContact& contact, TimePoint now);
 
 /// \brief Latest time at which the owner whose row a claim replaces may send
 /// orders; see permission.h.
-TimePoint LatestOrderOfOwner(const OwnerView& view, const StoreContact& contact,
-                             TimePoint now);
+TimePoint LatestOrderOfOwner(const OwnerView& view, const Candidate& self,
+                             const StoreContact& contact, TimePoint now);
 
 /// \brief A claim that was sent, and the view on which it is conditional.
 struct ClaimAttempt {
@@ -102,15 +118,19 @@
 /// \brief The claim that follows the record of the view; `own_record` has the
 /// fields of this process, `last` is its last claim.
 ClaimAttempt MakeClaim(const OwnerRecord& own_record, const OwnerView& view,
-                       const StoreContact& contact, const ClaimAttempt& last,
-                       TimePoint now);
+                       const Candidate& self, const StoreContact& contact,
+                       const ClaimAttempt& last, TimePoint now);
 
 /// \brief Begins the term of a claim that was answered, or, without an answer,
 /// found in the row with this version. `contact` and `now` are those of the
 /// beginning: the previous owner may have gone on while the claim was under
 /// way.
-WonClaim WinClaim(const ClaimAttempt& attempt, RowVersion version,
-                  bool is_answered, const StoreContact& contact, TimePoint now);
+WonClaim WinClaim(const ClaimAttempt& attempt, const Candidate& self,
+                  RowVersion version, bool is_answered,
+                  const StoreContact& contact, TimePoint now);
+
+/// \brief View of a VM whose term has ended.
+OwnerView ViewAfterTerm(const WonClaim& won);
 
 /// \brief Time until the owner row should be read again.
 Duration TimeToNextOwnerRead(const OwnerView& view, const Candidate& self,
--- a/filbertspar/ownership/src/permission.cc
+++ b/filbertspar/ownership/src/permission.cc
@@ -27,15 +27,18 @@
   return now < confirmed_at + kMaxUnconfirmedTime;
 }
 
-bool MayGoOnUnconfirmed(const std::vector<PeerStatement>& peers,
+bool MayGoOnUnconfirmed(TimePoint confirmed_at,
+                        const std::vector<PeerStatement>& peers,
                         TimePoint now) {
-  return AllPeersLackStore(peers, now, kStoreAwayTime);
+  return now < confirmed_at + kMaxOutageTime &&
+         AllPeersLackStore(peers, now, kStoreAwayTime);
 }
 
 bool MayStartUnrecorded(TimePoint confirmed_at,
                         const std::vector<PeerStatement>& peers,
                         TimePoint now) {
   return now > confirmed_at + kUnrecordedStartsDelay &&
+         now < confirmed_at + kMaxOutageTime &&
          AllPeersLackStore(peers, now, kLongStoreAwayTime);
 }
 
--- a/tests/outage_world.h
+++ b/tests/outage_world.h
@@ -65,7 +65,6 @@
 inline constexpr Duration kTick = Milliseconds(50);
 inline constexpr Duration kLease = Seconds(3);
 inline constexpr Duration kMaxConfirmationAge = Seconds(1);
-inline constexpr Duration kPeerRemovalDelay = Seconds(10);
 inline constexpr Duration kInheritedLeaseMargin = Milliseconds(500);
 }  // namespace outage
 
@@ -377,8 +376,8 @@
     Call(vm, std::nullopt, false, Duration(0), outage::kReadTimeout,
          [this, &vm, sent, then](const Answer& answer) {
            if (answer.m_result == Answer::Result::kDone && !vm.m_term &&
-               UpdateOwnerView(vm.m_view, answer.m_record, answer.m_version,
-                               sent, Now())) {
+               UpdateOwnerView(vm.m_view, vm.m_self, answer.m_record,
+                               answer.m_version, sent, Now())) {
              Connect(vm);
            }
            then();
@@ -386,8 +385,8 @@
   }
 
   void Claim(Vm& vm) {
-    vm.m_last_claim =
-        MakeClaim(vm.m_own, vm.m_view, vm.m_contact, vm.m_last_claim, Now());
+    vm.m_last_claim = MakeClaim(vm.m_own, vm.m_view, vm.m_self, vm.m_contact,
+                                vm.m_last_claim, Now());
     vm.m_contact_at_claim = vm.m_contact;
     const Write write{vm.m_view.m_version, vm.m_last_claim.m_record};
     Call(vm, write, true, Duration(0), outage::kClaimTimeout,
@@ -418,8 +417,8 @@
       contact = vm.m_contact_at_claim;
       contact.m_reached_at = Now();
     }
-    term.m_won =
-        WinClaim(vm.m_last_claim, version, is_answered, contact, Now());
+    term.m_won = WinClaim(vm.m_last_claim, vm.m_self, version, is_answered,
+                          contact, Now());
     term.m_number = ++m_terms;
     term.m_version = version;
     term.m_confirmation.m_confirmed_at =
@@ -447,8 +446,8 @@
   }
 
   void EndTerm(Vm& vm) {
+    vm.m_view = ViewAfterTerm(vm.m_term->m_won);
     vm.m_term.reset();
-    vm.m_view = OwnerView();
     Follow(vm);
   }
 
@@ -547,7 +546,7 @@
   bool MaySend(const Vm& vm) const {
     const TimePoint confirmed_at = vm.m_term->m_confirmation.m_confirmed_at;
     return IsRecentlyConfirmed(confirmed_at, Now()) ||
-           MayGoOnUnconfirmed(Statements(vm), Now());
+           MayGoOnUnconfirmed(confirmed_at, Statements(vm), Now());
   }
 
   void SendOrders(Vm& vm, std::uint64_t number) {
@@ -640,7 +639,7 @@
     std::erase_if(vm.m_term->m_peers, [&](const auto& entry) {
       const Peer& peer = entry.second;
       return !peer.m_connected && is_confirmed &&
-             Now() - peer.m_disconnected_at > outage::kPeerRemovalDelay;
+             Now() - peer.m_disconnected_at > kPeerRemovalDelay;
     });
   }
 
@@ -773,6 +772,8 @@
       Send(holder, vm, link, [this, &vm, link, is_confirmed, sent, reading] {
         if (vm.m_link == link) {
           link->m_clock = PeerClock{sent, Now(), reading};
+          HandlePingAnswered(vm.m_view, m_vms[link->m_to]->m_own.m_incarnation,
+                             sent);
           link->m_last_received_at = Now();
           SetHealth(vm, is_confirmed ? LinkHealth::kGood
                                      : LinkHealth::kStoreUnreachable);
--- a/tests/ownership_claim_test.cc
+++ b/tests/ownership_claim_test.cc
@@ -20,6 +20,8 @@
   view.m_version_first_seen = kNow - unchanged;
   view.m_confirmed_at = kNow;
   view.m_link = link;
+  view.m_owner_first_seen = kNow - Seconds(60);
+  view.m_answered_ping_at = view.m_version_first_seen;
   return view;
 }
 
@@ -54,12 +56,14 @@
        ago -= Seconds(1)) {
     HandleStoreAnswer(contact, kNow - ago);
   }
-  CHECK(LatestOrderOfOwner(view, contact, kNow) == kNow + kMaxStatementAge);
+  CHECK(LatestOrderOfOwner(view, kSelf, contact, kNow) ==
+        kNow + kMaxStatementAge);
   HandleStoreAnswer(contact, kNow - Milliseconds(2));
-  CHECK(LatestOrderOfOwner(view, contact, kNow) ==
+  CHECK(LatestOrderOfOwner(view, kSelf, contact, kNow) ==
         kNow - Milliseconds(2) + kMaxStatementAge);
-  CHECK(LatestOrderOfOwner(view, ContactSince(kNow - Seconds(60)), kNow) ==
-        kNow - Milliseconds(4500) + kMaxUnconfirmedTime);
+  CHECK(
+      LatestOrderOfOwner(view, kSelf, ContactSince(kNow - Seconds(60)), kNow) ==
+      kNow - Milliseconds(4500) + kMaxUnconfirmedTime);
 }
 
 // Guards against an owner that goes on by what this VM states in a gap of its
@@ -70,7 +74,7 @@
   HandleStoreAnswer(contact, kNow + kStoreAwayTime);
   CHECK(contact.m_reached_since == kNow - Seconds(60));
   const TimePoint now = kNow + kStoreAwayTime + Milliseconds(50);
-  CHECK(LatestOrderOfOwner(view, contact, now) ==
+  CHECK(LatestOrderOfOwner(view, kSelf, contact, now) ==
         kNow + kStoreAwayTime + kMaxStatementAge);
 }
 
@@ -83,11 +87,11 @@
   view.m_record->m_all_starts_recorded = true;
   StoreContact contact = ContactSince(kNow - Seconds(60));
   const ClaimAttempt attempt =
-      MakeClaim(OwnerRecord(), view, contact, ClaimAttempt(), kNow);
+      MakeClaim(OwnerRecord(), view, kSelf, contact, ClaimAttempt(), kNow);
   const TimePoint answered_at = kNow + Seconds(5);
   HandleStoreAnswer(contact, answered_at);
-  const WonClaim won = WinClaim(attempt, RowVersion(7), is_answered, contact,
-                                answered_at + Milliseconds(1));
+  const WonClaim won = WinClaim(attempt, kSelf, RowVersion(7), is_answered,
+                                contact, answered_at + Milliseconds(1));
   CHECK(won.m_record == attempt.m_record);
   CHECK(won.m_version == RowVersion(7));
   CHECK(won.m_previous_orders_until >= answered_at + kMaxStatementAge);
@@ -102,10 +106,11 @@
   view.m_record->m_all_starts_recorded = true;
   StoreContact contact = ContactSince(kNow - Seconds(60));
   const ClaimAttempt attempt =
-      MakeClaim(OwnerRecord(), view, contact, ClaimAttempt(), kNow);
+      MakeClaim(OwnerRecord(), view, kSelf, contact, ClaimAttempt(), kNow);
   HandleStoreAnswer(contact, kNow + Milliseconds(5));
-  const WonClaim won = WinClaim(attempt, RowVersion(7), /*is_answered=*/true,
-                                contact, kNow + Milliseconds(5));
+  const WonClaim won =
+      WinClaim(attempt, kSelf, RowVersion(7), /*is_answered=*/true, contact,
+               kNow + Milliseconds(5));
   CHECK(won.m_previous_orders_until ==
         kNow - Milliseconds(900) + kMaxUnconfirmedTime);
   CHECK(won.m_all_runs_recorded);
@@ -234,18 +239,19 @@
 TEST_CASE("recorded starts are relied on only if they must be complete") {
   const StoreContact reached = ContactSince(kNow - Seconds(9));
   OwnerView view = ViewOf(Milliseconds(1400), LinkHealth::kSilent);
-  CHECK_FALSE(CanRelyOnRecordedStarts(view, reached, kNow));
+  CHECK_FALSE(CanRelyOnRecordedStarts(view, kSelf, reached, kNow));
   view.m_record->m_all_starts_recorded = true;
-  CHECK(CanRelyOnRecordedStarts(view, reached, kNow));
+  CHECK(CanRelyOnRecordedStarts(view, kSelf, reached, kNow));
   // While this VM did not reach the store, it could not see whether the owner
   // did.
-  CHECK_FALSE(
-      CanRelyOnRecordedStarts(view, ContactSince(kNow - Seconds(3)), kNow));
-  CHECK_FALSE(CanRelyOnRecordedStarts(view, StoreContact(), kNow));
+  CHECK_FALSE(CanRelyOnRecordedStarts(view, kSelf,
+                                      ContactSince(kNow - Seconds(3)), kNow));
+  CHECK_FALSE(CanRelyOnRecordedStarts(view, kSelf, StoreContact(), kNow));
   view.m_version_first_seen = kNow - Seconds(3);
-  CHECK_FALSE(CanRelyOnRecordedStarts(view, reached, kNow));
+  CHECK_FALSE(CanRelyOnRecordedStarts(view, kSelf, reached, kNow));
   view.m_record->m_released = true;
-  CHECK(CanRelyOnRecordedStarts(view, ContactSince(kNow - Seconds(3)), kNow));
+  CHECK(CanRelyOnRecordedStarts(view, kSelf, ContactSince(kNow - Seconds(3)),
+                                kNow));
 }
 
 // Guards against an owner that sends orders for longer than the next one
@@ -272,20 +278,73 @@
   const OwnerView view = ViewOf(Milliseconds(900), LinkHealth::kSilent);
   const StoreContact contact = ContactSince(kNow - Seconds(60));
   const ClaimAttempt first =
-      MakeClaim(OwnerRecord(), view, contact, ClaimAttempt(), kNow);
+      MakeClaim(OwnerRecord(), view, kSelf, contact, ClaimAttempt(), kNow);
   const ClaimAttempt second =
-      MakeClaim(OwnerRecord(), view, contact, first, kNow + Seconds(2));
+      MakeClaim(OwnerRecord(), view, kSelf, contact, first, kNow + Seconds(2));
   const TimePoint now = kNow + Seconds(3);
-  CHECK(WinClaim(second, RowVersion(7), false, contact, now).m_claimed_at ==
-        kNow);
-  CHECK(WinClaim(second, RowVersion(7), true, contact, now).m_claimed_at ==
-        kNow + Seconds(2));
+  CHECK(WinClaim(second, kSelf, RowVersion(7), false, contact, now)
+            .m_claimed_at == kNow);
+  CHECK(
+      WinClaim(second, kSelf, RowVersion(7), true, contact, now).m_claimed_at ==
+      kNow + Seconds(2));
   OwnerView later = view;
   later.m_version = RowVersion(6);
-  const ClaimAttempt third =
-      MakeClaim(OwnerRecord(), later, contact, second, kNow + Seconds(4));
-  CHECK(WinClaim(third, RowVersion(7), false, contact, now).m_claimed_at ==
-        kNow + Seconds(4));
+  const ClaimAttempt third = MakeClaim(OwnerRecord(), later, kSelf, contact,
+                                       second, kNow + Seconds(4));
+  CHECK(
+      WinClaim(third, kSelf, RowVersion(7), false, contact, now).m_claimed_at ==
+      kNow + Seconds(4));
+}
+
+// Guards against an owner that goes on in an outage of its peers while this VM,
+// of which it does not know, reaches the store and takes over.
+TEST_CASE("an owner that does not count this VM as a peer may go on longer") {
+  const StoreContact contact = ContactSince(kNow - Seconds(60));
+  OwnerView view = ViewOf(Milliseconds(900), LinkHealth::kSilent);
+  view.m_record->m_all_starts_recorded = true;
+  const TimePoint read_at = view.m_version_first_seen;
+  const auto latest = [&] {
+    return LatestOrderOfOwner(view, kSelf, contact, kNow);
+  };
+  CHECK(latest() == read_at + kMaxUnconfirmedTime);
+  CHECK(CanRelyOnRecordedStarts(view, kSelf, contact, kNow));
+  // The link has been down for so long that the owner may have forgotten it.
+  view.m_answered_ping_at = read_at - kPeerMemory;
+  CHECK(latest() == read_at + kMaxOutageTime);
+  CHECK_FALSE(CanRelyOnRecordedStarts(view, kSelf, contact, kNow));
+  view.m_answered_ping_at = read_at - kPeerMemory + Milliseconds(1);
+  CHECK(latest() == read_at + kMaxUnconfirmedTime);
+  // The owner's process answered in an earlier term only.
+  view.m_owner_first_seen = view.m_answered_ping_at + Milliseconds(1);
+  CHECK(latest() == read_at + kMaxOutageTime);
+  // No process listens at its address any more.
+  view.m_link = LinkHealth::kRefused;
+  CHECK(latest() == read_at + kMaxUnconfirmedTime);
+}
+
+// The same for an owner before the one that this VM is linked to.
+TEST_CASE("owners that this VM has not followed may go on for a while") {
+  OwnerRecord record = *ViewOf(Duration(0), LinkHealth::kSilent).m_record;
+  const auto earlier = [&](OwnerView view, FencingNumber epoch) {
+    record.m_epoch = epoch;
+    UpdateOwnerView(view, kSelf, record, RowVersion(9), kNow, kNow);
+    return view.m_earlier_orders_until;
+  };
+  const FencingNumber first = NextEpoch(FencingNumber());
+  const FencingNumber second = NextEpoch(first);
+  // A VM that has just started knows nothing of them.
+  CHECK(earlier(OwnerView(), first) == TimePoint::min());
+  CHECK(earlier(OwnerView(), second) == kNow + kMaxOutageTime);
+  OwnerView view = ViewOf(Milliseconds(900), LinkHealth::kSilent);
+  view.m_record->m_epoch = view.m_last_epoch = first;
+  CHECK(earlier(view, second) == TimePoint::min());
+  CHECK(earlier(view, NextEpoch(second)) == kNow + kMaxOutageTime);
+  view.m_answered_ping_at = TimePoint::min();
+  CHECK(earlier(view, second) == kNow + kMaxOutageTime);
+  WonClaim won;
+  won.m_record.m_epoch = first;
+  won.m_previous_orders_until = kNow + Seconds(2);
+  CHECK(earlier(ViewAfterTerm(won), second) == kNow + Seconds(2));
 }
 
 // Guards against a record that other VMs cannot read.
--- a/tests/ownership_permission_test.cc
+++ b/tests/ownership_permission_test.cc
@@ -16,24 +16,39 @@
   CHECK(IsRecentlyConfirmed(kNow - Milliseconds(1500), kNow));
   CHECK_FALSE(IsRecentlyConfirmed(kNow - Milliseconds(1600), kNow));
   const PeerStatement lacking = StatementOf(Seconds(2), Milliseconds(300));
-  CHECK(MayGoOnUnconfirmed({lacking, lacking}, kNow));
-  CHECK_FALSE(MayGoOnUnconfirmed({}, kNow));
+  CHECK(MayGoOnUnconfirmed(kNow - Seconds(5), {lacking, lacking}, kNow));
+  CHECK_FALSE(MayGoOnUnconfirmed(kNow - Seconds(5), {}, kNow));
   CHECK_FALSE(MayGoOnUnconfirmed(
+      kNow - Seconds(5),
       {lacking, StatementOf(Milliseconds(1200), Milliseconds(300))}, kNow));
   PeerStatement disconnected = lacking;
   disconnected.m_connected = false;
-  CHECK_FALSE(MayGoOnUnconfirmed({lacking, disconnected}, kNow));
+  CHECK_FALSE(
+      MayGoOnUnconfirmed(kNow - Seconds(5), {lacking, disconnected}, kNow));
 }
 
 // Guards against an owner that sends orders beside the next one, because a
 // statement that was held up on a slow link, or in a process that was
 // suspended, counts from when it arrives.
 TEST_CASE("a statement counts from when it was made") {
-  CHECK(MayGoOnUnconfirmed({StatementOf(Seconds(5), Milliseconds(900))}, kNow));
-  CHECK_FALSE(MayGoOnUnconfirmed({StatementOf(Seconds(5), Seconds(1))}, kNow));
+  CHECK(MayGoOnUnconfirmed(kNow - Seconds(5),
+                           {StatementOf(Seconds(5), Milliseconds(900))}, kNow));
+  CHECK_FALSE(MayGoOnUnconfirmed(kNow - Seconds(5),
+                                 {StatementOf(Seconds(5), Seconds(1))}, kNow));
   PeerStatement undated = StatementOf(Seconds(5), Duration(0));
   undated.m_stated_at = TimePoint::min();
-  CHECK_FALSE(MayGoOnUnconfirmed({undated}, kNow));
+  CHECK_FALSE(MayGoOnUnconfirmed(kNow - Seconds(5), {undated}, kNow));
+}
+
+// Guards against an owner that goes on for as long as its peers lack the store,
+// beside a VM that it does not know of.
+TEST_CASE("an owner goes on for a bounded time") {
+  const std::vector<PeerStatement> lacking = {
+      StatementOf(Seconds(9), Milliseconds(300))};
+  CHECK(MayGoOnUnconfirmed(kNow - kMaxOutageTime + Milliseconds(1), lacking,
+                           kNow));
+  CHECK_FALSE(MayGoOnUnconfirmed(kNow - kMaxOutageTime, lacking, kNow));
+  CHECK_FALSE(MayStartUnrecorded(kNow - kMaxOutageTime, lacking, kNow));
 }
 
 // Guards against starts that no successor knows of while a VM may take over.
