Inherited bounds count from the previous owner's last order

What callers could see: a second task of a step with max_unavailable 1 stopped while one that the previous owner had stopped was still down.

Cause: the time from which a new owner stops such tasks counted from the beginning of its term, not from the last order that the previous owner may send, which is up to 10 s later for an owner that does not know this VM. The time for leases did not count the window of a start, which is longer than a short lease.

Change: one function of the scheduler (InheritOrders) computes all that a new owner inherits from the one time.

Test: all inherited bounds count from the previous owner's last order.

--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -19,12 +19,6 @@
 /// report intervals after its last report, by which time a lease of two
 /// intervals has expired.
 constexpr int kLeaseReportIntervals = 2;
-/// Allowance for clock error and late delivery, added to the last lease granted
-/// by the previous owner.
-constexpr Duration kInheritedLeaseMargin = Milliseconds(500);
-/// Added to the stop time: covers the first poll of every worker, after which
-/// workers reject orders of the previous owner.
-constexpr Duration kPreviousOwnerStopTime = Seconds(1);
 constexpr Duration kMaxConfirmationAge = Seconds(1);
 constexpr Duration kTickPeriod = Milliseconds(100);
 constexpr Duration kTrafficLogPeriod = Seconds(5);
@@ -87,14 +81,8 @@
   options.m_runs_are_recorded = won.m_all_runs_recorded;
   options.m_max_job_bytes = parts.m_options.m_memory_bytes / kJobMemoryShare;
   options.m_state_retention = parts.m_options.m_state_retention;
-  options.m_inherited_leases_until = won.m_previous_orders_until +
-                                     options.m_lease * 21 / 20 +
-                                     kInheritedLeaseMargin;
-  options.m_inherited_doubt_until = won.m_previous_orders_until +
-                                    scheduler::kMaxCallDelay +
-                                    scheduler::MaxLeaseTime(m_scheduler);
-  options.m_disruption_allowed_from =
-      BootNow() + parts.m_options.m_stop_time + kPreviousOwnerStopTime;
+  scheduler::InheritOrders(m_scheduler, BootNow(), won.m_previous_orders_until,
+                           parts.m_options.m_stop_time);
   m_scheduler.m_unix_offset = UnixNow() - BootNow().time_since_epoch();
   m_scheduler.m_deployment = parts.m_configuration.Current();
   m_log_epoch = absl::StrCat("epoch=", won.m_record.m_epoch.Value());
--- a/tests/scheduler_takeover_test.cc
+++ b/tests/scheduler_takeover_test.cc
@@ -6,6 +6,29 @@
 namespace filbertspar::scheduler {
 namespace {
 
+// Guards against stops beyond max_unavailable, and runs that are started again,
+// because the previous owner may send orders for longer than the new one needs
+// for its first polls.
+TEST_CASE("all inherited bounds count from the previous owner's last order") {
+  const TimePoint now{Seconds(1000)};
+  Scheduler scheduler;
+  scheduler.m_options.m_lease = Seconds(3);
+  InheritOrders(scheduler, now, now - Milliseconds(500), Milliseconds(900));
+  const Options soon = scheduler.m_options;
+  CHECK(soon.m_disruption_allowed_from == now + Milliseconds(1900));
+  InheritOrders(scheduler, now, now + Seconds(9), Milliseconds(900));
+  const Options late = scheduler.m_options;
+  CHECK(late.m_disruption_allowed_from == now + Milliseconds(9900));
+  const Duration more = Milliseconds(9500);
+  CHECK(late.m_inherited_leases_until == soon.m_inherited_leases_until + more);
+  CHECK(late.m_inherited_doubt_until == soon.m_inherited_doubt_until + more);
+  // A start grants a lease for as long as it may be executed.
+  scheduler.m_options.m_lease = Seconds(1);
+  InheritOrders(scheduler, now, now, Milliseconds(900));
+  CHECK(scheduler.m_options.m_inherited_leases_until >
+        now + scheduler.m_options.m_start_window);
+}
+
 // A new owner must not start a task again while the previous owner's run of it
 // continues.
 TEST_CASE("a new owner adopts running tasks") {
