A claim that a stopping process wins is given up

What callers saw: none of it is known to have happened. Calls would wait for an owner until its row has not changed for 0.8 s, after the process has ended.

Cause: whether a process is willing to own the jobs was asked before its claim was sent. A claim that is answered after the process began to stop, whose hand-over had then found no term, began one that nobody gave up.

Evidence: with a store that holds the claim until the process stops, no released row is written in the 2.5 s until the process ends (the test, before).

Change: a term that begins in a process that is stopping is handed over at once.

Test: a claim that a stopping process wins is given up.

--- a/filbertspar/node/src/node.cc
+++ b/filbertspar/node/src/node.cc
@@ -274,6 +274,10 @@
       },
       [owner_term = m_owner_term] { return owner_term->IsConfirmed(); });
   m_owner_term->Start();
+  if (m_stopping) {
+    // The claim was under way when the process began to stop.
+    asio::co_spawn(m_context, HandOver(), asio::detached);
+  }
 }
 
 void Node::Parts::HandleOwnershipLost() {
--- /dev/null
+++ b/tests/platform/node_term_end_test.cc
@@ -0,0 +1,81 @@
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+
+#include "absl/strings/match.h"
+#include "boost/asio/co_spawn.hpp"
+#include "boost/asio/detached.hpp"
+#include "filbertspar/node/src/node.h"
+#include "filbertspar/node/src/owner_watch.h"
+#include "tests/platform/stub_store.h"
+
+namespace filbertspar {
+namespace {
+
+/// Lets time pass until the condition holds; false when it never does.
+template <typename Condition>
+bool RunUntil(asio::io_context& context, Condition condition) {
+  const TimePoint deadline = BootNow() + Seconds(20);
+  while (!condition() && BootNow() < deadline && !context.stopped()) {
+    context.run_one_for(std::chrono::milliseconds(100));
+  }
+  return condition();
+}
+
+NodeOptions OptionsOf(const StubStore& store) {
+  NodeOptions options;
+  options.m_vm = VmName("vm-1");
+  options.m_zone = ZoneName("z1");
+  for (Endpoint* endpoint :
+       {&options.m_caller_listen, &options.m_ready_listen,
+        &options.m_link_listen, &options.m_metrics_listen}) {
+    *endpoint = {"127.0.0.1", 0};
+  }
+  options.m_cpu_capacity = Millicores(1000);
+  options.m_memory_bytes = 256 << 20;
+  options.m_max_client_connections = 100;
+  options.m_max_client_bytes = 1 << 20;
+  options.m_client_read_time = Seconds(1);
+  options.m_link_mbps = 1000;
+  options.m_store = store.Address();
+  options.m_store_reads_per_s = options.m_store_writes_per_s = 1000;
+  options.m_partition_transactions_per_s = 200;
+  options.m_max_row_bytes = 65536;
+  options.m_fleet_orders_per_s = options.m_fleet_reads_per_s = 64;
+  options.m_worker_report_interval = Milliseconds(1500);
+  options.m_max_lease = Seconds(6);
+  options.m_revocation_time = Seconds(5);
+  options.m_grace_period = Seconds(6);
+  return options;
+}
+
+// Guards against jobs without an owner until its row has been silent for long:
+// a claim that is answered after the process began to stop begins a term that
+// nobody gives up.
+TEST_CASE("a claim that a stopping process wins is given up") {
+  asio::io_context context;
+  StubStore store(context);
+  bool has_claimed = false;
+  bool is_released = false;
+  store.m_holds = [&](const std::string& target) {
+    has_claimed = has_claimed || absl::StartsWith(target, "/rows-tx");
+    return absl::StartsWith(target, "/rows-tx");
+  };
+  store.m_on_transaction = [&](const JsonObject& transaction) {
+    const JsonObject owner = StubStore::ValueOf(transaction, job_table::kOwner);
+    is_released = is_released || (owner.contains("released") &&
+                                  owner.at("released").as_bool());
+  };
+  Node node(context, OptionsOf(store));
+  REQUIRE(node.Start().ok());
+  REQUIRE(RunUntil(context, [&] { return has_claimed; }));
+  node.Stop();
+  context.poll();
+  store.LetGo();
+  CHECK(RunUntil(context, [&] { return is_released; }));
+}
+
+}  // namespace
+}  // namespace filbertspar
