--- a/filbertspar/node/src/journal.cc
+++ b/filbertspar/node/src/journal.cc
@@ -253,6 +253,7 @@
 }
 
 asio::awaitable<Code> Journal::Accept(JobSpec spec, Duration wait) {
+  const auto self = shared_from_this();
   const JobId id = spec.m_id;
   auto found = m_pending_jobs.find(id);
   std::shared_ptr<PendingJob> job;
@@ -320,6 +321,8 @@
 
 asio::awaitable<bool> Journal::PutAndWait(const StoreKey& key,
                                           std::string value) {
+  // Those that wait may outlive the term.
+  const auto self = shared_from_this();
   Put(key, std::move(value));
   const std::uint64_t number = m_last_put_number;
   const auto is_settled = [this, number] {
@@ -346,6 +349,7 @@
 void Journal::Stop() {
   m_running = false;
   m_work_signal.Notify();
+  m_put_settled_signal.Notify();
 }
 
 }  // namespace filbertspar
--- a/filbertspar/node/src/journal.h
+++ b/filbertspar/node/src/journal.h
@@ -22,7 +22,7 @@
 /// Each transaction also rewrites the owner's row with its own write number. A
 /// transaction without a response is retried unchanged: if it had taken effect,
 /// the retry fails its condition and the owner's row shows the write number.
-class Journal {
+class Journal : public std::enable_shared_from_this<Journal> {
  public:
   struct Hooks {
     /// A job's row was stored.
--- a/tests/platform/node_term_end_test.cc
+++ b/tests/platform/node_term_end_test.cc
@@ -7,8 +7,9 @@
 #include "absl/strings/match.h"
 #include "boost/asio/co_spawn.hpp"
 #include "boost/asio/detached.hpp"
+#include "filbertspar/node/src/configuration.h"
+#include "filbertspar/node/src/journal.h"
 #include "filbertspar/node/src/node.h"
-#include "filbertspar/node/src/owner_watch.h"
 #include "tests/platform/stub_store.h"
 
 namespace filbertspar {
@@ -77,5 +78,58 @@
   CHECK(RunUntil(context, [&] { return is_released; }));
 }
 
+/// What a journal and a manager of VMs need beside the store.
+struct TermParts {
+  explicit TermParts(asio::io_context& context)
+      : m_store_stub(context),
+        m_options(OptionsOf(m_store_stub)),
+        m_log(context, EventLogLimits(), STDERR_FILENO),
+        m_client(context, HttpClientLimits()),
+        m_traffic(m_metrics, 1000),
+        m_store(m_client, m_metrics, m_traffic, m_log, m_store_stub.Address(),
+                {1000, 1000}),
+        m_configuration(context, m_store, m_log, Seconds(3)),
+        m_journal(std::make_shared<Journal>(
+            context, m_store, m_traffic, m_log, m_scheduler, WonClaim(),
+            Journal::Limits{200, 65536}, Journal::Hooks())) {}
+
+  StubStore m_store_stub;
+  NodeOptions m_options;
+  EventLog m_log;
+  MetricsBook m_metrics;
+  HttpClient m_client;
+  TrafficMeter m_traffic;
+  StoreClient m_store;
+  Configuration m_configuration;
+  scheduler::Scheduler m_scheduler;
+  std::shared_ptr<Journal> m_journal;
+};
+
+// Guards against the use of a journal that ended with its term while an order
+// to a VM waited for its row to be stored.
+TEST_CASE("a journal lasts until those that wait for it know its end") {
+  asio::io_context context;
+  TermParts parts(context);
+  bool has_ended = false;
+  bool was_stored = true;
+  asio::co_spawn(
+      context,
+      [&, journal = parts.m_journal.get()]() -> asio::awaitable<void> {
+        const StoreKey key{"table", "0", "key"};
+        std::string value = "value";
+        was_stored = co_await journal->PutAndWait(key, std::move(value));
+        has_ended = true;
+      },
+      asio::detached);
+  context.poll();
+  const std::weak_ptr<Journal> journal = parts.m_journal;
+  parts.m_journal->Stop();
+  parts.m_journal.reset();
+  REQUIRE_FALSE(journal.expired());
+  CHECK(RunUntil(context, [&] { return has_ended; }));
+  CHECK_FALSE(was_stored);
+  CHECK(RunUntil(context, [&] { return journal.expired(); }));
+}
+
 }  // namespace
 }  // namespace filbertspar
