A manager of VMs asks nothing of its term once that has ended

What callers could see: the end of the process that owned the jobs, or the state of a wave written by an owner whose term had ended.

Cause: the manager asks the term whether it is confirmed, also after a call to the store during which the term ended; the manager outlives it.

Evidence: the test, in which the state of a wave is read while the term ends: the term is asked once afterwards, and the state is written.

Change: the manager asks only while it runs.

Test: a manager of VMs asks nothing of its term once that has ended.

--- a/filbertspar/node/src/vm_manager.cc
+++ b/filbertspar/node/src/vm_manager.cc
@@ -64,10 +64,14 @@
   asio::co_spawn(m_parts.m_context, Run(), asio::detached);
 }
 
+bool VmManager::IsConfirmed() const {
+  // The term that the hook asks may be gone once this has stopped.
+  return m_running && m_hooks.m_is_confirmed();
+}
+
 bool VmManager::CanSendOrder(const VmName& vm) const {
   const auto found = m_no_orders_until.find(vm);
-  return m_running && m_hooks.m_is_confirmed() &&
-         BootNow() >= m_no_orders_before &&
+  return IsConfirmed() && BootNow() >= m_no_orders_before &&
          (found == m_no_orders_until.end() || BootNow() >= found->second);
 }
 
@@ -364,8 +368,7 @@
   std::erase_if(m_moved_workers, [now](const auto& entry) {
     return now - entry.second > kMovedWorkerCordonTime;
   });
-  if (!m_hooks.m_is_confirmed() ||
-      m_parts.m_scheduler.m_deployment == nullptr) {
+  if (!IsConfirmed() || m_parts.m_scheduler.m_deployment == nullptr) {
     return;
   }
   const std::vector<capacity::VmView> views = VmViews(plan);
--- a/filbertspar/node/src/vm_manager.h
+++ b/filbertspar/node/src/vm_manager.h
@@ -68,6 +68,8 @@
   /// the next owner sends the VM none until the holder's time to live has
   /// passed. False: no order may be sent now.
   asio::awaitable<bool> RecordOrder(VmName vm);
+  /// \brief Whether the term goes on and the store confirmed it recently.
+  bool IsConfirmed() const;
   bool CanSendOrder(const VmName& vm) const;
   /// \brief How long after an order another holder must send the VM none.
   Duration HolderTime() const;
--- a/filbertspar/node/src/vm_manager_waves.cc
+++ b/filbertspar/node/src/vm_manager_waves.cc
@@ -42,7 +42,7 @@
                                                    upkeep::Wave& wave) {
   const StoreResponse rows =
       co_await m_parts.m_store.ReadAll(key.m_table, key.m_partition);
-  if (rows.m_result != StoreResult::kDone || !m_hooks.m_is_confirmed()) {
+  if (rows.m_result != StoreResult::kDone || !IsConfirmed()) {
     co_return false;
   }
   wave.m_status_version = RowVersion();
@@ -58,7 +58,7 @@
   for (auto& [number, wave] : m_upkeep_state.m_waves) {
     const std::optional<upkeep::WaveStatus> status =
         upkeep::StatusToStore(m_upkeep_state, wave);
-    if (!status || !m_hooks.m_is_confirmed()) {
+    if (!status || !IsConfirmed()) {
       continue;
     }
     const std::string evidence = absl::StrCat(
--- a/tests/platform/node_term_end_test.cc
+++ b/tests/platform/node_term_end_test.cc
@@ -7,9 +7,9 @@
 #include "absl/strings/match.h"
 #include "boost/asio/co_spawn.hpp"
 #include "boost/asio/detached.hpp"
-#include "filbertspar/node/src/configuration.h"
 #include "filbertspar/node/src/journal.h"
 #include "filbertspar/node/src/node.h"
+#include "filbertspar/node/src/vm_manager.h"
 #include "tests/platform/stub_store.h"
 
 namespace filbertspar {
@@ -131,5 +131,48 @@
   CHECK(RunUntil(context, [&] { return journal.expired(); }));
 }
 
+// Guards against the use of an owner's term by its manager of VMs, which
+// outlives it while it waits for the store, and against a wave whose state is
+// written after the term.
+TEST_CASE("a manager of VMs asks nothing of its term once that has ended") {
+  asio::io_context context;
+  TermParts parts(context);
+  StubStore& store = parts.m_store_stub;
+  store.m_rows["op"]["wave/1"] =
+      R"({"wave":1,"machines":["m1"],"duration_s":30,"ceiling":1})";
+  bool is_reading_status = false;
+  store.m_holds = [&](const std::string& target) {
+    const bool is_status = absl::StrContains(target, "table=status");
+    is_reading_status = is_reading_status || is_status;
+    return is_status;
+  };
+  parts.m_configuration.Start([] {});
+  REQUIRE(RunUntil(context,
+                   [&] { return !parts.m_configuration.Waves().empty(); }));
+  parts.m_options.m_fleet = store.Address();
+  bool has_ended = false;
+  int asked_after_end = 0;
+  const auto manager = std::make_shared<VmManager>(
+      VmManager::Parts{context, parts.m_options, parts.m_client, parts.m_store,
+                       parts.m_configuration, parts.m_metrics, parts.m_log,
+                       parts.m_scheduler, *parts.m_journal},
+      VmManager::Hooks{[&] {
+                         asked_after_end += has_ended ? 1 : 0;
+                         return true;
+                       },
+                       [] {}});
+  int transactions = 0;
+  store.m_on_transaction = [&](const JsonObject&) { ++transactions; };
+  manager->Start();
+  REQUIRE(RunUntil(context, [&] { return is_reading_status; }));
+  manager->Stop();
+  has_ended = true;
+  store.LetGo();
+  std::weak_ptr<VmManager> weak = manager;
+  CHECK(RunUntil(context, [&] { return weak.use_count() == 1; }));
+  CHECK(asked_after_end == 0);
+  CHECK(transactions == 0);
+}
+
 }  // namespace
 }  // namespace filbertspar
