Only time with the store counts as time to renew a registration

What callers could see: tasks that wait although their workers answer, while the store is away again shortly after an outage.

Cause: a registration that expires in an outage is renewed within 2 s after the store's return, so that the owner takes note of its end 2.2 s after it learned of it. When another outage began in these 2.2 s, the worker could not renew it, and was unregistered all the same: it got no more starts until the second outage was over.

Evidence: by reading; 1 s after the end of a registration and 4 s into the second outage the former expression had counted 5 s.

Change: the delay counts only while the store answers without a gap.

Test: time without the store does not count as time to renew.

--- a/filbertspar/node/src/owner_term_workers.cc
+++ b/filbertspar/node/src/owner_term_workers.cc
@@ -11,7 +11,7 @@
 
 constexpr Duration kWorkerFeedWait = Seconds(2);
 /// A registration that expired while the store was unavailable is renewed
-/// within 2 s after its return.
+/// within 2 s after its return, so that only time with the store counts.
 constexpr Duration kUnregisterDelay = Milliseconds(2200);
 
 }  // namespace
@@ -107,7 +107,8 @@
 
 void OwnerTerm::UnregisterDue(TimePoint now) {
   for (auto it = m_unregistered_at.begin(); it != m_unregistered_at.end();) {
-    if (now - it->second < kUnregisterDelay) {
+    if (ReachableFor(m_parts.m_store.Contact(), it->second, now) <
+        kUnregisterDelay) {
       ++it;
       continue;
     }
--- a/filbertspar/ownership/src/contact.cc
+++ b/filbertspar/ownership/src/contact.cc
@@ -1,5 +1,7 @@
 #include "filbertspar/ownership/src/contact.h"
 
+#include <algorithm>
+
 #include "filbertspar/ownership/src/permission.h"
 
 namespace filbertspar {
@@ -28,4 +30,9 @@
   return IsAway(contact, now) ? now : contact.m_away_until;
 }
 
+Duration ReachableFor(const StoreContact& contact, TimePoint since,
+                      TimePoint now) {
+  return now - std::max(since, AwayUntil(contact, now));
+}
+
 }  // namespace filbertspar
--- a/filbertspar/ownership/src/contact.h
+++ b/filbertspar/ownership/src/contact.h
@@ -21,4 +21,9 @@
 /// store does not answer it.
 TimePoint AwayUntil(const StoreContact& contact, TimePoint now);
 
+/// \brief How long the store has answered this VM since `since`, without a gap
+/// in which it counts as away.
+Duration ReachableFor(const StoreContact& contact, TimePoint since,
+                      TimePoint now);
+
 }  // namespace filbertspar
--- a/tests/ownership_claim_test.cc
+++ b/tests/ownership_claim_test.cc
@@ -254,6 +254,18 @@
                                 kNow));
 }
 
+// Guards against workers that get no more tasks because their registrations
+// expired in an outage and another one began before they could be renewed.
+TEST_CASE("time without the store does not count as time to renew") {
+  StoreContact contact = ContactSince(kNow - Seconds(60));
+  const TimePoint expired_at = kNow - Milliseconds(100);
+  CHECK(ReachableFor(contact, expired_at, kNow + Seconds(1)) ==
+        Milliseconds(1100));
+  CHECK(ReachableFor(contact, expired_at, kNow + Seconds(5)) == Duration(0));
+  HandleStoreAnswer(contact, kNow + Seconds(5));
+  CHECK(ReachableFor(contact, expired_at, kNow + Seconds(6)) == Seconds(1));
+}
+
 // Guards against an owner that sends orders for longer than the next one
 // expects: its row was written long before a later attempt found it written.
 TEST_CASE("a write that is found in the row counts from its first attempt") {
