An owner that is giving up starts nothing that is not recorded

What callers could see: a task that runs twice after an owner has stopped in an outage of the store.

Cause: an owner that gives up writes a row which says so, and whether all its starts are recorded; its successor relies on that without more. Until the write is answered, for 2 s at most, the owner goes on, and in an outage of all VMs starts tasks without recording them. A row that was stored without an answer then promises what was true before these starts.

Evidence: by reading; the rule had no condition on giving up.

Change: an owner that gives up records each start before it is sent.

Test: an owner that is giving up starts nothing that is not recorded.

--- a/filbertspar/node/src/journal.h
+++ b/filbertspar/node/src/journal.h
@@ -80,6 +80,8 @@
   /// \brief Whether the current write has been without a response for more than
   /// 1.5 s.
   bool IsStalled(TimePoint now) const;
+  /// \brief Whether the ownership is being given up.
+  bool IsReleasing() const { return m_releasing; }
   /// \brief Whether a job is being stored.
   bool IsStoring(const JobId& id) const { return m_pending_jobs.contains(id); }
 
--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -148,6 +148,7 @@
 
 asio::awaitable<void> OwnerTerm::Release() {
   const auto self = shared_from_this();
+  scheduler::SetRecordBeforeStart(m_scheduler, BootNow(), true);
   co_await m_journal->Release();
   m_parts.m_log.Info("owner", "released", m_log_epoch);
   Stop();
@@ -329,7 +330,8 @@
   if (CanSendOrders()) {
     if (m_scheduler.m_record_before_start &&
         MayStartUnrecorded(m_journal->ConfirmedAt(),
-                           m_parts.m_links.Statements(), now)) {
+                           m_parts.m_links.Statements(),
+                           m_journal->IsReleasing(), now)) {
       m_parts.m_log.Warn("owner", "starts_not_listed", m_log_epoch);
       scheduler::SetRecordBeforeStart(m_scheduler, now, false);
     }
--- a/filbertspar/ownership/src/permission.cc
+++ b/filbertspar/ownership/src/permission.cc
@@ -36,8 +36,8 @@
 
 bool MayStartUnrecorded(TimePoint confirmed_at,
                         const std::vector<PeerStatement>& peers,
-                        TimePoint now) {
-  return now > confirmed_at + kUnrecordedStartsDelay &&
+                        bool is_giving_up, TimePoint now) {
+  return !is_giving_up && now > confirmed_at + kUnrecordedStartsDelay &&
          now < confirmed_at + kMaxOutageTime &&
          AllPeersLackStore(peers, now, kLongStoreAwayTime);
 }
--- a/filbertspar/ownership/src/permission.h
+++ b/filbertspar/ownership/src/permission.h
@@ -67,8 +67,10 @@
                         const std::vector<PeerStatement>& peers, TimePoint now);
 
 /// \brief Whether an owner that may send orders may start tasks without
-/// recording them first.
+/// recording them first. One that is giving the ownership up may not: the row
+/// that says so, and that all starts are recorded, may be stored already.
 bool MayStartUnrecorded(TimePoint confirmed_at,
-                        const std::vector<PeerStatement>& peers, TimePoint now);
+                        const std::vector<PeerStatement>& peers,
+                        bool is_giving_up, TimePoint now);
 
 }  // namespace filbertspar
--- a/tests/ownership_permission_test.cc
+++ b/tests/ownership_permission_test.cc
@@ -48,17 +48,27 @@
   CHECK(MayGoOnUnconfirmed(kNow - kMaxOutageTime + Milliseconds(1), lacking,
                            kNow));
   CHECK_FALSE(MayGoOnUnconfirmed(kNow - kMaxOutageTime, lacking, kNow));
-  CHECK_FALSE(MayStartUnrecorded(kNow - kMaxOutageTime, lacking, kNow));
+  CHECK_FALSE(MayStartUnrecorded(kNow - kMaxOutageTime, lacking, false, kNow));
 }
 
 // Guards against starts that no successor knows of while a VM may take over.
 TEST_CASE("starts are not recorded only in a long outage of all") {
   const std::vector<PeerStatement> lacking = {
       StatementOf(Milliseconds(2100), Milliseconds(300))};
-  CHECK(MayStartUnrecorded(kNow - Milliseconds(3100), lacking, kNow));
-  CHECK_FALSE(MayStartUnrecorded(kNow - Seconds(3), lacking, kNow));
-  CHECK_FALSE(MayStartUnrecorded(
-      kNow - Seconds(5), {StatementOf(Milliseconds(1900), Duration(0))}, kNow));
+  CHECK(MayStartUnrecorded(kNow - Milliseconds(3100), lacking, false, kNow));
+  CHECK_FALSE(MayStartUnrecorded(kNow - Seconds(3), lacking, false, kNow));
+  CHECK_FALSE(MayStartUnrecorded(kNow - Seconds(5),
+                                 {StatementOf(Milliseconds(1900), Duration(0))},
+                                 false, kNow));
+}
+
+// Guards against a successor that starts tasks again, because the row that it
+// relies on was stored without an answer before they were started.
+TEST_CASE("an owner that is giving up starts nothing that is not recorded") {
+  const std::vector<PeerStatement> lacking = {
+      StatementOf(Seconds(4), Milliseconds(300))};
+  CHECK(MayStartUnrecorded(kNow - Seconds(5), lacking, false, kNow));
+  CHECK_FALSE(MayStartUnrecorded(kNow - Seconds(5), lacking, true, kNow));
 }
 
 }  // namespace
