--- a/soak/plants.py
+++ b/soak/plants.py
@@ -10,7 +10,7 @@
           "cut": "graceful-stop", "payload": "payload", "crashes": "crashes", "capacity": "capacity", "limits": "store-limits",
           "torn-state": "state-whole", "phantom": "state-own", "early": "state-completed",
           "unfenced": "one-run", "changed": "state-final", "torn-length": "length-whole", "short": "length-low", "long": "length-high",
-          "stranger": "state-foreign", "restart": "no-restart", "wave": "wave-ceiling"}
+          "stranger": "state-foreign", "restart": "no-restart", "wave": "wave-ceiling", "longer-lease": "one-run"}
 NAMES = sorted(BREAKS)
 
 
@@ -30,6 +30,9 @@
         # Late calls are executed whatever their fencing number.
         site.fences_late = False
         site.restart_gap_s, site.restart_delays, site.restart_calls = 0.15, (1.0, 3.0, 0.1), ("late",)
+    elif plant == "longer-lease":
+        # Workers go on for longer than their leases.
+        site.lease_slack_s = 6.0
     elif plant == "restart":
         # Each task seems to have been started again just before its end was noted.
         noted = site.promises.end_noted
--- a/soak/store.py
+++ b/soak/store.py
@@ -26,6 +26,8 @@
         self._changed = asyncio.Condition()
         self.fault = None
         self.answer_s = 0.004
+        # What becomes of a call: None, "silent", or "lost" when it is performed and not answered.
+        self.gate = lambda path, body: None
         self.row_bytes = ROW_BYTES
         # Called with whether a transaction keeps the limits, and with its sizes.
         self.on_transaction = lambda is_within_limits, sizes: None
@@ -36,7 +38,10 @@
         query = {name: values[0] for name, values in urllib.parse.parse_qs(url.query).items()}
         if self.fault == "down":
             return 503, {}
-        if self.fault == "silent":
+        verdict = self.gate(url.path, body)
+        if verdict == "lost":
+            self._apply(body)
+        if self.fault == "silent" or verdict is not None:
             raise Silent
         await asyncio.sleep(0.24 if self.fault == "slow" else self.answer_s)
         lost = self.fault == "lost" and self._rng.random() < 0.35
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -44,6 +44,8 @@
         # A VM that moves joins its next pool as another worker.
         self._pool = vm.pool
         self.on_crash = None
+        # For how long runs go on after their lease.
+        self.lease_slack_ms = 0
 
     def _begin_life(self):
         """A new life holds and knows nothing of before, and its counts start anew."""
@@ -164,7 +166,7 @@
 
     def _has_lapsed(self):
         """Whether no lease holds now; notes the time."""
-        lapsed = self.clock_ms() > self._lease_ms
+        lapsed = self.clock_ms() > self._lease_ms + self.lease_slack_ms
         if lapsed:
             self._lapsed_at = time.monotonic()
         return lapsed
--- a/tests/node_outage_test.cc
+++ b/tests/node_outage_test.cc
@@ -116,6 +116,17 @@
   }
 }
 
+/// Claims that are performed without an answer, at once or later.
+void DrawClaimFaults(OutageWorld& world, Rng& rng, TimePoint from) {
+  for (std::size_t vm = 0; vm < kVms; ++vm) {
+    if (rng.Below(4) == 0) {
+      world.ClaimFaults(vm).push_back(DrawImpairment(
+          rng, from, Seconds(8), Milliseconds(500), Seconds(8),
+          rng.Below(2) == 0 ? StoreFault::kLost : StoreFault::kLate));
+    }
+  }
+}
+
 void DrawLinks(OutageWorld& world, Rng& rng, TimePoint from) {
   for (std::size_t a = 0; a < kVms; ++a) {
     for (std::size_t b = 0; b < kVms; ++b) {
@@ -162,6 +173,7 @@
   const std::size_t outages = 1 + rng.Below(3);
   for (std::size_t i = 0; i < outages; ++i) {
     DrawStoreOutage(world, rng, from);
+    DrawClaimFaults(world, rng, from);
     DrawLinks(world, rng, from);
     DrawWorkers(world, rng, from);
     for (std::size_t vm = 0; vm < kVms; ++vm) {
@@ -197,5 +209,19 @@
   CHECK(takeovers > seeds / 2);
 }
 
+TEST_CASE("the drawn outages show each fault that is planted") {
+  constexpr std::uint64_t kSeeds = 1000;
+  const auto plant = GENERATE(&OutageWorld::m_plant_undated,
+                              &OutageWorld::m_plant_late_confirmation);
+  std::size_t broken = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds && broken == 0; ++seed) {
+    OutageWorld world(seed, kVms, kWorkers);
+    world.*plant = true;
+    PlayDrawn(world, seed);
+    broken += world.m_breaches.empty() ? 0 : 1;
+  }
+  CHECK(broken > 0);
+}
+
 }  // namespace
 }  // namespace filbertspar::testing
--- a/tests/outage_world.h
+++ b/tests/outage_world.h
@@ -10,87 +10,18 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
-#include "filbertspar/ownership/ownership.h"
-#include "filbertspar/routing/routing.h"
-#include "tests/virtual_time.h"
+#include "tests/outage_watch.h"
 
 namespace filbertspar::testing {
 
-/// \brief What the store does with the calls of a VM.
-enum class StoreFault : std::uint8_t {
-  /// Rejects each call at once.
-  kBusy,
-  /// Answers nothing and performs nothing.
-  kSilent,
-  /// Performs writes and answers nothing.
-  kLost,
-  /// Answers nothing and performs writes some seconds later.
-  kLate,
-  /// Answers late.
-  kSlow,
-};
-
-/// \brief What becomes of messages from one VM to another.
-enum class LinkFault : std::uint8_t {
-  /// They are held until the end, or lost if the sender closes the link first.
-  kCut,
-  kSlow,
-};
-
-/// \brief An impairment between two times.
-template <typename Kind>
-struct Impairment {
-  TimePoint m_from{};
-  TimePoint m_until{};
-  Kind m_kind{};
-};
-
-/// \brief Constants of the processes, as in their sources.
-namespace outage {
-inline constexpr Duration kDelay = Milliseconds(2);
-inline constexpr Duration kReadTimeout = Milliseconds(800);
-inline constexpr Duration kClaimTimeout = Milliseconds(800);
-inline constexpr Duration kRenewPeriod = Milliseconds(400);
-inline constexpr Duration kWriteTimeout = Milliseconds(700);
-inline constexpr Duration kMaxWriteTimeout = Milliseconds(1600);
-inline constexpr Duration kRefusedRetry = Milliseconds(60);
-inline constexpr Duration kRetryInterval = Milliseconds(200);
-inline constexpr Duration kFeedWait = Seconds(1);
-inline constexpr Duration kFeedTimeout = Milliseconds(2200);
-inline constexpr Duration kFeedRetry = Milliseconds(100);
-inline constexpr Duration kPingPeriod = Milliseconds(250);
-inline constexpr Duration kLate = Milliseconds(400);
-inline constexpr Duration kSilence = Milliseconds(750);
-inline constexpr Duration kReconnect = Milliseconds(100);
-inline constexpr Duration kTick = Milliseconds(50);
-inline constexpr Duration kLease = Seconds(3);
-inline constexpr Duration kMaxConfirmationAge = Seconds(1);
-inline constexpr Duration kInheritedLeaseMargin = Milliseconds(500);
-}  // namespace outage
-
 /// \brief VMs that watch, claim and hold the ownership in virtual time, with
 /// the decisions of the product, and workers whose runs last as long as an
 /// owner renews their leases. The store, the links, the VMs and the workers are
 /// impaired at given times.
-class OutageWorld {
+class OutageWorld : public OutageWatch {
  public:
-  struct Worker {
-    /// Delay of each answer and order.
-    Duration m_delay{0};
-    std::vector<Impairment<bool>> m_silent;
-    FencingNumber m_fencing;
-    TimePoint m_lease_until{};
-    bool m_has_run = true;
-  };
-
-  struct Breach {
-    std::string m_rule;
-    TimePoint m_at{};
-    std::string m_detail;
-  };
-
   OutageWorld(std::uint64_t seed, std::size_t vms, std::size_t workers)
-      : m_rng(seed), m_workers(workers) {
+      : OutageWatch(seed), m_workers(workers) {
     for (std::size_t i = 0; i < vms; ++i) {
       m_vms.push_back(std::make_unique<Vm>());
       Vm& vm = *m_vms.back();
@@ -109,7 +40,6 @@
 
   /// Plays until `end`.
   void RunUntil(TimePoint end) { m_time.RunUntil(end); }
-  TimePoint Now() const { return m_time.Now(); }
 
   /// Index of the VM that the row names; nullopt without one.
   std::optional<std::size_t> Holder() const {
@@ -131,22 +61,14 @@
   std::vector<Impairment<StoreFault>>& StoreFaults(std::size_t vm) {
     return m_vms[vm]->m_store_faults;
   }
+  /// Of claims only.
+  std::vector<Impairment<StoreFault>>& ClaimFaults(std::size_t vm) {
+    return m_vms[vm]->m_claim_faults;
+  }
   std::vector<Impairment<bool>>& Freezes(std::size_t vm) {
     return m_vms[vm]->m_freezes;
   }
-  std::vector<Impairment<LinkFault>>& LinkFaults(std::size_t from,
-                                                 std::size_t to) {
-    return m_link_faults[{from, to}];
-  }
-  std::vector<Worker>& Workers() { return m_workers; }
-  std::vector<Impairment<bool>>& WorkerCuts(std::size_t vm,
-                                            std::size_t worker) {
-    return m_worker_cuts[{vm, worker}];
-  }
-  /// Called when a claim reaches the store, which has not looked at it yet.
-  std::function<void()> m_on_claim;
-  /// Calls of a claim, instead of all, that the store faults apply to.
-  bool m_claims_only = false;
+  std::vector<outage::Worker>& Workers() { return m_workers; }
   /// Planted: what a new owner knows of its contact with the store is from when
   /// it sent the claim.
   bool m_plant_stale_claim = false;
@@ -157,260 +79,20 @@
   /// term as confirmed when it begins.
   bool m_plant_late_confirmation = false;
 
-  std::vector<Breach> m_breaches;
+  std::vector<outage::Breach> m_breaches;
   std::size_t m_terms = 0;
   std::size_t m_restarts = 0;
   /// VMs that began a term after the first, and when.
   std::vector<std::pair<std::size_t, TimePoint>> m_takeovers;
-  /// Additional delay of slow links.
-  Duration m_slow_link = Milliseconds(700);
 
  private:
-  struct Peer {
-    bool m_connected = false;
-    Duration m_store_age{0};
-    TimePoint m_stated_at = TimePoint::min();
-    TimePoint m_disconnected_at{};
-  };
-
-  struct Term {
-    WonClaim m_won;
-    std::uint64_t m_number = 0;
-    OwnerConfirmation m_confirmation;
-    RowVersion m_version;
-    std::uint64_t m_write_number = 0;
-    TimePoint m_orders_until{};
-    TimePoint m_leases_until{};
-    std::vector<bool> m_heard;
-    bool m_has_restarted = false;
-    std::map<std::size_t, Peer> m_peers;
-  };
-
-  struct Link {
-    std::size_t m_to = 0;
-    /// Term of the VM at the other end.
-    std::uint64_t m_term = 0;
-    TimePoint m_last_received_at{};
-    bool m_closed = false;
-    bool m_is_open = false;
-    std::optional<PeerClock> m_clock;
-    /// When the last message arrives, in each direction.
-    TimePoint m_arrives_there{};
-    TimePoint m_arrives_back{};
-  };
-
-  struct Vm {
-    std::size_t m_index = 0;
-    OwnerRecord m_own;
-    Candidate m_self;
-    OwnerView m_view;
-    StoreContact m_contact;
-    ClaimAttempt m_last_claim;
-    StoreContact m_contact_at_claim;
-    FencingNumber m_last_term;
-    std::optional<Term> m_term;
-    std::shared_ptr<Link> m_link;
-    std::uint64_t m_follow = 0;
-    bool m_waits_to_read = false;
-    std::vector<Impairment<StoreFault>> m_store_faults;
-    std::vector<Impairment<bool>> m_freezes;
-  };
-
-  struct Answer {
-    enum class Result : std::uint8_t { kDone, kConflict, kRefused, kUnknown };
-    Result m_result = Result::kUnknown;
-    std::optional<OwnerRecord> m_record;
-    RowVersion m_version;
-  };
-
-  template <typename Kind>
-  static const Impairment<Kind>* Find(
-      const std::vector<Impairment<Kind>>& impairments, TimePoint now) {
-    for (const auto& impairment : impairments) {
-      if (impairment.m_from <= now && now < impairment.m_until) {
-        return &impairment;
-      }
-    }
-    return nullptr;
-  }
-
-  /// Runs an event of the VM's process; one that is frozen runs it afterwards.
-  void At(Vm& vm, TimePoint time, std::function<void()> action) {
-    m_time.At(time, [this, &vm, action = std::move(action)] {
-      if (const auto* freeze = Find(vm.m_freezes, Now())) {
-        At(vm, freeze->m_until, action);
-      } else {
-        action();
-      }
-    });
-  }
-  void After(Vm& vm, Duration delay, std::function<void()> action) {
-    At(vm, Now() + delay, std::move(action));
-  }
-
-  // The store.
-
-  struct Write {
-    std::optional<RowVersion> m_condition;
-    OwnerRecord m_record;
-  };
-
-  Answer Perform(const std::optional<Write>& write) {
-    Answer answer;
-    answer.m_result = Answer::Result::kDone;
-    if (write) {
-      if (write->m_condition != m_version) {
-        answer.m_result = Answer::Result::kConflict;
-      } else {
-        m_version = RowVersion(m_version.Value() + 1);
-        m_row = write->m_record;
-      }
-    }
-    answer.m_record = m_row;
-    answer.m_version = m_version;
-    return answer;
-  }
-
-  /// Sends a call to the store; `done` is called with its answer, or at the
-  /// time-out.
-  void Call(Vm& vm, std::optional<Write> write, bool is_claim, Duration hold,
-            Duration timeout, std::function<void(const Answer&)> done) {
-    const auto is_over = std::make_shared<bool>(false);
-    const auto finish = [this, &vm, is_over, done](const Answer& answer) {
-      if (*is_over) {
-        return;
-      }
-      *is_over = true;
-      if (answer.m_result == Answer::Result::kDone ||
-          answer.m_result == Answer::Result::kConflict) {
-        HandleStoreAnswer(vm.m_contact, Now());
-      }
-      done(answer);
-    };
-    After(vm, timeout, [finish] { finish(Answer()); });
-    m_time.After(outage::kDelay, [this, &vm, write, is_claim, hold, finish] {
-      if (is_claim && m_on_claim) {
-        m_on_claim();
-      }
-      const auto* fault = Find(vm.m_store_faults, Now());
-      if (fault != nullptr && m_claims_only && !is_claim) {
-        fault = nullptr;
-      }
-      Duration delay = outage::kDelay + hold;
-      if (fault != nullptr) {
-        switch (fault->m_kind) {
-          case StoreFault::kBusy: {
-            Answer refusal;
-            refusal.m_result = Answer::Result::kRefused;
-            After(vm, outage::kDelay, [finish, refusal] { finish(refusal); });
-            return;
-          }
-          case StoreFault::kSilent:
-            return;
-          case StoreFault::kLost:
-            if (write) {
-              Perform(write);
-            }
-            return;
-          case StoreFault::kLate:
-            if (write) {
-              m_time.After(RandomDuration(m_rng, Seconds(1), Seconds(6)),
-                           [this, write] { Perform(write); });
-            }
-            return;
-          case StoreFault::kSlow:
-            delay += Milliseconds(240);
-            break;
-        }
-      }
-      const Answer answer = Perform(write);
-      After(vm, delay, [finish, answer] { finish(answer); });
-    });
-  }
-
-  void Feed(Vm& vm) {
-    Call(vm, std::nullopt, false, outage::kFeedWait, outage::kFeedTimeout,
-         [this, &vm](const Answer& answer) {
-           const bool is_done = answer.m_result == Answer::Result::kDone;
-           After(vm, is_done ? Duration(0) : outage::kFeedRetry,
-                 [this, &vm] { Feed(vm); });
-         });
-  }
-
-  // The watch of the owner's row.
-
-  void Follow(Vm& vm) {
-    const std::uint64_t loop = ++vm.m_follow;
-    ReadRow(vm, [this, &vm, loop] {
-      if (loop != vm.m_follow || vm.m_term) {
-        return;
-      }
-      BeginUnansweredTerm(vm);
-      if (!vm.m_term && ShouldClaim(vm.m_view, vm.m_self, Now())) {
-        Claim(vm);
-      } else {
-        FollowLater(vm);
-      }
-    });
-  }
-
-  void FollowLater(Vm& vm) {
-    if (vm.m_term) {
-      return;
-    }
-    const std::uint64_t loop = ++vm.m_follow;
-    vm.m_waits_to_read = true;
-    After(vm, TimeToNextOwnerRead(vm.m_view, vm.m_self, Now()),
-          [this, &vm, loop] { Wake(vm, loop); });
-  }
-
-  void Wake(Vm& vm, std::uint64_t loop) {
-    if (loop == vm.m_follow && vm.m_waits_to_read) {
-      vm.m_waits_to_read = false;
-      Follow(vm);
-    }
-  }
-
-  void ReadRow(Vm& vm, std::function<void()> then) {
-    const TimePoint sent = Now();
-    Call(vm, std::nullopt, false, Duration(0), outage::kReadTimeout,
-         [this, &vm, sent, then](const Answer& answer) {
-           if (answer.m_result == Answer::Result::kDone && !vm.m_term &&
-               UpdateOwnerView(vm.m_view, vm.m_self, answer.m_record,
-                               answer.m_version, sent, Now())) {
-             Connect(vm);
-           }
-           then();
-         });
-  }
-
-  void Claim(Vm& vm) {
-    vm.m_last_claim = MakeClaim(vm.m_own, vm.m_view, vm.m_self, vm.m_contact,
-                                vm.m_last_claim, Now());
-    vm.m_contact_at_claim = vm.m_contact;
-    const Write write{vm.m_view.m_version, vm.m_last_claim.m_record};
-    Call(vm, write, true, Duration(0), outage::kClaimTimeout,
-         [this, &vm](const Answer& answer) {
-           if (answer.m_result == Answer::Result::kDone) {
-             BeginTerm(vm, answer.m_version, true);
-             return;
-           }
-           ReadRow(vm, [this, &vm] {
-             BeginUnansweredTerm(vm);
-             FollowLater(vm);
-           });
-         });
-  }
-
-  void BeginUnansweredTerm(Vm& vm) {
-    if (IsOwnUnansweredClaim(vm.m_view, vm.m_self, vm.m_last_term)) {
-      BeginTerm(vm, vm.m_view.m_version, false);
-    }
-  }
+  using Peer = outage::Peer;
+  using Term = outage::Term;
+  using Worker = outage::Worker;
 
   // The term of an owner.
 
-  void BeginTerm(Vm& vm, RowVersion version, bool is_answered) {
+  void BeginTerm(Vm& vm, RowVersion version, bool is_answered) override {
     Term term;
     StoreContact contact = vm.m_contact;
     if (m_plant_stale_claim) {
@@ -589,8 +271,9 @@
   void Poll(Vm& vm, std::uint64_t number, std::size_t index) {
     const TimePoint deadline = Now() + outage::kLease;
     const FencingNumber fencing = vm.m_term->m_won.m_record.m_epoch;
-    const bool is_silent = Find(m_workers[index].m_silent, Now()) != nullptr ||
-                           IsWorkerCut(vm.m_index, index);
+    const bool is_silent =
+        outage::Find(m_workers[index].m_silent, Now()) != nullptr ||
+        IsWorkerCut(vm.m_index, index);
     if (is_silent) {
       return;
     }
@@ -671,7 +354,7 @@
   }
 
   /// Opens a link to the holder that the view names, again and again.
-  void Connect(Vm& vm) {
+  void Connect(Vm& vm) override {
     CloseLink(vm);
     Vm* holder = HolderOf(vm.m_view);
     if (holder == nullptr || holder == &vm || vm.m_term) {
@@ -783,54 +466,7 @@
     After(vm, outage::kPingPeriod, [this, &vm, link] { SendPings(vm, link); });
   }
 
-  /// Delivers in order, when the path allows it, unless the link is closed
-  /// while the message is held.
-  void Send(Vm& from, Vm& to, const std::shared_ptr<Link>& link,
-            std::function<void()> deliver) {
-    TimePoint& last =
-        link->m_to == to.m_index ? link->m_arrives_there : link->m_arrives_back;
-    TimePoint arrives = Now() + outage::kDelay;
-    bool is_held = false;
-    if (const auto* fault =
-            Find(m_link_faults[{from.m_index, to.m_index}], Now())) {
-      is_held = fault->m_kind == LinkFault::kCut;
-      arrives = is_held ? fault->m_until : arrives + m_slow_link;
-    }
-    last = std::max(arrives, last);
-    At(to, last, [link, is_held, deliver] {
-      if (!is_held || !link->m_closed) {
-        deliver();
-      }
-    });
-  }
-
-  void SendAlways(Vm& from, Vm& to, std::function<void()> deliver) {
-    TimePoint arrives = Now() + outage::kDelay;
-    if (const auto* fault =
-            Find(m_link_faults[{from.m_index, to.m_index}], Now())) {
-      arrives = fault->m_kind == LinkFault::kCut ? fault->m_until
-                                                 : arrives + m_slow_link;
-    }
-    At(to, arrives, std::move(deliver));
-  }
-
-  bool IsWorkerCut(std::size_t vm, std::size_t worker) const {
-    const auto found = m_worker_cuts.find({vm, worker});
-    return found != m_worker_cuts.end() &&
-           Find(found->second, Now()) != nullptr;
-  }
-
-  VirtualTime m_time;
-  Rng m_rng;
-  std::vector<std::unique_ptr<Vm>> m_vms;
   std::vector<Worker> m_workers;
-  std::optional<OwnerRecord> m_row;
-  RowVersion m_version;
-  std::map<std::pair<std::size_t, std::size_t>,
-           std::vector<Impairment<LinkFault>>>
-      m_link_faults;
-  std::map<std::pair<std::size_t, std::size_t>, std::vector<Impairment<bool>>>
-      m_worker_cuts;
   /// Until when each term reckons with orders of the ones before.
   std::map<std::uint64_t, TimePoint> m_bounds;
 };
--- a/tests/platform/stub_store.h
+++ b/tests/platform/stub_store.h
@@ -66,7 +66,7 @@
 
   asio::awaitable<HttpResponse> Handle(const HttpRequest& request) {
     const std::string target(request.target());
-    const std::string body = request.body();
+    const std::string& body = request.body();
     while (m_holds && m_holds(target)) {
       co_await m_let_go.WaitFor(Seconds(1));
     }
