A VM that has just started is told that the owners before have stopped

What callers could see: after all processes were killed, runs that were lost with a worker start again up to 8 s later than before the bound on outages, since a VM that has just started cannot know of the owners before the one in the row. Found by reading the change; and the VM counted an owner as one that knew it by the last row that it read, although the owner may have written, and forgotten it, after that.

Change: once no previous owner can send orders any more, the owner states so in a row of its own, which earlier releases skip; a VM that reads it forgets the owners before. Whether a replaced owner knew this VM is asked for the time at which the next one is first seen.

soak.outages cuts workers off just before the store may be back, when the owner has just renewed their leases.

--- a/filbertspar/node/src/owner_term.cc
+++ b/filbertspar/node/src/owner_term.cc
@@ -72,7 +72,9 @@
     : m_parts(parts),
       m_hooks(std::move(duty_hooks)),
       m_jobs_loaded_signal(parts.m_context),
-      m_dispatch_timer(parts.m_context) {
+      m_dispatch_timer(parts.m_context),
+      m_epoch(won.m_record.m_epoch),
+      m_previous_orders_until(won.m_previous_orders_until) {
   scheduler::Options& options = m_scheduler.m_options;
   options.m_fencing = FirstFencingNumber(won.m_record.m_epoch);
   options.m_last_fencing = won.m_record.m_epoch;
@@ -290,10 +292,18 @@
     }
     HandOverToLargerVm();
     BeginTermAnew();
+    StateSoleTerm(now);
     LogTraffic(now);
   }
 }
 
+void OwnerTerm::StateSoleTerm(TimePoint now) {
+  if (!m_is_sole_stated && now > m_previous_orders_until) {
+    m_is_sole_stated = true;
+    m_journal->Put(SoleTermRowKey(), EncodeSoleTerm(m_epoch));
+  }
+}
+
 void OwnerTerm::LogTraffic(TimePoint now) {
   if (now < m_traffic_logged_at + kTrafficLogPeriod) {
     return;
--- a/filbertspar/node/src/owner_term.h
+++ b/filbertspar/node/src/owner_term.h
@@ -113,6 +113,8 @@
   /// \brief Gives the ownership up when its fencing numbers are used up; the
   /// next claim has new ones.
   void BeginTermAnew();
+  /// \brief States once that no previous owner can send orders any more.
+  void StateSoleTerm(TimePoint now);
   void LogTraffic(TimePoint now);
 
   OwnerTermParts m_parts;
@@ -133,6 +135,10 @@
   bool m_jobs_loaded = false;
   bool m_running = true;
   bool m_handing_over = false;
+  FencingNumber m_epoch;
+  /// Until when previous owners may send orders.
+  TimePoint m_previous_orders_until;
+  bool m_is_sole_stated = false;
   TimePoint m_traffic_logged_at = TimePoint::min();
   std::string m_log_epoch;
 };
--- a/filbertspar/node/src/owner_watch.cc
+++ b/filbertspar/node/src/owner_watch.cc
@@ -22,6 +22,10 @@
   return {job_table::kOwner, job_table::kPartition, job_table::kOwnerKey};
 }
 
+StoreKey SoleTermRowKey() {
+  return {job_table::kOwner, job_table::kPartition, job_table::kSoleTermKey};
+}
+
 OwnerWatch::OwnerWatch(asio::io_context& context, StoreClient& store,
                        EventLog& log, Candidate self, OwnerRecord own_record)
     : m_context(context),
@@ -93,12 +97,19 @@
   if (answer.m_result != StoreResult::kDone) {
     co_return;
   }
+  FencingNumber sole_term;
+  for (const StoreRow& row : answer.m_rows) {
+    if (row.m_key == SoleTermRowKey()) {
+      sole_term = DecodeSoleTerm(row.m_value);
+    }
+  }
   for (const StoreRow& row : answer.m_rows) {
     if (row.m_key != OwnerRowKey()) {
       continue;
     }
     absl::StatusOr<OwnerRecord> record = DecodeOwner(row.m_value);
     if (record.ok()) {
+      record->m_is_sole = record->m_epoch == sole_term;
       UpdateView(*record, row.m_version, sent);
     } else {
       m_log.Warn("owner", "owner_row_unreadable",
--- a/filbertspar/node/src/owner_watch.h
+++ b/filbertspar/node/src/owner_watch.h
@@ -18,9 +18,13 @@
 inline constexpr const char* kProgress = "filbertspar_progress";
 inline constexpr const char* kPartition = "0";
 inline constexpr const char* kOwnerKey = "owner";
+inline constexpr const char* kSoleTermKey = "sole";
 }  // namespace job_table
 
 StoreKey OwnerRowKey();
+/// \brief Key of the row which states that no owner before a term can send
+/// orders any more.
+StoreKey SoleTermRowKey();
 
 /// \brief Watches the owner's row and claims the ownership when the owner has
 /// failed or released it.
--- a/filbertspar/ownership/src/claim.cc
+++ b/filbertspar/ownership/src/claim.cc
@@ -101,12 +101,15 @@
       record && view.m_record && record->m_epoch == view.m_record->m_epoch;
   if (record && !is_same_term) {
     const bool is_next = record->m_epoch == NextEpoch(view.m_last_epoch);
-    if (!is_next || !IsPeerOfOwner(view, self)) {
-      // The owners before this one were confirmed for the last time before now.
+    // The owners before this one were confirmed for the last time before now.
+    if (!is_next || !IsPeerOfOwner(view, self, now)) {
       view.m_earlier_orders_until = now + kMaxOutageTime;
     }
     view.m_last_epoch = record->m_epoch;
   }
+  if (record && record->m_is_sole) {
+    view.m_earlier_orders_until = TimePoint::min();
+  }
   if (!is_same_term) {
     view.m_owner_first_seen = now;
   }
@@ -136,7 +139,8 @@
   }
 }
 
-bool IsPeerOfOwner(const OwnerView& view, const Candidate& self) {
+bool IsPeerOfOwner(const OwnerView& view, const Candidate& self,
+                   TimePoint last_write) {
   if (!view.m_record || view.m_record->m_vm == self.m_vm ||
       view.m_link == LinkHealth::kRefused) {
     return true;
@@ -144,7 +148,7 @@
   // An answer to a ping of before this term may be one of an earlier term of
   // the same process.
   return view.m_answered_ping_at >= view.m_owner_first_seen &&
-         view.m_version_first_seen < view.m_answered_ping_at + kPeerMemory;
+         last_write < view.m_answered_ping_at + kPeerMemory;
 }
 
 bool IsOwnUnansweredClaim(const OwnerView& view, const Candidate& self,
@@ -163,7 +167,7 @@
     return false;
   }
   return view.m_record->m_released ||
-         (IsPeerOfOwner(view, self) &&
+         (IsPeerOfOwner(view, self, view.m_version_first_seen) &&
           now - view.m_version_first_seen < kMaxOwnerWriteAge &&
           now - contact.m_reached_since > kMinStoreContact);
 }
@@ -173,7 +177,7 @@
   // The last write took effect before the row was first read with it.
   const TimePoint read_at = view.m_version_first_seen;
   TimePoint latest = read_at + kMaxOutageTime;
-  if (IsPeerOfOwner(view, self)) {
+  if (IsPeerOfOwner(view, self, read_at)) {
     latest =
         std::min(latest, std::max(read_at + kMaxUnconfirmedTime,
                                   AwayUntil(contact, now) + kMaxStatementAge));
@@ -189,6 +193,7 @@
       NextEpoch(view.m_record ? view.m_record->m_epoch : FencingNumber());
   attempt.m_record.m_write_number = 0;
   attempt.m_record.m_released = false;
+  attempt.m_record.m_is_sole = false;
   attempt.m_record.m_all_starts_recorded =
       CanRelyOnRecordedStarts(view, self, contact, now);
   if (last.m_record.m_epoch == attempt.m_record.m_epoch &&
--- a/filbertspar/ownership/src/claim.h
+++ b/filbertspar/ownership/src/claim.h
@@ -67,9 +67,10 @@
 void HandlePingAnswered(OwnerView& view, std::uint64_t incarnation,
                         TimePoint ping_sent_at);
 
-/// \brief Whether the owner counted this VM among its peers when it wrote the
-/// row, or has ended.
-bool IsPeerOfOwner(const OwnerView& view, const Candidate& self);
+/// \brief Whether the owner of the view counted this VM among its peers when it
+/// was confirmed last, which was before `last_write`, or has ended.
+bool IsPeerOfOwner(const OwnerView& view, const Candidate& self,
+                   TimePoint last_write);
 
 /// \brief Whether to claim the ownership now.
 ///
--- a/filbertspar/ownership/src/permission.h
+++ b/filbertspar/ownership/src/permission.h
@@ -12,7 +12,7 @@
 /// - It sent its last write that took effect less than kMaxUnconfirmedTime ago.
 /// - Each of its peers has stated less than kMaxStatementAge ago that the store
 ///   has not answered it for kStoreAwayTime. A statement counts from when it
-///   was ///   made, by the owner's clock, however late it arrives. This ends
+///   was made, by the owner's clock, however late it arrives. This ends
 ///   kMaxOutageTime after the last write that took effect.
 ///
 /// A VM that claims knows when it first read the row that its claim replaces
@@ -26,6 +26,8 @@
 
 namespace filbertspar {
 
+/// For this long the owner also answers from its memory; the length of a queue
+/// may be 2 s old.
 inline constexpr Duration kMaxUnconfirmedTime = Milliseconds(1600);
 inline constexpr Duration kMaxStatementAge = Seconds(1);
 /// A VM that can reach the store receives a response at least every second,
--- a/filbertspar/ownership/src/record.cc
+++ b/filbertspar/ownership/src/record.cc
@@ -25,6 +25,23 @@
                  {"released", record.m_released}});
 }
 
+std::string EncodeSoleTerm(FencingNumber epoch) {
+  return ToText(JsonObject{{"epoch", epoch.Value()}});
+}
+
+FencingNumber DecodeSoleTerm(std::string_view text) {
+  const absl::StatusOr<JsonObject> object = ParseJsonObject(text);
+  std::int64_t epoch = 0;
+  if (object.ok()) {
+    FieldReader reader(*object, "sole term");
+    reader.Read("epoch", epoch, IntRange{1});
+    if (!reader.Finish().ok()) {
+      epoch = 0;
+    }
+  }
+  return FencingNumber(static_cast<std::uint64_t>(epoch));
+}
+
 absl::StatusOr<OwnerRecord> DecodeOwner(std::string_view text) {
   absl::StatusOr<JsonObject> object = ParseJsonObject(text);
   if (!object.ok()) {
--- a/filbertspar/ownership/src/record.h
+++ b/filbertspar/ownership/src/record.h
@@ -38,6 +38,9 @@
   /// Whether the stored progress contains every run that this owner or a
   /// previous one started.
   bool m_all_starts_recorded = false;
+  /// Whether no previous owner can send orders any more. Stated by a row of its
+  /// own, since earlier releases accept no further field in this one.
+  bool m_is_sole = false;
   /// Whether the owner has given up the ownership.
   bool m_released = false;
 
@@ -54,6 +57,13 @@
 /// \brief JSON text of the record, for its row.
 std::string EncodeOwner(const OwnerRecord& record);
 
+/// \brief JSON text of the row which states that no owner before the term can
+/// send orders any more.
+std::string EncodeSoleTerm(FencingNumber epoch);
+
+/// \brief The term that the row is about; none if it is not readable.
+FencingNumber DecodeSoleTerm(std::string_view text);
+
 /// \brief Returns kBadField unless the text is a valid owner record.
 absl::StatusOr<OwnerRecord> DecodeOwner(std::string_view text);
 
--- a/soak/outages.py
+++ b/soak/outages.py
@@ -21,13 +21,15 @@
 GAP_S = 4.0
 SILENCE_S = (0.5, 8.0)
 CUT_S = 5.0
+# Before the store may be back: the owner renews the leases of these workers until then.
+CUT_AHEAD_S = 0.2
 
 
 class Outage:
     """What the store does with calls from the first claim of another node than the owner on."""
 
     def __init__(self, site, owner, silence_s, claims_are_performed):
-        self._site, self._owner, self._silence_s = site, owner, silence_s
+        self._site, self._owner, self.silence_s = site, owner, silence_s
         self._claims_are_performed = claims_are_performed
         self.silent_since = None
         self.is_over = False
@@ -44,13 +46,16 @@
                 return None
             self.silent_since = time.monotonic()
         silence = time.monotonic() - self.silent_since
-        if self.is_over or silence > self._silence_s + 2.5 or (silence > self._silence_s and is_claim):
+        if self.is_over or silence > self.silence_s + 2.5 or (silence > self.silence_s and is_claim):
             self.is_over = True
             return None
         return "lost" if is_claim and self._claims_are_performed else "silent"
 
 
-async def harm_worker(site, rng):
+async def harm_worker(site, rng, seen):
+    if seen.silent_since is None:
+        return
+    await asyncio.sleep(max(0.0, seen.silent_since + seen.silence_s - CUT_AHEAD_S - time.monotonic()))
     worker = rng.choice([vm.worker for vm in site.fleet.vms.values()])
     worker.faults.add("cut")
     await asyncio.sleep(CUT_S)
@@ -70,7 +75,7 @@
     while seen.silent_since is None and time.monotonic() < deadline:
         await asyncio.sleep(0.02)
     owner.store_path.set_mode("open")
-    harmed = [asyncio.ensure_future(harm_worker(site, rng)) for _ in range(rng.randrange(4))]
+    harmed = [asyncio.ensure_future(harm_worker(site, rng, seen)) for _ in range(rng.randrange(1, 4))]
     frozen = rng.random() < 0.2
     if frozen:
         owner.signal(signal.SIGSTOP)
--- a/tests/outage_world.h
+++ b/tests/outage_world.h
@@ -142,6 +142,7 @@
       }
       OwnerRecord record = vm.m_term->m_won.m_record;
       record.m_write_number = ++vm.m_term->m_write_number;
+      record.m_is_sole = Now() > vm.m_term->m_orders_until;
       AttemptWrite(vm, number, {vm.m_term->m_version, record},
                    outage::kWriteTimeout);
     });
--- a/tests/ownership_claim_test.cc
+++ b/tests/ownership_claim_test.cc
@@ -351,8 +351,14 @@
   view.m_record->m_epoch = view.m_last_epoch = first;
   CHECK(earlier(view, second) == TimePoint::min());
   CHECK(earlier(view, NextEpoch(second)) == kNow + kMaxOutageTime);
-  view.m_answered_ping_at = TimePoint::min();
+  // It may have gone on writing, and forgotten this VM, since the last read.
+  view.m_answered_ping_at = kNow - kPeerMemory;
+  view.m_version_first_seen = kNow - kPeerMemory;
   CHECK(earlier(view, second) == kNow + kMaxOutageTime);
+  // Unless the owner states that all of them have stopped.
+  record.m_is_sole = true;
+  CHECK(earlier(view, second) == TimePoint::min());
+  record.m_is_sole = false;
   WonClaim won;
   won.m_record.m_epoch = first;
   won.m_previous_orders_until = kNow + Seconds(2);
@@ -374,6 +380,10 @@
   const auto decoded = DecodeOwner(EncodeOwner(record));
   REQUIRE(decoded.ok());
   CHECK(*decoded == record);
+  const FencingNumber epoch(3'000'000);
+  CHECK(DecodeSoleTerm(EncodeSoleTerm(epoch)) == epoch);
+  CHECK(DecodeSoleTerm("") == FencingNumber());
+  CHECK(DecodeSoleTerm("{}") == FencingNumber());
   CHECK_FALSE(DecodeOwner("").ok());
   CHECK_FALSE(DecodeOwner("{}").ok());
 }
