soak.outages cuts off workers with runs that are known for long

Runs last longer than an outage, the workers that are cut off have runs, and their lives began long ago: of a young worker an owner expects late calls and waits for longer, so that the fault did not show.

--- a/soak/outages.py
+++ b/soak/outages.py
@@ -20,6 +20,8 @@
 
 GAP_S = 4.0
 SILENCE_S = (0.5, 8.0)
+# Longer than an outage, so that runs go on when it ends.
+TASK_S = 14.0
 CUT_S = 5.0
 # Before the store may be back: the owner renews the leases of these workers until then.
 CUT_AHEAD_S = 0.2
@@ -56,7 +58,8 @@
     if seen.silent_since is None:
         return
     await asyncio.sleep(max(0.0, seen.silent_since + seen.silence_s - CUT_AHEAD_S - time.monotonic()))
-    worker = rng.choice([vm.worker for vm in site.fleet.vms.values()])
+    workers = [vm.worker for vm in site.fleet.vms.values()]
+    worker = rng.choice([each for each in workers if each.running] or workers)
     worker.faults.add("cut")
     await asyncio.sleep(CUT_S)
     worker.faults.discard("cut")
@@ -108,12 +111,13 @@
     rng = random.Random(f"{seed} outages")
     site = Site(seed, folder, slot, nodes=3, vms=9)
     site.jobs.crashes_after = lambda task: None
+    site.worker_age_s = 60.0
     plants.before(plant, site)
     try:
         await site.start()
         await asyncio.sleep(5)
         until = time.monotonic() + seconds
-        count, _ = await asyncio.gather(disrupt(site, rng, until), hand_in_jobs(site, rng, until))
+        count, _ = await asyncio.gather(disrupt(site, rng, until), hand_in_jobs(site, rng, until, TASK_S))
         await asyncio.sleep(6)
         await site.settle()
         await site.stop()
--- a/soak/restarts.py
+++ b/soak/restarts.py
@@ -119,15 +119,15 @@
         await fault(site, rng)
 
 
-async def hand_in_jobs(site, rng, until):
-    step = {"count": TASKS, "cpu": CPU, "mem_mb": 64, "est_duration_ms": int(TASK_S * 1000)}
+async def hand_in_jobs(site, rng, until, task_s=TASK_S):
+    step = {"count": TASKS, "cpu": CPU, "mem_mb": 64, "est_duration_ms": int(task_s * 1000)}
     caller = Caller(site, "team-1", rng.random())
     under_way = []
     while time.monotonic() < until:
         await asyncio.sleep(rng.expovariate(JOBS_PER_S))
         lasting = {"long_running": True} if rng.random() < LASTING_SHARE else {}
         job = GivenJob(site.next_number(), rng.choice(site.config.queues), "team-1",
-                       {"steps": [step | lasting]}, TASK_S, CPU)
+                       {"steps": [step | lasting]}, task_s, CPU)
         under_way.append(asyncio.ensure_future(hand_in(site, caller, job)))
     await asyncio.gather(*under_way)
     # Lasting jobs would hold the ceiling while the others end.
--- a/soak/site.py
+++ b/soak/site.py
@@ -84,6 +84,7 @@
         self.restarts_in_a_row = 1
         self.fences_late = True
         self.lease_slack_s = 0.0
+        self.worker_age_s = 0.0
         self._numbers = self._rng.getrandbits(40) << 16
         self._lives = 0
         self._waves = 0
@@ -130,6 +131,7 @@
         worker.on_crash = lambda: self._replace_crashed(vm, worker)
         worker.fences_late = self.fences_late
         worker.lease_slack_ms = int(self.lease_slack_s * 1000)
+        worker.grow_older(self.worker_age_s)
         vm.worker = worker
         await worker.start()
 
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -259,6 +259,10 @@
             asyncio.get_running_loop().call_later(crashes_after, self._crash, task, number)
         return 200, {}
 
+    def grow_older(self, seconds):
+        """Lets this life have begun earlier: of a young one an owner expects late calls."""
+        self._born -= int(seconds * 1000)
+
     def _extend(self, deadline_ms):
         self._has_lapsed()
         self._lease_ms = max(self._lease_ms, min(deadline_ms, self.clock_ms() + LONGEST_LEASE_MS))
