--- a/filbertspar/node/src/vm_manager_waves.cc
+++ b/filbertspar/node/src/vm_manager_waves.cc
@@ -63,7 +63,9 @@
     }
     const std::string evidence = absl::StrCat(
         upkeep::DescribeEvidence(m_upkeep_state, wave), " list_ms_ago=",
-        ToMilliseconds(BootNow() - m_upkeep_state.m_list_requested_at));
+        m_upkeep_state.m_list_requested_at == TimePoint::min()
+            ? -1
+            : ToMilliseconds(BootNow() - m_upkeep_state.m_list_requested_at));
     const bool complete = *status == upkeep::WaveStatus::kCompleted;
     const StoreKey key{std::string(adapter::kStatusTable), "",
                        absl::StrCat(std::string(adapter::kWavePrefix), number)};
--- a/soak/outages.py
+++ b/soak/outages.py
@@ -22,7 +22,8 @@
 SILENCE_S = (0.5, 8.0)
 # Longer than an outage, so that runs go on when it ends.
 TASK_S = 14.0
-CUT_S = 5.0
+# Longer than the next owner waits for a worker that does not answer.
+CUT_S = 9.0
 # Before the store may be back: the owner renews the leases of these workers until then.
 CUT_AHEAD_S = 0.2
 
@@ -38,8 +39,8 @@
 
     def _is_claim(self, path, body):
         return path == "/rows-tx" and any(
-            row["table"] == "filbertspar_owner" and self._site.store.decoded(row["value"])["vm"] != self._owner.name
-            for row in body["set_keys"])
+            row["table"] == "filbertspar_owner" and row["key"] == "owner" and
+            self._site.store.decoded(row["value"])["vm"] != self._owner.name for row in body["set_keys"])
 
     def gate(self, path, body):
         is_claim = self._is_claim(path, body)
@@ -125,13 +126,7 @@
         site.kill_nodes()
     print(f"outages seed={seed} jobs={len(site.jobs.by_id)} outages={count} "
           f"checks={sum(site.promises.checks.values())} broken={len(site.promises.violations)}")
-    broken = {}
-    for violation in site.promises.violations:
-        broken.setdefault(violation[1], []).append(violation)
-    for promise, violations in broken.items():
-        at, _, detail = violations[0]
-        print(f"  BROKEN {promise}, {len(violations)} times, first: {detail} (at {at - site.began:.1f} s, logs in {folder})")
-    return plants.BREAKS[plant] in broken if plant else not broken
+    return plants.judge(plant, site, folder)
 
 
 def main():
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -14,6 +14,17 @@
 NAMES = sorted(BREAKS)
 
 
+def judge(plant, site, folder):
+    """Prints which promises were broken; whether none was, or with a plant the one that it breaks."""
+    broken = {}
+    for violation in site.promises.violations:
+        broken.setdefault(violation[1], []).append(violation)
+    for promise, violations in broken.items():
+        at, _, detail = violations[0]
+        print(f"  BROKEN {promise}, {len(violations)} times, first: {detail} (at {at - site.began:.1f} s, logs in {folder})")
+    return BREAKS[plant] in broken if plant else not broken
+
+
 def before(plant, site):
     if plant == "ceiling":
         site.config.stated_ceiling_factor = 10
--- a/soak/takeovers.py
+++ b/soak/takeovers.py
@@ -55,13 +55,7 @@
         site.kill_nodes()
     print(f"takeovers seed={seed} lag={site.fleet.lag_s} jobs={len(site.jobs.by_id)} takeovers={count} "
           f"checks={sum(site.promises.checks.values())} broken={len(site.promises.violations)}")
-    broken = {}
-    for violation in site.promises.violations:
-        broken.setdefault(violation[1], []).append(violation)
-    for promise, violations in broken.items():
-        at, _, detail = violations[0]
-        print(f"  BROKEN {promise}, {len(violations)} times, first: {detail} (at {at - site.began:.1f} s, logs in {folder})")
-    return plants.BREAKS[plant] in broken if plant else not broken
+    return plants.judge(plant, site, folder)
 
 
 def main():
